--- /dev/null
+++ b/cmd/poplarcroft/main.go
@@ -0,0 +1,4 @@
+// Command poplarcroft runs one host of the router.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/poplarctl/main.go
@@ -0,0 +1,4 @@
+// Command poplarctl is the operators' tool.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,129 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxReplyBytes bounds a reply of the platform.
+const maxReplyBytes = 64 << 20
+
+// Client speaks the platform's HTTP protocol. It implements Log and Hosts and
+// is safe for concurrent use.
+type Client struct {
+	logURL   string
+	hostsURL string
+	http     *http.Client
+}
+
+// NewClient returns a client of the log and the host list at the given base
+// URLs. The HTTP client sets connection behaviour; deadlines come from contexts.
+func NewClient(logURL, hostsURL string, client *http.Client) *Client {
+	return &Client{logURL: logURL, hostsURL: hostsURL, http: client}
+}
+
+// Append implements Log.
+func (c *Client) Append(ctx context.Context, data []byte) (Offset, error) {
+	var reply AppendReply
+	status, err := c.call(ctx, http.MethodPost, c.recordsURL(), data, &reply)
+	if err != nil {
+		return 0, errors.Mark(err, ErrUnavailable)
+	}
+	if status != http.StatusCreated {
+		return 0, errors.Mark(errors.Newf("log: append answered %d", status), ErrUnavailable)
+	}
+	return reply.Offset, nil
+}
+
+// Read implements Log.
+func (c *Client) Read(ctx context.Context, from Offset, max int, wait time.Duration) (ReadReply, error) {
+	query := url.Values{}
+	query.Set("from", fmt.Sprint(uint64(from)))
+	query.Set("max", fmt.Sprint(max))
+	query.Set("wait_ms", fmt.Sprint(wait.Milliseconds()))
+	var reply ReadReply
+	status, err := c.call(ctx, http.MethodGet, c.recordsURL()+"?"+query.Encode(), nil, &reply)
+	switch {
+	case err != nil:
+		return ReadReply{}, errors.Mark(err, ErrUnavailable)
+	case status == http.StatusGone:
+		return reply, ErrTrimmed
+	case status != http.StatusOK:
+		return ReadReply{}, errors.Mark(errors.Newf("log: read answered %d", status), ErrUnavailable)
+	}
+	return reply, nil
+}
+
+// List implements Hosts.
+func (c *Client) List(ctx context.Context) (HostList, error) {
+	var list HostList
+	status, err := c.call(ctx, http.MethodGet, c.hostsURL+"/v1/hosts", nil, &list)
+	if err != nil {
+		return HostList{}, err
+	}
+	if status != http.StatusOK {
+		return HostList{}, errors.Newf("host list: answered %d", status)
+	}
+	return list, nil
+}
+
+// Announce implements Hosts.
+func (c *Client) Announce(ctx context.Context, entry HostEntry) error {
+	body, err := json.Marshal(entry)
+	if err != nil {
+		return errors.Wrap(err, "host list: encode entry")
+	}
+	return c.expectNoContent(ctx, http.MethodPut, entry.Name, body)
+}
+
+// Withdraw implements Hosts.
+func (c *Client) Withdraw(ctx context.Context, name string) error {
+	return c.expectNoContent(ctx, http.MethodDelete, name, nil)
+}
+
+func (c *Client) expectNoContent(ctx context.Context, method, name string, body []byte) error {
+	status, err := c.call(ctx, method, c.hostsURL+"/v1/hosts/"+url.PathEscape(name), body, nil)
+	if err != nil {
+		return err
+	}
+	if status != http.StatusNoContent {
+		return errors.Newf("host list: answered %d", status)
+	}
+	return nil
+}
+
+func (c *Client) recordsURL() string {
+	return c.logURL + "/v1/streams/" + Stream + "/records"
+}
+
+// call sends one request and decodes a JSON reply into out, where there is one.
+func (c *Client) call(ctx context.Context, method, target string, body []byte, out any) (int, error) {
+	req, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
+	if err != nil {
+		return 0, errors.Wrap(err, "platform: build request")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return 0, errors.Wrap(err, "platform: call")
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	if err != nil {
+		return 0, errors.Wrap(err, "platform: read reply")
+	}
+	if out == nil || len(data) == 0 || resp.StatusCode >= http.StatusInternalServerError {
+		return resp.StatusCode, nil
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return 0, errors.Wrap(err, "platform: decode reply")
+	}
+	return resp.StatusCode, nil
+}
