--- a/cmd/poplarcroft/main.go
+++ b/cmd/poplarcroft/main.go
@@ -1,4 +1,12 @@
 // Command poplarcroft runs one host of the router.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/poplarcroft/poplarcroft/internal/cmd/hostcmd"
+)
+
+func main() {
+	os.Exit(hostcmd.Main())
+}
--- a/cmd/poplarctl/main.go
+++ b/cmd/poplarctl/main.go
@@ -1,4 +1,12 @@
 // Command poplarctl is the operators' tool.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/poplarcroft/poplarcroft/internal/cmd/ctlcmd"
+)
+
+func main() {
+	os.Exit(ctlcmd.Main())
+}
