--- /dev/null
+++ b/internal/balance/adaptive.go
@@ -0,0 +1,101 @@
+package balance
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// farPenalty is the share of the typical latency by which a target in
+	// another zone must be better than one in the host's own.
+	farPenalty = 0.5
+	// reportWeight is how much a fresh report of full slots adds to a score, as a share of the latency.
+	reportWeight = 0.5
+	// choices is the number of targets drawn for each pick, per zone class.
+	choices = 3
+	// maxDraws bounds the draws for one pick where cold targets are passed over.
+	maxDraws = 16
+)
+
+// adaptivePolicy draws a few targets near and far and picks the one that is
+// expected to answer first.
+type adaptivePolicy struct {
+	*targetTable
+	near, far []*targetState
+}
+
+func newAdaptivePolicy(targets *targetTable) *adaptivePolicy {
+	return &adaptivePolicy{targetTable: targets}
+}
+
+// Pick implements Policy.
+func (p *adaptivePolicy) Pick(now time.Duration, exclude ...string) (string, bool) {
+	candidates := p.eligible(exclude)
+	if len(candidates) == 0 {
+		return "", false
+	}
+	p.split(candidates)
+	near, nearScore := p.best(p.near, now)
+	far, farScore := p.best(p.far, now)
+	if near == nil || (far != nil && farScore*(1+farPenalty) < nearScore) {
+		near = far
+	}
+	return near.Addr, true
+}
+
+// split sorts the candidates into those of the host's own zone and the others.
+func (p *adaptivePolicy) split(candidates []*targetState) {
+	p.near = p.near[:0]
+	p.far = p.far[:0]
+	for _, state := range candidates {
+		if state.Zone == p.options.Zone {
+			p.near = append(p.near, state)
+		} else {
+			p.far = append(p.far, state)
+		}
+	}
+}
+
+// best draws from the group, passing a cold target over in proportion to its
+// cold start, and returns the drawn target with the lowest score.
+func (p *adaptivePolicy) best(group []*targetState, now time.Duration) (*targetState, float64) {
+	if len(group) == 0 {
+		return nil, 0
+	}
+	var best *targetState
+	bestScore := math.Inf(1)
+	drawn := 0
+	for try := 0; drawn < choices && try < maxDraws; try++ {
+		state := group[p.options.Rand.IntN(len(group))]
+		if p.options.Rand.Float64() >= p.warmth(state, now) {
+			continue
+		}
+		drawn++
+		if score := expectedLatency(state, now); best == nil || score < bestScore {
+			best, bestScore = state, score
+		}
+	}
+	if best == nil {
+		best = group[p.options.Rand.IntN(len(group))]
+		bestScore = expectedLatency(best, now)
+	}
+	return best, bestScore
+}
+
+// expectedLatency estimates in seconds how long the target's next try takes. A
+// try that is still in flight counts with its age.
+func expectedLatency(state *targetState, now time.Duration) float64 {
+	latency := max(state.latency, state.oldestAge(now))
+	load := float64(state.inFlight()) / float64(state.Slots)
+	return latency * (1 + load + reportWeight*reportedLoad(state, now))
+}
+
+// reportedLoad is the target's own word on its load, faded by its age.
+func reportedLoad(state *targetState, now time.Duration) float64 {
+	if state.report.Slots <= 0 {
+		return 0
+	}
+	busy := float64(state.report.InFlight+state.report.Queued) / float64(state.report.Slots)
+	age := (now - state.reported).Seconds()
+	return busy * math.Exp(-age/reportDecay.Seconds())
+}
