--- /dev/null
+++ b/internal/ownership/snapshot.go
@@ -0,0 +1,91 @@
+package ownership
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/record"
+)
+
+// Snapshot is a table at an offset in a form for the wire, in a fixed order.
+type Snapshot struct {
+	Applied  platform.Offset   `json:"applied"`
+	Sessions []Session         `json:"sessions"`
+	Services []ServiceSnapshot `json:"services"`
+	Marks    []MarkSnapshot    `json:"marks"`
+}
+
+// ServiceSnapshot holds a service's slices by number.
+type ServiceSnapshot struct {
+	Service string  `json:"service"`
+	Slices  []Slice `json:"slices"`
+}
+
+// MarkSnapshot is one mark and what it is put on.
+type MarkSnapshot struct {
+	Subject record.Subject `json:"subject"`
+	Name    string         `json:"name"`
+	Mark    Mark           `json:"mark"`
+}
+
+// Snapshot returns a copy of the table.
+func (t *Table) Snapshot() Snapshot {
+	snapshot := Snapshot{Applied: t.applied}
+	for _, session := range t.sessions {
+		snapshot.Sessions = append(snapshot.Sessions, *session)
+	}
+	slices.SortFunc(snapshot.Sessions, func(a, b Session) int { return cmp.Compare(a.ID, b.ID) })
+	for service, all := range t.services {
+		snapshot.Services = append(snapshot.Services, ServiceSnapshot{service, slices.Clone(all)})
+	}
+	slices.SortFunc(snapshot.Services, func(a, b ServiceSnapshot) int { return cmp.Compare(a.Service, b.Service) })
+	for key, mark := range t.marks {
+		snapshot.Marks = append(snapshot.Marks, MarkSnapshot{key.Subject, key.Name, mark})
+	}
+	slices.SortFunc(snapshot.Marks, func(a, b MarkSnapshot) int {
+		return cmp.Or(cmp.Compare(a.Subject, b.Subject), cmp.Compare(a.Name, b.Name))
+	})
+	return snapshot
+}
+
+// ErrBadSnapshot reports a snapshot that no table can have.
+var ErrBadSnapshot = errors.New("ownership: bad snapshot")
+
+// Restore returns the table of a snapshot.
+func Restore(snapshot Snapshot) (*Table, error) {
+	t := NewTable()
+	t.applied = snapshot.Applied
+	for _, session := range snapshot.Sessions {
+		if session.ID > snapshot.Applied || session.ID == 0 {
+			return nil, errors.Wrapf(ErrBadSnapshot, "session %d beyond offset %d", session.ID, snapshot.Applied)
+		}
+		t.sessions[session.ID] = &session
+		t.latest[session.Addr] = max(t.latest[session.Addr], session.ID)
+	}
+	for _, service := range snapshot.Services {
+		if len(service.Slices) > MaxSlices {
+			return nil, errors.Wrapf(ErrBadSnapshot, "%d slices", len(service.Slices))
+		}
+		t.services[service.Service] = slices.Clone(service.Slices)
+		t.indexOwners(service)
+	}
+	for _, mark := range snapshot.Marks {
+		t.marks[MarkKey{mark.Subject, mark.Name}] = mark.Mark
+	}
+	return t, nil
+}
+
+func (t *Table) indexOwners(service ServiceSnapshot) {
+	for number, slice := range service.Slices {
+		if slice.Owner == 0 {
+			continue
+		}
+		if t.owned[slice.Owner] == nil {
+			t.owned[slice.Owner] = make(map[SliceKey]struct{})
+		}
+		t.owned[slice.Owner][SliceKey{service.Service, number}] = struct{}{}
+	}
+}
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -21,14 +21,15 @@
 
 // Kinds of records.
 const (
-	KindSettings Kind = "settings"
-	KindMark     Kind = "mark"
-	KindOpen     Kind = "open"
-	KindClose    Kind = "close"
-	KindPlan     Kind = "plan"
-	KindMoved    Kind = "moved"
-	KindLessors  Kind = "lessors"
-	KindSealed   Kind = "sealed"
+	KindSettings   Kind = "settings"
+	KindMark       Kind = "mark"
+	KindOpen       Kind = "open"
+	KindClose      Kind = "close"
+	KindPlan       Kind = "plan"
+	KindMoved      Kind = "moved"
+	KindLessors    Kind = "lessors"
+	KindSealed     Kind = "sealed"
+	KindCheckpoint Kind = "checkpoint"
 )
 
 // SessionID identifies a backend server's session: the offset of its open record.
@@ -56,14 +57,22 @@
 	// TimeMS is the author's wall clock in Unix milliseconds, for display only.
 	TimeMS int64 `json:"time_ms"`
 
-	Settings *Settings `json:"settings,omitempty"`
-	Mark     *Mark     `json:"mark,omitempty"`
-	Open     *Open     `json:"open,omitempty"`
-	Close    *Close    `json:"close,omitempty"`
-	Plan     *Plan     `json:"plan,omitempty"`
-	Moved    *Moved    `json:"moved,omitempty"`
-	Lessors  *Lessors  `json:"lessors,omitempty"`
-	Sealed   *Sealed   `json:"sealed,omitempty"`
+	Settings   *Settings   `json:"settings,omitempty"`
+	Mark       *Mark       `json:"mark,omitempty"`
+	Open       *Open       `json:"open,omitempty"`
+	Close      *Close      `json:"close,omitempty"`
+	Plan       *Plan       `json:"plan,omitempty"`
+	Moved      *Moved      `json:"moved,omitempty"`
+	Lessors    *Lessors    `json:"lessors,omitempty"`
+	Sealed     *Sealed     `json:"sealed,omitempty"`
+	Checkpoint *Checkpoint `json:"checkpoint,omitempty"`
+}
+
+// Checkpoint holds the folded state at an offset, so that a reader can start
+// there after the log has trimmed the records before it.
+type Checkpoint struct {
+	Offset platform.Offset `json:"offset"`
+	State  json.RawMessage `json:"state"`
 }
 
 // Settings replaces nodes of the settings tree. It is accepted only if the
@@ -219,14 +228,15 @@
 		return errors.Wrap(ErrMalformed, "no id")
 	}
 	bodies := map[Kind]bool{
-		KindSettings: r.Settings != nil,
-		KindMark:     r.Mark != nil,
-		KindOpen:     r.Open != nil,
-		KindClose:    r.Close != nil,
-		KindPlan:     r.Plan != nil,
-		KindMoved:    r.Moved != nil,
-		KindLessors:  r.Lessors != nil,
-		KindSealed:   r.Sealed != nil,
+		KindSettings:   r.Settings != nil,
+		KindMark:       r.Mark != nil,
+		KindOpen:       r.Open != nil,
+		KindClose:      r.Close != nil,
+		KindPlan:       r.Plan != nil,
+		KindMoved:      r.Moved != nil,
+		KindLessors:    r.Lessors != nil,
+		KindSealed:     r.Sealed != nil,
+		KindCheckpoint: r.Checkpoint != nil,
 	}
 	known, set := bodies[r.Kind]
 	if !set {
--- /dev/null
+++ b/internal/view/snapshot.go
@@ -0,0 +1,53 @@
+package view
+
+import (
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/poplarcroft/poplarcroft/internal/ownership"
+	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/settings"
+)
+
+// Snapshot is a view at one offset in a form for the wire.
+type Snapshot struct {
+	Table    ownership.Snapshot `json:"table"`
+	Settings settings.Snapshot  `json:"settings"`
+}
+
+// Snapshot returns a copy of the view as JSON, with its offset.
+func (v *View) Snapshot() (data []byte, offset platform.Offset, err error) {
+	v.mu.RLock()
+	snapshot := Snapshot{Table: v.table.Snapshot(), Settings: v.settings.Snapshot()}
+	v.mu.RUnlock()
+	data, err = json.Marshal(snapshot)
+	return data, snapshot.Table.Applied, errors.Wrap(err, "view: encode snapshot")
+}
+
+// Restore replaces the view by a snapshot that lies ahead of it. A snapshot
+// that does not is left alone: a view never goes back.
+func (v *View) Restore(data []byte) error {
+	var snapshot Snapshot
+	if err := json.Unmarshal(data, &snapshot); err != nil {
+		return errors.Wrap(err, "view: decode snapshot")
+	}
+	table, err := ownership.Restore(snapshot.Table)
+	if err != nil {
+		return err
+	}
+	state, err := settings.Restore(snapshot.Settings)
+	if err != nil {
+		return errors.Wrap(err, "view: restore settings")
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if table.Applied() <= v.table.Applied() {
+		return nil
+	}
+	v.table = table
+	v.settings = state
+	v.checkpoint = max(v.checkpoint, table.Applied())
+	v.notify()
+	return nil
+}
