--- /dev/null
+++ b/internal/keeper/keeper.go
@@ -0,0 +1,264 @@
+// Package keeper runs one host's part in the sessions that it is a lessor of:
+// it asks for the lead, renews the backend server's lease, closes the session when the
+// server is gone, and activates the session's slices at their successors.
+//
+// The rules are those of package lease; this package gives them a clock and
+// messages. A Keeper is safe for concurrent use: its state is guarded by one
+// lock, which is never held during I/O.
+package keeper
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/poplarcroft/poplarcroft/internal/backend"
+	"github.com/poplarcroft/poplarcroft/internal/lease"
+	"github.com/poplarcroft/poplarcroft/internal/ownership"
+	"github.com/poplarcroft/poplarcroft/internal/peer"
+	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/record"
+	"github.com/poplarcroft/poplarcroft/internal/settings"
+	"github.com/poplarcroft/poplarcroft/internal/timeline"
+	"github.com/poplarcroft/poplarcroft/internal/view"
+)
+
+// Deps are what a keeper needs of its host.
+type Deps struct {
+	Host        string
+	Incarnation string
+	View        *view.View
+	Writer      *view.Writer
+	Peers       *peer.Pool
+	Servers     *backend.Client
+	Events      *timeline.Recorder
+	// Clock is the host's monotonic clock.
+	Clock func() time.Duration
+}
+
+// Handover is what a slice's owner session leaves behind: the slice, its
+// epoch, and the successor with the epoch that it will own under.
+type Handover struct {
+	Key       ownership.SliceKey
+	Epoch     record.Epoch
+	Successor record.SessionID
+	NextEpoch record.Epoch
+	Moving    bool
+}
+
+// Keeper is one host's part in one session.
+type Keeper struct {
+	deps    Deps
+	id      record.SessionID
+	service string
+	zone    string
+	addr    string
+	// incarnation is that of the backend server.
+	incarnation string
+	values      settings.Values
+	kick        chan struct{}
+	// Observer is told of every answer and of the end of the server's session.
+	observer Observer
+
+	mu      sync.Mutex
+	lessor  *lease.Lessor
+	lessors []record.Lessor
+	former  []record.Lessor
+	// handovers are the session's slices at the lessor's version.
+	handovers map[ownership.SliceKey]Handover
+	// holds are the slices that the server has confirmed, with their epochs.
+	holds map[int]record.Epoch
+	// adopted are slices that came from a closed session and are not in the log yet.
+	adopted map[int]record.Epoch
+	// gaveUp are the highest epochs under which the server dropped slices.
+	gaveUp map[int]record.Epoch
+	// confirmed is the version under which a quorum granted the lead last.
+	confirmed   platform.Offset
+	silence     silence
+	activated   map[ownership.SliceKey]bool
+	closeReason string
+	wasLead     bool
+	done        atomic.Bool
+}
+
+// Observer is told what the keeper learns of its server. Its methods must not
+// block and must not call the keeper.
+type Observer interface {
+	// ServerAnswered passes on a grant's answer.
+	ServerAnswered(reply backend.GrantReply)
+	// SessionEnded says that the server's session ends; died tells whether the server itself has failed.
+	SessionEnded(incarnation string, died bool)
+}
+
+// New returns a keeper of an open session. Run starts it.
+func New(deps Deps, session *ownership.Session, values settings.Values, observer Observer) *Keeper {
+	k := &Keeper{
+		deps:        deps,
+		id:          session.ID,
+		service:     session.Service,
+		zone:        session.Zone,
+		addr:        session.Addr,
+		incarnation: session.Incarnation,
+		values:      values,
+		kick:        make(chan struct{}, 1),
+		observer:    observer,
+		lessors:     session.Lessors,
+		former:      session.Former,
+		holds:       make(map[int]record.Epoch),
+		adopted:     make(map[int]record.Epoch),
+		gaveUp:      make(map[int]record.Epoch),
+		activated:   make(map[ownership.SliceKey]bool),
+	}
+	config := lease.Config{
+		LeadTTL:       values.LeadTTL,
+		LeaseTTL:      values.LeaseTTL,
+		DriftPermille: values.DriftPermille,
+	}
+	k.lessor = lease.New(config, deps.Host, session.ID, session.Version, lessorNames(session.Lessors), session.Sealed())
+	return k
+}
+
+// Run runs the keeper's duties until the context ends or the log shows the
+// session closed.
+func (k *Keeper) Run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var duties sync.WaitGroup
+	for _, duty := range []func(context.Context){k.leadDuty, k.renewDuty, k.closeDuty, k.moveDuty} {
+		duties.Go(func() { duty(ctx) })
+	}
+	k.syncDuty(ctx)
+	cancel()
+	duties.Wait()
+}
+
+// every calls f at the interval, and at once after a kick, until the context ends.
+func (k *Keeper) every(ctx context.Context, interval time.Duration, f func(context.Context)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		f(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// ID returns the session's ID.
+func (k *Keeper) ID() record.SessionID { return k.id }
+
+// Addr returns the backend server's address.
+func (k *Keeper) Addr() string { return k.addr }
+
+// Done reports whether the log shows the session closed, or that the host is no lessor any more.
+func (k *Keeper) Done() bool { return k.done.Load() }
+
+// Lead returns the host that is known to lead, if any, and whether it is this one.
+func (k *Keeper) Lead() (host string, self bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.deps.Clock()
+	if k.lessor.IsLead(now) {
+		return k.deps.Host, true
+	}
+	return k.lessor.Holder(now), false
+}
+
+// Admission is the right to send a request for a slice to the server.
+type Admission struct {
+	Allowed bool
+	Addr    string
+	Epoch   record.Epoch
+	Session record.SessionID
+	// Lead is the host that leads, where this one does not.
+	Lead string
+	// Successor is the session that has taken the slice over.
+	Successor record.SessionID
+}
+
+// Admit decides whether this host may send a request for the slice to the
+// server now, and under which epoch.
+func (k *Keeper) Admit(slice int) Admission {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.deps.Clock()
+	key := ownership.SliceKey{Service: k.service, Slice: slice}
+	if k.activated[key] {
+		return Admission{Successor: k.handovers[key].Successor}
+	}
+	if !k.lessor.IsLead(now) {
+		return Admission{Lead: k.lessor.Holder(now)}
+	}
+	epoch, held := k.holds[slice]
+	if !held {
+		return Admission{}
+	}
+	return Admission{Allowed: true, Addr: k.addr, Epoch: epoch, Session: k.id}
+}
+
+// HandleLead answers another lessor that asks for consent.
+func (k *Keeper) HandleLead(request lease.LeadRequest) lease.LeadReply {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.lessor.HandleLead(k.deps.Clock(), request)
+}
+
+// HandleClose answers another lessor that asks to close the session.
+func (k *Keeper) HandleClose(request lease.CloseRequest) lease.CloseReply {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.lessor.HandleClose(k.deps.Clock(), request)
+}
+
+// Retired reports whether this lessor acts under no version before the given one.
+func (k *Keeper) Retired(version platform.Offset) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.lessor.Version() >= version
+}
+
+// Others returns the session's other lessors.
+func (k *Keeper) Others() []record.Lessor {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.others()
+}
+
+func (k *Keeper) others() []record.Lessor {
+	return slices.DeleteFunc(slices.Clone(k.lessors), func(l record.Lessor) bool {
+		return l.Host == k.deps.Host
+	})
+}
+
+// Suspect tells the keeper that a request found the server gone, so that it
+// asks the server at once.
+func (k *Keeper) Suspect() {
+	select {
+	case k.kick <- struct{}{}:
+	default:
+	}
+}
+
+func lessorNames(lessors []record.Lessor) []string {
+	names := make([]string, 0, len(lessors))
+	for _, lessor := range lessors {
+		names = append(names, lessor.Host)
+	}
+	return names
+}
+
+func (k *Keeper) record(kind timeline.Kind, detail string) {
+	k.deps.Events.Record(timeline.Event{
+		Kind:    kind,
+		Offset:  k.deps.View.Applied(),
+		Session: k.id,
+		Service: k.service,
+		Server:  k.addr,
+		Zone:    k.zone,
+		Detail:  detail,
+	})
+}
--- /dev/null
+++ b/internal/keeper/moves.go
@@ -0,0 +1,233 @@
+package keeper
+
+import (
+	"context"
+	"time"
+
+	"github.com/poplarcroft/poplarcroft/internal/backend"
+	"github.com/poplarcroft/poplarcroft/internal/lease"
+	"github.com/poplarcroft/poplarcroft/internal/ownership"
+	"github.com/poplarcroft/poplarcroft/internal/peer"
+	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/record"
+	"github.com/poplarcroft/poplarcroft/internal/settings"
+	"github.com/poplarcroft/poplarcroft/internal/timeline"
+)
+
+// syncDuty follows the log's word on the session until it is closed there or
+// this host is no lessor any more.
+func (k *Keeper) syncDuty(ctx context.Context) {
+	for {
+		changed := k.deps.View.Changed()
+		if k.sync() {
+			k.done.Store(true)
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// sync takes over the session's newest version. It reports whether the session is over for this host.
+func (k *Keeper) sync() (over bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.deps.View.Read(func(_ *settings.State, table *ownership.Table) {
+		session := table.Session(k.id)
+		if session == nil || session.Closed {
+			over = true
+			return
+		}
+		k.adoptVersion(session, table)
+	})
+	return over || k.lessor.Phase() == lease.PhaseRetired
+}
+
+func (k *Keeper) adoptVersion(session *ownership.Session, table *ownership.Table) {
+	first := k.handovers == nil
+	if session.Version != k.lessor.Version() {
+		if !k.lessor.Retire(k.deps.Clock(), session.Version, lessorNames(session.Lessors)) {
+			return
+		}
+		first = true
+	}
+	if session.Sealed() && k.former != nil {
+		k.lessor.Seal(session.Version)
+	}
+	k.lessors = session.Lessors
+	k.former = session.Former
+	if first {
+		k.handovers = handoversOf(session.ID, table)
+		k.forgetAdopted()
+	}
+}
+
+// forgetAdopted drops adopted slices that the log has meanwhile given to the session.
+func (k *Keeper) forgetAdopted() {
+	for slice := range k.adopted {
+		key := ownership.SliceKey{Service: k.service, Slice: slice}
+		if _, owned := k.handovers[key]; owned {
+			delete(k.adopted, slice)
+		}
+	}
+}
+
+func handoversOf(id record.SessionID, table *ownership.Table) map[ownership.SliceKey]Handover {
+	handovers := make(map[ownership.SliceKey]Handover)
+	for _, key := range table.Owned(id) {
+		slice := table.Slice(key)
+		handovers[key] = Handover{
+			Key:       key,
+			Epoch:     slice.Epoch,
+			Successor: slice.Successor,
+			NextEpoch: slice.NextEpoch,
+			Moving:    slice.Moving,
+		}
+	}
+	return handovers
+}
+
+// moveDuty finishes planned moves: it activates slices that the server has
+// dropped at their successors and reports them to the log. It also looks for
+// the quorum that seals a replacement of the lessors.
+func (k *Keeper) moveDuty(ctx context.Context) {
+	k.every(ctx, k.values.RenewEvery/2, func(ctx context.Context) {
+		if _, lead := k.Lead(); lead {
+			k.activateDropped(ctx)
+			k.reportMoved(ctx)
+		}
+		k.seal(ctx)
+	})
+}
+
+func (k *Keeper) activateDropped(ctx context.Context) {
+	dropped := k.pending(func(h Handover) bool {
+		return h.Moving && k.gaveUp[h.Key.Slice] >= h.Epoch
+	})
+	for successor, grants := range dropped {
+		k.adoptAt(ctx, successor, grants)
+	}
+}
+
+func (k *Keeper) reportMoved(ctx context.Context) {
+	moves := k.activatedMoves()
+	if len(moves) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	verdict, err := k.deps.Writer.Append(ctx, record.Record{Kind: record.KindMoved, Moved: &record.Moved{Moves: moves}})
+	if err != nil || !verdict.Accepted {
+		return
+	}
+	for _, move := range moves {
+		k.deps.Events.Record(timeline.Event{
+			Kind:    timeline.KindMoveDone,
+			Offset:  verdict.Offset,
+			Session: move.To,
+			Service: move.Service,
+			Slice:   timeline.SliceNumber(move.Slice),
+			Epoch:   move.Epoch,
+		})
+	}
+}
+
+func (k *Keeper) activatedMoves() []record.SliceMove {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var moves []record.SliceMove
+	for key, handover := range k.handovers {
+		if handover.Moving && k.activated[key] {
+			moves = append(moves, record.SliceMove{
+				Service: key.Service, Slice: key.Slice, To: handover.Successor, Epoch: handover.NextEpoch,
+			})
+		}
+	}
+	return moves
+}
+
+// seal asks the former lessors whether they have retired the version before a
+// replacement, and reports a quorum of them to the log.
+func (k *Keeper) seal(ctx context.Context) {
+	k.mu.Lock()
+	former := k.former
+	version := k.lessor.Version()
+	k.mu.Unlock()
+	if former == nil {
+		return
+	}
+	retired := 0
+	for _, lessor := range former {
+		if k.hasRetired(ctx, lessor, version) {
+			retired++
+		}
+	}
+	if retired < lease.Quorum(len(former)) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	sealed := record.Sealed{Session: k.id, Version: version}
+	k.deps.Writer.Append(ctx, record.Record{Kind: record.KindSealed, Sealed: &sealed})
+}
+
+func (k *Keeper) hasRetired(ctx context.Context, lessor record.Lessor, version platform.Offset) bool {
+	args := peer.RetiredArgs{Incarnation: lessor.Incarnation, Session: k.id, Version: version}
+	var reply peer.RetiredReply
+	err := k.deps.Peers.CallTimeout(ctx, k.values.RenewEvery, lessor.PeerAddr, "Peer.Retired", args, &reply)
+	return err == nil && reply.Retired
+}
+
+// Adopt activates slices that another session left behind. It returns true
+// once the server has confirmed them.
+func (k *Keeper) Adopt(ctx context.Context, grants []backend.SliceGrant) bool {
+	if _, lead := k.Lead(); !lead || !k.mayAdopt(grants) {
+		return false
+	}
+	k.mu.Lock()
+	for _, grant := range grants {
+		k.adopted[grant.Slice] = max(k.adopted[grant.Slice], record.Epoch(grant.Epoch))
+	}
+	k.mu.Unlock()
+	k.renew(ctx)
+	return k.holdsAll(grants)
+}
+
+// mayAdopt refuses slices that the log has since given to somebody else.
+func (k *Keeper) mayAdopt(grants []backend.SliceGrant) bool {
+	allowed := true
+	k.deps.View.Read(func(_ *settings.State, table *ownership.Table) {
+		for _, grant := range grants {
+			slice := table.Slice(ownership.SliceKey{Service: k.service, Slice: grant.Slice})
+			if slice.Owner != k.id && slice.Epoch >= record.Epoch(grant.Epoch) {
+				allowed = false
+			}
+		}
+	})
+	return allowed
+}
+
+func (k *Keeper) holdsAll(grants []backend.SliceGrant) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, grant := range grants {
+		if k.holds[grant.Slice] < record.Epoch(grant.Epoch) {
+			return false
+		}
+	}
+	return true
+}
+
+// pause waits for the duration or a kick.
+func (k *Keeper) pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-k.kick:
+	}
+}
--- /dev/null
+++ b/internal/keeper/renew.go
@@ -0,0 +1,124 @@
+package keeper
+
+import (
+	"context"
+
+	"github.com/poplarcroft/poplarcroft/internal/backend"
+	"github.com/poplarcroft/poplarcroft/internal/lease"
+	"github.com/poplarcroft/poplarcroft/internal/ownership"
+	"github.com/poplarcroft/poplarcroft/internal/record"
+	"github.com/poplarcroft/poplarcroft/internal/timeline"
+)
+
+// renewDuty renews the server's lease while this lessor leads.
+func (k *Keeper) renewDuty(ctx context.Context) {
+	for ctx.Err() == nil {
+		if _, lead := k.Lead(); lead {
+			k.renew(ctx)
+		}
+		k.pause(ctx, k.values.RenewEvery)
+	}
+}
+
+// renew sends one grant to the server. The first one only asks for the server's clock.
+func (k *Keeper) renew(ctx context.Context) {
+	grant, ok := k.nextGrant()
+	if !ok {
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, k.values.ServerSilence/2)
+	defer cancel()
+	reply, err := k.deps.Servers.Grant(callCtx, k.addr, grant)
+	if ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		k.onServerSilent()
+		return
+	}
+	k.onServerAnswer(reply)
+}
+
+// nextGrant builds the next grant: the lease's end, slices that the server
+// lacks and slices that it shall let go of.
+func (k *Keeper) nextGrant() (backend.GrantRequest, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.deps.Clock()
+	if !k.lessor.IsLead(now) {
+		return backend.GrantRequest{}, false
+	}
+	grant := backend.GrantRequest{Session: uint64(k.id), Incarnation: k.incarnation}
+	until, known := k.lessor.NextLease(now)
+	if !known {
+		return grant, true
+	}
+	grant.ValidUntilMS = until
+	for key, handover := range k.handovers {
+		k.addToGrant(&grant, key, handover)
+	}
+	for slice, epoch := range k.adopted {
+		if k.holds[slice] < epoch && k.gaveUp[slice] < epoch {
+			grant.Add = append(grant.Add, backend.SliceGrant{Slice: slice, Epoch: uint64(epoch)})
+		}
+	}
+	return grant, true
+}
+
+// addToGrant adds one of the session's slices to the grant as the table says. A slice is
+// dropped only when a quorum of the lessors acts under the version that moves it.
+func (k *Keeper) addToGrant(grant *backend.GrantRequest, key ownership.SliceKey, handover Handover) {
+	change := backend.SliceGrant{Slice: key.Slice, Epoch: uint64(handover.Epoch)}
+	switch {
+	case k.gaveUp[key.Slice] >= handover.Epoch:
+	case handover.Moving:
+		if k.confirmed >= k.lessor.Version() {
+			grant.Drop = append(grant.Drop, change)
+		}
+	case k.holds[key.Slice] < handover.Epoch:
+		grant.Add = append(grant.Add, change)
+	}
+}
+
+func (k *Keeper) onServerAnswer(reply backend.GrantReply) {
+	if reply.Incarnation != k.incarnation {
+		k.observer.ServerAnswered(reply)
+		k.startClose("server restarted", lease.ProofNewIncarnation)
+		return
+	}
+	if reply.Session > uint64(k.id) {
+		k.startClose("server has a newer session", lease.ProofEnded)
+		return
+	}
+	k.mu.Lock()
+	now := k.deps.Clock()
+	k.lessor.OnServerClock(now, reply.ClockMS)
+	k.silence.answered(now)
+	k.noteHolds(reply)
+	k.mu.Unlock()
+	k.observer.ServerAnswered(reply)
+}
+
+// noteHolds takes over what the server says that it holds and gave up in this session.
+func (k *Keeper) noteHolds(reply backend.GrantReply) {
+	if !reply.Applied || reply.Session != uint64(k.id) {
+		return
+	}
+	clear(k.holds)
+	for _, held := range reply.Holds {
+		k.holds[held.Slice] = record.Epoch(held.Epoch)
+	}
+	for _, dropped := range reply.GaveUp {
+		k.gaveUp[dropped.Slice] = max(k.gaveUp[dropped.Slice], record.Epoch(dropped.Epoch))
+	}
+}
+
+func (k *Keeper) onServerSilent() {
+	k.mu.Lock()
+	gone := k.silence.failed(k.deps.Clock())
+	k.mu.Unlock()
+	if gone {
+		k.record(timeline.KindServerSilent, "")
+		k.startClose("server silent", lease.ProofNone)
+	}
+}
--- /dev/null
+++ b/internal/peer/protocol.go
@@ -0,0 +1,129 @@
+// Package peer is the protocol between hosts: net/rpc for control and HTTP for
+// requests that one host forwards to another. Both use the host's peer address.
+//
+// A control call names the incarnation of the host that it is meant for. A host
+// that has restarted answers Known false: it has forgotten what it promised.
+package peer
+
+import (
+	"github.com/poplarcroft/poplarcroft/internal/backend"
+	"github.com/poplarcroft/poplarcroft/internal/idempotency"
+	"github.com/poplarcroft/poplarcroft/internal/lease"
+	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/poison"
+	"github.com/poplarcroft/poplarcroft/internal/record"
+)
+
+// Paths on a host's peer address.
+const (
+	// PathRPC takes an HTTP CONNECT that turns the connection into a net/rpc one.
+	PathRPC = "/_poplarcroft/rpc"
+	// PathForward is followed by the caller's own path of a forwarded request.
+	PathForward = "/_poplarcroft/forward"
+)
+
+// Headers of a forwarded request and its answer, beside those of package backend.
+const (
+	// HeaderForwardedBy names the host that forwarded a request.
+	HeaderForwardedBy = "Poplarcroft-Forwarded-By"
+	// HeaderLead names the session's lead in a refusal with reason not-lead.
+	HeaderLead = "Poplarcroft-Lead"
+	// HeaderSuccessor carries the session that took the slice over, in a refusal with reason not-owner.
+	HeaderSuccessor = "Poplarcroft-Successor"
+	// HeaderRefusal marks an answer that a host made, not a backend server.
+	HeaderRefusal = "Poplarcroft-Refusal"
+)
+
+// LeadArgs asks a lessor for its consent.
+type LeadArgs struct {
+	Incarnation string
+	Request     lease.LeadRequest
+}
+
+// LeadReply answers LeadArgs. Known is false where the host is no lessor of the session.
+type LeadReply struct {
+	Known bool
+	Reply lease.LeadReply
+}
+
+// CloseArgs asks a lessor to join the closing of a session.
+type CloseArgs struct {
+	Incarnation string
+	Request     lease.CloseRequest
+}
+
+// CloseReply answers CloseArgs. Known is false where the host is no lessor of the session.
+type CloseReply struct {
+	Known bool
+	Reply lease.CloseReply
+}
+
+// AdoptArgs activates slices at the session that was named as their successor.
+type AdoptArgs struct {
+	Session record.SessionID
+	From    record.SessionID
+	Slices  []backend.SliceGrant
+}
+
+// AdoptReply answers AdoptArgs. Adopted is true once the server has confirmed.
+// Lead names the session's lead where the host asked is not.
+type AdoptReply struct {
+	Adopted bool
+	Closed  bool
+	Lead    string
+}
+
+// RetiredArgs asks whether a former lessor has retired all versions before the given one.
+type RetiredArgs struct {
+	Incarnation string
+	Session     record.SessionID
+	Version     platform.Offset
+}
+
+// RetiredReply answers RetiredArgs.
+type RetiredReply struct {
+	Retired bool
+}
+
+// ClaimArgs copies a request ID to another lessor before the request is sent.
+type ClaimArgs struct {
+	Session record.SessionID
+	ID      idempotency.ID
+	Digest  idempotency.Digest
+}
+
+// ClaimReply tells what the lessor's memory held of the ID. Known is false
+// where the host is no lessor of the session, or keeps no memory of it.
+type ClaimReply struct {
+	Known   bool
+	Verdict idempotency.Verdict
+}
+
+// FinishArgs copies the end of a claimed request to another lessor.
+type FinishArgs struct {
+	Session record.SessionID
+	ID      idempotency.ID
+	Result  idempotency.Result
+}
+
+// SuspectsArgs passes on suspicions of requests that were in flight when servers died.
+type SuspectsArgs struct {
+	Records []poison.Record
+}
+
+// SnapshotReply is a host's folded state of the log.
+type SnapshotReply struct {
+	Offset platform.Offset
+	Data   []byte
+}
+
+// StatusReply is a host's word on itself.
+type StatusReply struct {
+	Host        string
+	Incarnation string
+	Applied     platform.Offset
+	Leaving     bool
+}
+
+// Empty carries nothing.
+type Empty struct{}
