Settings: tree in TOML, checks, and the fold of its records

Every host has to come to the same tree from the same records. The tree is parsed with positions, so that each fault is named by line and path; the fold accepts a record as a whole if the base of each node holds and the tree that follows keeps all rules. A removed node keeps its version, so that a record repeated later cannot bring it back.

--- /dev/null
+++ b/internal/settings/diff.go
@@ -0,0 +1,124 @@
+package settings
+
+import (
+	"strings"
+
+	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/record"
+)
+
+// NodeDiff is the difference of one node's own values between two trees.
+type NodeDiff struct {
+	Path    string      `json:"path"`
+	Added   bool        `json:"added,omitempty"`
+	Removed bool        `json:"removed,omitempty"`
+	Fields  []FieldDiff `json:"fields,omitempty"`
+}
+
+// FieldDiff is the difference of one field in TOML. A side that does not set
+// the field is empty.
+type FieldDiff struct {
+	Name string `json:"name"`
+	Old  string `json:"old,omitempty"`
+	New  string `json:"new,omitempty"`
+}
+
+// Diff returns the nodes whose own values differ between two trees, by path.
+func Diff(from, to *Tree) []NodeDiff {
+	union := make(map[string]overrides)
+	for path := range from.nodes {
+		union[path] = overrides{}
+	}
+	for path := range to.nodes {
+		union[path] = overrides{}
+	}
+	var diffs []NodeDiff
+	for _, path := range (&Tree{nodes: union}).Paths() {
+		diff := diffNode(path, from, to)
+		if diff.Added || diff.Removed || len(diff.Fields) > 0 {
+			diffs = append(diffs, diff)
+		}
+	}
+	return diffs
+}
+
+func diffNode(path string, from, to *Tree) NodeDiff {
+	diff := NodeDiff{
+		Path:    path,
+		Added:   !from.has(path),
+		Removed: !to.has(path),
+	}
+	before, after := from.nodes[path], to.nodes[path]
+	for i := range fields {
+		oldText, newText := fieldText(before, i), fieldText(after, i)
+		if oldText != newText {
+			diff.Fields = append(diff.Fields, FieldDiff{Name: fields[i].name, Old: oldText, New: newText})
+		}
+	}
+	return diff
+}
+
+// fieldText returns a field in TOML, or "" where it is not set.
+func fieldText(own overrides, i int) string {
+	if !own.set.has(i) {
+		return ""
+	}
+	return fields[i].format(&own.values)
+}
+
+// Change returns the record that turns the present tree into another one, each
+// node based on its present version. It changes no node where the trees are equal.
+func (s *State) Change(to *Tree, comment string) record.Settings {
+	change := record.Settings{Comment: comment}
+	for _, diff := range Diff(s.tree, to) {
+		node := record.SettingsNode{
+			Path:    diff.Path,
+			Base:    s.versions[diff.Path],
+			Removed: diff.Removed,
+		}
+		if !diff.Removed {
+			node.TOML = to.nodes[diff.Path].text()
+		}
+		change.Nodes = append(change.Nodes, node)
+	}
+	return change
+}
+
+// ChangedSince returns those nodes of a change that the log has changed after
+// the given version.
+func ChangedSince(version platform.Offset, change record.Settings) []Conflict {
+	var conflicts []Conflict
+	for _, node := range change.Nodes {
+		if node.Base > version {
+			conflicts = append(conflicts, Conflict{Path: node.Path, Base: version, Version: node.Base})
+		}
+	}
+	return conflicts
+}
+
+// DiffText returns differences for people, a line for each field.
+func DiffText(diffs []NodeDiff) string {
+	var b strings.Builder
+	for _, diff := range diffs {
+		b.WriteString(tableHeader(diff.Path) + diffNote(diff) + "\n")
+		for _, f := range diff.Fields {
+			if f.Old != "" {
+				b.WriteString("- " + f.Name + " = " + f.Old + "\n")
+			}
+			if f.New != "" {
+				b.WriteString("+ " + f.Name + " = " + f.New + "\n")
+			}
+		}
+	}
+	return b.String()
+}
+
+func diffNote(diff NodeDiff) string {
+	switch {
+	case diff.Added:
+		return " added"
+	case diff.Removed:
+		return " removed"
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/settings/state.go
@@ -0,0 +1,266 @@
+package settings
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/record"
+)
+
+// State is the settings tree as folded from the log up to some offset. Equal
+// records give equal states on every reader. Apply changes it; all else only
+// reads. A Clone costs nothing and may be shared read-only.
+type State struct {
+	tree     *Tree
+	versions map[string]platform.Offset // by path, of the nodes that the log has set
+	fixed    map[string]fixedValues     // by service, also of removed ones
+	version  platform.Offset
+}
+
+// fixedValues are the values of a service that cannot change once it exists.
+type fixedValues struct {
+	Keyed  bool `json:"keyed"`
+	Slices int  `json:"slices"`
+}
+
+// NewState returns the state before the first record.
+func NewState() *State {
+	return &State{
+		tree:     emptyTree(),
+		versions: map[string]platform.Offset{},
+		fixed:    map[string]fixedValues{},
+	}
+}
+
+// Clone returns a state that later changes of s do not touch.
+func (s *State) Clone() *State {
+	clone := *s
+	return &clone
+}
+
+// Version returns the offset of the latest accepted record, zero before the first.
+func (s *State) Version() platform.Offset {
+	return s.version
+}
+
+// NodeVersion returns the offset of the record that last set the node, zero
+// where none has, and the offset that removed it where one did.
+func (s *State) NodeVersion(path string) platform.Offset {
+	return s.versions[path]
+}
+
+// Tree returns the present tree.
+func (s *State) Tree() *Tree {
+	return s.tree
+}
+
+// Effective returns the values in force at the node with the given path.
+func (s *State) Effective(path string) (Values, error) {
+	return s.tree.Effective(path)
+}
+
+// Services returns the services in the order of their names. The result is
+// shared and only to be read.
+func (s *State) Services() []Service {
+	return s.tree.Services()
+}
+
+// Apply folds the settings record at an offset. The record is accepted as a
+// whole or changes nothing.
+func (s *State) Apply(offset platform.Offset, change record.Settings) Verdict {
+	if conflicts := s.conflicts(change); len(conflicts) > 0 {
+		return Verdict{Kind: Conflicting, Conflicts: conflicts}
+	}
+	tree, faults := s.changed(change)
+	if len(faults) > 0 {
+		return Verdict{Kind: Invalid, Faults: faults}
+	}
+	s.tree = tree
+	s.version = offset
+	s.versions = maps.Clone(s.versions)
+	for _, node := range change.Nodes {
+		s.versions[node.Path] = offset
+	}
+	s.fixed = tree.fixedValues(s.fixed)
+	return Verdict{Kind: Accepted}
+}
+
+// conflicts returns the nodes whose base no longer holds.
+func (s *State) conflicts(change record.Settings) []Conflict {
+	var conflicts []Conflict
+	for _, node := range change.Nodes {
+		version := s.versions[node.Path]
+		if version != node.Base {
+			conflicts = append(conflicts, Conflict{Path: node.Path, Base: node.Base, Version: version})
+		}
+	}
+	return conflicts
+}
+
+// changed returns the tree that a change makes of the present one.
+func (s *State) changed(change record.Settings) (*Tree, Faults) {
+	nodes := maps.Clone(s.tree.nodes)
+	faults := checkNodeList(change)
+	for _, node := range change.Nodes {
+		if len(faults) > 0 {
+			return nil, faults.sorted()
+		}
+		faults = changeNode(nodes, node)
+	}
+	if len(faults) > 0 {
+		return nil, faults.sorted()
+	}
+	tree := newTree(nodes)
+	faults = tree.check()
+	faults = append(faults, tree.checkFixed(s.fixed)...)
+	return tree, faults.sorted()
+}
+
+// checkNodeList checks the list of a record's nodes apart from their values.
+func checkNodeList(change record.Settings) Faults {
+	if len(change.Nodes) == 0 {
+		return Faults{{Message: "the record changes no node"}}
+	}
+	var faults Faults
+	seen := make(map[string]bool)
+	for _, node := range change.Nodes {
+		if !validPath(node.Path) {
+			faults = append(faults, Fault{Path: node.Path, Message: "not a path of names of lower case letters, digits and hyphens"})
+		}
+		if seen[node.Path] {
+			faults = append(faults, Fault{Path: node.Path, Message: "changed twice by one record"})
+		}
+		seen[node.Path] = true
+	}
+	return faults
+}
+
+// changeNode sets or removes one node in nodes.
+func changeNode(nodes map[string]overrides, change record.SettingsNode) Faults {
+	if change.Removed {
+		return removeNode(nodes, change)
+	}
+	own, faults := parseNode(change.Path, change.TOML)
+	if len(faults) > 0 {
+		return faults
+	}
+	if _, present := nodes[change.Path]; !present && len(nodes) >= maxNodes {
+		return Faults{{Path: change.Path, Message: fmt.Sprintf("more than %d nodes", maxNodes)}}
+	}
+	nodes[change.Path] = own
+	return nil
+}
+
+func removeNode(nodes map[string]overrides, change record.SettingsNode) Faults {
+	if change.Path == Root {
+		return Faults{{Path: Root, Message: "the root cannot be removed"}}
+	}
+	if change.TOML != "" {
+		return Faults{{Path: change.Path, Message: "removed and set by one record"}}
+	}
+	if _, present := nodes[change.Path]; !present {
+		return Faults{{Path: change.Path, Message: "removed, but does not exist"}}
+	}
+	delete(nodes, change.Path)
+	return nil
+}
+
+// checkFixed reports services whose fixed values differ from those that they had.
+func (t *Tree) checkFixed(fixed map[string]fixedValues) Faults {
+	var faults Faults
+	for _, service := range t.services {
+		had, known := fixed[service.Name]
+		if !known {
+			continue
+		}
+		if had.Keyed != service.Values.Keyed {
+			faults = append(faults, Fault{Path: service.Name, Field: "keyed", Message: fmt.Sprintf("is %t and cannot change", had.Keyed)})
+		}
+		if had.Keyed && had.Slices != service.Values.Slices {
+			faults = append(faults, Fault{Path: service.Name, Field: "slices", Message: fmt.Sprintf("is %d and cannot change", had.Slices)})
+		}
+	}
+	return faults
+}
+
+// fixedValues returns the fixed values known so far with those of the tree's services.
+func (t *Tree) fixedValues(known map[string]fixedValues) map[string]fixedValues {
+	fixed := maps.Clone(known)
+	for _, service := range t.services {
+		fixed[service.Name] = fixedValues{Keyed: service.Values.Keyed, Slices: service.Values.Slices}
+	}
+	return fixed
+}
+
+// snapshot is the form of a State in a checkpoint.
+type snapshot struct {
+	Version platform.Offset        `json:"version"`
+	Nodes   []snapshotNode         `json:"nodes"`
+	Fixed   map[string]fixedValues `json:"fixed"`
+}
+
+// snapshotNode is one node's version and own values. A node removed is kept
+// for its version.
+type snapshotNode struct {
+	Path    string          `json:"path"`
+	Version platform.Offset `json:"version"`
+	TOML    string          `json:"toml,omitempty"`
+	Removed bool            `json:"removed,omitempty"`
+}
+
+// ErrBadSnapshot reports a snapshot that cannot be restored.
+var ErrBadSnapshot = errors.New("settings: bad snapshot")
+
+// MarshalJSON returns a snapshot of the state. Equal states give equal bytes.
+func (s *State) MarshalJSON() ([]byte, error) {
+	out := snapshot{Version: s.version, Fixed: s.fixed, Nodes: []snapshotNode{}}
+	for _, path := range slices.SortedFunc(maps.Keys(s.versions), comparePaths) {
+		own, present := s.tree.nodes[path]
+		node := snapshotNode{Path: path, Version: s.versions[path], TOML: own.text(), Removed: !present}
+		out.Nodes = append(out.Nodes, node)
+	}
+	return json.Marshal(out)
+}
+
+// UnmarshalJSON restores a state from a snapshot. On an error, marked
+// ErrBadSnapshot, the state is left as it was.
+func (s *State) UnmarshalJSON(data []byte) error {
+	var in snapshot
+	if err := json.Unmarshal(data, &in); err != nil {
+		return errors.Mark(errors.Wrap(err, "settings: decode snapshot"), ErrBadSnapshot)
+	}
+	restored, faults := restore(in)
+	if len(faults) > 0 {
+		return errors.Mark(errors.Wrap(faults, "settings: restore snapshot"), ErrBadSnapshot)
+	}
+	*s = *restored
+	return nil
+}
+
+func restore(in snapshot) (*State, Faults) {
+	state := NewState()
+	state.version = in.Version
+	maps.Copy(state.fixed, in.Fixed)
+	nodes := map[string]overrides{Root: {}}
+	for _, node := range in.Nodes {
+		if !validPath(node.Path) {
+			return nil, Faults{{Path: node.Path, Message: "not a path"}}
+		}
+		state.versions[node.Path] = node.Version
+		if node.Removed {
+			continue
+		}
+		own, faults := parseNode(node.Path, node.TOML)
+		if len(faults) > 0 {
+			return nil, faults
+		}
+		nodes[node.Path] = own
+	}
+	state.tree = newTree(nodes)
+	return state, state.tree.check()
+}
--- /dev/null
+++ b/internal/settings/state_test.go
@@ -0,0 +1,164 @@
+package settings
+
+import (
+	"encoding/json"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/record"
+)
+
+// sampleState returns a state with the sample tree published at offset 1.
+func sampleState(t *testing.T) *State {
+	t.Helper()
+	state := NewState()
+	verdict := state.Apply(1, state.Change(mustParse(t, sample), ""))
+	assert.Equal(t, verdict.Kind, Accepted, verdict.Reason())
+	return state
+}
+
+func set(path string, base platform.Offset, text string) record.Settings {
+	return record.Settings{Nodes: []record.SettingsNode{{Path: path, Base: base, TOML: text}}}
+}
+
+func TestOfTwoRecordsOnOneBaseTheFirstIsAccepted(t *testing.T) {
+	state := sampleState(t)
+	assert.Assert(t, state.Apply(5, set("archiv", 1, "slots = 3\n")).Accepted())
+	verdict := state.Apply(6, set("archiv", 1, "slots = 9\n"))
+	assert.Equal(t, verdict.Kind, Conflicting)
+	assert.DeepEqual(t, verdict.Conflicts, []Conflict{{Path: "archiv", Base: 1, Version: 5}})
+	values, err := state.Effective("archiv")
+	assert.NilError(t, err)
+	assert.Equal(t, values.Slots, 3)
+	assert.Equal(t, int(state.Version()), 5)
+}
+
+func TestChangesOfDifferentNodesDoNotConflict(t *testing.T) {
+	state := sampleState(t)
+	assert.Assert(t, state.Apply(5, set("archiv", 1, "slots = 3\n")).Accepted())
+	assert.Assert(t, state.Apply(6, set("revize", 1, "keyed = true\nslices = 128\nslots = 3\n")).Accepted())
+}
+
+func TestARecordIsAcceptedWholeOrNotAtAll(t *testing.T) {
+	state := sampleState(t)
+	change := set("archiv", 1, "slots = 3\n")
+	change.Nodes = append(change.Nodes, record.SettingsNode{Path: "revize", Base: 9, TOML: "keyed = true\n"})
+	assert.Equal(t, state.Apply(5, change).Kind, Conflicting)
+	values, err := state.Effective("archiv")
+	assert.NilError(t, err)
+	assert.Equal(t, values.Slots, 2)
+	assert.Equal(t, int(state.NodeVersion("archiv")), 1)
+}
+
+func TestARemovedNodeKeepsItsVersion(t *testing.T) {
+	state := sampleState(t)
+	removal := record.Settings{Nodes: []record.SettingsNode{{Path: "archiv", Base: 1, Removed: true}}}
+	assert.Assert(t, state.Apply(5, removal).Accepted())
+	assert.Equal(t, state.Apply(6, set("archiv", 0, "")).Kind, Conflicting)
+	assert.Assert(t, state.Apply(7, set("archiv", 5, "")).Accepted())
+}
+
+func TestInvalidRecordsAreRefused(t *testing.T) {
+	removed := func(path string) record.Settings {
+		return record.Settings{Nodes: []record.SettingsNode{{Path: path, Base: 1, Removed: true}}}
+	}
+	twice := set("archiv", 1, "")
+	twice.Nodes = append(twice.Nodes, twice.Nodes...)
+	rootRemoved := removed(Root)
+	for _, c := range []struct {
+		name   string
+		change record.Settings
+		want   string
+	}{
+		{"nothing", record.Settings{}, "changes no node"},
+		{"node twice", twice, "changed twice"},
+		{"bad path", set("a//b", 0, ""), "not a path"},
+		{"deep path", set("a/b/c/d", 0, ""), "not a path"},
+		{"orphan", set("x/y", 0, ""), "the parent x does not exist"},
+		{"parent removed", removed("revize"), "the parent revize does not exist"},
+		{"root removed", rootRemoved, "cannot be removed"},
+		{"table in a node", set("archiv", 1, "[defaults]\n"), "a table is not allowed"},
+		{"value", set("archiv", 1, "slots = 0\n"), "line 1: archiv.slots: 0 is outside"},
+		{"relation of a child", set("revize", 1, "keyed = true\nslices = 128\nconnections = 5\n"), "revize/morava/brno-sever.slots: connections 5 is less than slots 6"},
+		{"slices", set("revize", 1, "keyed = true\nslices = 64\n"), "revize.slices: is 128 and cannot change"},
+		{"keyed", set("revize", 1, ""), "revize.keyed: is true and cannot change"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			state := sampleState(t)
+			verdict := state.Apply(5, c.change)
+			assert.Equal(t, verdict.Kind, Invalid)
+			assert.ErrorContains(t, verdict.Faults, c.want)
+			assert.Equal(t, int(state.Version()), 1)
+		})
+	}
+}
+
+func TestACloneIsNotChanged(t *testing.T) {
+	state := sampleState(t)
+	clone := state.Clone()
+	assert.Assert(t, state.Apply(5, set("archiv", 1, "slots = 3\n")).Accepted())
+	assert.Equal(t, int(clone.NodeVersion("archiv")), 1)
+	assert.Equal(t, int(clone.Version()), 1)
+}
+
+func TestASnapshotRestoresTheState(t *testing.T) {
+	state := sampleState(t)
+	removal := record.Settings{Nodes: []record.SettingsNode{{Path: "archiv", Base: 1, Removed: true}}}
+	assert.Assert(t, state.Apply(5, removal).Accepted())
+	data, err := json.Marshal(state)
+	assert.NilError(t, err)
+	restored := NewState()
+	assert.NilError(t, json.Unmarshal(data, restored))
+	again, err := json.Marshal(restored)
+	assert.NilError(t, err)
+	assert.Equal(t, string(again), string(data))
+	assert.Equal(t, len(Diff(state.Tree(), restored.Tree())), 0)
+	assert.Equal(t, restored.Apply(6, set("archiv", 0, "")).Kind, Conflicting)
+	assert.Equal(t, restored.Apply(6, set("revize", 1, "")).Kind, Invalid)
+}
+
+func TestABadSnapshotLeavesTheStateAsItWas(t *testing.T) {
+	for _, data := range []string{`{"nodes":[{"path":"A","version":1}]}`, `{"nodes":[{"path":"a","toml":"slots = 0"}]}`, `{"nodes":[{"path":"a/b"}]}`, `{"nodes":1}`} {
+		state := sampleState(t)
+		err := json.Unmarshal([]byte(data), state)
+		assert.Assert(t, errors.Is(err, ErrBadSnapshot), "%s: %v", data, err)
+		assert.Equal(t, int(state.Version()), 1)
+	}
+}
+
+func TestChangeLeadsFromOneTreeToAnother(t *testing.T) {
+	state := sampleState(t)
+	target := mustParse(t, "[defaults]\nslots = 2\n[service.revize]\nkeyed = true\nslices = 128\n[service.new]\n")
+	change := state.Change(target, "smaller")
+	assert.Equal(t, len(ChangedSince(0, change)), 5)
+	assert.Equal(t, len(ChangedSince(1, change)), 0)
+	assert.Assert(t, state.Apply(9, change).Accepted())
+	assert.Equal(t, len(Diff(state.Tree(), target)), 0)
+	assert.Equal(t, len(state.Change(target, "").Nodes), 0)
+}
+
+// FuzzApply folds one arbitrary record. The tree always keeps its rules, and
+// two readers agree.
+func FuzzApply(f *testing.F) {
+	f.Add("archiv", uint64(1), "slots = 3", false, "revize", "keyed = true")
+	f.Add("", uint64(1), "slots = 1\n", false, "x/y/z", "servers = []")
+	f.Add("archiv", uint64(1), "", true, "archiv/a", "[x]")
+	f.Fuzz(func(t *testing.T, path string, base uint64, text string, removed bool, path2, text2 string) {
+		state := sampleState(t)
+		other := sampleState(t)
+		change := record.Settings{Nodes: []record.SettingsNode{
+			{Path: path, Base: platform.Offset(base), TOML: text, Removed: removed},
+			{Path: path2, TOML: text2},
+		}}
+		verdict := state.Apply(2, change)
+		assert.DeepEqual(t, verdict, other.Apply(2, change))
+		assert.Equal(t, len(state.Tree().check()), 0)
+		data, err := json.Marshal(state)
+		assert.NilError(t, err)
+		assert.NilError(t, json.Unmarshal(data, other))
+	})
+}
--- /dev/null
+++ b/internal/settings/tree.go
@@ -0,0 +1,166 @@
+package settings
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/poplarcroft/poplarcroft/internal/platform"
+)
+
+// ErrNoNode reports a path that names no node of the tree.
+var ErrNoNode = errors.New("settings: no such node")
+
+// overrides are the values that a node sets itself.
+type overrides struct {
+	set    fieldSet
+	values Values
+}
+
+// apply copies the values that are set into v.
+func (o overrides) apply(v *Values) {
+	for i := range fields {
+		if o.set.has(i) {
+			fields[i].copy(v, &o.values)
+		}
+	}
+}
+
+// text returns the values that are set in TOML, one a line in a fixed order.
+func (o overrides) text() string {
+	var b strings.Builder
+	for i := range fields {
+		if o.set.has(i) {
+			b.WriteString(fields[i].name + " = " + fields[i].format(&o.values) + "\n")
+		}
+	}
+	return b.String()
+}
+
+// Tree is a whole tree of settings. It does not change once it is built, so
+// that it may be shared; what it returns is only to be read.
+type Tree struct {
+	// BasedOn is the version that the tree's file says it is based on, zero where it says none.
+	BasedOn platform.Offset
+
+	nodes     map[string]overrides
+	effective map[string]Values
+	services  []Service
+}
+
+// Service is a service with the values in force for it and its zones in the
+// order of their paths.
+type Service struct {
+	Name   string
+	Values Values
+	Zones  []Zone
+}
+
+// Zone is what one service has in one availability zone, with the values in
+// force there.
+type Zone struct {
+	Place   string
+	Name    string
+	Servers []string
+	Values  Values
+}
+
+// newTree derives what follows from the nodes' own values. The nodes include the root.
+func newTree(nodes map[string]overrides) *Tree {
+	t := &Tree{nodes: nodes, effective: make(map[string]Values, len(nodes))}
+	for _, path := range t.Paths() {
+		t.effective[path] = t.inherit(path)
+	}
+	t.services = t.buildServices()
+	return t
+}
+
+// emptyTree returns a tree that has a root without values of its own only.
+func emptyTree() *Tree {
+	return newTree(map[string]overrides{Root: {}})
+}
+
+// inherit returns a node's effective values from those of its parent, which
+// are known already.
+func (t *Tree) inherit(path string) Values {
+	values := Defaults()
+	if path != Root {
+		values = t.effective[parentPath(path)]
+	}
+	t.nodes[path].apply(&values)
+	return values
+}
+
+// Paths returns the paths of all nodes in order; every node follows its parent.
+func (t *Tree) Paths() []string {
+	return slices.SortedFunc(maps.Keys(t.nodes), comparePaths)
+}
+
+// comparePaths orders paths name by name, so that a node precedes its children
+// and these precede its siblings.
+func comparePaths(a, b string) int {
+	return slices.Compare(splitPath(a), splitPath(b))
+}
+
+// Effective returns the values in force at the node with the given path. Its
+// error is ErrNoNode with the nearest known path.
+func (t *Tree) Effective(path string) (Values, error) {
+	values, known := t.effective[path]
+	if !known {
+		return Values{}, errors.Wrap(ErrNoNode, unknownName("path", path, t.Paths()))
+	}
+	return values, nil
+}
+
+// Services returns the services in the order of their names. The result is
+// shared and only to be read.
+func (t *Tree) Services() []Service {
+	return t.services
+}
+
+func (t *Tree) buildServices() []Service {
+	var services []Service
+	for _, path := range t.Paths() {
+		names := splitPath(path)
+		values := t.effective[path]
+		switch pathLevel(path) {
+		case levelService:
+			services = append(services, Service{Name: names[0], Values: values})
+		case levelZone:
+			if len(services) == 0 {
+				continue
+			}
+			last := &services[len(services)-1]
+			zone := Zone{Place: names[1], Name: names[2], Servers: values.Servers, Values: values}
+			last.Zones = append(last.Zones, zone)
+		}
+	}
+	return services
+}
+
+// Text returns the tree in TOML as Parse reads it, headed by the version that
+// it is based on.
+func (t *Tree) Text(basedOn platform.Offset) string {
+	var b strings.Builder
+	b.WriteString(basedOnKey + " = " + strconv.FormatUint(uint64(basedOn), 10) + "\n")
+	for _, path := range t.Paths() {
+		text := t.nodes[path].text()
+		if path == Root && text == "" {
+			continue
+		}
+		b.WriteString("\n" + tableHeader(path) + "\n" + text)
+	}
+	return b.String()
+}
+
+// EffectiveText returns values in TOML, all fields in a fixed order.
+func EffectiveText(values Values) string {
+	all := overrides{values: values}
+	for i := range fields {
+		all.set = all.set.with(i)
+	}
+	return all.text()
+}
