Add stand-ins of the log, host list, backend server and network

Scenarios and the dev command need the platform and backend servers without the real ones. They run in one process or as poplarctl standin processes, and take their faults over HTTP.

--- a/internal/cmd/ctlcmd/main.go
+++ b/internal/cmd/ctlcmd/main.go
@@ -5,5 +5,7 @@
 
 // Main runs the poplarctl binary and returns its exit code.
 func Main() int {
-	return cli.Main("poplarctl", []cli.Command{})
+	return cli.Main("poplarctl", []cli.Command{
+		standinCommand(),
+	})
 }
--- /dev/null
+++ b/internal/cmd/ctlcmd/standin.go
@@ -0,0 +1,131 @@
+package ctlcmd
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/poplarcroft/poplarcroft/internal/cli"
+	"github.com/poplarcroft/poplarcroft/internal/standin"
+)
+
+// poisonExitCode is the exit code of a backend server that a request crashed.
+const poisonExitCode = 70
+
+// startable is a stand-in that listens between Start and Close.
+type startable interface {
+	Start() (string, error)
+	Close() error
+}
+
+// standinCommand returns the command that runs one stand-in as a process.
+func standinCommand() cli.Command {
+	return cli.Command{
+		Name:    "standin",
+		Summary: "run a stand-in of the platform, a backend server or the network",
+		Run: func(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+			return cli.Dispatch(ctx, "poplarctl standin", standinCommands(), args, stdout, stderr)
+		},
+	}
+}
+
+func standinCommands() []cli.Command {
+	return []cli.Command{
+		{Name: "log", Summary: "the platform's log", Run: runStandinLog},
+		{Name: "hosts", Summary: "the platform's host list", Run: runStandinHosts},
+		{Name: "server", Summary: "a backend server", Run: runStandinServer},
+		{Name: "egress", Summary: "a proxy for a host's outgoing connections", Run: runStandinEgress},
+	}
+}
+
+// standinFlags returns a flag set with the flag that all stand-ins share.
+func standinFlags(name string, stderr io.Writer) (*flag.FlagSet, *string) {
+	flags := flag.NewFlagSet("poplarctl standin "+name, flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	return flags, flags.String("listen", "127.0.0.1:0", "address to listen on")
+}
+
+func runStandinLog(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	flags, listen := standinFlags("log", stderr)
+	retain := flags.Int("retain", 0, "number of records that are kept; 0 keeps all")
+	appends := flags.Float64("appends-per-second", 0, "rate above which appends are refused; 0 sets no limit")
+	if err := flags.Parse(args); err != nil {
+		return cli.ExitUsage
+	}
+	faults := standin.LogFaults{Retain: *retain, AppendsPerSecond: *appends}
+	return runStandin(ctx, standin.NewLog(standin.LogConfig{Listen: *listen, Faults: faults}), stdout, stderr)
+}
+
+func runStandinHosts(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	flags, listen := standinFlags("hosts", stderr)
+	lag := flags.Duration("lag", 0, "time after which a change becomes visible")
+	if err := flags.Parse(args); err != nil {
+		return cli.ExitUsage
+	}
+	faults := standin.HostsFaults{LagMS: int(lag.Milliseconds())}
+	return runStandin(ctx, standin.NewHosts(standin.HostsConfig{Listen: *listen, Faults: faults}), stdout, stderr)
+}
+
+func runStandinServer(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	flags, listen := standinFlags("server", stderr)
+	cfg := standin.ServerConfig{}
+	flags.StringVar(&cfg.Service, "service", "", "name of the service in the records")
+	flags.IntVar(&cfg.Slots, "slots", 4, "number of requests that are executed at a time")
+	flags.IntVar(&cfg.Queue, "queue", 4, "number of requests that wait for a slot before load is shed")
+	flags.BoolVar(&cfg.CheckEpochs, "check-epochs", true, "refuse keyed requests that the lease does not cover")
+	flags.DurationVar(&cfg.Work, "work", 5*time.Millisecond, "time that a request takes on a warm server")
+	flags.DurationVar(&cfg.ColdTime, "cold-time", 0, "time from the start until the server is warm")
+	flags.Float64Var(&cfg.ColdFactor, "cold-factor", 1, "factor on -work at the start, falling to 1 over -cold-time")
+	flags.StringVar(&cfg.RecordFile, "record", "", "file to which executions are appended as JSON lines")
+	poison := flags.Bool("poison", false, "crash on a request whose key contains poison or that has a Poison header")
+	drainTime := flags.Duration("drain-time", 0, "time between a termination signal and the end, in which reports say draining")
+	if err := flags.Parse(args); err != nil {
+		return cli.ExitUsage
+	}
+	cfg.Listen = *listen
+	if *poison {
+		cfg.Poison = func() { os.Exit(poisonExitCode) }
+	}
+	server := standin.NewServer(cfg)
+	return runStandin(ctx, drainingServer{server, *drainTime}, stdout, stderr)
+}
+
+// drainingServer is a server that says that it drains for a while before it closes.
+type drainingServer struct {
+	*standin.Server
+	drainTime time.Duration
+}
+
+// Close drains and closes the server.
+func (s drainingServer) Close() error {
+	s.SetDraining(true)
+	time.Sleep(s.drainTime)
+	return s.Server.Close()
+}
+
+func runStandinEgress(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	flags, listen := standinFlags("egress", stderr)
+	if err := flags.Parse(args); err != nil {
+		return cli.ExitUsage
+	}
+	return runStandin(ctx, standin.NewEgress(standin.EgressConfig{Listen: *listen}), stdout, stderr)
+}
+
+// runStandin runs the stand-in until the context ends.
+func runStandin(ctx context.Context, s startable, stdout, stderr io.Writer) int {
+	addr, err := s.Start()
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return cli.ExitFailure
+	}
+	fmt.Fprintf(stdout, "ready %s\n", addr)
+	<-ctx.Done()
+	if err := s.Close(); err != nil {
+		fmt.Fprintln(stderr, err)
+		return cli.ExitFailure
+	}
+	return cli.ExitOK
+}
--- /dev/null
+++ b/internal/standin/hosts.go
@@ -0,0 +1,149 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/poplarcroft/poplarcroft/internal/platform"
+)
+
+// HostsFaults are the faults of a host list.
+type HostsFaults struct {
+	// LagMS is the time after which a change becomes visible, in milliseconds.
+	LagMS int `json:"lag_ms"`
+	// Frozen keeps all later changes invisible.
+	Frozen bool `json:"frozen"`
+	// Down closes the connection of every request.
+	Down bool `json:"down"`
+}
+
+// HostsConfig configures a host list.
+type HostsConfig struct {
+	// Listen is the address to listen on.
+	Listen string
+	// Faults are the faults in force at the start.
+	Faults HostsFaults
+}
+
+// Hosts is an in-memory stand-in of the platform's host list. Nothing but a
+// withdrawal removes an entry: the list does not know which hosts are alive.
+type Hosts struct {
+	cfg      HostsConfig
+	endpoint endpoint
+	faults   *faultBox[HostsFaults]
+
+	mu      sync.Mutex
+	visible map[string]platform.HostEntry
+	pending []hostChange
+}
+
+// hostChange is a change that is not visible yet. A nil entry removes the host.
+type hostChange struct {
+	at    time.Time
+	name  string
+	entry *platform.HostEntry
+}
+
+// NewHosts returns a host list that does not listen yet.
+func NewHosts(cfg HostsConfig) *Hosts {
+	return &Hosts{
+		cfg:     cfg,
+		faults:  newFaultBox(cfg.Faults),
+		visible: make(map[string]platform.HostEntry),
+	}
+}
+
+// Start listens and serves until Close. It returns the address in use.
+func (h *Hosts) Start() (string, error) {
+	router := mux.NewRouter()
+	router.HandleFunc(PathFaults, h.faults.serveGet).Methods(http.MethodGet)
+	router.HandleFunc(PathFaults, h.faults.servePatch).Methods(http.MethodPatch)
+	router.HandleFunc("/v1/hosts", h.serveList).Methods(http.MethodGet)
+	router.HandleFunc("/v1/hosts/{name}", h.servePut).Methods(http.MethodPut)
+	router.HandleFunc("/v1/hosts/{name}", h.serveDelete).Methods(http.MethodDelete)
+	return h.endpoint.start(h.cfg.Listen, router)
+}
+
+// Close stops the host list.
+func (h *Hosts) Close() error {
+	return h.endpoint.stop()
+}
+
+// SetFaults replaces the faults in force.
+func (h *Hosts) SetFaults(faults HostsFaults) {
+	// The change cannot fail, because it only assigns.
+	_ = h.faults.update(func(f *HostsFaults) error { *f = faults; return nil })
+}
+
+func (h *Hosts) serveList(w http.ResponseWriter, _ *http.Request) {
+	faults := h.faults.current()
+	if faults.Down {
+		abortConnection()
+	}
+	writeJSON(w, http.StatusOK, h.list(faults, time.Now()))
+}
+
+func (h *Hosts) servePut(w http.ResponseWriter, r *http.Request) {
+	if h.faults.current().Down {
+		abortConnection()
+	}
+	body, err := readBody(w, r)
+	var entry platform.HostEntry
+	if err == nil {
+		err = json.Unmarshal(body, &entry)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	entry.Name = mux.Vars(r)["name"]
+	h.change(entry.Name, &entry)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (h *Hosts) serveDelete(w http.ResponseWriter, r *http.Request) {
+	if h.faults.current().Down {
+		abortConnection()
+	}
+	h.change(mux.Vars(r)["name"], nil)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (h *Hosts) change(name string, entry *platform.HostEntry) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.pending = append(h.pending, hostChange{at: time.Now(), name: name, entry: entry})
+}
+
+// list makes the changes visible that are old enough and returns the list.
+func (h *Hosts) list(faults HostsFaults, now time.Time) platform.HostList {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !faults.Frozen {
+		h.applyBefore(now.Add(-time.Duration(faults.LagMS) * time.Millisecond))
+	}
+	list := platform.HostList{Hosts: []platform.HostEntry{}}
+	for _, entry := range h.visible {
+		list.Hosts = append(list.Hosts, entry)
+	}
+	sort.Slice(list.Hosts, func(i, j int) bool { return list.Hosts[i].Name < list.Hosts[j].Name })
+	return list
+}
+
+// applyBefore applies the pending changes made up to the limit. The lock is held.
+func (h *Hosts) applyBefore(limit time.Time) {
+	for len(h.pending) > 0 && !h.pending[0].at.After(limit) {
+		change := h.pending[0]
+		h.pending = h.pending[1:]
+		if change.entry == nil {
+			delete(h.visible, change.name)
+			continue
+		}
+		h.visible[change.name] = *change.entry
+	}
+}
