--- /dev/null
+++ b/internal/idempotency/table.go
@@ -0,0 +1,93 @@
+package idempotency
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Table is a memory for concurrent requests. It is safe for concurrent use.
+type Table struct {
+	mu     sync.Mutex
+	memory *Memory
+	// ended holds a channel for each local claim, closed at its end.
+	ended map[ID]chan struct{}
+}
+
+// NewTable returns an empty table.
+func NewTable(bounds Bounds) *Table {
+	return &Table{memory: NewMemory(bounds), ended: make(map[ID]chan struct{})}
+}
+
+// Claim asks whether the request may run now. While the same request runs, it
+// waits for its end until the context ends; the verdict is then KindRunning,
+// which the caller gets as unknown.
+func (t *Table) Claim(ctx context.Context, id ID, digest Digest) Verdict {
+	for {
+		verdict, ended := t.claim(id, digest)
+		if verdict.Kind != KindRunning {
+			return verdict
+		}
+		select {
+		case <-ended:
+		case <-ctx.Done():
+			return verdict
+		}
+	}
+}
+
+func (t *Table) claim(id ID, digest Digest) (Verdict, <-chan struct{}) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	verdict := t.memory.Claim(time.Now(), id, digest)
+	if verdict.Kind == KindNew {
+		t.ended[id] = make(chan struct{})
+	}
+	return verdict, t.ended[id]
+}
+
+// Finish ends a claim and wakes those that wait for it.
+func (t *Table) Finish(id ID, attempt int, result Result) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.memory.Finish(time.Now(), id, attempt, result)
+	if ended, ok := t.ended[id]; ok {
+		close(ended)
+		delete(t.ended, id)
+	}
+}
+
+// Get returns the entry of an ID, for copying it to another host.
+func (t *Table) Get(id ID) (Entry, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.memory.Get(time.Now(), id)
+}
+
+// Snapshot returns the entries that match, oldest change first. A nil match selects all.
+func (t *Table) Snapshot(match func(ID) bool) []Entry {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.memory.Snapshot(time.Now(), match)
+}
+
+// Merge takes in entries of another host, see Memory.Merge.
+func (t *Table) Merge(entries []Entry) (lost int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.memory.Merge(time.Now(), entries)
+}
+
+// SetRetention changes how long IDs are remembered.
+func (t *Table) SetRetention(retention time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.memory.SetRetention(retention)
+}
+
+// Len returns the number of remembered IDs and the bytes that they take.
+func (t *Table) Len() (entries, bytes int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.memory.Len(), t.memory.Bytes()
+}
