--- a/internal/keeper/closing.go
+++ b/internal/keeper/closing.go
@@ -35,7 +35,7 @@
 		return
 	}
 	k.record(timeline.KindSessionClosing, reason)
-	k.observer.SessionEnded(k.incarnation, true)
+	k.observer.SessionEnded(k.incarnation)
 }
 
 // closeDuty carries a closing on until the log shows it.
@@ -79,10 +79,11 @@
 	return k.lessor.Phase()
 }
 
+// closed reports whether the session is closed at the version whose slices this keeper knows.
 func (k *Keeper) closed() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.lessor.Closed(k.deps.Clock())
+	return k.lessor.Closed(k.deps.Clock()) && k.lessor.Version() == k.handoversAt
 }
 
 // propose asks the other lessors to close the session.
@@ -108,6 +109,9 @@
 	if err != nil || !reply.Known {
 		return
 	}
+	if reply.Reply.Joined && k.memory.Merge(reply.Entries) > 0 {
+		return
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.lessor.OnCloseReply(k.deps.Clock(), reply.Reply)
@@ -140,7 +144,7 @@
 // adoptAt asks the successor's lessors until one of them, the lead, has
 // confirmed. It marks the slices as activated then.
 func (k *Keeper) adoptAt(ctx context.Context, successor record.SessionID, grants []backend.SliceGrant) bool {
-	args := peer.AdoptArgs{Session: successor, From: k.id, Slices: grants}
+	args := peer.AdoptArgs{Session: successor, From: k.id, Slices: grants, Entries: k.entriesOf(grants)}
 	for _, lessor := range k.lessorsOf(successor) {
 		var reply peer.AdoptReply
 		err := k.deps.Peers.CallTimeout(ctx, adoptTimeout, lessor.PeerAddr, "Peer.Adopt", args, &reply)
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/poplarcroft/poplarcroft/internal/backend"
+	"github.com/poplarcroft/poplarcroft/internal/idempotency"
 	"github.com/poplarcroft/poplarcroft/internal/lease"
 	"github.com/poplarcroft/poplarcroft/internal/ownership"
 	"github.com/poplarcroft/poplarcroft/internal/peer"
@@ -51,6 +52,7 @@
 // Keeper is one host's part in one session.
 type Keeper struct {
 	deps    Deps
+	self    string
 	id      record.SessionID
 	service string
 	zone    string
@@ -59,8 +61,7 @@
 	incarnation string
 	values      settings.Values
 	kick        chan struct{}
-	// Observer is told of every answer and of the end of the server's session.
-	observer Observer
+	observer    Observer
 
 	mu      sync.Mutex
 	lessor  *lease.Lessor
@@ -74,22 +75,30 @@
 	adopted map[int]record.Epoch
 	// gaveUp are the highest epochs under which the server dropped slices.
 	gaveUp map[int]record.Epoch
-	// confirmed is the version under which a quorum granted the lead last.
-	confirmed   platform.Offset
+	// handoversAt is the version that handovers were taken at.
+	handoversAt platform.Offset
 	silence     silence
 	activated   map[ownership.SliceKey]bool
 	closeReason string
 	wasLead     bool
+
+	// term counts the times that this lessor gained the lead.
+	term        atomic.Uint64
+	memory      *idempotency.Table
+	memoryState memoryState
+	finished    chan idempotency.Entry
 	done        atomic.Bool
 }
 
 // Observer is told what the keeper learns of its server. Its methods must not
 // block and must not call the keeper.
 type Observer interface {
-	// ServerAnswered passes on a grant's answer.
-	ServerAnswered(reply backend.GrantReply)
-	// SessionEnded says that the server's session ends; died tells whether the server itself has failed.
-	SessionEnded(incarnation string, died bool)
+	// ServerAnswered passes on the answer to a grant that was sent at the given time.
+	ServerAnswered(asked time.Time, reply backend.GrantReply)
+	// LeadGained says that this host leads the session from now on.
+	LeadGained(values settings.Values)
+	// SessionEnded says that nothing more may be sent under the session.
+	SessionEnded(incarnation string)
 }
 
 // New returns a keeper of an open session. Run starts it.
@@ -110,13 +119,16 @@
 		adopted:     make(map[int]record.Epoch),
 		gaveUp:      make(map[int]record.Epoch),
 		activated:   make(map[ownership.SliceKey]bool),
+		memory:      idempotency.NewTable(idempotency.Bounds{Retention: values.IDRetention}),
+		finished:    make(chan idempotency.Entry, finishedRing),
 	}
 	config := lease.Config{
 		LeadTTL:       values.LeadTTL,
 		LeaseTTL:      values.LeaseTTL,
 		DriftPermille: values.DriftPermille,
 	}
-	k.lessor = lease.New(config, deps.Host, session.ID, session.Version, lessorNames(session.Lessors), session.Sealed())
+	k.self = lease.Name(record.Lessor{Host: deps.Host, Incarnation: deps.Incarnation})
+	k.lessor = lease.New(config, k.self, session.ID, session.Version, lessorNames(session.Lessors), session.Sealed())
 	return k
 }
 
@@ -126,7 +138,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var duties sync.WaitGroup
-	for _, duty := range []func(context.Context){k.leadDuty, k.renewDuty, k.closeDuty, k.moveDuty} {
+	for _, duty := range []func(context.Context){k.leadDuty, k.renewDuty, k.closeDuty, k.moveDuty, k.copyDuty} {
 		duties.Go(func() { duty(ctx) })
 	}
 	k.syncDuty(ctx)
@@ -165,7 +177,17 @@
 	if k.lessor.IsLead(now) {
 		return k.deps.Host, true
 	}
-	return k.lessor.Holder(now), false
+	return k.hostOf(k.lessor.Holder(now)), false
+}
+
+// hostOf returns the host behind a lessor's name in the protocol, "" where there is none.
+func (k *Keeper) hostOf(name string) string {
+	for _, lessor := range k.lessors {
+		if lease.Name(lessor) == name {
+			return lessor.Host
+		}
+	}
+	return ""
 }
 
 // Admission is the right to send a request for a slice to the server.
@@ -191,7 +213,7 @@
 		return Admission{Successor: k.handovers[key].Successor}
 	}
 	if !k.lessor.IsLead(now) {
-		return Admission{Lead: k.lessor.Holder(now)}
+		return Admission{Lead: k.hostOf(k.lessor.Holder(now))}
 	}
 	epoch, held := k.holds[slice]
 	if !held {
@@ -207,13 +229,6 @@
 	return k.lessor.HandleLead(k.deps.Clock(), request)
 }
 
-// HandleClose answers another lessor that asks to close the session.
-func (k *Keeper) HandleClose(request lease.CloseRequest) lease.CloseReply {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.lessor.HandleClose(k.deps.Clock(), request)
-}
-
 // Retired reports whether this lessor acts under no version before the given one.
 func (k *Keeper) Retired(version platform.Offset) bool {
 	k.mu.Lock()
@@ -230,7 +245,7 @@
 
 func (k *Keeper) others() []record.Lessor {
 	return slices.DeleteFunc(slices.Clone(k.lessors), func(l record.Lessor) bool {
-		return l.Host == k.deps.Host
+		return lease.Name(l) == k.self
 	})
 }
 
@@ -246,7 +261,7 @@
 func lessorNames(lessors []record.Lessor) []string {
 	names := make([]string, 0, len(lessors))
 	for _, lessor := range lessors {
-		names = append(names, lessor.Host)
+		names = append(names, lease.Name(lessor))
 	}
 	return names
 }
--- a/internal/keeper/lead.go
+++ b/internal/keeper/lead.go
@@ -57,10 +57,12 @@
 	if changed && lead {
 		k.silence = silence{limit: k.values.ServerSilence}
 		k.silence.answered(k.deps.Clock())
+		k.term.Add(1)
 	}
 	k.mu.Unlock()
 	switch {
 	case changed && lead:
+		k.observer.LeadGained(k.values)
 		k.record(timeline.KindLeadGained, "")
 	case changed:
 		k.record(timeline.KindLeadLost, "")
@@ -73,9 +75,6 @@
 	asked := k.deps.Clock()
 	request, ok := k.lessor.AskLead(asked)
 	others := k.others()
-	if ok && len(others) == 0 {
-		k.confirmed = request.Version
-	}
 	k.mu.Unlock()
 	if !ok {
 		return
@@ -99,7 +98,4 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.lessor.OnLeadReply(k.deps.Clock(), asked, reply.Reply)
-	if reply.Reply.Granted && k.lessor.IsLead(k.deps.Clock()) {
-		k.confirmed = max(k.confirmed, request.Version)
-	}
 }
--- a/internal/keeper/moves.go
+++ b/internal/keeper/moves.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/poplarcroft/poplarcroft/internal/backend"
+	"github.com/poplarcroft/poplarcroft/internal/idempotency"
 	"github.com/poplarcroft/poplarcroft/internal/lease"
 	"github.com/poplarcroft/poplarcroft/internal/ownership"
 	"github.com/poplarcroft/poplarcroft/internal/peer"
@@ -55,12 +56,13 @@
 		first = true
 	}
 	if session.Sealed() && k.former != nil {
-		k.lessor.Seal(session.Version)
+		k.lessor.Seal(k.deps.Clock(), session.Version)
 	}
 	k.lessors = session.Lessors
 	k.former = session.Former
 	if first {
 		k.handovers = handoversOf(session.ID, table)
+		k.handoversAt = session.Version
 		k.forgetAdopted()
 	}
 }
@@ -165,7 +167,7 @@
 			retired++
 		}
 	}
-	if retired < lease.Quorum(len(former)) {
+	if retired < len(former)/2+1 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
@@ -183,8 +185,8 @@
 
 // Adopt activates slices that another session left behind. It returns true
 // once the server has confirmed them.
-func (k *Keeper) Adopt(ctx context.Context, grants []backend.SliceGrant) bool {
-	if _, lead := k.Lead(); !lead || !k.mayAdopt(grants) {
+func (k *Keeper) Adopt(ctx context.Context, grants []backend.SliceGrant, entries []idempotency.Entry) bool {
+	if _, lead := k.Lead(); !lead || !k.mayAdopt(grants) || !k.takeOver(ctx, entries) {
 		return false
 	}
 	k.mu.Lock()
--- a/internal/keeper/renew.go
+++ b/internal/keeper/renew.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/poplarcroft/poplarcroft/internal/backend"
 	"github.com/poplarcroft/poplarcroft/internal/lease"
@@ -28,6 +29,7 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, k.values.ServerSilence/2)
 	defer cancel()
+	asked := time.Now()
 	reply, err := k.deps.Servers.Grant(callCtx, k.addr, grant)
 	if ctx.Err() != nil {
 		return
@@ -36,7 +38,7 @@
 		k.onServerSilent()
 		return
 	}
-	k.onServerAnswer(reply)
+	k.onServerAnswer(asked, reply)
 }
 
 // nextGrant builds the next grant: the lease's end, slices that the server
@@ -72,7 +74,7 @@
 	switch {
 	case k.gaveUp[key.Slice] >= handover.Epoch:
 	case handover.Moving:
-		if k.confirmed >= k.lessor.Version() {
+		if k.lessor.QuorumAt(k.lessor.Version()) {
 			grant.Drop = append(grant.Drop, change)
 		}
 	case k.holds[key.Slice] < handover.Epoch:
@@ -80,9 +82,8 @@
 	}
 }
 
-func (k *Keeper) onServerAnswer(reply backend.GrantReply) {
+func (k *Keeper) onServerAnswer(asked time.Time, reply backend.GrantReply) {
 	if reply.Incarnation != k.incarnation {
-		k.observer.ServerAnswered(reply)
 		k.startClose("server restarted", lease.ProofNewIncarnation)
 		return
 	}
@@ -96,7 +97,7 @@
 	k.silence.answered(now)
 	k.noteHolds(reply)
 	k.mu.Unlock()
-	k.observer.ServerAnswered(reply)
+	k.observer.ServerAnswered(asked, reply)
 }
 
 // noteHolds takes over what the server says that it holds and gave up in this session.
--- a/internal/ownership/table.go
+++ b/internal/ownership/table.go
@@ -9,6 +9,8 @@
 	"cmp"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/poplarcroft/poplarcroft/internal/platform"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 )
@@ -84,6 +86,11 @@
 	Slice   int
 }
 
+// SliceOf returns the slice that a key belongs to, of a service with that many slices.
+func SliceOf(key string, slices int) int {
+	return int(xxhash.Sum64String(key) % uint64(slices))
+}
+
 // NewTable returns an empty table at offset zero.
 func NewTable() *Table {
 	return &Table{
--- a/internal/peer/protocol.go
+++ b/internal/peer/protocol.go
@@ -10,7 +10,6 @@
 	"github.com/poplarcroft/poplarcroft/internal/idempotency"
 	"github.com/poplarcroft/poplarcroft/internal/lease"
 	"github.com/poplarcroft/poplarcroft/internal/platform"
-	"github.com/poplarcroft/poplarcroft/internal/poison"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 )
 
@@ -56,6 +55,8 @@
 type CloseReply struct {
 	Known bool
 	Reply lease.CloseReply
+	// Entries are all request IDs that the lessor remembers, where it has joined.
+	Entries []idempotency.Entry
 }
 
 // AdoptArgs activates slices at the session that was named as their successor.
@@ -63,6 +64,8 @@
 	Session record.SessionID
 	From    record.SessionID
 	Slices  []backend.SliceGrant
+	// Entries are the request IDs that the former owner's lessors remember of the slices.
+	Entries []idempotency.Entry
 }
 
 // AdoptReply answers AdoptArgs. Adopted is true once the server has confirmed.
@@ -85,30 +88,31 @@
 	Retired bool
 }
 
-// ClaimArgs copies a request ID to another lessor before the request is sent.
-type ClaimArgs struct {
+// CopyArgs copies remembered request IDs to another lessor before the requests
+// are sent. From is the lead's name in the lease protocol.
+type CopyArgs struct {
 	Session record.SessionID
-	ID      idempotency.ID
-	Digest  idempotency.Digest
+	From    string
+	Entries []idempotency.Entry
 }
 
-// ClaimReply tells what the lessor's memory held of the ID. Known is false
-// where the host is no lessor of the session, or keeps no memory of it.
-type ClaimReply struct {
-	Known   bool
-	Verdict idempotency.Verdict
+// CopyReply answers CopyArgs. Kept is false where the lessor's consent does not
+// belong to the sender: a later lead may have read the lessor's memory already.
+type CopyReply struct {
+	Kept bool
 }
 
-// FinishArgs copies the end of a claimed request to another lessor.
-type FinishArgs struct {
+// MemoryArgs asks a lessor for the request IDs that it remembers of a session.
+// From is the asking lead's name; the lessor's consent must belong to it.
+type MemoryArgs struct {
 	Session record.SessionID
-	ID      idempotency.ID
-	Result  idempotency.Result
+	From    string
 }
 
-// SuspectsArgs passes on suspicions of requests that were in flight when servers died.
-type SuspectsArgs struct {
-	Records []poison.Record
+// MemoryReply answers MemoryArgs. Known is false where the consent does not belong to the asker.
+type MemoryReply struct {
+	Known   bool
+	Entries []idempotency.Entry
 }
 
 // SnapshotReply is a host's folded state of the log.
--- /dev/null
+++ b/internal/route/gateway.go
@@ -0,0 +1,234 @@
+package route
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/poplarcroft/poplarcroft/internal/backend"
+	"github.com/poplarcroft/poplarcroft/internal/idempotency"
+	"github.com/poplarcroft/poplarcroft/internal/keeper"
+	"github.com/poplarcroft/poplarcroft/internal/limit"
+	"github.com/poplarcroft/poplarcroft/internal/outcome"
+	"github.com/poplarcroft/poplarcroft/internal/record"
+	"github.com/poplarcroft/poplarcroft/internal/settings"
+)
+
+// Lane is what the gateway keeps for one session: the admission to its server.
+// It implements keeper.Observer.
+type Lane struct {
+	gate *limit.Gate
+}
+
+// NewLane returns the lane of a session with the settings in force.
+func NewLane(values settings.Values) *Lane {
+	return &Lane{gate: limit.NewGate(limit.ConfigFrom(values), time.Now())}
+}
+
+// ServerAnswered implements keeper.Observer.
+func (l *Lane) ServerAnswered(asked time.Time, reply backend.GrantReply) {
+	l.gate.ObserveInFlight(asked, reply.InFlight)
+}
+
+// LeadGained implements keeper.Observer.
+func (l *Lane) LeadGained(values settings.Values) {
+	l.gate.Inherit(values.Slots, time.Now().Add(values.RequestTimeout))
+}
+
+// SessionEnded implements keeper.Observer.
+func (l *Lane) SessionEnded(string) {
+	l.gate.Close(notRun(outcome.ReasonNotOwner, "the server's session has ended").Refusal)
+}
+
+// Gateway sends requests to the backend servers whose sessions this host leads.
+// It is safe for concurrent use.
+type Gateway struct {
+	client *http.Client
+
+	mu    sync.RWMutex
+	lanes map[record.SessionID]*laneEntry
+}
+
+type laneEntry struct {
+	keeper *keeper.Keeper
+	lane   *Lane
+}
+
+// NewGateway returns a gateway that sends by the HTTP client.
+func NewGateway(client *http.Client) *Gateway {
+	return &Gateway{client: client, lanes: make(map[record.SessionID]*laneEntry)}
+}
+
+// Add makes a session known to the gateway.
+func (g *Gateway) Add(k *keeper.Keeper, lane *Lane) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.lanes[k.ID()] = &laneEntry{keeper: k, lane: lane}
+}
+
+// Remove forgets a session.
+func (g *Gateway) Remove(id record.SessionID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.lanes, id)
+}
+
+func (g *Gateway) entry(id record.SessionID) *laneEntry {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	return g.lanes[id]
+}
+
+// Serve runs one try of a request at the server of the request's session.
+func (g *Gateway) Serve(ctx context.Context, r *Request) Result {
+	entry := g.entry(r.Session)
+	if entry == nil {
+		return notRun(outcome.ReasonNotLead, "this host is no lessor of the session")
+	}
+	if _, refusal, ok := admit(entry.keeper, r); !ok {
+		return refusal
+	}
+	permit, refusal, ok := entry.lane.gate.Acquire(ctx, r.Key, r.Deadline)
+	if !ok {
+		return Result{Refusal: refusal}
+	}
+	result := g.claimAndSend(ctx, entry, r, permit)
+	permit.Release(result.Answer != nil)
+	return result
+}
+
+// admit checks that this host may send the request now.
+func admit(k *keeper.Keeper, r *Request) (keeper.Admission, Result, bool) {
+	admission := k.Admit(r.Slice)
+	switch {
+	case admission.Allowed:
+		return admission, Result{}, true
+	case admission.Successor != 0:
+		result := notRun(outcome.ReasonNotOwner, "the slice has moved")
+		result.Successor = admission.Successor
+		return admission, result, false
+	case admission.Lead != "":
+		result := notRun(outcome.ReasonNotLead, "another host leads the session")
+		result.Lead = admission.Lead
+		return admission, result, false
+	}
+	return admission, notRun(outcome.ReasonNoOwner, "the server does not hold the slice yet"), false
+}
+
+// claimAndSend remembers a non-idempotent request at a quorum of the session's
+// lessors before it sends it.
+func (g *Gateway) claimAndSend(ctx context.Context, entry *laneEntry, r *Request, permit *limit.Permit) Result {
+	if r.Idempotent() {
+		return g.sendToServer(ctx, entry, r, permit)
+	}
+	id := idempotency.ID{Service: r.Service, Key: r.Key, Request: r.ID}
+	verdict, claimed := entry.keeper.Claim(ctx, id, idempotency.DigestOf(r.Method, r.Path, r.Body))
+	if verdict.Kind != idempotency.KindNew {
+		return repeated(verdict)
+	}
+	if !claimed {
+		entry.keeper.FinishClaim(id, verdict.Attempt, idempotency.Result{State: idempotency.StateReleased})
+		return notRun(outcome.ReasonNotLead, "the request's ID could not be copied to another host")
+	}
+	result := g.sendToServer(ctx, entry, r, permit)
+	entry.keeper.FinishClaim(id, verdict.Attempt, claimResult(result))
+	return result
+}
+
+// repeated is the result of a request whose ID has been seen before.
+func repeated(verdict idempotency.Verdict) Result {
+	switch verdict.Kind {
+	case idempotency.KindDone:
+		if !verdict.Answer.Omitted {
+			return Result{Answer: storedAnswer(verdict.Answer)}
+		}
+		return Result{Refusal: outcome.Refusal{
+			Outcome: outcome.Done, Reason: outcome.ReasonDuplicate,
+			Detail: "the request ran; its answer was too large to be kept",
+		}}
+	case idempotency.KindMismatch:
+		return Result{Refusal: outcome.Refusal{
+			Outcome: outcome.NotRun, Reason: outcome.ReasonDuplicate,
+			Detail: "the request ID was used for another request",
+		}}
+	case idempotency.KindFull:
+		result := notRun(outcome.ReasonOverloaded, "the memory of request IDs is full")
+		result.Refusal.RetryAfter = verdict.RetryAfter
+		return result
+	}
+	return unknown(outcome.ReasonDuplicate, "an earlier try of the request may have run")
+}
+
+func storedAnswer(stored idempotency.Answer) *Answer {
+	answer := &Answer{Status: stored.Status, Header: make(http.Header), Body: stored.Body}
+	for _, header := range stored.Headers {
+		answer.Header.Add(header.Name, header.Value)
+	}
+	return answer
+}
+
+func claimResult(result Result) idempotency.Result {
+	if result.Answer == nil {
+		if result.Refusal.Outcome == outcome.NotRun {
+			return idempotency.Result{State: idempotency.StateReleased}
+		}
+		return idempotency.Result{State: idempotency.StateUnknown}
+	}
+	kept := idempotency.Answer{Status: result.Answer.Status, Body: result.Answer.Body}
+	if contentType := result.Answer.Header.Get("Content-Type"); contentType != "" {
+		kept.Headers = append(kept.Headers, idempotency.Header{Name: "Content-Type", Value: contentType})
+	}
+	return idempotency.Result{State: idempotency.StateDone, Answer: kept}
+}
+
+// sendToServer sends the request under the epoch that is in force now.
+func (g *Gateway) sendToServer(ctx context.Context, entry *laneEntry, r *Request, permit *limit.Permit) Result {
+	admission, refusal, ok := admit(entry.keeper, r)
+	if !ok {
+		return refusal
+	}
+	req, err := r.httpRequest("http://" + admission.Addr)
+	if err != nil {
+		return Result{Refusal: badRequest(err.Error())}
+	}
+	req.Header.Set(backend.HeaderSlice, strconv.Itoa(r.Slice))
+	req.Header.Set(backend.HeaderEpoch, strconv.FormatUint(uint64(admission.Epoch), 10))
+	req.Header.Set(backend.HeaderSession, strconv.FormatUint(uint64(admission.Session), 10))
+	ctx, cancel := untilLost(ctx, permit, r.Deadline)
+	defer cancel()
+	done := send(ctx, g.client, req)
+	if done.err != nil {
+		entry.keeper.Suspect()
+	}
+	return serverResult(done)
+}
+
+// untilLost ends the context at the deadline, or when the server's session ends.
+func untilLost(ctx context.Context, permit *limit.Permit, deadline time.Time) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	go func() {
+		select {
+		case <-permit.Lost():
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
+// serverResult turns an exchange with a backend server into a result.
+func serverResult(done exchange) Result {
+	switch {
+	case done.err != nil && !done.maybeSent:
+		return notRun(outcome.ReasonUnreachable, "the backend server cannot be reached")
+	case done.err != nil:
+		return unknown(outcome.ReasonAnswerLost, "the backend server's answer did not arrive")
+	case outcome.Outcome(done.answer.Header.Get(backend.HeaderOutcome)) != outcome.NotRun:
+		return Result{Answer: done.answer}
+	case done.answer.Status == http.StatusMisdirectedRequest:
+		return notRun(outcome.ReasonNotOwner, "the backend server does not hold the slice")
+	}
+	return notRun(outcome.ReasonOverloaded, "the backend server sheds load")
+}
--- /dev/null
+++ b/internal/route/write.go
@@ -0,0 +1,61 @@
+package route
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/poplarcroft/poplarcroft/internal/backend"
+	"github.com/poplarcroft/poplarcroft/internal/outcome"
+)
+
+// writeAnswer passes a backend server's answer on to the caller.
+func writeAnswer(w http.ResponseWriter, answer *Answer) {
+	header := w.Header()
+	for name, values := range endToEnd(answer.Header) {
+		header[name] = values
+	}
+	header.Set(backend.HeaderOutcome, string(outcome.Done))
+	header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	w.WriteHeader(answer.Status)
+	w.Write(answer.Body)
+}
+
+// WriteRefusal writes a final refusal to the caller.
+func WriteRefusal(w http.ResponseWriter, refusal outcome.Refusal) {
+	header := w.Header()
+	header.Set(backend.HeaderOutcome, string(refusal.Outcome))
+	header.Set(backend.HeaderReason, string(refusal.Reason))
+	header.Set("Content-Type", "application/json")
+	if refusal.RetryAfter > 0 {
+		header.Set("Retry-After", retryAfterSeconds(refusal.RetryAfter))
+	}
+	w.WriteHeader(refusalStatus(refusal))
+	json.NewEncoder(w).Encode(refusal)
+}
+
+func retryAfterSeconds(d time.Duration) string {
+	return strconv.Itoa(max(1, int(math.Ceil(d.Seconds()))))
+}
+
+// refusalStatus is the HTTP status of a refusal.
+func refusalStatus(refusal outcome.Refusal) int {
+	switch refusal.Reason {
+	case outcome.ReasonBadRequest:
+		return http.StatusBadRequest
+	case outcome.ReasonUnknownService:
+		return http.StatusNotFound
+	case outcome.ReasonDuplicate:
+		return http.StatusConflict
+	case outcome.ReasonPoison:
+		return http.StatusUnprocessableEntity
+	case outcome.ReasonDeadline:
+		return http.StatusGatewayTimeout
+	}
+	if refusal.Outcome == outcome.Unknown {
+		return http.StatusBadGateway
+	}
+	return http.StatusServiceUnavailable
+}
--- a/internal/view/snapshot.go
+++ b/internal/view/snapshot.go
@@ -13,13 +13,13 @@
 // Snapshot is a view at one offset in a form for the wire.
 type Snapshot struct {
 	Table    ownership.Snapshot `json:"table"`
-	Settings settings.Snapshot  `json:"settings"`
+	Settings *settings.State    `json:"settings"`
 }
 
 // Snapshot returns a copy of the view as JSON, with its offset.
 func (v *View) Snapshot() (data []byte, offset platform.Offset, err error) {
 	v.mu.RLock()
-	snapshot := Snapshot{Table: v.table.Snapshot(), Settings: v.settings.Snapshot()}
+	snapshot := Snapshot{Table: v.table.Snapshot(), Settings: v.settings.Clone()}
 	v.mu.RUnlock()
 	data, err = json.Marshal(snapshot)
 	return data, snapshot.Table.Applied, errors.Wrap(err, "view: encode snapshot")
@@ -36,9 +36,8 @@
 	if err != nil {
 		return err
 	}
-	state, err := settings.Restore(snapshot.Settings)
-	if err != nil {
-		return errors.Wrap(err, "view: restore settings")
+	if snapshot.Settings == nil {
+		return errors.New("view: snapshot without settings")
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -46,7 +45,7 @@
 		return nil
 	}
 	v.table = table
-	v.settings = state
+	v.settings = snapshot.Settings
 	v.checkpoint = max(v.checkpoint, table.Applied())
 	v.notify()
 	return nil
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -133,7 +133,7 @@
 	case record.KindSettings:
 		v.table.Skip(offset)
 		decision := v.settings.Apply(offset, *r.Settings)
-		return Verdict{Offset: offset, Accepted: decision.Accepted, Reason: decision.String()}
+		return Verdict{Offset: offset, Accepted: decision.Accepted(), Reason: decision.Reason()}
 	case record.KindCheckpoint:
 		v.table.Skip(offset)
 		v.checkpoint = max(v.checkpoint, r.Checkpoint.Offset)
