--- /dev/null
+++ b/internal/lease/version.go
@@ -0,0 +1,140 @@
+package lease
+
+import (
+	"slices"
+	"time"
+)
+
+// Retire makes the lessor act for a newer version, whose lessors are given by
+// name, and never again for an older one. It withdraws an own proposal that no
+// one has answered. It is false where the lessor has answered another's
+// closing: it then goes on acting for the version under which it answered,
+// unless so many others have retired it that it can never be closed.
+//
+// Promises and consents outlive the version. Where the lessors change, the new
+// set is not sealed: until it is, and as long after as a former lead may last,
+// leading takes a quorum of the new and of the former set.
+func (l *Lessor) Retire(now time.Duration, version Version, lessors []string) bool {
+	l.advance(now)
+	if version <= l.version {
+		return true
+	}
+	l.Withdraw(now)
+	if !l.mayRetire() {
+		return false
+	}
+	l.closing = closing{}
+	l.version = version
+	l.phase = PhaseActive
+	l.replaceMembers(lessors)
+	if !slices.Contains(l.members, l.self) {
+		l.phase = PhaseRetired
+		l.dropLead()
+	}
+	l.sealByPeers()
+	return true
+}
+
+// mayRetire reports whether the present version may be given up.
+func (l *Lessor) mayRetire() bool {
+	switch l.phase {
+	case PhaseActive, PhaseRetired:
+		return true
+	case PhaseJoined:
+		return l.faults.retireJoined || l.cannotClose()
+	default:
+		return false
+	}
+}
+
+// cannotClose reports whether so many other lessors have retired the present
+// version that the rest is not a quorum.
+func (l *Lessor) cannotClose() bool {
+	retired := 0
+	for _, name := range l.members {
+		if name != l.self && l.peers[name] > l.version {
+			retired++
+		}
+	}
+	return len(l.members)-retired < quorum(len(l.members))
+}
+
+// replaceMembers puts a new set of lessors in place of the present one.
+func (l *Lessor) replaceMembers(lessors []string) {
+	next := slices.Clone(lessors)
+	if sameNames(l.members, next) {
+		return
+	}
+	l.formers = append(l.formers, l.members)
+	l.members = next
+	l.membersSince = l.version
+	l.sealed = false
+	l.settled = 0
+	l.leadUntil = min(l.leadUntil, l.consentsUntil())
+}
+
+// sameNames reports whether two sets of lessors are equal, whatever their order.
+func sameNames(a, b []string) bool {
+	a = slices.Sorted(slices.Values(a))
+	b = slices.Sorted(slices.Values(b))
+	return slices.Equal(a, b)
+}
+
+// Seal notes that the log holds a seal for the lessors named at version, the
+// version for which the lessor acts. A seal for another version is ignored.
+func (l *Lessor) Seal(now time.Duration, version Version) {
+	l.advance(now)
+	if version == l.version {
+		l.seal()
+		l.advance(now)
+	}
+}
+
+func (l *Lessor) seal() {
+	if l.sealed {
+		return
+	}
+	l.sealed = true
+	l.settled = 0
+	l.advance(l.now)
+}
+
+// sealByPeers seals the present set where the peers' own words show that a
+// quorum of every former set has retired the versions before. The log need not
+// be up for that.
+func (l *Lessor) sealByPeers() {
+	if l.sealed || l.formersUnknown {
+		return
+	}
+	for _, set := range l.formers {
+		if l.countRetired(set, l.membersSince) < quorum(len(set)) {
+			return
+		}
+	}
+	l.seal()
+}
+
+// QuorumAt reports whether a quorum of the lessors is known to act for version
+// or a newer one, so that the session can no longer be closed under an older one.
+func (l *Lessor) QuorumAt(version Version) bool {
+	if !l.sealed {
+		return false
+	}
+	return l.countRetired(l.members, version) >= quorum(len(l.members))
+}
+
+// countRetired returns how many lessors of a set, the own included, act for
+// version or a newer one.
+func (l *Lessor) countRetired(set []string, version Version) int {
+	count := 0
+	for _, name := range set {
+		acts := l.peers[name]
+		if name == l.self {
+			acts = l.version
+		}
+		if acts >= version {
+			count++
+		}
+	}
+	return count
+}
