--- /dev/null
+++ b/internal/settings/deploy_test.go
@@ -0,0 +1,34 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestDeploymentsHaveTheirSizes(t *testing.T) {
+	type size struct {
+		keyed                             bool
+		zones, servers, slots, connection int
+	}
+	for file, want := range map[string]map[string]size{
+		"moravia.toml": {"revize": {true, 4, 20, 4, 130}, "archiv": {false, 4, 15, 4, 130}},
+		"riga.toml":    {"meetdesk": {true, 3, 15, 2, 40}, "fairguide": {false, 3, 10, 2, 40}},
+	} {
+		t.Run(file, func(t *testing.T) {
+			text, err := os.ReadFile(filepath.Join("..", "..", "deploy", file))
+			assert.NilError(t, err)
+			services := mustParse(t, string(text)).Services()
+			assert.Equal(t, len(services), len(want))
+			for _, service := range services {
+				got := size{service.Values.Keyed, len(service.Zones), 0, service.Values.Slots, service.Values.Connections}
+				for _, zone := range service.Zones {
+					got.servers += len(zone.Servers)
+				}
+				assert.Equal(t, got, want[service.Name], service.Name)
+			}
+		})
+	}
+}
