--- a/internal/timeline/recorder.go
+++ b/internal/timeline/recorder.go
@@ -14,8 +14,9 @@
 // Recorder keeps the latest events of one process. It is safe for concurrent
 // use, and recording never waits for I/O.
 type Recorder struct {
-	host string
-	now  func() time.Time
+	host    string
+	now     func() time.Time
+	dropped atomic.Uint64
 
 	mu          sync.Mutex
 	ring        []Event
@@ -85,7 +86,7 @@
 // until the events already queued are written, and returns w's error. A
 // recorder has at most one sink at a time.
 func (r *Recorder) StartSink(w io.Writer) (stop func() error) {
-	s := &sink{queue: make(chan Event, sinkQueue), done: make(chan struct{})}
+	s := &sink{queue: make(chan Event, sinkQueue), done: make(chan struct{}), dropped: &r.dropped}
 	r.mu.Lock()
 	if r.sink != nil {
 		r.mu.Unlock()
@@ -97,15 +98,10 @@
 	return func() error { return r.stopSink(s) }
 }
 
-// Dropped returns the number of events that the sink has not written because
-// it could not keep up or has failed.
+// Dropped returns the number of events that the recorder's sinks have not
+// written because they could not keep up or had failed.
 func (r *Recorder) Dropped() uint64 {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.sink == nil {
-		return 0
-	}
-	return r.sink.dropped.Load()
+	return r.dropped.Load()
 }
 
 func (r *Recorder) stopSink(s *sink) error {
@@ -136,7 +132,7 @@
 type sink struct {
 	queue   chan Event
 	done    chan struct{}
-	dropped atomic.Uint64
+	dropped *atomic.Uint64
 	err     error // read only after done is closed
 }
 
