--- /dev/null
+++ b/internal/publish/publish_test.go
@@ -0,0 +1,144 @@
+package publish
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/record"
+	"github.com/poplarcroft/poplarcroft/internal/settings"
+)
+
+// memoryLog is a log in memory whose appends fail as a script says.
+type memoryLog struct {
+	entries []platform.Entry
+	script  []fault
+	down    bool
+}
+
+// fault is what happens to one append.
+type fault int
+
+const (
+	none fault = iota
+	lostBefore
+	lostAfter
+)
+
+func (l *memoryLog) Append(_ context.Context, data []byte) (platform.Offset, error) {
+	if l.down {
+		return 0, platform.ErrUnavailable
+	}
+	todo := none
+	if len(l.script) > 0 {
+		todo, l.script = l.script[0], l.script[1:]
+	}
+	if todo == lostBefore {
+		return 0, platform.ErrUnavailable
+	}
+	offset := platform.Offset(len(l.entries) + 1)
+	l.entries = append(l.entries, platform.Entry{Offset: offset, Data: data})
+	if todo == lostAfter {
+		return 0, platform.ErrUnavailable
+	}
+	return offset, nil
+}
+
+func (l *memoryLog) Read(_ context.Context, from platform.Offset, max int, _ time.Duration) (platform.ReadReply, error) {
+	if l.down {
+		return platform.ReadReply{}, platform.ErrUnavailable
+	}
+	reply := platform.ReadReply{First: 1, Next: platform.Offset(len(l.entries) + 1)}
+	for _, entry := range l.entries {
+		if entry.Offset >= from && len(reply.Entries) < max {
+			reply.Entries = append(reply.Entries, entry)
+		}
+	}
+	return reply, nil
+}
+
+func open(t *testing.T, log platform.Log) *Publisher {
+	t.Helper()
+	p, err := Open(context.Background(), log, "op", time.Now)
+	assert.NilError(t, err)
+	return p
+}
+
+func change(id record.ID, base platform.Offset) record.Record {
+	return record.Record{ID: id, Kind: record.KindSettings, Settings: &record.Settings{
+		Nodes: []record.SettingsNode{{Path: settings.Root, Base: base, TOML: "slots = 3\n"}},
+	}}
+}
+
+func publish(t *testing.T, p *Publisher, r record.Record) Result {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	result, err := p.Publish(ctx, r)
+	assert.NilError(t, err)
+	return result
+}
+
+func TestLostAnswersAreResolvedByReading(t *testing.T) {
+	for name, script := range map[string][]fault{
+		"none":            {none},
+		"lost before":     {lostBefore},
+		"lost after":      {lostAfter},
+		"before, after":   {lostBefore, lostAfter},
+		"before, before":  {lostBefore, lostBefore},
+		"two lost before": {lostBefore, lostBefore, lostAfter},
+	} {
+		t.Run(name, func(t *testing.T) {
+			log := &memoryLog{script: script}
+			result := publish(t, open(t, log), change("a", 0))
+			assert.Equal(t, result.Status, Accepted)
+			assert.Equal(t, int(result.Offset), 1)
+			assert.Equal(t, len(log.entries), 1)
+		})
+	}
+}
+
+func TestOfTwoPublishersOnOneBaseOneIsRefused(t *testing.T) {
+	log := &memoryLog{}
+	first, second := open(t, log), open(t, log)
+	assert.Equal(t, publish(t, first, change("a", 0)).Status, Accepted)
+	result := publish(t, second, change("b", 0))
+	assert.Equal(t, result.Status, Refused)
+	assert.Equal(t, result.Reason, "defaults: based on version 0, but has version 1")
+}
+
+func TestARepeatedIDIsNotAppendedAgain(t *testing.T) {
+	log := &memoryLog{}
+	publish(t, open(t, log), change("a", 0))
+	result := publish(t, open(t, log), change("a", 1))
+	assert.Equal(t, result.Status, Accepted)
+	assert.Equal(t, len(log.entries), 1)
+}
+
+func TestTheFirstOfEqualRecordsTellsTheResult(t *testing.T) {
+	log := &memoryLog{}
+	p := open(t, log)
+	other := open(t, log)
+	publish(t, p, change("a", 0))
+	data, err := record.Encode(change("a", 0))
+	assert.NilError(t, err)
+	_, err = log.Append(context.Background(), data)
+	assert.NilError(t, err)
+	assert.Equal(t, publish(t, other, change("a", 0)).Status, Accepted)
+	assert.Equal(t, int(p.View().Applied()), 1)
+}
+
+func TestALogThatIsDownLeavesTheResultUnknown(t *testing.T) {
+	log := &memoryLog{}
+	p := open(t, log)
+	log.down = true
+	result := publish(t, p, change("a", 0))
+	assert.Equal(t, result.Status, Unknown)
+	assert.Equal(t, result.ID, record.ID("a"))
+	_, err := Open(context.Background(), log, "op", time.Now)
+	assert.Assert(t, errors.Is(err, platform.ErrUnavailable))
+}
