--- /dev/null
+++ b/internal/check/read.go
@@ -0,0 +1,43 @@
+package check
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"os"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxLineBytes bounds one line of a record file.
+const maxLineBytes = 1 << 20
+
+// ReadExecutions reads a server's record file. A last line that was cut short
+// by the end of the process is left out.
+func ReadExecutions(name string) ([]Execution, error) {
+	return readLines[Execution](name)
+}
+
+// ReadCalls reads a load generator's record file.
+func ReadCalls(name string) ([]Call, error) {
+	return readLines[Call](name)
+}
+
+func readLines[T any](name string) ([]T, error) {
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return nil, errors.Wrap(err, "check: read records")
+	}
+	whole := data[:bytes.LastIndexByte(data, '\n')+1]
+	scanner := bufio.NewScanner(bytes.NewReader(whole))
+	scanner.Buffer(nil, maxLineBytes)
+	var list []T
+	for scanner.Scan() {
+		var item T
+		if err := json.Unmarshal(scanner.Bytes(), &item); err != nil {
+			return nil, errors.Wrapf(err, "check: %s: line %d", name, len(list)+1)
+		}
+		list = append(list, item)
+	}
+	return list, errors.Wrap(scanner.Err(), "check: read records")
+}
