--- a/internal/idempotency/bounds.go
+++ b/internal/idempotency/bounds.go
@@ -12,7 +12,7 @@
 		m.remove(old)
 	}
 	m.index[s.entry.ID] = s
-	m.bytes += s.entry.size()
+	m.count(s.entry, 1)
 	if !s.local {
 		m.order = append(m.order, s)
 	}
@@ -24,7 +24,13 @@
 func (m *Memory) remove(s *stored) {
 	s.replaced = true
 	delete(m.index, s.entry.ID)
-	m.bytes -= s.entry.size()
+	m.count(s.entry, -1)
+}
+
+// count adds an entry's memory to the totals, or with the sign -1 takes it off.
+func (m *Memory) count(entry Entry, sign int) {
+	m.bytes += sign * entry.size()
+	m.bodyBytes += sign * len(entry.Answer.Body)
 }
 
 // expire forgets the entries whose retention has ended.
@@ -45,22 +51,8 @@
 	m.stripped = max(m.stripped-gone, 0)
 }
 
-// makeRoom reports whether a new entry fits. It gives up the entries of
-// released claims where there is no room otherwise: a request that did not run
-// may run later without being known.
-func (m *Memory) makeRoom(entry Entry) bool {
-	if m.fits(entry) {
-		return true
-	}
-	for _, s := range m.order {
-		if !s.replaced && s.entry.State == StateReleased && s.entry.ID != entry.ID {
-			m.remove(s)
-		}
-	}
-	m.compact()
-	return m.fits(entry)
-}
-
+// fits reports whether an entry can be remembered, if need be by leaving out the
+// bodies of older answers.
 func (m *Memory) fits(entry Entry) bool {
 	if _, known := m.index[entry.ID]; known {
 		return true
@@ -68,22 +60,7 @@
 	if len(m.index) >= m.bounds.Entries {
 		return false
 	}
-	return m.bytes-m.bodies()+entry.size() <= m.bounds.Bytes
-}
-
-// bodies returns the bytes that stripping all answers would free. It is not
-// computed while the memory is far below its bound.
-func (m *Memory) bodies() int {
-	if m.bytes+entryOverhead < m.bounds.Bytes/2 {
-		return 0
-	}
-	total := 0
-	for _, s := range m.order[m.stripped:] {
-		if !s.replaced {
-			total += len(s.entry.Answer.Body)
-		}
-	}
-	return total
+	return m.bytes-m.bodyBytes+entry.size() <= m.bounds.Bytes
 }
 
 // fitting returns the entry without its body where that is above the bound.
@@ -99,9 +76,9 @@
 	for m.bytes > m.bounds.Bytes && m.stripped < len(m.order) {
 		s := m.order[m.stripped]
 		if !s.replaced {
-			m.bytes -= s.entry.size()
+			m.count(s.entry, -1)
 			s.entry = s.entry.withoutBody()
-			m.bytes += s.entry.size()
+			m.count(s.entry, 1)
 		}
 		m.stripped++
 	}
--- a/internal/idempotency/entry.go
+++ b/internal/idempotency/entry.go
@@ -5,8 +5,10 @@
 // within its retention: where it is full it refuses new ones, truly not run.
 //
 // The memory of one host is not enough, since hosts are lost. The lead of a
-// session copies a claim to enough other lessors before it sends the request,
-// so that every later lead finds it when it merges the copies of a quorum.
+// session claims an ID, waits for a slot, copies the claim (Get) to so many other
+// lessors that a quorum holds it (Hold), and only then sends the request. A
+// host that becomes the lead merges the copies of a quorum (Snapshot, Merge)
+// before its first claim, and so finds every claim under which a request may have run.
 // Entries form a lattice: merging them in any order, any number of times, gives
 // the same result. A claim whose result is not known where it was copied to
 // counts as unknown there.
@@ -68,10 +70,10 @@
 const (
 	// StateRunning is a claim whose result is not known yet.
 	StateRunning State = iota + 1
-	// StateUnknown is a claim whose request may have run.
-	StateUnknown
 	// StateReleased is a claim whose request did not run. The ID may be claimed again.
 	StateReleased
+	// StateUnknown is a claim whose request may have run.
+	StateUnknown
 	// StateDone is a claim whose request ran; its answer is known.
 	StateDone
 )
--- a/internal/idempotency/memory.go
+++ b/internal/idempotency/memory.go
@@ -1,6 +1,7 @@
 package idempotency
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -91,6 +92,8 @@
 	local bool
 	// changed is the time of the last change on this host's clock.
 	changed time.Time
+	// copied says that another host may know of the entry.
+	copied bool
 	// replaced says that a later one took its place in the index.
 	replaced bool
 }
@@ -103,7 +106,9 @@
 	order []*stored
 	// stripped is the number of entries at the start of order that hold no body.
 	stripped int
-	bytes    int
+	// bytes is the memory taken by all entries, bodyBytes the part of it that their bodies take.
+	bytes     int
+	bodyBytes int
 }
 
 // NewMemory returns an empty memory.
@@ -130,7 +135,7 @@
 		attempt = known.entry.Attempt + 1
 	}
 	entry := Entry{ID: id, Digest: digest, Attempt: attempt, State: StateRunning}
-	if !m.makeRoom(entry) {
+	if !m.fits(entry) {
 		return Verdict{Kind: KindFull, RetryAfter: m.untilExpiry(now)}
 	}
 	m.put(&stored{entry: entry, local: true, changed: now})
@@ -138,23 +143,29 @@
 }
 
 // Finish ends a claim that this host got. A result of StateReleased promises
-// that the request did not run and never will under this claim.
-func (m *Memory) Finish(now time.Time, id ID, attempt int, result Result) {
+// that the request did not run and never will under this claim. It returns
+// false where this host does not hold the claim.
+func (m *Memory) Finish(now time.Time, id ID, attempt int, result Result) bool {
 	known, ok := m.index[id]
 	if !ok || !known.local || known.entry.Attempt != attempt {
-		return
+		return false
 	}
 	switch result.State {
 	case StateDone, StateUnknown, StateReleased:
 	default:
 		panic(errors.AssertionFailedf("idempotency: a claim cannot end in state %d", result.State))
 	}
+	if result.State == StateReleased && !known.copied && attempt == 1 {
+		m.remove(known)
+		return true
+	}
 	entry := known.entry
 	entry.State = result.State
 	if result.State == StateDone {
 		entry.Answer = result.Answer
 	}
-	m.put(&stored{entry: m.fitting(entry), changed: now})
+	m.put(&stored{entry: m.fitting(entry), changed: now, copied: known.copied})
+	return true
 }
 
 // Get returns the entry of an ID, for copying it to another host.
@@ -163,7 +174,19 @@
 	if !ok {
 		return Entry{}, false
 	}
-	return known.exported(now), true
+	return known.export(now), true
+}
+
+// Hold takes in another host's claim and reports whether it is remembered here
+// now, so that no host which merges this memory will run the request. Where it
+// returns false the other host must not run the request under this claim.
+func (m *Memory) Hold(now time.Time, claim Entry) bool {
+	m.Merge(now, []Entry{claim})
+	known, ok := m.index[claim.ID]
+	if !ok || known.entry.Digest != claim.Digest {
+		return false
+	}
+	return known.entry.Attempt == claim.Attempt && known.entry.State == claim.State
 }
 
 // Snapshot returns the entries that match, oldest change first. A nil match selects all.
@@ -172,10 +195,10 @@
 	entries := make([]Entry, 0, len(m.index))
 	for id, known := range m.index {
 		if match == nil || match(id) {
-			entries = append(entries, known.exported(now))
+			entries = append(entries, known.export(now))
 		}
 	}
-	slices.SortFunc(entries, func(a, b Entry) int { return int(b.Age - a.Age) })
+	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Compare(b.Age, a.Age) })
 	return entries
 }
 
@@ -203,12 +226,12 @@
 		return true
 	}
 	entry = m.fitting(entry)
-	if !ok && !m.makeRoom(entry.withoutBody()) {
+	if !m.fits(entry.withoutBody()) {
 		return false
 	}
 	changed := now.Add(-entry.Age)
 	entry.Age = 0
-	m.put(&stored{entry: entry, changed: changed})
+	m.put(&stored{entry: entry, changed: changed, copied: true})
 	return true
 }
 
@@ -234,8 +257,9 @@
 	}
 }
 
-// exported returns the entry as other hosts get it.
-func (s *stored) exported(now time.Time) Entry {
+// export returns the entry as other hosts get it.
+func (s *stored) export(now time.Time) Entry {
+	s.copied = true
 	entry := s.entry
 	entry.Age = now.Sub(s.changed)
 	if s.local {
--- /dev/null
+++ b/internal/idempotency/memory_test.go
@@ -0,0 +1,176 @@
+package idempotency
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+const retention = time.Minute
+
+var (
+	start  = time.Unix(1000, 0)
+	signed = ID{Service: "revize", Key: "k1", Request: "r1"}
+	digest = DigestOf("POST", "/sign", []byte("body"))
+	answer = Answer{Status: 201, Headers: []Header{{"Etag", "x"}}, Body: []byte("certificate")}
+)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func numbered(n int) ID { return ID{Service: "revize", Key: "k", Request: fmt.Sprint(n)} }
+
+func TestVerdictsOnARepeat(t *testing.T) {
+	for name, c := range map[string]struct {
+		finish *Result
+		after  time.Duration
+		digest Digest
+		want   Verdict
+	}{
+		"running":            {nil, time.Second, digest, Verdict{Kind: KindRunning}},
+		"running long":       {nil, time.Hour, digest, Verdict{Kind: KindRunning}},
+		"done":               {&Result{StateDone, answer}, time.Second, digest, Verdict{Kind: KindDone, Answer: answer}},
+		"unknown":            {&Result{State: StateUnknown}, time.Second, digest, Verdict{Kind: KindUnknown}},
+		"not run":            {&Result{State: StateReleased}, time.Second, digest, Verdict{Kind: KindNew, Attempt: 1}},
+		"other contents":     {&Result{StateDone, answer}, time.Second, Digest{1}, Verdict{Kind: KindMismatch}},
+		"after retention":    {&Result{StateDone, answer}, retention, digest, Verdict{Kind: KindNew, Attempt: 1}},
+		"at retention's end": {&Result{State: StateUnknown}, retention - 1, digest, Verdict{Kind: KindUnknown}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := NewMemory(Bounds{Retention: retention})
+			assert.DeepEqual(t, m.Claim(start, signed, digest), Verdict{Kind: KindNew, Attempt: 1})
+			if c.finish != nil {
+				assert.Assert(t, m.Finish(start, signed, 1, *c.finish))
+			}
+			assert.DeepEqual(t, m.Claim(at(c.after), signed, c.digest), c.want)
+		})
+	}
+}
+
+func TestDigestSeparatesItsParts(t *testing.T) {
+	assert.Assert(t, DigestOf("POST", "/ab", []byte("c")) != DigestOf("POST", "/a", []byte("bc")))
+}
+
+func TestFullMemoryRefusesAndForgetsNothing(t *testing.T) {
+	m := NewMemory(Bounds{Entries: 3, Retention: retention})
+	for n := range 3 {
+		m.Claim(start, numbered(n), digest)
+		m.Finish(at(time.Duration(n)*time.Second), numbered(n), 1, Result{StateDone, answer})
+	}
+	refused := m.Claim(at(45*time.Second), numbered(9), digest)
+	assert.DeepEqual(t, refused, Verdict{Kind: KindFull, RetryAfter: 15 * time.Second})
+	assert.Equal(t, m.Claim(at(45*time.Second), numbered(0), digest).Kind, KindDone)
+	assert.Equal(t, m.Claim(at(60*time.Second), numbered(9), digest).Kind, KindNew)
+	assert.Equal(t, m.Merge(at(60*time.Second), []Entry{{ID: numbered(8), Attempt: 1, State: StateRunning}}), 1)
+}
+
+func TestBytesAreBoundedByLeavingOutTheOldestBodies(t *testing.T) {
+	bounds := Bounds{Bytes: 20 * (entryOverhead + 100), BodyBytes: 1000, Retention: retention}
+	m := NewMemory(bounds)
+	large := Answer{Status: 200, Body: []byte(strings.Repeat("x", 1000))}
+	for n := range 15 {
+		assert.Equal(t, m.Claim(start, numbered(n), digest).Kind, KindNew)
+		m.Finish(start, numbered(n), 1, Result{StateDone, large})
+		assert.Assert(t, m.Bytes() <= bounds.Bytes)
+	}
+	first := m.Claim(start, numbered(0), digest)
+	assert.DeepEqual(t, first.Answer, Answer{Status: 200, Omitted: true})
+	assert.DeepEqual(t, m.Claim(start, numbered(14), digest).Answer, large)
+
+	m.Claim(start, signed, digest)
+	m.Finish(start, signed, 1, Result{StateDone, Answer{Status: 200, Body: make([]byte, 1001)}})
+	assert.Equal(t, m.Claim(start, signed, digest).Answer.Omitted, true)
+}
+
+func TestCopiedClaims(t *testing.T) {
+	for name, c := range map[string]struct {
+		finish Result
+		copied bool
+		want   Kind
+	}{
+		"result not copied":       {Result{StateDone, answer}, false, KindUnknown},
+		"done":                    {Result{StateDone, answer}, true, KindDone},
+		"unknown":                 {Result{State: StateUnknown}, true, KindUnknown},
+		"not run":                 {Result{State: StateReleased}, true, KindNew},
+		"not run, told to nobody": {Result{State: StateReleased}, false, KindUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			lead, other := NewMemory(Bounds{Retention: retention}), NewMemory(Bounds{Retention: retention})
+			lead.Claim(start, signed, digest)
+			claim, _ := lead.Get(start, signed)
+			assert.Assert(t, other.Hold(start, claim))
+			lead.Finish(start, signed, 1, c.finish)
+			if c.copied {
+				assert.Equal(t, other.Merge(start, lead.Snapshot(start, nil)), 0)
+			}
+			other.Merge(start, []Entry{claim})
+			assert.Equal(t, other.Claim(start, signed, digest).Kind, c.want)
+		})
+	}
+}
+
+func TestHoldRefusesAClaimThatIsSuperseded(t *testing.T) {
+	m := NewMemory(Bounds{Retention: retention})
+	m.Merge(start, []Entry{{ID: signed, Digest: digest, Attempt: 1, State: StateReleased}})
+	claim := Entry{ID: signed, Digest: digest, Attempt: 1, State: StateRunning}
+	assert.Equal(t, m.Hold(start, claim), false)
+	claim.Attempt = 2
+	assert.Equal(t, m.Hold(start, claim), true)
+	claim.Digest = Digest{1}
+	assert.Equal(t, m.Hold(start, claim), false)
+}
+
+func TestMergeOrderDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		entries := rapid.SliceOf(rapid.Custom(func(t *rapid.T) Entry {
+			return Entry{
+				ID:      numbered(rapid.IntRange(0, 3).Draw(t, "id")),
+				Attempt: rapid.IntRange(1, 3).Draw(t, "attempt"),
+				State:   rapid.SampledFrom([]State{StateRunning, StateReleased, StateUnknown, StateDone}).Draw(t, "state"),
+			}
+		})).Draw(t, "entries")
+		order := rapid.Permutation(append(entries, entries...)).Draw(t, "order")
+		a, b := NewMemory(Bounds{Retention: retention}), NewMemory(Bounds{Retention: retention})
+		a.Merge(start, entries)
+		for _, entry := range order {
+			b.Merge(start, []Entry{entry})
+		}
+		for n := range 4 {
+			left, _ := a.Get(start, numbered(n))
+			right, _ := b.Get(start, numbered(n))
+			assert.DeepEqual(t, left, right)
+		}
+	})
+}
+
+func TestRepeatWaitsForTheFirstRun(t *testing.T) {
+	for name, c := range map[string]struct {
+		timeout time.Duration
+		result  Result
+		want    Kind
+	}{
+		"done":     {time.Minute, Result{StateDone, answer}, KindDone},
+		"not run":  {time.Minute, Result{State: StateReleased}, KindNew},
+		"too late": {time.Second / 2, Result{StateDone, answer}, KindRunning},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				table := NewTable(Bounds{Retention: time.Hour})
+				first := table.Claim(t.Context(), signed, digest)
+				go func() {
+					time.Sleep(time.Second)
+					table.Finish(signed, first.Attempt, c.result)
+				}()
+				ctx, cancel := context.WithTimeout(t.Context(), c.timeout)
+				defer cancel()
+				assert.Equal(t, table.Claim(ctx, signed, digest).Kind, c.want)
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
--- a/internal/idempotency/table.go
+++ b/internal/idempotency/table.go
@@ -10,13 +10,18 @@
 type Table struct {
 	mu     sync.Mutex
 	memory *Memory
-	// ended holds a channel for each local claim, closed at its end.
-	ended map[ID]chan struct{}
+	ended  map[ID]localClaim
+}
+
+// localClaim is a claim that this host got. Done is closed at its end.
+type localClaim struct {
+	attempt int
+	done    chan struct{}
 }
 
 // NewTable returns an empty table.
 func NewTable(bounds Bounds) *Table {
-	return &Table{memory: NewMemory(bounds), ended: make(map[ID]chan struct{})}
+	return &Table{memory: NewMemory(bounds), ended: make(map[ID]localClaim)}
 }
 
 // Claim asks whether the request may run now. While the same request runs, it
@@ -41,9 +46,9 @@
 	defer t.mu.Unlock()
 	verdict := t.memory.Claim(time.Now(), id, digest)
 	if verdict.Kind == KindNew {
-		t.ended[id] = make(chan struct{})
+		t.ended[id] = localClaim{attempt: verdict.Attempt, done: make(chan struct{})}
 	}
-	return verdict, t.ended[id]
+	return verdict, t.ended[id].done
 }
 
 // Finish ends a claim and wakes those that wait for it.
@@ -51,12 +56,25 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.memory.Finish(time.Now(), id, attempt, result)
-	if ended, ok := t.ended[id]; ok {
-		close(ended)
+	t.wake(id, attempt)
+}
+
+// wake ends the waiting for a claim that has ended.
+func (t *Table) wake(id ID, attempt int) {
+	claim, ok := t.ended[id]
+	if ok && claim.attempt == attempt {
+		close(claim.done)
 		delete(t.ended, id)
 	}
 }
 
+// Hold takes in another host's claim, see Memory.Hold.
+func (t *Table) Hold(claim Entry) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.memory.Hold(time.Now(), claim)
+}
+
 // Get returns the entry of an ID, for copying it to another host.
 func (t *Table) Get(id ID) (Entry, bool) {
 	t.mu.Lock()
--- /dev/null
+++ b/internal/limit/admission_test.go
@@ -0,0 +1,224 @@
+package limit
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/poplarcroft/poplarcroft/internal/outcome"
+)
+
+var (
+	start  = time.Unix(1000, 0)
+	warmed = start.Add(-time.Hour)
+	limits = Config{Slots: 4, ColdStartSlots: 1, ColdStartTime: 3 * time.Second, QueueLimit: 8}
+)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func TestSlotsOfAColdServer(t *testing.T) {
+	for _, c := range []struct {
+		age  time.Duration
+		want int
+	}{
+		{-time.Second, 1}, {0, 1}, {999 * time.Millisecond, 1}, {time.Second, 2},
+		{2 * time.Second, 3}, {2999 * time.Millisecond, 3}, {3 * time.Second, 4}, {time.Hour, 4},
+	} {
+		assert.Equal(t, limits.SlotsAt(c.age), c.want, "age %v", c.age)
+	}
+	assert.Equal(t, Config{Slots: 2, ColdStartSlots: 9, ColdStartTime: time.Second}.SlotsAt(0), 2)
+	assert.Equal(t, Config{Slots: -1}.SlotsAt(0), 0)
+}
+
+// offer asks for a request that must be decided at once.
+func offer(t *testing.T, a *Admission, now time.Time, flow string, wait time.Duration) Event {
+	t.Helper()
+	ticket, events := a.Offer(now, flow, now.Add(wait))
+	for _, event := range events {
+		if event.Ticket == ticket {
+			return event
+		}
+	}
+	return Event{}
+}
+
+func TestRefusals(t *testing.T) {
+	second := Result{Executed: true, Took: time.Second}
+	for name, c := range map[string]struct {
+		prepare func(a *Admission)
+		wait    time.Duration
+		reason  outcome.Reason
+		after   time.Duration
+	}{
+		"no slots at all": {
+			func(a *Admission) { a.Configure(start, Config{}) },
+			time.Second, outcome.ReasonOverloaded, minRetryAfter,
+		},
+		"deadline passed": {
+			func(*Admission) {},
+			0, outcome.ReasonDeadline, minRetryAfter,
+		},
+		"wait beyond the deadline": {
+			func(a *Admission) {
+				ticket, _ := a.Offer(start, "a", at(time.Minute))
+				a.Finish(start, ticket, second)
+				fill(a, 4+4)
+			},
+			time.Second, outcome.ReasonOverloaded, 1250 * time.Millisecond,
+		},
+		"warming": {
+			func(a *Admission) {
+				ticket, _ := a.Offer(start, "a", at(time.Minute))
+				a.Finish(start, ticket, second)
+				a.Reset(start)
+				fill(a, 1)
+				a.observeService(time.Second)
+			},
+			time.Second, outcome.ReasonWarming, time.Second,
+		},
+		"queue full": {
+			func(a *Admission) { fill(a, 4+8) },
+			time.Minute, outcome.ReasonOverloaded, minRetryAfter,
+		},
+		"inherited": {
+			func(a *Admission) {
+				a.Inherit(start, 3, at(time.Minute))
+				fill(a, 1)
+				a.observeService(time.Second)
+			},
+			time.Second, outcome.ReasonOverloaded, time.Second,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := NewAdmission(limits, warmed)
+			c.prepare(a)
+			event := offer(t, a, start, "a", c.wait)
+			assert.Equal(t, event.Admitted, false)
+			assert.Equal(t, event.Refusal.Outcome, outcome.NotRun)
+			assert.Equal(t, event.Refusal.Reason, c.reason)
+			assert.Equal(t, event.Refusal.RetryAfter, c.after)
+		})
+	}
+}
+
+// fill offers requests of one flow.
+func fill(a *Admission, count int) {
+	for range count {
+		a.Offer(start, "a", at(time.Minute))
+	}
+}
+
+func TestHotFlowDoesNotStarveOthers(t *testing.T) {
+	a := NewAdmission(Config{Slots: 1, QueueLimit: 4}, warmed)
+	running, _ := a.Offer(start, "hot", at(time.Minute))
+	for range 4 {
+		a.Offer(start, "hot", at(time.Minute))
+	}
+	cold, events := a.Offer(start, "cold", at(time.Minute))
+	assert.Equal(t, len(events), 1, "the youngest hot request makes room")
+	assert.Equal(t, events[0].Refusal.Reason, outcome.ReasonOverloaded)
+
+	first := a.Finish(start, running, Result{})
+	second := a.Finish(start, first[0].Ticket, Result{})
+	assert.Equal(t, second[0].Ticket, cold, "one hot request and then the cold one")
+	assert.Assert(t, !offer(t, a, start, "hot", time.Minute).Admitted)
+}
+
+func TestInheritedSlots(t *testing.T) {
+	a := NewAdmission(limits, warmed)
+	a.Inherit(start, limits.Slots, at(5*time.Second))
+	waits, _ := a.Offer(start, "a", at(time.Minute))
+	assert.Equal(t, len(a.ObserveInFlight(start, start, 4)), 0)
+	events := a.ObserveInFlight(start, start, 3)
+	assert.DeepEqual(t, events, []Event{{Ticket: waits, Admitted: true}})
+
+	a.ObserveInFlight(at(time.Second), at(time.Second), 3)
+	assert.Equal(t, a.Stats(start).Inherited, 2, "a settled request of our own is taken off")
+	a.ObserveInFlight(at(time.Second), at(time.Second), 9)
+	assert.Equal(t, a.Stats(start).Inherited, 2, "the number never rises")
+	a.Advance(at(5 * time.Second))
+	assert.Equal(t, a.Stats(start).Inherited, 0)
+}
+
+func TestResetKeepsSlotsOfLostRequests(t *testing.T) {
+	a := NewAdmission(limits, warmed)
+	fill(a, 2)
+	lost := a.Reset(start)
+	assert.Equal(t, len(lost), 2)
+	waits, events := a.Offer(start, "a", at(time.Minute))
+	assert.Equal(t, len(events), 0)
+	assert.Equal(t, len(a.Finish(start, lost[0], Result{})), 0)
+	events = a.Finish(start, lost[1], Result{})
+	assert.DeepEqual(t, events, []Event{{Ticket: waits, Admitted: true}})
+}
+
+// TestAdmissionKeepsItsLimits drives an admission at random and checks that
+// requests in execution never exceed the slots at the time of an admission,
+// that the queue is bounded, and that each request is decided exactly once.
+func TestAdmissionKeepsItsLimits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := start
+		config := limits
+		began := start
+		a := NewAdmission(config, began)
+		decided := map[Ticket]Event{}
+		offered := []Ticket{}
+		running := map[Ticket]bool{}
+		inherited := 0
+		note := func(events []Event) {
+			for _, event := range events {
+				_, twice := decided[event.Ticket]
+				assert.Assert(t, !twice, "decided twice")
+				decided[event.Ticket] = event
+				if event.Admitted {
+					running[event.Ticket] = true
+					assert.Assert(t, len(running)+inherited <= config.SlotsAt(now.Sub(began)))
+				} else {
+					assert.Equal(t, event.Refusal.Outcome, outcome.NotRun)
+				}
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"offer": func(t *rapid.T) {
+				flow := rapid.SampledFrom([]string{"a", "a", "a", "b", "c"}).Draw(t, "flow")
+				wait := time.Duration(rapid.IntRange(-10, 4000).Draw(t, "wait")) * time.Millisecond
+				ticket, events := a.Offer(now, flow, now.Add(wait))
+				offered = append(offered, ticket)
+				note(events)
+			},
+			"finish": func(t *rapid.T) {
+				for _, ticket := range offered {
+					if running[ticket] {
+						delete(running, ticket)
+						note(a.Finish(now, ticket, Result{Executed: true, Took: 50 * time.Millisecond}))
+						return
+					}
+				}
+			},
+			"pass time": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 900).Draw(t, "ms")) * time.Millisecond)
+				note(a.Advance(now))
+			},
+			"reset": func(t *rapid.T) {
+				a.Reset(now)
+				began, inherited = now, 0
+			},
+			"configure": func(t *rapid.T) {
+				config.Slots = rapid.IntRange(1, 6).Draw(t, "slots")
+				note(a.Configure(now, config))
+			},
+			"inherit": func(t *rapid.T) {
+				inherited = rapid.IntRange(0, 2).Draw(t, "inherited")
+				note(a.Inherit(now, inherited, now.Add(time.Hour)))
+			},
+			"": func(t *rapid.T) {
+				stats := a.Stats(now)
+				assert.Assert(t, stats.Queued <= config.QueueLimit)
+				assert.Equal(t, stats.Running, len(running))
+				assert.Equal(t, stats.Queued, len(offered)-len(decided))
+			},
+		})
+	})
+}
--- /dev/null
+++ b/internal/limit/gate_test.go
@@ -0,0 +1,105 @@
+package limit
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/poplarcroft/poplarcroft/internal/outcome"
+)
+
+var single = Config{Slots: 1, QueueLimit: 8}
+
+func TestGateHandsSlotsOnAndKeepsTheLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate := NewGate(Config{Slots: 4, QueueLimit: 100}, time.Now())
+		var group sync.WaitGroup
+		var running, highest, served atomic.Int64
+		for range 100 {
+			group.Go(func() {
+				permit, _, ok := gate.Acquire(t.Context(), "a", time.Now().Add(time.Minute))
+				if !ok {
+					return
+				}
+				highest.Store(max(highest.Load(), running.Add(1)))
+				time.Sleep(10 * time.Millisecond)
+				running.Add(-1)
+				served.Add(1)
+				permit.Release(true)
+				permit.Release(true)
+			})
+		}
+		group.Wait()
+		assert.Equal(t, served.Load(), int64(100))
+		assert.Equal(t, highest.Load(), int64(4))
+		assert.Equal(t, gate.Stats().Service, 10*time.Millisecond)
+	})
+}
+
+func TestGateRefusesAtTheDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate := NewGate(single, time.Now())
+		held, _, ok := gate.Acquire(t.Context(), "a", time.Now().Add(time.Minute))
+		assert.Assert(t, ok)
+		began := time.Now()
+		_, refusal, ok := gate.Acquire(t.Context(), "a", began.Add(time.Second))
+		assert.Assert(t, !ok)
+		assert.Equal(t, refusal.Reason, outcome.ReasonDeadline)
+		assert.Equal(t, time.Since(began), time.Second)
+		held.Release(true)
+		assert.Equal(t, gate.Stats().Running, 0)
+	})
+}
+
+func TestGateLetsACancelledRequestGo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate := NewGate(single, time.Now())
+		held, _, _ := gate.Acquire(t.Context(), "a", time.Now().Add(time.Minute))
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, refusal, ok := gate.Acquire(ctx, "a", time.Now().Add(time.Minute))
+		assert.Assert(t, !ok)
+		assert.Equal(t, refusal.Outcome, outcome.NotRun)
+		assert.Equal(t, gate.Stats().Queued, 0)
+		held.Release(false)
+	})
+}
+
+func TestGateWakesForTheColdStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate := NewGate(Config{Slots: 2, ColdStartSlots: 1, ColdStartTime: 4 * time.Second, QueueLimit: 1}, time.Now())
+		began := time.Now()
+		for range 2 {
+			_, _, ok := gate.Acquire(t.Context(), "a", began.Add(time.Minute))
+			assert.Assert(t, ok)
+		}
+		assert.Equal(t, time.Since(began), 4*time.Second)
+	})
+}
+
+func TestGateTellsOfTheEndOfASession(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate := NewGate(single, time.Now())
+		held, _, _ := gate.Acquire(t.Context(), "a", time.Now().Add(time.Minute))
+		gone := outcome.Refusal{Outcome: outcome.NotRun, Reason: outcome.ReasonNotLead}
+		go func() {
+			time.Sleep(time.Second)
+			gate.Close(gone)
+		}()
+		began := time.Now()
+		_, refusal, ok := gate.Acquire(t.Context(), "a", began.Add(time.Minute))
+		assert.Assert(t, !ok)
+		assert.DeepEqual(t, refusal, gone)
+		assert.Equal(t, time.Since(began), time.Second)
+		<-held.Lost()
+		held.Release(false)
+		_, refusal, ok = gate.Acquire(t.Context(), "a", began.Add(time.Minute))
+		assert.Assert(t, !ok)
+		assert.DeepEqual(t, refusal, gone)
+	})
+}
