Claims of two hosts on one request ID contest each other

A model of three hosts with changing leads ran a request twice: a former lead that led again still held its own unsent claim, which equalled the copy of the claim under which another lead had run the request. An entry now names its claimant. Two claims on one attempt make the entry unknown for good, and a claim that was replaced is no longer this host's (Claimed).

--- a/internal/idempotency/entry.go
+++ b/internal/idempotency/entry.go
@@ -5,8 +5,9 @@
 // within its retention: where it is full it refuses new ones, truly not run.
 //
 // The memory of one host is not enough, since hosts are lost. The lead of a
-// session claims an ID, waits for a slot, copies the claim (Get) to so many other
-// lessors that a quorum holds it (Hold), and only then sends the request. A
+// session claims an ID, waits for a slot, copies the claim to so many other
+// lessors that a quorum holds it (Hold), checks that the claim is still its own
+// (Claimed), and only then sends the request. A
 // host that becomes the lead merges the copies of a quorum (Snapshot, Merge)
 // before its first claim, and so finds every claim under which a request may have run.
 // Entries form a lattice: merging them in any order, any number of times, gives
@@ -20,6 +21,7 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"slices"
 	"time"
 )
 
@@ -83,18 +85,52 @@
 	ID      ID     `json:"id"`
 	Digest  Digest `json:"digest"`
 	Attempt int    `json:"attempt"`
-	State   State  `json:"state"`
-	Answer  Answer `json:"answer"`
+	// Claimant is the host that got the claim, or contested.
+	Claimant string `json:"claimant"`
+	State    State  `json:"state"`
+	Answer   Answer `json:"answer"`
 	// Age is the time since the entry's last change, on the clock of the host that sent it.
 	Age time.Duration `json:"age"`
 }
 
-// supersedes reports whether the entry knows more than another one of the same ID.
-func (e Entry) supersedes(other Entry) bool {
+// contested is the claimant of an attempt that two hosts claimed without
+// knowing of each other. Whatever one of them says of its own claim, the
+// request may have run under the other's.
+const contested = "*"
+
+// join returns what two entries of the same ID say together.
+func (e Entry) join(other Entry) Entry {
 	if e.Attempt != other.Attempt {
-		return e.Attempt > other.Attempt
+		return later(e, other, e.Attempt < other.Attempt)
+	}
+	if e.Claimant == other.Claimant && e.Claimant != contested {
+		return later(e, other, e.State < other.State)
+	}
+	joined := later(e, other, e.State < other.State)
+	if slices.Compare(e.Digest[:], other.Digest[:]) > 0 {
+		joined.Digest = e.Digest
+	} else {
+		joined.Digest = other.Digest
 	}
-	return e.State > other.State
+	joined.Claimant = contested
+	joined.State = max(joined.State, StateUnknown)
+	joined.Age = min(e.Age, other.Age)
+	return joined
+}
+
+func later(e, other Entry, otherIsLater bool) Entry {
+	if otherIsLater {
+		return other
+	}
+	return e
+}
+
+// sameClaim reports whether two entries stand for the same claim in the same state.
+func (e Entry) sameClaim(other Entry) bool {
+	return e.Digest == other.Digest &&
+		e.Attempt == other.Attempt &&
+		e.Claimant == other.Claimant &&
+		e.State == other.State
 }
 
 // entryOverhead is the memory that an entry takes besides its strings and its answer, in bytes.
@@ -102,7 +138,7 @@
 
 // size returns the memory that the entry takes, in bytes.
 func (e Entry) size() int {
-	size := entryOverhead + len(e.ID.Service) + len(e.ID.Key) + len(e.ID.Request) + len(e.Answer.Body)
+	size := entryOverhead + len(e.ID.Service) + len(e.ID.Key) + len(e.ID.Request) + len(e.Claimant) + len(e.Answer.Body)
 	for _, header := range e.Answer.Headers {
 		size += len(header.Name) + len(header.Value)
 	}
--- a/internal/idempotency/memory.go
+++ b/internal/idempotency/memory.go
@@ -100,6 +100,7 @@
 
 // Memory remembers request IDs. It is not safe for concurrent use.
 type Memory struct {
+	host   string
 	bounds Bounds
 	index  map[ID]*stored
 	// order holds the entries that age, oldest change first.
@@ -111,9 +112,10 @@
 	bodyBytes int
 }
 
-// NewMemory returns an empty memory.
-func NewMemory(bounds Bounds) *Memory {
-	return &Memory{bounds: bounds.normal(), index: make(map[ID]*stored)}
+// NewMemory returns the empty memory of a host. The host's name differs for each
+// of its incarnations.
+func NewMemory(host string, bounds Bounds) *Memory {
+	return &Memory{host: host, bounds: bounds.normal(), index: make(map[ID]*stored)}
 }
 
 // SetRetention changes how long IDs are remembered.
@@ -134,7 +136,7 @@
 		}
 		attempt = known.entry.Attempt + 1
 	}
-	entry := Entry{ID: id, Digest: digest, Attempt: attempt, State: StateRunning}
+	entry := Entry{ID: id, Digest: digest, Attempt: attempt, Claimant: m.host, State: StateRunning}
 	if !m.fits(entry) {
 		return Verdict{Kind: KindFull, RetryAfter: m.untilExpiry(now)}
 	}
@@ -168,6 +170,16 @@
 	return true
 }
 
+// Claimed returns the entry of a claim, for copying it to another host, and
+// true while this host holds the claim.
+func (m *Memory) Claimed(now time.Time, id ID, attempt int) (Entry, bool) {
+	known, ok := m.index[id]
+	if !ok || !known.local || known.entry.Attempt != attempt {
+		return Entry{}, false
+	}
+	return known.export(now), true
+}
+
 // Get returns the entry of an ID, for copying it to another host.
 func (m *Memory) Get(now time.Time, id ID) (Entry, bool) {
 	known, ok := m.index[id]
@@ -183,10 +195,7 @@
 func (m *Memory) Hold(now time.Time, claim Entry) bool {
 	m.Merge(now, []Entry{claim})
 	known, ok := m.index[claim.ID]
-	if !ok || known.entry.Digest != claim.Digest {
-		return false
-	}
-	return known.entry.Attempt == claim.Attempt && known.entry.State == claim.State
+	return ok && known.entry.sameClaim(claim)
 }
 
 // Snapshot returns the entries that match, oldest change first. A nil match selects all.
@@ -221,9 +230,12 @@
 	if entry.Age >= m.bounds.Retention {
 		return true
 	}
-	known, ok := m.index[entry.ID]
-	if ok && !entry.supersedes(known.entry) {
-		return true
+	if known, ok := m.index[entry.ID]; ok {
+		joined := known.entry.join(entry)
+		if joined.sameClaim(known.entry) {
+			return true
+		}
+		entry = joined
 	}
 	entry = m.fitting(entry)
 	if !m.fits(entry.withoutBody()) {
--- a/internal/idempotency/memory_test.go
+++ b/internal/idempotency/memory_test.go
@@ -42,7 +42,7 @@
 		"at retention's end": {&Result{State: StateUnknown}, retention - 1, digest, Verdict{Kind: KindUnknown}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			m := NewMemory(Bounds{Retention: retention})
+			m := NewMemory("a", Bounds{Retention: retention})
 			assert.DeepEqual(t, m.Claim(start, signed, digest), Verdict{Kind: KindNew, Attempt: 1})
 			if c.finish != nil {
 				assert.Assert(t, m.Finish(start, signed, 1, *c.finish))
@@ -57,7 +57,7 @@
 }
 
 func TestFullMemoryRefusesAndForgetsNothing(t *testing.T) {
-	m := NewMemory(Bounds{Entries: 3, Retention: retention})
+	m := NewMemory("a", Bounds{Entries: 3, Retention: retention})
 	for n := range 3 {
 		m.Claim(start, numbered(n), digest)
 		m.Finish(at(time.Duration(n)*time.Second), numbered(n), 1, Result{StateDone, answer})
@@ -71,7 +71,7 @@
 
 func TestBytesAreBoundedByLeavingOutTheOldestBodies(t *testing.T) {
 	bounds := Bounds{Bytes: 20 * (entryOverhead + 100), BodyBytes: 1000, Retention: retention}
-	m := NewMemory(bounds)
+	m := NewMemory("a", bounds)
 	large := Answer{Status: 200, Body: []byte(strings.Repeat("x", 1000))}
 	for n := range 15 {
 		assert.Equal(t, m.Claim(start, numbered(n), digest).Kind, KindNew)
@@ -100,9 +100,9 @@
 		"not run, told to nobody": {Result{State: StateReleased}, false, KindUnknown},
 	} {
 		t.Run(name, func(t *testing.T) {
-			lead, other := NewMemory(Bounds{Retention: retention}), NewMemory(Bounds{Retention: retention})
+			lead, other := NewMemory("a", Bounds{Retention: retention}), NewMemory("b", Bounds{Retention: retention})
 			lead.Claim(start, signed, digest)
-			claim, _ := lead.Get(start, signed)
+			claim, _ := lead.Claimed(start, signed, 1)
 			assert.Assert(t, other.Hold(start, claim))
 			lead.Finish(start, signed, 1, c.finish)
 			if c.copied {
@@ -115,7 +115,7 @@
 }
 
 func TestHoldRefusesAClaimThatIsSuperseded(t *testing.T) {
-	m := NewMemory(Bounds{Retention: retention})
+	m := NewMemory("a", Bounds{Retention: retention})
 	m.Merge(start, []Entry{{ID: signed, Digest: digest, Attempt: 1, State: StateReleased}})
 	claim := Entry{ID: signed, Digest: digest, Attempt: 1, State: StateRunning}
 	assert.Equal(t, m.Hold(start, claim), false)
@@ -128,14 +128,17 @@
 func TestMergeOrderDoesNotMatter(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		entries := rapid.SliceOf(rapid.Custom(func(t *rapid.T) Entry {
+			claimant := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "claimant")
 			return Entry{
-				ID:      numbered(rapid.IntRange(0, 3).Draw(t, "id")),
-				Attempt: rapid.IntRange(1, 3).Draw(t, "attempt"),
-				State:   rapid.SampledFrom([]State{StateRunning, StateReleased, StateUnknown, StateDone}).Draw(t, "state"),
+				ID:       numbered(rapid.IntRange(0, 3).Draw(t, "id")),
+				Digest:   DigestOf(claimant, "", nil),
+				Attempt:  rapid.IntRange(1, 3).Draw(t, "attempt"),
+				Claimant: claimant,
+				State:    rapid.SampledFrom([]State{StateRunning, StateReleased, StateUnknown, StateDone}).Draw(t, "state"),
 			}
 		})).Draw(t, "entries")
 		order := rapid.Permutation(append(entries, entries...)).Draw(t, "order")
-		a, b := NewMemory(Bounds{Retention: retention}), NewMemory(Bounds{Retention: retention})
+		a, b := NewMemory("a", Bounds{Retention: retention}), NewMemory("b", Bounds{Retention: retention})
 		a.Merge(start, entries)
 		for _, entry := range order {
 			b.Merge(start, []Entry{entry})
@@ -160,7 +163,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				table := NewTable(Bounds{Retention: time.Hour})
+				table := NewTable("a", Bounds{Retention: time.Hour})
 				first := table.Claim(t.Context(), signed, digest)
 				go func() {
 					time.Sleep(time.Second)
--- a/internal/idempotency/model_test.go
+++ b/internal/idempotency/model_test.go
@@ -35,9 +35,12 @@
 
 // send copies a claim to another host and then runs its request, if its host still leads.
 func (l *lessors) send(t *rapid.T, c *claimed, to int) {
-	entry, _ := l.memories[c.host].Get(start, c.id)
+	entry, ok := l.memories[c.host].Claimed(start, c.id, c.attempt)
+	if !ok {
+		return
+	}
 	held := l.memories[to].Hold(start, entry)
-	if held && !c.sent && c.host == l.lead && entry.Attempt == c.attempt && entry.State == StateRunning {
+	if held && !c.sent && c.host == l.lead {
 		c.sent = true
 		l.runs[c.id]++
 		assert.Assert(t, l.runs[c.id] <= 1, "ran twice: %v", c.id)
@@ -55,17 +58,20 @@
 	}
 }
 
-// takeOver makes a host the lead after it has merged another host's copies.
+// takeOver makes a host the lead if it could take in all of another host's copies.
 func (l *lessors) takeOver(host, other int) {
-	l.lead = host
-	l.memories[host].Merge(start, l.memories[other].Snapshot(start, nil))
+	lost := l.memories[host].Merge(start, l.memories[other].Snapshot(start, nil))
+	if lost == 0 {
+		l.lead = host
+	}
 }
 
 func TestARequestRunsAtMostOnceOverAllLeads(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		l := &lessors{runs: map[ID]int{}}
 		for i := range l.memories {
-			l.memories[i] = NewMemory(Bounds{Retention: retention})
+			entries := rapid.IntRange(1, 2).Draw(t, "entries")
+			l.memories[i] = NewMemory(string(rune('a'+i)), Bounds{Entries: entries, Retention: retention})
 		}
 		host := rapid.IntRange(0, 2)
 		other := func(t *rapid.T, than int) int {
--- a/internal/idempotency/table.go
+++ b/internal/idempotency/table.go
@@ -19,9 +19,10 @@
 	done    chan struct{}
 }
 
-// NewTable returns an empty table.
-func NewTable(bounds Bounds) *Table {
-	return &Table{memory: NewMemory(bounds), ended: make(map[ID]localClaim)}
+// NewTable returns the empty table of a host. The host's name differs for each
+// of its incarnations.
+func NewTable(host string, bounds Bounds) *Table {
+	return &Table{memory: NewMemory(host, bounds), ended: make(map[ID]localClaim)}
 }
 
 // Claim asks whether the request may run now. While the same request runs, it
@@ -75,6 +76,14 @@
 	return t.memory.Hold(time.Now(), claim)
 }
 
+// Claimed returns the entry of a claim, for copying it to another host, and
+// true while this host holds the claim.
+func (t *Table) Claimed(id ID, attempt int) (Entry, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.memory.Claimed(time.Now(), id, attempt)
+}
+
 // Get returns the entry of an ID, for copying it to another host.
 func (t *Table) Get(id ID) (Entry, bool) {
 	t.mu.Lock()
