HTTP transport that knows what was sent

net/http repeats a request by itself on another connection where its method, or the mere presence of an Idempotency-Key, seems to allow it, and it uses idle connections of any age. Both would break what the router promises, so each round trip follows its connections: a second one after a written byte is refused, a stale one is sealed before a byte is written, and the answer to whether anything was sent comes from the connection itself.

--- /dev/null
+++ b/internal/transport/target.go
@@ -0,0 +1,242 @@
+package transport
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/poplarcroft/poplarcroft/internal/backend"
+)
+
+// Default options.
+const (
+	// DefaultFreshFor is how long a connection may have been idle before a non-idempotent request.
+	DefaultFreshFor = 100 * time.Millisecond
+	// DefaultIdleTimeout is how long an idle connection is kept.
+	DefaultIdleTimeout = 5 * time.Second
+)
+
+const (
+	// maxHeaderBytes bounds the header of an answer.
+	maxHeaderBytes = 64 << 10
+	// bufferBytes is the size of a connection's read and of its write buffer.
+	bufferBytes = 8 << 10
+)
+
+// Errors of requests that got no whole answer.
+var (
+	// ErrReplay reports a request that would have been sent a second time.
+	ErrReplay = errors.New("transport: connection failed during the request")
+	// ErrShort reports an answer that ended before its declared end.
+	ErrShort = errors.New("transport: answer is not whole")
+	// ErrCrossed reports an answer to another request.
+	ErrCrossed = errors.New("transport: answer belongs to another request")
+)
+
+// Sent tells how far a request got.
+type Sent int
+
+const (
+	// NotSent means that no byte of the request was or will be written.
+	NotSent Sent = iota
+	// MaybeSent means that some of the request was written and no answer came.
+	MaybeSent
+	// Answered means that the header of an answer came.
+	Answered
+)
+
+// String returns the name of the value.
+func (s Sent) String() string {
+	return [...]string{"not-sent", "maybe-sent", "answered"}[s]
+}
+
+// Options of a target. A zero FreshFor or IdleTimeout stands for its default.
+type Options struct {
+	// Dial opens connections; see Dialer.
+	Dial DialFunc
+	// Connections is the largest number of open connections.
+	Connections int
+	// FreshFor is how long a connection may have been idle before a
+	// non-idempotent request; negative always takes a new one.
+	FreshFor time.Duration
+	// IdleTimeout is how long an idle connection is kept.
+	IdleTimeout time.Duration
+}
+
+// Target is one server that requests are sent to. It is safe for concurrent use.
+type Target struct {
+	addr     string
+	freshFor time.Duration
+	dial     DialFunc
+	limiter  *limiter
+	http     *http.Transport
+}
+
+// NewTarget returns a target at an IP address and port.
+func NewTarget(addr string, options Options) *Target {
+	if options.FreshFor == 0 {
+		options.FreshFor = DefaultFreshFor
+	}
+	if options.IdleTimeout == 0 {
+		options.IdleTimeout = DefaultIdleTimeout
+	}
+	t := &Target{
+		addr:     addr,
+		freshFor: options.FreshFor,
+		dial:     options.Dial,
+		limiter:  newLimiter(options.Connections),
+	}
+	t.http = &http.Transport{
+		DialContext:            t.dialTracked,
+		DisableCompression:     true,
+		IdleConnTimeout:        options.IdleTimeout,
+		MaxIdleConnsPerHost:    max(options.Connections, 1),
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		ReadBufferSize:         bufferBytes,
+		WriteBufferSize:        bufferBytes,
+		Protocols:              new(http.Protocols),
+	}
+	t.http.Protocols.SetHTTP1(true)
+	return t
+}
+
+// Request is a request to send. Its header is not changed.
+type Request struct {
+	Method string
+	// Path is the path and the query.
+	Path       string
+	Header     http.Header
+	Body       []byte
+	Idempotent bool
+}
+
+// Result is what became of a request. Response is set only with Answered. Its
+// body must be closed; reading it ends with io.EOF only where the answer is whole.
+type Result struct {
+	Sent     Sent
+	Response *http.Response
+	Err      error
+}
+
+// Send sends a request once. It never repeats a request of which a byte may
+// have been written, whatever its method and headers.
+func (t *Target) Send(ctx context.Context, req Request) Result {
+	if !strings.HasPrefix(req.Path, "/") {
+		return Result{Err: errors.Newf("transport: path %q does not begin with a slash", req.Path)}
+	}
+	target, err := url.Parse("http://" + t.addr + req.Path)
+	if err != nil {
+		return Result{Err: errors.Wrap(err, "transport: path")}
+	}
+	for {
+		result, reused := t.sendOnce(ctx, req, target)
+		// Each idle connection that proved unfit is closed, so that this ends.
+		if result.Sent != NotSent || !reused || ctx.Err() != nil {
+			return result
+		}
+	}
+}
+
+// SetConnections changes the largest number of open connections.
+func (t *Target) SetConnections(limit int) {
+	t.limiter.setLimit(limit)
+	t.http.CloseIdleConnections()
+}
+
+// Connections returns the number of open connections.
+func (t *Target) Connections() int {
+	return t.limiter.count()
+}
+
+// Close closes the idle connections. Requests in progress finish.
+func (t *Target) Close() {
+	t.http.CloseIdleConnections()
+}
+
+// sendOnce makes one round trip and reports whether it was on an idle connection.
+func (t *Target) sendOnce(ctx context.Context, req Request, target *url.URL) (result Result, reused bool) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	a := &attempt{cancel: cancel, needsFresh: !req.Idempotent, freshFor: t.freshFor}
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: a.gotConn})
+	out := &http.Request{
+		Method:        req.Method,
+		URL:           target,
+		Host:          target.Host,
+		Header:        req.Header,
+		ContentLength: int64(len(req.Body)),
+	}
+	if out.Header == nil {
+		out.Header = http.Header{}
+	}
+	if len(req.Body) > 0 {
+		out.Body = io.NopCloser(bytes.NewReader(req.Body))
+	}
+	resp, err := t.http.RoundTrip(out.WithContext(traced))
+	if err == nil {
+		err = checkHeader(req, resp)
+	}
+	if err != nil {
+		return t.failed(ctx, a, resp, err), a.reused
+	}
+	resp.Body = &answerBody{body: resp.Body, cancel: cancel}
+	return Result{Sent: Answered, Response: resp}, a.reused
+}
+
+// failed ends a round trip without an answer to the request.
+func (t *Target) failed(ctx context.Context, a *attempt, resp *http.Response, err error) Result {
+	if cause := context.Cause(ctx); cause != nil {
+		err = errors.CombineErrors(cause, err)
+	}
+	a.cancel(err)
+	if resp != nil {
+		resp.Body.Close()
+	}
+	sent := NotSent
+	if a.sealAll() {
+		sent = MaybeSent
+	}
+	if a.reused && sent == MaybeSent && !errors.Is(err, context.Canceled) {
+		t.http.CloseIdleConnections()
+	}
+	return Result{Sent: sent, Err: err}
+}
+
+// dialTracked opens a connection within the limit.
+func (t *Target) dialTracked(ctx context.Context, network, addr string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	if t.limiter.full() {
+		t.http.CloseIdleConnections()
+	}
+	if err := t.limiter.acquire(ctx); err != nil {
+		return nil, err
+	}
+	conn, err := t.dial(ctx, network, addr)
+	if err != nil {
+		t.limiter.release()
+		return nil, err
+	}
+	return &trackedConn{Conn: conn, closed: t.limiter.release}, nil
+}
+
+// checkHeader refuses an answer whose end could not be recognised or that
+// belongs to another request.
+func checkHeader(req Request, resp *http.Response) error {
+	echoed := resp.Header.Get(backend.HeaderRequestID)
+	if echoed != "" && echoed != req.Header.Get(backend.HeaderRequestID) {
+		return ErrCrossed
+	}
+	undelimited := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	if undelimited && req.Method != http.MethodHead {
+		return errors.Wrap(ErrShort, "neither length nor chunks")
+	}
+	return nil
+}
