--- a/internal/balance/adaptive.go
+++ b/internal/balance/adaptive.go
@@ -2,7 +2,11 @@
 
 import (
 	"math"
+	"slices"
 	"time"
+
+	"github.com/poplarcroft/poplarcroft/internal/backend"
+	"github.com/poplarcroft/poplarcroft/internal/outlier"
 )
 
 const (
@@ -18,14 +22,50 @@
 )
 
 // adaptivePolicy draws a few targets near and far and picks the one that is
-// expected to answer first.
+// expected to answer first. Outliers get probes only.
 type adaptivePolicy struct {
 	*targetTable
-	near, far []*targetState
+	outliers *outlier.Detector
+	// healthy, near and far are reused between picks.
+	healthy, near, far []*targetState
 }
 
 func newAdaptivePolicy(targets *targetTable) *adaptivePolicy {
-	return &adaptivePolicy{targetTable: targets}
+	return &adaptivePolicy{targetTable: targets, outliers: outlier.New(outlier.Options{})}
+}
+
+// SetTargets implements Policy.
+func (p *adaptivePolicy) SetTargets(now time.Duration, targets []Target) {
+	p.targetTable.SetTargets(now, targets)
+	addrs := make([]string, len(targets))
+	for i, target := range targets {
+		addrs[i] = target.Addr
+	}
+	p.outliers.SetServers(addrs)
+}
+
+// Finished implements Policy.
+func (p *adaptivePolicy) Finished(addr string, now, latency time.Duration, result Result) {
+	p.targetTable.Finished(addr, now, latency, result)
+	switch result {
+	case Success:
+		p.outliers.Succeeded(addr, now, latency)
+	case Failure:
+		p.outliers.Failed(addr, now)
+	}
+}
+
+// Report implements Policy.
+func (p *adaptivePolicy) Report(addr string, now time.Duration, report backend.LoadReport) {
+	if p.noteReport(addr, now, report) {
+		p.outliers.Forget(addr)
+	}
+}
+
+// Restarted implements Policy.
+func (p *adaptivePolicy) Restarted(addr string, now time.Duration) {
+	p.targetTable.Restarted(addr, now)
+	p.outliers.Forget(addr)
 }
 
 // Pick implements Policy.
@@ -34,7 +74,11 @@
 	if len(candidates) == 0 {
 		return "", false
 	}
-	p.split(candidates)
+	probe, due := p.outliers.Probe(now)
+	if due && contains(candidates, probe) {
+		return probe, true
+	}
+	p.split(p.withoutOutliers(candidates))
 	near, nearScore := p.best(p.near, now)
 	far, farScore := p.best(p.far, now)
 	if near == nil || (far != nil && farScore*(1+farPenalty) < nearScore) {
@@ -43,6 +87,27 @@
 	return near.Addr, true
 }
 
+// withoutOutliers removes the ejected targets, unless that leaves none.
+func (p *adaptivePolicy) withoutOutliers(candidates []*targetState) []*targetState {
+	if p.outliers.Count() == 0 {
+		return candidates
+	}
+	p.healthy = p.healthy[:0]
+	for _, state := range candidates {
+		if !p.outliers.Ejected(state.Addr) {
+			p.healthy = append(p.healthy, state)
+		}
+	}
+	if len(p.healthy) == 0 {
+		return candidates
+	}
+	return p.healthy
+}
+
+func contains(states []*targetState, addr string) bool {
+	return slices.ContainsFunc(states, func(state *targetState) bool { return state.Addr == addr })
+}
+
 // split sorts the candidates into those of the host's own zone and the others.
 func (p *adaptivePolicy) split(candidates []*targetState) {
 	p.near = p.near[:0]
--- a/internal/balance/targets.go
+++ b/internal/balance/targets.go
@@ -90,16 +90,23 @@
 
 // Report implements Policy.
 func (t *targetTable) Report(addr string, now time.Duration, report backend.LoadReport) {
+	t.noteReport(addr, now, report)
+}
+
+// noteReport keeps the report and says whether it shows a new incarnation.
+func (t *targetTable) noteReport(addr string, now time.Duration, report backend.LoadReport) (restarted bool) {
 	state := t.byAddr[addr]
 	if state == nil {
-		return
+		return false
 	}
 	former := state.report.Incarnation
-	if former != "" && report.Incarnation != "" && report.Incarnation != former {
+	restarted = former != "" && report.Incarnation != "" && report.Incarnation != former
+	if restarted {
 		t.Restarted(addr, now)
 	}
 	state.report = report
 	state.reported = now - time.Duration(report.AgeMS)*time.Millisecond
+	return restarted
 }
 
 // Restarted implements Policy.
--- /dev/null
+++ b/internal/outlier/outlier_test.go
@@ -0,0 +1,157 @@
+package outlier
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+const normal = 10 * time.Millisecond
+
+// newWarmDetector returns a detector of ten servers that all answered normally.
+func newWarmDetector() (*Detector, []string) {
+	detector := New(Options{PicksPerProbe: 1})
+	addrs := make([]string, 10)
+	for i := range addrs {
+		addrs[i] = fmt.Sprintf("127.0.0.1:%d", i+1)
+	}
+	detector.SetServers(addrs)
+	for range 5 {
+		for _, addr := range addrs {
+			detector.Succeeded(addr, 0, normal)
+		}
+	}
+	return detector, addrs
+}
+
+func TestSlowServerIsEjected(t *testing.T) {
+	detector, addrs := newWarmDetector()
+	tries := 0
+	for !detector.Ejected(addrs[0]) {
+		tries++
+		detector.Succeeded(addrs[0], 0, 10*normal)
+	}
+	assert.Assert(t, tries <= 2, "ejected after %d tries", tries)
+	assert.Equal(t, detector.Count(), 1)
+}
+
+func TestFailingServerIsEjected(t *testing.T) {
+	detector, addrs := newWarmDetector()
+	detector.Failed(addrs[0], 0)
+	detector.Failed(addrs[0], 0)
+	detector.Succeeded(addrs[0], 0, normal)
+	detector.Failed(addrs[0], 0)
+	detector.Failed(addrs[0], 0)
+	assert.Assert(t, !detector.Ejected(addrs[0]))
+	detector.Failed(addrs[0], 0)
+	assert.Assert(t, detector.Ejected(addrs[0]))
+}
+
+func TestAllSlowEjectsNone(t *testing.T) {
+	detector, addrs := newWarmDetector()
+	for range 100 {
+		for _, addr := range addrs[:6] {
+			detector.Succeeded(addr, 0, 2*normal)
+		}
+	}
+	assert.Equal(t, detector.Count(), 0)
+}
+
+func TestServerReturnsAfterGoodProbes(t *testing.T) {
+	detector, addrs := newWarmDetector()
+	for range 5 {
+		detector.Succeeded(addrs[0], 0, 10*normal)
+	}
+	_, due := detector.Probe(0)
+	assert.Assert(t, !due)
+	for range 5 {
+		detector.Succeeded(addrs[0], 0, normal) // sent before the ejection
+	}
+	assert.Assert(t, detector.Ejected(addrs[0]))
+	now := time.Duration(0)
+	probes := 0
+	for detector.Ejected(addrs[0]) {
+		now += 100 * time.Millisecond
+		addr, due := detector.Probe(now)
+		if !due {
+			continue
+		}
+		assert.Equal(t, addr, addrs[0])
+		probes++
+		detector.Succeeded(addr, now, normal)
+	}
+	assert.Equal(t, probes, Defaults().GoodProbes)
+	assert.Equal(t, detector.Count(), 0)
+}
+
+func TestBadProbesGrowRarer(t *testing.T) {
+	detector, addrs := newWarmDetector()
+	for range 5 {
+		detector.Succeeded(addrs[0], 0, 10*normal)
+	}
+	probes := 0
+	for now := time.Duration(0); now < time.Minute; now += 100 * time.Millisecond {
+		if addr, due := detector.Probe(now); due {
+			probes++
+			detector.Succeeded(addr, now, 10*normal)
+		}
+	}
+	assert.Assert(t, detector.Ejected(addrs[0]))
+	assert.Assert(t, probes >= 5 && probes <= 10, "%d probes in a minute", probes)
+}
+
+func TestProbesAreAShareOfPicks(t *testing.T) {
+	detector, addrs := newWarmDetector()
+	detector.options.PicksPerProbe = 100
+	for range 5 {
+		detector.Succeeded(addrs[0], 0, 10*normal)
+	}
+	probes := 0
+	for pick := range 1000 {
+		now := 5*time.Second + time.Duration(pick)*time.Millisecond
+		if _, due := detector.Probe(now); due {
+			probes++
+		}
+	}
+	assert.Assert(t, probes <= 10, "%d probes in 1000 picks", probes)
+}
+
+func TestEjectionIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		detector := New(Options{})
+		now := time.Duration(0)
+		count := 0
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond
+			addr := fmt.Sprint(rapid.IntRange(0, 11).Draw(t, "server"))
+			switch rapid.IntRange(0, 9).Draw(t, "action") {
+			case 0:
+				count = rapid.IntRange(0, 12).Draw(t, "count")
+				var addrs []string
+				for i := range count {
+					addrs = append(addrs, fmt.Sprint(i))
+				}
+				detector.SetServers(addrs)
+			case 1:
+				detector.Forget(addr)
+			case 2, 3, 4:
+				detector.Failed(addr, now)
+			default:
+				latency := rapid.IntRange(0, 1000).Draw(t, "latency")
+				detector.Succeeded(addr, now, time.Duration(latency)*time.Millisecond)
+			}
+			detector.Probe(now)
+			ejected := 0
+			for i := range 12 {
+				if detector.Ejected(fmt.Sprint(i)) {
+					ejected++
+				}
+			}
+			assert.Equal(t, ejected, detector.Count())
+			assert.Assert(t, ejected <= int(Defaults().MaxShare*float64(count)))
+		}
+	})
+}
