--- /dev/null
+++ b/internal/cmd/ctlcmd/experiment.go
@@ -0,0 +1,86 @@
+package ctlcmd
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/poplarcroft/poplarcroft/internal/cli"
+	"github.com/poplarcroft/poplarcroft/internal/experiment"
+)
+
+const (
+	defaultRuns = 10
+	maxRuns     = 1000
+)
+
+func experimentCommand() cli.Command {
+	return cli.Command{
+		Name:    "experiment",
+		Summary: "compare policies in a queueing model",
+		Run: func(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+			return cli.Dispatch(ctx, "poplarctl experiment", experimentCommands(), args, stdout, stderr)
+		},
+	}
+}
+
+func experimentCommands() []cli.Command {
+	return []cli.Command{
+		{Name: "balance", Summary: "policies without faults, with cold starts and crashes", Run: runPolicies(
+			"balance", experiment.FaultNone, experiment.FaultCold, experiment.FaultCrash)},
+		{Name: "slow", Summary: "policies with one server in five slowed", Run: runPolicies(
+			"slow", experiment.FaultNone, experiment.FaultSlow, experiment.FaultMoving)},
+	}
+}
+
+// experimentFlags returns a flag set with the flags that all experiments share.
+func experimentFlags(name string, stderr io.Writer) (flags *flag.FlagSet, runs *int, asJSON *bool) {
+	flags = flag.NewFlagSet("poplarctl experiment "+name, flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	runs = flags.Int("runs", defaultRuns, "number of seeds")
+	asJSON = flags.Bool("json", false, "print JSON and no table")
+	return flags, runs, asJSON
+}
+
+// parseExperiment parses the flags. Where it returns false the command ends with the code.
+func parseExperiment(flags *flag.FlagSet, args []string, runs *int, stderr io.Writer) (code int, proceed bool) {
+	if err := flags.Parse(args); errors.Is(err, flag.ErrHelp) {
+		return cli.ExitOK, false
+	} else if err != nil {
+		return cli.ExitUsage, false
+	}
+	if *runs < 1 || *runs > maxRuns {
+		fmt.Fprintf(stderr, "runs must be 1 to %d\n", maxRuns)
+		return cli.ExitUsage, false
+	}
+	return cli.ExitOK, true
+}
+
+func runPolicies(name string, faults ...experiment.Fault) func(context.Context, []string, io.Writer, io.Writer) int {
+	return func(_ context.Context, args []string, stdout, stderr io.Writer) int {
+		config := experiment.DefaultConfig()
+		flags, runs, asJSON := experimentFlags(name, stderr)
+		flags.Uint64Var(&config.Seed, "seed", config.Seed, "first seed")
+		flags.Float64Var(&config.Load, "load", config.Load, "share of all slots that the requests need")
+		flags.DurationVar(&config.Duration, "duration", config.Duration, "modelled time of each run")
+		if code, proceed := parseExperiment(flags, args, runs, stderr); !proceed {
+			return code
+		}
+		rows, err := experiment.Compare(config, faults, *runs)
+		if err != nil {
+			fmt.Fprintln(stderr, err)
+			return cli.ExitUsage
+		}
+		if *asJSON {
+			return printJSON(rows, stdout, stderr)
+		}
+		if err := experiment.PrintRows(stdout, rows); err != nil {
+			fmt.Fprintln(stderr, err)
+			return cli.ExitFailure
+		}
+		return cli.ExitOK
+	}
+}
--- a/internal/cmd/ctlcmd/main.go
+++ b/internal/cmd/ctlcmd/main.go
@@ -8,5 +8,6 @@
 	return cli.Main("poplarctl", []cli.Command{
 		standinCommand(),
 		loadCommand(),
+		experimentCommand(),
 	})
 }
