--- a/internal/cmd/ctlcmd/main.go
+++ b/internal/cmd/ctlcmd/main.go
@@ -7,5 +7,7 @@
 func Main() int {
 	return cli.Main("poplarctl", []cli.Command{
 		standinCommand(),
+		loadCommand(),
+		experimentCommand(),
 	})
 }
