Lessor: a set of lessors is known by the record that named it

A host that folds several records before it calls Retire skips sets of lessors. With bare names a set that was replaced and named again looks unchanged, and a quorum of the wrong former set would seal the new one. New, Retire and Seal take Lessors{Names, Since, Sealed, Former, FormerSince}; a lessor that missed a set waits LeadTTL after the seal before it asks. Ownership has to keep the offset of the record that named a session's lessors, and that of the former set.

Quorum is exported for the host.

Run: go test ./internal/lease: ok.

--- a/internal/lease/close.go
+++ b/internal/lease/close.go
@@ -127,7 +127,7 @@
 	if l.phase != PhaseProposing && l.phase != PhaseJoined {
 		return
 	}
-	if len(l.closing.joined)+1 < quorum(len(l.members)) {
+	if len(l.closing.joined)+1 < Quorum(len(l.members)) {
 		return
 	}
 	l.closing.due = l.leasesOver()
--- a/internal/lease/lead.go
+++ b/internal/lease/lead.go
@@ -163,7 +163,7 @@
 		ends = append(ends, l.consents[name])
 	}
 	slices.Sort(ends)
-	return ends[len(ends)-quorum(len(set))]
+	return ends[len(ends)-Quorum(len(set))]
 }
 
 // IsLead reports whether the lessor may lead at now.
--- a/internal/lease/lessor.go
+++ b/internal/lease/lessor.go
@@ -24,8 +24,8 @@
 	membersSince Version
 	// formers are earlier sets of lessors under which another may still lead.
 	formers [][]string
-	// formersUnknown means that the lessor was created after lessors were
-	// replaced, so that it cannot ask their former set.
+	// formersUnknown means that lessors were replaced without this lessor
+	// knowing the set before, so that it cannot ask for its consent.
 	formersUnknown bool
 	sealed         bool
 	// settled is when no lead of a former set is left; zero while unsealed.
@@ -67,24 +67,22 @@
 	receivedAt time.Duration
 }
 
-// New returns the state of a lessor that was named for a session. The names of
-// the lessors, self among them, are built by Name. Sealed says that the log
-// holds a seal for them; the lessors of a session's open record need none, so
-// for them it is true and version equals session.
-func New(cfg Config, self string, session record.SessionID, version Version, lessors []string, sealed bool) *Lessor {
+// New returns the state of a lessor that the log has named for a session. The
+// lessors of the session's open record are those whose Since is the session.
+func New(cfg Config, self string, session record.SessionID, version Version, lessors Lessors) *Lessor {
 	l := &Lessor{
-		cfg:          cfg,
-		self:         self,
-		session:      session,
-		version:      version,
-		members:      slices.Clone(lessors),
-		membersSince: version,
-		sealed:       sealed,
-		peers:        make(map[string]Version),
-		consents:     make(map[string]time.Duration),
+		cfg:            cfg,
+		self:           self,
+		session:        session,
+		version:        version,
+		members:        slices.Clone(lessors.Names),
+		membersSince:   lessors.Since,
+		formersUnknown: lessors.Since != session,
+		sealed:         lessors.Sealed,
+		peers:          make(map[string]Version),
+		consents:       make(map[string]time.Duration),
 	}
-	l.formersUnknown = version != session
-	if !slices.Contains(lessors, self) {
+	if !slices.Contains(lessors.Names, self) {
 		l.phase = PhaseRetired
 	}
 	return l
@@ -122,8 +120,8 @@
 	return append([][]string{l.members}, l.formers...)
 }
 
-// quorum returns the number of lessors that make up a quorum of n.
-func quorum(n int) int {
+// Quorum returns the number of lessors that make up a quorum of n.
+func Quorum(n int) int {
 	return n/2 + 1
 }
 
--- a/internal/lease/lessor_test.go
+++ b/internal/lease/lessor_test.go
@@ -28,11 +28,21 @@
 func newSet(names ...string) map[string]*Lessor {
 	set := make(map[string]*Lessor, len(names))
 	for _, name := range names {
-		set[name] = New(testConfig(), name, testSession, Version(testSession), names, true)
+		set[name] = New(testConfig(), name, testSession, Version(testSession), opened(names...))
 	}
 	return set
 }
 
+// opened returns lessors as the open record names them.
+func opened(names ...string) Lessors {
+	return Lessors{Names: names, Since: Version(testSession), Sealed: true}
+}
+
+// replacing returns lessors that replace those of the open record at a version.
+func replacing(since Version, former []string, names ...string) Lessors {
+	return Lessors{Names: names, Since: since, Former: former, FormerSince: Version(testSession)}
+}
+
 // ask lets one lessor ask others for consent, without delay.
 func ask(t *testing.T, now time.Duration, asker *Lessor, givers ...*Lessor) []LeadReply {
 	t.Helper()
@@ -59,7 +69,7 @@
 
 func TestQuorumOfEverySize(t *testing.T) {
 	for n, want := range map[int]int{1: 1, 2: 2, 3: 2} {
-		assert.Equal(t, quorum(n), want, "%d lessors", n)
+		assert.Equal(t, Quorum(n), want, "%d lessors", n)
 	}
 }
 
@@ -224,7 +234,7 @@
 		_, ok := l.AskLead(5 * time.Second)
 		assert.Assert(t, !ok, name)
 		assert.Assert(t, !l.Withdraw(5*time.Second), name)
-		assert.Assert(t, !l.Retire(5*time.Second, 20, []string{"a", "b", "c"}), name)
+		assert.Assert(t, !l.Retire(5*time.Second, 20, opened("a", "b", "c")), name)
 	}
 	reply := set["b"].HandleLead(5*time.Second, LeadRequest{From: "c", Session: testSession, Version: Version(testSession)})
 	assert.Assert(t, !reply.Granted)
@@ -264,7 +274,7 @@
 	assert.Assert(t, set["a"].IsLead(1010*ms))
 	assert.Assert(t, !set["a"].Closed(5*time.Second))
 
-	assert.Assert(t, set["a"].Retire(6*time.Second, 20, []string{"a", "b", "c"}))
+	assert.Assert(t, set["a"].Retire(6*time.Second, 20, opened("a", "b", "c")))
 	set["a"].OnCloseReply(6*time.Second, reply)
 	_, ok := set["a"].StartClose(6*time.Second, "test", ProofNone)
 	assert.Assert(t, ok)
@@ -277,14 +287,14 @@
 	set := newSet(names...)
 	request, _ := set["a"].StartClose(0, "test", ProofNone)
 	set["b"].HandleClose(0, request)
-	assert.Assert(t, set["a"].Retire(0, 20, names))
+	assert.Assert(t, set["a"].Retire(0, 20, opened(names...)))
 	ask(t, 0, set["a"], set["b"])
-	assert.Assert(t, !set["b"].Retire(0, 20, names), "c may still join b")
-	assert.Assert(t, set["c"].Retire(0, 20, names))
+	assert.Assert(t, !set["b"].Retire(0, 20, opened(names...)), "c may still join b")
+	assert.Assert(t, set["c"].Retire(0, 20, opened(names...)))
 	ask(t, 10*ms, set["a"], set["b"])
-	assert.Assert(t, !set["b"].Retire(10*ms, 20, names), "b has not heard of c")
+	assert.Assert(t, !set["b"].Retire(10*ms, 20, opened(names...)), "b has not heard of c")
 	set["b"].HandleLead(10*ms, LeadRequest{From: "c", Session: testSession, Version: 20})
-	assert.Assert(t, set["b"].Retire(10*ms, 20, names))
+	assert.Assert(t, set["b"].Retire(10*ms, 20, opened(names...)))
 	assert.Equal(t, set["b"].Phase(), PhaseActive)
 }
 
@@ -292,8 +302,8 @@
 	names := []string{"a", "b", "c"}
 	set := newSet(names...)
 	ask(t, 0, set["a"], set["b"])
-	set["a"].Retire(10*ms, 20, names)
-	set["b"].Retire(10*ms, 20, names)
+	set["a"].Retire(10*ms, 20, opened(names...))
+	set["b"].Retire(10*ms, 20, opened(names...))
 	assert.Assert(t, set["a"].IsLead(10*ms))
 	assert.Assert(t, !set["a"].QuorumAt(20))
 	replies := ask(t, 20*ms, set["a"], set["b"], set["c"])
@@ -305,15 +315,16 @@
 }
 
 func TestNewLessorsNeedASealAndAnEndOfFormerLeads(t *testing.T) {
-	names := []string{"d", "e", "f"}
-	d := New(testConfig(), "d", testSession, 20, names, false)
-	e := New(testConfig(), "e", testSession, 20, names, false)
+	lessors := Lessors{Names: []string{"d", "e", "f"}, Since: 20}
+	d := New(testConfig(), "d", testSession, 20, lessors)
+	e := New(testConfig(), "e", testSession, 20, lessors)
 	_, ok := d.AskLead(0)
 	assert.Assert(t, !ok)
 	_, ok = d.StartClose(0, "test", ProofNone)
 	assert.Assert(t, !ok)
-	d.Seal(time.Second, 20)
-	e.Seal(time.Second, 20)
+	lessors.Sealed = true
+	d.Seal(time.Second, lessors)
+	e.Seal(time.Second, lessors)
 	_, ok = d.AskLead(time.Second + 403*ms)
 	assert.Assert(t, !ok, "a former lead may be left")
 	ask(t, time.Second+404*ms, d, e)
@@ -324,8 +335,8 @@
 	set := newSet("a", "b", "c")
 	a, b := set["a"], set["b"]
 	ask(t, 0, a, b)
-	names := []string{"a", "b", "d"}
-	d := New(testConfig(), "d", testSession, 20, names, false)
+	names := replacing(20, []string{"a", "b", "c"}, "a", "b", "d")
+	d := New(testConfig(), "d", testSession, 20, names)
 	a.Retire(100*ms, 20, names)
 	b.Retire(100*ms, 20, names)
 	assert.Assert(t, a.IsLead(100*ms))
@@ -340,10 +351,22 @@
 	assert.Assert(t, d.Sealed(), "the new lessor learns of it from a request")
 }
 
+func TestLessorThatMissedAReplacementWaitsForFormerLeads(t *testing.T) {
+	set := newSet("a", "b", "c")
+	ask(t, 0, set["a"], set["b"])
+	lessors := Lessors{Names: []string{"a", "b", "c"}, Since: 40, Sealed: true, FormerSince: 30}
+	set["a"].Retire(10*ms, 40, lessors)
+	assert.Assert(t, !set["a"].IsLead(10*ms), "a set that it does not know may have a lead")
+	_, ok := set["a"].AskLead(413 * ms)
+	assert.Assert(t, !ok)
+	_, ok = set["a"].AskLead(414 * ms)
+	assert.Assert(t, ok)
+}
+
 func TestRetiredLessorDoesNotAct(t *testing.T) {
 	set := newSet("a", "b", "c")
 	c := set["c"]
-	assert.Assert(t, c.Retire(0, 20, []string{"a", "b", "d"}))
+	assert.Assert(t, c.Retire(0, 20, replacing(20, []string{"a", "b", "c"}, "a", "b", "d")))
 	assert.Equal(t, c.Phase(), PhaseRetired)
 	_, ok := c.AskLead(time.Second)
 	assert.Assert(t, !ok)
--- a/internal/lease/types.go
+++ b/internal/lease/types.go
@@ -36,6 +36,20 @@
 	return r.Host + "/" + r.Incarnation
 }
 
+// Lessors is a set of lessors as the log names it. All names are built by Name.
+type Lessors struct {
+	Names []string
+	// Since is the offset of the record that named the set.
+	Since Version
+	// Sealed says that the log holds a seal for the set. The set of the open
+	// record needs none: it is sealed from the start.
+	Sealed bool
+	// Former is the set before and FormerSince the record that named it. They
+	// may be left out; leading then takes up to LeadTTL longer after the seal.
+	Former      []string
+	FormerSince Version
+}
+
 // Phase is a lessor's state with respect to closing its session.
 type Phase int
 
--- a/internal/lease/version.go
+++ b/internal/lease/version.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// Retire makes the lessor act for a newer version, whose lessors are given by
-// name, and never again for an older one. It withdraws an own proposal that no
+// Retire makes the lessor act for a newer version and never again for an older
+// one. Versions may be left out. It withdraws an own proposal that no
 // one has answered. It is false where the lessor has answered another's
 // closing: it then goes on acting for the version under which it answered,
 // unless so many others have retired it that it can never be closed.
@@ -14,9 +14,13 @@
 // Promises and consents outlive the version. Where the lessors change, the new
 // set is not sealed: until it is, and as long after as a former lead may last,
 // leading takes a quorum of the new and of the former set.
-func (l *Lessor) Retire(now time.Duration, version Version, lessors []string) bool {
+func (l *Lessor) Retire(now time.Duration, version Version, lessors Lessors) bool {
 	l.advance(now)
-	if version <= l.version {
+	if version < l.version {
+		return true
+	}
+	if version == l.version {
+		l.Seal(now, lessors)
 		return true
 	}
 	l.Withdraw(now)
@@ -56,37 +60,34 @@
 			retired++
 		}
 	}
-	return len(l.members)-retired < quorum(len(l.members))
+	return len(l.members)-retired < Quorum(len(l.members))
 }
 
 // replaceMembers puts a new set of lessors in place of the present one.
-func (l *Lessor) replaceMembers(lessors []string) {
-	next := slices.Clone(lessors)
-	if sameNames(l.members, next) {
-		return
+func (l *Lessor) replaceMembers(lessors Lessors) {
+	if lessors.Since > l.membersSince {
+		if lessors.FormerSince == l.membersSince {
+			l.formers = append(l.formers, l.members)
+		} else {
+			l.formersUnknown = true
+		}
+		l.members = slices.Clone(lessors.Names)
+		l.membersSince = lessors.Since
+		l.sealed = false
+		l.settled = 0
+		l.leadUntil = min(l.leadUntil, l.consentsUntil())
+	}
+	if lessors.Sealed {
+		l.seal()
 	}
-	l.formers = append(l.formers, l.members)
-	l.members = next
-	l.membersSince = l.version
-	l.sealed = false
-	l.settled = 0
-	l.leadUntil = min(l.leadUntil, l.consentsUntil())
-}
-
-// sameNames reports whether two sets of lessors are equal, whatever their order.
-func sameNames(a, b []string) bool {
-	a = slices.Sorted(slices.Values(a))
-	b = slices.Sorted(slices.Values(b))
-	return slices.Equal(a, b)
 }
 
-// Seal notes that the log holds a seal for the lessors named at version, the
-// version for which the lessor acts. A seal for another version is ignored.
-func (l *Lessor) Seal(now time.Duration, version Version) {
+// Seal notes that the log holds a seal for the set of lessors. It has no
+// effect for a set that is not the one for which the lessor acts.
+func (l *Lessor) Seal(now time.Duration, lessors Lessors) {
 	l.advance(now)
-	if version == l.version {
+	if lessors.Sealed && lessors.Since == l.membersSince {
 		l.seal()
-		l.advance(now)
 	}
 }
 
@@ -107,7 +108,7 @@
 		return
 	}
 	for _, set := range l.formers {
-		if l.countRetired(set, l.membersSince) < quorum(len(set)) {
+		if l.countRetired(set, l.membersSince) < Quorum(len(set)) {
 			return
 		}
 	}
@@ -120,7 +121,7 @@
 	if !l.sealed {
 		return false
 	}
-	return l.countRetired(l.members, version) >= quorum(len(l.members))
+	return l.countRetired(l.members, version) >= Quorum(len(l.members))
 }
 
 // countRetired returns how many lessors of a set, the own included, act for
