Thin whole path: hosts, keepers, planner, data path, dev

Cause: nothing served a request yet. Change: hosts fold the log, open sessions, lease servers through a lead with a quorum's consent, forward requests to the lead, and activate successors when a server is silent; dev runs a whole system in one process.

--- a/internal/cmd/hostcmd/main.go
+++ b/internal/cmd/hostcmd/main.go
@@ -7,5 +7,6 @@
 func Main() int {
 	return cli.Main("poplarcroft", []cli.Command{
 		serveCommand(),
+		devCommand(),
 	})
 }
--- a/internal/cmd/hostcmd/serve.go
+++ b/internal/cmd/hostcmd/serve.go
@@ -16,6 +16,9 @@
 	"github.com/poplarcroft/poplarcroft/internal/host"
 )
 
+// eventsMode is the mode of a new file of events.
+const eventsMode = 0o644
+
 func serveCommand() cli.Command {
 	return cli.Command{
 		Name:    "serve",
@@ -35,7 +38,7 @@
 		return cli.ExitUsage
 	}
 	if eventsFile != "" {
-		file, err := os.OpenFile(eventsFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+		file, err := os.OpenFile(eventsFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, eventsMode)
 		if err != nil {
 			fmt.Fprintln(stderr, "poplarcroft serve:", err)
 			return cli.ExitFailure
--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -66,3 +66,33 @@
 	})
 	return active
 }
+
+// Serving reports whether every slice of every keyed service has an owner, and
+// the sessions that this host is a lessor of have a lead.
+func (h *Host) Serving() bool {
+	return h.ownersComplete() && h.leadsKnown()
+}
+
+func (h *Host) ownersComplete() bool {
+	complete := false
+	h.view.Read(func(state *settings.State, table *ownership.Table) {
+		complete = len(state.Services()) > 0
+		for _, service := range state.Services() {
+			for number := 0; service.Values.Keyed && number < service.Values.Slices; number++ {
+				complete = complete && table.HasOwner(ownership.SliceKey{Service: service.Name, Slice: number})
+			}
+		}
+	})
+	return complete
+}
+
+func (h *Host) leadsKnown() bool {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	for _, k := range h.keepers {
+		if lead, _ := k.Lead(); lead == "" && !k.Done() {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -45,12 +45,13 @@
 	gateway  *route.Gateway
 	route    *route.Entry
 	counters *route.Counters
+	stopSink func() error
 
 	mu      sync.RWMutex
 	keepers map[record.SessionID]*keeper.Keeper
 
 	listeners listeners
-	attempts attempts
+	attempts  attempts
 }
 
 // listeners are the sockets that a host serves.
@@ -86,6 +87,7 @@
 		State:       platform.HostLive,
 	}
 	h.events.SetIncarnation(h.entry.Incarnation)
+	h.stopSink = h.startSink()
 	h.connect()
 	return h, nil
 }
@@ -148,7 +150,15 @@
 	duties.Wait()
 	h.peers.Close()
 	h.record(timeline.KindHostStopped, "")
-	return nil
+	return h.stopSink()
+}
+
+// startSink passes the host's events on to the configured writer.
+func (h *Host) startSink() func() error {
+	if h.config.Events == nil {
+		return func() error { return nil }
+	}
+	return h.events.StartSink(h.config.Events)
 }
 
 // duties are the host's goroutines that run until it has stopped.
--- a/internal/host/network.go
+++ b/internal/host/network.go
@@ -75,3 +75,9 @@
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
+
+// NewPlatformClient returns an HTTP client for the platform's services, which connects
+// through the HTTP CONNECT proxy at egress where that is set.
+func NewPlatformClient(egress string) *http.Client {
+	return newHTTPClient(dialer(egress), platformConns)
+}
--- a/internal/host/plan.go
+++ b/internal/host/plan.go
@@ -22,8 +22,6 @@
 	planTimeout = 3 * time.Second
 	// probeTimeout bounds the first contact to a backend server.
 	probeTimeout = 300 * time.Millisecond
-	// settleTime is how long a started host only listens, until it knows the others.
-	settleTime = 600 * time.Millisecond
 )
 
 // attempts remembers since when this host has seen each need, and which ones
@@ -78,7 +76,6 @@
 
 // planDuty looks for what the table lacks and appends it to the log.
 func (h *Host) planDuty(ctx context.Context) {
-	wait(ctx, settleTime)
 	every(ctx, planEvery, h.plan)
 }
 
@@ -91,7 +88,7 @@
 }
 
 func (h *Host) plan(ctx context.Context) {
-	if h.leaving.Load() {
+	if h.leaving.Load() || !h.members.Settled() {
 		return
 	}
 	live := h.members.Live()
--- a/internal/host/rpc.go
+++ b/internal/host/rpc.go
@@ -67,7 +67,15 @@
 // Retired answers whether this host acts under no older version of a session.
 func (s *peerService) Retired(args peer.RetiredArgs, reply *peer.RetiredReply) error {
 	if k := s.keeper(args.Session); k != nil && s.meant(args.Incarnation) {
-		reply.Retired = k.Retired(args.Version)
+		reply.Retired, reply.Entries = k.Retired(args.Version)
+	}
+	return nil
+}
+
+// Hold keeps the claim of a request ID for a session's lead.
+func (s *peerService) Hold(args peer.HoldArgs, reply *peer.CopyReply) error {
+	if k := s.keeper(args.Session); k != nil {
+		reply.Kept = k.HoldClaim(args.From, args.Claim)
 	}
 	return nil
 }
--- a/internal/keeper/claims.go
+++ b/internal/keeper/claims.go
@@ -29,8 +29,23 @@
 	if verdict.Kind != idempotency.KindNew || !ready {
 		return verdict, false
 	}
-	entry, ok := k.memory.Get(id)
-	return verdict, ok && k.copyEntries(ctx, []idempotency.Entry{entry})
+	entry, own := k.memory.Claimed(id, verdict.Attempt)
+	if !own || !k.hold(ctx, entry) {
+		return verdict, false
+	}
+	_, own = k.memory.Claimed(id, verdict.Attempt)
+	return verdict, own
+}
+
+// hold copies a claim to the other lessors. It returns true once a quorum, this
+// lessor included, holds it.
+func (k *Keeper) hold(ctx context.Context, claim idempotency.Entry) bool {
+	args := peer.HoldArgs{Session: k.id, From: k.self, Claim: claim}
+	return k.askQuorum(ctx, func(ctx context.Context, other record.Lessor) bool {
+		var reply peer.CopyReply
+		err := k.deps.Peers.CallTimeout(ctx, k.values.RenewEvery, other.PeerAddr, "Peer.Hold", args, &reply)
+		return err == nil && reply.Kept
+	})
 }
 
 // FinishClaim ends a claim and passes its end on to the other lessors.
@@ -138,6 +153,13 @@
 	return k.memory.Merge(reply.Entries) == 0
 }
 
+// HoldClaim keeps a claim for the lead, under the same condition as KeepCopies.
+func (k *Keeper) HoldClaim(from string, claim idempotency.Entry) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.lessor.Holder(k.deps.Clock()) == from && k.memory.Hold(claim)
+}
+
 // KeepCopies stores entries for the lead. It refuses them from a lessor that this
 // one's consent does not belong to, because a later lead may have read this memory.
 func (k *Keeper) KeepCopies(from string, entries []idempotency.Entry) bool {
@@ -156,7 +178,7 @@
 	if k.lessor.Holder(k.deps.Clock()) != from {
 		return nil, false
 	}
-	return k.memory.Snapshot(everyID), true
+	return k.memory.Snapshot(nil), true
 }
 
 // JoinClose answers a closing together with all remembered request IDs. Once
@@ -168,11 +190,9 @@
 	if !reply.Joined {
 		return reply, nil
 	}
-	return reply, k.memory.Snapshot(everyID)
+	return reply, k.memory.Snapshot(nil)
 }
 
-func everyID(idempotency.ID) bool { return true }
-
 // entriesOf returns the remembered request IDs of the granted slices.
 func (k *Keeper) entriesOf(grants []backend.SliceGrant) []idempotency.Entry {
 	wanted := make(map[int]bool, len(grants))
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -66,7 +66,10 @@
 	mu      sync.Mutex
 	lessor  *lease.Lessor
 	lessors []record.Lessor
-	former  []record.Lessor
+	// former are the lessors before the last replacement. sealing says that it is not sealed yet.
+	former       []record.Lessor
+	sealing      bool
+	lessorsSince platform.Offset
 	// handovers are the session's slices at the lessor's version.
 	handovers map[ownership.SliceKey]Handover
 	// holds are the slices that the server has confirmed, with their epochs.
@@ -119,7 +122,6 @@
 		adopted:     make(map[int]record.Epoch),
 		gaveUp:      make(map[int]record.Epoch),
 		activated:   make(map[ownership.SliceKey]bool),
-		memory:      idempotency.NewTable(idempotency.Bounds{Retention: values.IDRetention}),
 		finished:    make(chan idempotency.Entry, finishedRing),
 	}
 	config := lease.Config{
@@ -128,7 +130,8 @@
 		DriftPermille: values.DriftPermille,
 	}
 	k.self = lease.Name(record.Lessor{Host: deps.Host, Incarnation: deps.Incarnation})
-	k.lessor = lease.New(config, k.self, session.ID, session.Version, lessorNames(session.Lessors), session.Sealed())
+	k.lessor = lease.New(config, k.self, session.ID, session.Version, lessorSet(session))
+	k.memory = idempotency.NewTable(k.self, idempotency.Bounds{Retention: values.IDRetention})
 	return k
 }
 
@@ -229,11 +232,15 @@
 	return k.lessor.HandleLead(k.deps.Clock(), request)
 }
 
-// Retired reports whether this lessor acts under no version before the given one.
-func (k *Keeper) Retired(version platform.Offset) bool {
+// Retired reports whether this lessor acts under no version before the given
+// one, and if so returns the request IDs that it remembers.
+func (k *Keeper) Retired(version platform.Offset) (bool, []idempotency.Entry) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.lessor.Version() >= version
+	if k.lessor.Version() < version {
+		return false, nil
+	}
+	return true, k.memory.Snapshot(nil)
 }
 
 // Others returns the session's other lessors.
@@ -249,6 +256,18 @@
 	})
 }
 
+// consenters returns everybody whose consent may count: the other lessors and,
+// while a replacement is not settled, the former ones.
+func (k *Keeper) consenters() []record.Lessor {
+	all := k.others()
+	for _, lessor := range k.former {
+		if lease.Name(lessor) != k.self && !slices.Contains(all, lessor) {
+			all = append(all, lessor)
+		}
+	}
+	return all
+}
+
 // Suspect tells the keeper that a request found the server gone, so that it
 // asks the server at once.
 func (k *Keeper) Suspect() {
@@ -258,6 +277,17 @@
 	}
 }
 
+// lessorSet returns the session's lessors in the form of package lease.
+func lessorSet(session *ownership.Session) lease.Lessors {
+	return lease.Lessors{
+		Names:       lessorNames(session.Lessors),
+		Since:       session.LessorsSince,
+		Sealed:      session.Sealed(),
+		Former:      lessorNames(session.Former),
+		FormerSince: session.FormerSince,
+	}
+}
+
 func lessorNames(lessors []record.Lessor) []string {
 	names := make([]string, 0, len(lessors))
 	for _, lessor := range lessors {
--- a/internal/keeper/lead.go
+++ b/internal/keeper/lead.go
@@ -74,7 +74,7 @@
 	k.mu.Lock()
 	asked := k.deps.Clock()
 	request, ok := k.lessor.AskLead(asked)
-	others := k.others()
+	others := k.consenters()
 	k.mu.Unlock()
 	if !ok {
 		return
@@ -105,7 +105,7 @@
 func (k *Keeper) Yield(ctx context.Context) {
 	k.mu.Lock()
 	request, ok := k.lessor.YieldLead(k.deps.Clock())
-	others := k.others()
+	others := k.consenters()
 	k.mu.Unlock()
 	if !ok {
 		return
--- a/internal/keeper/moves.go
+++ b/internal/keeper/moves.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/poplarcroft/poplarcroft/internal/backend"
@@ -48,19 +49,16 @@
 }
 
 func (k *Keeper) adoptVersion(session *ownership.Session, table *ownership.Table) {
-	first := k.handovers == nil
-	if session.Version != k.lessor.Version() {
-		if !k.lessor.Retire(k.deps.Clock(), session.Version, lessorNames(session.Lessors)) {
-			return
-		}
-		first = true
+	if !k.lessor.Retire(k.deps.Clock(), session.Version, lessorSet(session)) {
+		return
 	}
-	if session.Sealed() && k.former != nil {
-		k.lessor.Seal(k.deps.Clock(), session.Version)
+	if session.Former != nil || !slices.Equal(k.lessors, session.Lessors) {
+		k.former = session.Former
 	}
 	k.lessors = session.Lessors
-	k.former = session.Former
-	if first {
+	k.sealing = session.Former != nil
+	k.lessorsSince = session.LessorsSince
+	if k.handovers == nil || k.handoversAt != session.Version {
 		k.handovers = handoversOf(session.ID, table)
 		k.handoversAt = session.Version
 		k.forgetAdopted()
@@ -151,14 +149,16 @@
 	return moves
 }
 
-// seal asks the former lessors whether they have retired the version before a
-// replacement, and reports a quorum of them to the log.
+// seal looks for a quorum of the former lessors that has retired the versions
+// before a replacement. It passes on the request IDs that they remember and then
+// reports the quorum to the log.
 func (k *Keeper) seal(ctx context.Context) {
 	k.mu.Lock()
 	former := k.former
-	version := k.lessor.Version()
+	version := k.lessorsSince
+	sealing := k.sealing
 	k.mu.Unlock()
-	if former == nil {
+	if !sealing {
 		return
 	}
 	retired := 0
@@ -167,7 +167,7 @@
 			retired++
 		}
 	}
-	if retired < len(former)/2+1 {
+	if retired < lease.Quorum(len(former)) || !k.copyEntries(ctx, k.memory.Snapshot(nil)) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
@@ -176,11 +176,16 @@
 	k.deps.Writer.Append(ctx, record.Record{Kind: record.KindSealed, Sealed: &sealed})
 }
 
+// hasRetired asks one former lessor, possibly this one, and merges what it remembers.
 func (k *Keeper) hasRetired(ctx context.Context, lessor record.Lessor, version platform.Offset) bool {
+	if lease.Name(lessor) == k.self {
+		retired, _ := k.Retired(version)
+		return retired
+	}
 	args := peer.RetiredArgs{Incarnation: lessor.Incarnation, Session: k.id, Version: version}
 	var reply peer.RetiredReply
 	err := k.deps.Peers.CallTimeout(ctx, k.values.RenewEvery, lessor.PeerAddr, "Peer.Retired", args, &reply)
-	return err == nil && reply.Retired
+	return err == nil && reply.Retired && k.memory.Merge(reply.Entries) == 0
 }
 
 // Adopt activates slices that another session left behind. It returns true
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -41,6 +41,8 @@
 	hosts platform.Hosts
 	peers *peer.Pool
 
+	started time.Time
+
 	mu     sync.RWMutex
 	known  map[string]Host
 	listed bool
@@ -52,7 +54,9 @@
 		self:  self,
 		hosts: hosts,
 		peers: peers,
-		known: map[string]Host{self.Name: {HostEntry: self, Answered: time.Now()}},
+
+		started: time.Now(),
+		known:   map[string]Host{self.Name: {HostEntry: self, Answered: time.Now()}},
 	}
 }
 
@@ -87,6 +91,7 @@
 		return
 	}
 	m.merge(list)
+	m.askAll(ctx)
 	if !slices.ContainsFunc(list.Hosts, func(e platform.HostEntry) bool { return e == m.self }) {
 		m.hosts.Announce(ctx, m.self)
 	}
@@ -147,6 +152,14 @@
 	m.known[host.Name] = known
 }
 
+// Settled reports whether the list has been read and every host in it has had
+// the time to answer.
+func (m *Members) Settled() bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.listed && time.Since(m.started) > silentAfter
+}
+
 // All returns every known host, this one included, ordered by name.
 func (m *Members) All() []Host {
 	m.mu.RLock()
--- a/internal/ownership/apply.go
+++ b/internal/ownership/apply.go
@@ -136,6 +136,8 @@
 		Lessors:     o.Lessors,
 		Version:     offset,
 		Previous:    o.Previous,
+
+		LessorsSince: offset,
 	}
 	t.latest[o.Addr] = offset
 	return accepted()
@@ -321,8 +323,9 @@
 		return verdict
 	}
 	session.Former = session.Lessors
-	session.FormerVersion = session.Version
+	session.FormerSince = session.LessorsSince
 	session.Lessors = l.Lessors
+	session.LessorsSince = offset
 	session.Version = offset
 	return accepted()
 }
@@ -332,10 +335,10 @@
 	if session == nil || session.Closed {
 		return refused("session %d is not open", s.Session)
 	}
-	if session.Sealed() || session.FormerVersion >= s.Version {
+	if session.Sealed() || session.LessorsSince != s.Version {
 		return refused("session %d has no replacement at version %d", s.Session, s.Version)
 	}
 	session.Former = nil
-	session.FormerVersion = 0
+	session.FormerSince = 0
 	return accepted()
 }
--- a/internal/ownership/table.go
+++ b/internal/ownership/table.go
@@ -43,13 +43,15 @@
 	Lessors     []record.Lessor  `json:"lessors"`
 	// Version is the offset of the last record that changed the session's slices, their successors or its lessors.
 	Version platform.Offset `json:"version"`
-	// Former holds the lessors before a replacement that is not sealed yet; nil otherwise.
-	Former []record.Lessor `json:"former,omitempty"`
-	// FormerVersion is the version that a quorum of the former lessors has to retire.
-	FormerVersion platform.Offset  `json:"former_version,omitempty"`
-	Closed        bool             `json:"closed"`
-	CloseReason   string           `json:"close_reason,omitempty"`
-	Previous      record.SessionID `json:"previous"`
+	// LessorsSince is the offset of the record that named the lessors.
+	LessorsSince platform.Offset `json:"lessors_since"`
+	// Former holds the lessors before a replacement that is not sealed yet; nil
+	// otherwise. FormerSince is the offset of the record that named them.
+	Former      []record.Lessor  `json:"former,omitempty"`
+	FormerSince platform.Offset  `json:"former_since,omitempty"`
+	Closed      bool             `json:"closed"`
+	CloseReason string           `json:"close_reason,omitempty"`
+	Previous    record.SessionID `json:"previous"`
 }
 
 // Sealed reports whether the session's lessors may act.
--- a/internal/peer/protocol.go
+++ b/internal/peer/protocol.go
@@ -83,20 +83,29 @@
 	Version     platform.Offset
 }
 
-// RetiredReply answers RetiredArgs.
+// RetiredReply answers RetiredArgs. Entries are all request IDs that the lessor
+// remembers, where it has retired the versions.
 type RetiredReply struct {
 	Retired bool
+	Entries []idempotency.Entry
+}
+
+// HoldArgs copies the claim of a request ID to another lessor before the request
+// is sent. From is the lead's name in the lease protocol.
+type HoldArgs struct {
+	Session record.SessionID
+	From    string
+	Claim   idempotency.Entry
 }
 
-// CopyArgs copies remembered request IDs to another lessor before the requests
-// are sent. From is the lead's name in the lease protocol.
+// CopyArgs copies the ends of claims to another lessor. From is the lead's name in the lease protocol.
 type CopyArgs struct {
 	Session record.SessionID
 	From    string
 	Entries []idempotency.Entry
 }
 
-// CopyReply answers CopyArgs. Kept is false where the lessor's consent does not
+// CopyReply answers HoldArgs and CopyArgs. Kept is false where the lessor's consent does not
 // belong to the sender: a later lead may have read the lessor's memory already.
 type CopyReply struct {
 	Kept bool
--- a/internal/planner/sessions.go
+++ b/internal/planner/sessions.go
@@ -110,14 +110,14 @@
 }
 
 // ReplaceLessors returns the replacement for a session that has lost a lessor,
-// or has fewer than it should. It returns false where none is needed or
-// possible, or where the previous replacement is not sealed.
+// or has fewer than it should. It returns false where none is needed or the
+// previous replacement is not sealed. A lessor without a substitute stays: it may return.
 func ReplaceLessors(session *ownership.Session, live []members.Host) (record.Lessors, bool) {
 	if !session.Sealed() {
 		return record.Lessors{}, false
 	}
 	next := ChooseLessors(session.Addr, session.Zone, live, session.Lessors)
-	if len(next) == 0 || sameLessors(next, session.Lessors) {
+	if len(next) < len(session.Lessors) || sameLessors(next, session.Lessors) {
 		return record.Lessors{}, false
 	}
 	return record.Lessors{Session: session.ID, Base: session.Version, Lessors: next}, true
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -195,7 +195,7 @@
 }
 
 // Sealed reports that a quorum of a session's former lessors has stopped
-// acting under versions before Version.
+// acting under versions before Version, the offset of the record that replaced them.
 type Sealed struct {
 	Session SessionID       `json:"session"`
 	Version platform.Offset `json:"version"`
