--- a/internal/publish/publish.go
+++ b/internal/publish/publish.go
@@ -31,8 +31,10 @@
 const (
 	// Accepted means that the record is in the log and in force from its offset on.
 	Accepted Status = "accepted"
-	// Refused means that the record is in the log and every reader passes over it.
+	// Refused means that something else came first: every reader passes over the record.
 	Refused Status = "refused"
+	// NotAppended means that the record was not sent to the log.
+	NotAppended Status = "not-appended"
 	// Unknown means that the record may or may not be in the log, or may still reach it.
 	Unknown Status = "unknown"
 )
