poplarctl settings, mark, show and timeline

Operators check, publish, show and compare settings, and set marks, through a host or straight through the platform's log. Exit codes tell conflicts and unknown results apart; for an unknown one the command that repeats it safely is printed with its ID and base.

--- a/internal/admin/api.go
+++ b/internal/admin/api.go
@@ -181,6 +181,20 @@
 	Faults    settings.Faults     `json:"faults,omitempty"`
 }
 
+// RefusalOf returns the reply to a publication that is not tried because the
+// fold would refuse it now.
+func RefusalOf(id record.ID, verdict settings.Verdict) PublishReply {
+	status := publish.NotAppended
+	if verdict.Kind == settings.Conflicting {
+		status = publish.Refused
+	}
+	return PublishReply{
+		Result:    publish.Result{ID: id, Status: status, Reason: verdict.Reason()},
+		Conflicts: verdict.Conflicts,
+		Faults:    verdict.Faults,
+	}
+}
+
 // HistoryReply lists operators' records in the order of the log.
 type HistoryReply struct {
 	Entries []publish.HistoryEntry `json:"entries"`
@@ -208,6 +222,16 @@
 	Comment string           `json:"comment,omitempty"`
 }
 
+// Mark returns the mark asked for, without its base.
+func (r MarkRequest) Mark() record.Mark {
+	return record.Mark{
+		Subject: r.Subject,
+		Name:    r.Name,
+		State:   r.State,
+		Comment: r.Comment,
+	}
+}
+
 // SessionsReply lists open sessions.
 type SessionsReply struct {
 	Sessions []Session `json:"sessions"`
--- a/internal/admin/settings.go
+++ b/internal/admin/settings.go
@@ -94,23 +94,19 @@
 	case !verdict.Accepted():
 		writeRefusal(w, id, verdict)
 	case len(change.Settings.Nodes) == 0:
-		writeResult(w, publish.Result{ID: id, Status: publish.Accepted, Offset: state.Version(), Reason: "nothing to change"})
+		writeResult(w, publish.NothingToChange(id, state.Version()))
 	default:
 		s.publish(w, r, change)
 	}
 }
 
-// writeRefusal answers a publication that is not tried because its readers would refuse it.
+// writeRefusal answers a publication that is not tried because the fold would refuse it now.
 func writeRefusal(w http.ResponseWriter, id record.ID, verdict settings.Verdict) {
-	httpStatus, status := http.StatusUnprocessableEntity, publish.NotAppended
+	status := http.StatusUnprocessableEntity
 	if verdict.Kind == settings.Conflicting {
-		httpStatus, status = http.StatusConflict, publish.Refused
+		status = http.StatusConflict
 	}
-	writeJSON(w, httpStatus, PublishReply{
-		Result:    publish.Result{ID: id, Status: status, Reason: verdict.Reason()},
-		Conflicts: verdict.Conflicts,
-		Faults:    verdict.Faults,
-	})
+	writeJSON(w, status, RefusalOf(id, verdict))
 }
 
 // publish appends a record in the name of the request's principal and answers with its result.
--- a/internal/admin/state.go
+++ b/internal/admin/state.go
@@ -7,7 +7,6 @@
 
 	"github.com/gorilla/mux"
 
-	"github.com/poplarcroft/poplarcroft/internal/platform"
 	"github.com/poplarcroft/poplarcroft/internal/publish"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 )
@@ -40,19 +39,10 @@
 	}
 	present := s.presentMark(request.Subject, request.Name)
 	if present.State == request.State {
-		writeResult(w, publish.Result{ID: id, Status: publish.Accepted, Offset: present.Version, Reason: "nothing to change"})
+		writeResult(w, publish.NothingToChange(id, present.Version))
 		return
 	}
-	s.publish(w, r, publish.MarkRecord(id, markOf(request), present.Version))
-}
-
-func markOf(request MarkRequest) record.Mark {
-	return record.Mark{
-		Subject: request.Subject,
-		Name:    request.Name,
-		State:   request.State,
-		Comment: request.Comment,
-	}
+	s.publish(w, r, publish.MarkRecord(id, request.Mark(), present.Version))
 }
 
 // presentMark returns the mark in force on a subject.
@@ -62,7 +52,7 @@
 			return mark
 		}
 	}
-	return Mark{Subject: subject, Name: name, State: record.MarkActive, Version: platform.Offset(0)}
+	return Mark{Subject: subject, Name: name, State: record.MarkActive}
 }
 
 func (s *Server) getOwner(w http.ResponseWriter, r *http.Request) {
--- /dev/null
+++ b/internal/cmd/ctlcmd/mark.go
@@ -0,0 +1,116 @@
+package ctlcmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/poplarcroft/poplarcroft/internal/admin"
+	"github.com/poplarcroft/poplarcroft/internal/cli"
+	"github.com/poplarcroft/poplarcroft/internal/ownership"
+	"github.com/poplarcroft/poplarcroft/internal/publish"
+	"github.com/poplarcroft/poplarcroft/internal/record"
+	"github.com/poplarcroft/poplarcroft/internal/settings"
+)
+
+// markCommand marks zones, hosts and backend servers.
+func markCommand() cli.Command {
+	return cli.Command{
+		Name:    "mark",
+		Summary: "mark a zone, host or backend server as leaving, active or lost",
+		Run:     runMark,
+	}
+}
+
+func runMark(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	var t target
+	flags := newFlags("mark zone|host|server NAME leaving|active|lost [-comment TEXT]",
+		"Marks a zone, a host or a backend server (by its address).\n"+
+			"leaving: no new work goes there and its slices move away. active: the mark is taken back.\n"+
+			"lost: asserts that everything there has stopped for good; wants -yes.",
+		[]string{"mark zone olomouc leaving -comment 'power work'", "mark zone olomouc active", "mark server 127.0.0.1:9101 leaving"}, stdout, stderr)
+	comment := flags.String("comment", "", "`text` for the history")
+	yes := flags.Bool("yes", false, "confirm what a mark as lost asserts")
+	id := flags.String("id", "", "`ID` of an earlier try, to repeat it safely")
+	t.addAdmin(flags)
+	t.addLog(flags)
+	arguments, code, ok := flags.parse(args, 3, 3)
+	if !ok {
+		return code
+	}
+	request := admin.MarkRequest{
+		ID:      idOrNew(*id),
+		Subject: record.Subject(arguments[0]),
+		Name:    arguments[1],
+		State:   record.MarkState(arguments[2]),
+		Comment: *comment,
+	}
+	if problem := publish.CheckMark(request.Subject, request.Name, request.State); problem != "" {
+		return flags.wrongUsage(problem)
+	}
+	if request.State == record.MarkLost && !*yes {
+		fmt.Fprint(stderr, assertionOf(request.Subject, request.Name))
+		return cli.ExitUsage
+	}
+	ctx, cancel := t.withTimeout(ctx)
+	defer cancel()
+	reply, err := t.mark(ctx, request)
+	if err != nil {
+		return fail(stderr, err)
+	}
+	return report(reply, markAgain(t, request), stdout, stderr)
+}
+
+// markAgain returns the command that repeats a mark.
+func markAgain(t target, request admin.MarkRequest) string {
+	confirmed := ""
+	if request.State == record.MarkLost {
+		confirmed = " -yes"
+	}
+	return fmt.Sprintf("mark %s -id %s%s %s %s %s", t.where(), request.ID, confirmed, request.Subject, request.Name, request.State)
+}
+
+// mark sets a mark through the log or a host. An error says that nothing was appended.
+func (t *target) mark(ctx context.Context, request admin.MarkRequest) (admin.PublishReply, error) {
+	if !t.direct() {
+		client, err := t.client()
+		if err != nil {
+			return admin.PublishReply{}, err
+		}
+		return client.SetMark(ctx, request)
+	}
+	publisher, err := t.publisher(ctx)
+	if err != nil {
+		return admin.PublishReply{}, err
+	}
+	if result, seen := publisher.Seen(request.ID); seen {
+		return admin.PublishReply{Result: result}, nil
+	}
+	present := presentMark(publisher, request)
+	if present.State == request.State {
+		return admin.PublishReply{Result: publish.NothingToChange(request.ID, present.Version)}, nil
+	}
+	result, err := publisher.Publish(ctx, publish.MarkRecord(request.ID, request.Mark(), present.Version))
+	return admin.PublishReply{Result: result}, err
+}
+
+func presentMark(publisher *publish.Publisher, request admin.MarkRequest) ownership.Mark {
+	var mark ownership.Mark
+	publisher.View().Read(func(_ *settings.State, table *ownership.Table) {
+		mark = table.Mark(request.Subject, request.Name)
+	})
+	return mark
+}
+
+// assertionOf tells what an operator asserts by declaring a subject lost.
+func assertionOf(subject record.Subject, name string) string {
+	what := map[record.Subject]string{
+		record.SubjectZone:   "every host and every backend server in the zone " + name + " has",
+		record.SubjectHost:   "the process of the host " + name + " has",
+		record.SubjectServer: "the process of the backend server " + name + " has",
+	}[subject]
+	return fmt.Sprintf("Declaring it lost asserts that %s stopped for good,\n"+
+		"and can neither run a request nor write any data any more. Its keys are then given to\n"+
+		"other servers at once, without waiting for leases. If this is not so, a key can have two\n"+
+		"owners. Nothing was changed; repeat the command with -yes to declare it.\n", what)
+}
--- /dev/null
+++ b/internal/cmd/ctlcmd/settings_status.go
@@ -0,0 +1,177 @@
+package ctlcmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/poplarcroft/poplarcroft/internal/admin"
+	"github.com/poplarcroft/poplarcroft/internal/cli"
+	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/publish"
+	"github.com/poplarcroft/poplarcroft/internal/record"
+	"github.com/poplarcroft/poplarcroft/internal/settings"
+)
+
+// statusPollInterval is the pause between two looks at the hosts' status.
+const statusPollInterval = 50 * time.Millisecond
+
+func settingsHistory(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	var t target
+	flags := newFlags("settings history [-at VERSION]",
+		"Lists the changes and marks that operators published, as far as the log still holds them.",
+		[]string{"settings history", "settings history -at 42"}, stdout, stderr)
+	at := flags.Uint64("at", 0, "show what the record at this `version` changed")
+	t.addAdmin(flags)
+	t.addLog(flags)
+	if _, code, ok := flags.parse(args, 0, 0); !ok {
+		return code
+	}
+	ctx, cancel := t.withTimeout(ctx)
+	defer cancel()
+	entries, err := t.history(ctx)
+	if err != nil {
+		return fail(stderr, err)
+	}
+	if *at == 0 {
+		for _, entry := range entries {
+			fmt.Fprintln(stdout, historyLine(entry))
+		}
+		return cli.ExitOK
+	}
+	for _, entry := range entries {
+		if entry.Offset == platform.Offset(*at) {
+			printEntry(stdout, entry)
+			return cli.ExitOK
+		}
+	}
+	fmt.Fprintf(stderr, "poplarctl: the log holds no operator's record at version %d\n", *at)
+	return cli.ExitFailure
+}
+
+func (t *target) history(ctx context.Context) ([]publish.HistoryEntry, error) {
+	if t.direct() {
+		return publish.History(ctx, t.platformLog())
+	}
+	client, err := t.client()
+	if err != nil {
+		return nil, err
+	}
+	reply, err := client.History(ctx)
+	return reply.Entries, err
+}
+
+// historyLine returns an entry on one line.
+func historyLine(entry publish.HistoryEntry) string {
+	at := time.UnixMilli(entry.Record.TimeMS).UTC().Format(time.RFC3339)
+	verdict := "accepted"
+	if !entry.Accepted {
+		verdict = "refused"
+	}
+	line := fmt.Sprintf("%8d %s %-12s %-8s %s", entry.Offset, at, entry.Record.Author, verdict, subjectText(entry.Record))
+	if !entry.Accepted {
+		line += " (" + strings.ReplaceAll(entry.Reason, "\n", "; ") + ")"
+	}
+	return line
+}
+
+// subjectText tells what a settings or mark record changes.
+func subjectText(r record.Record) string {
+	if r.Mark != nil {
+		return fmt.Sprintf("mark %s %s %s%s", r.Mark.Subject, r.Mark.Name, r.Mark.State, quoted(r.Mark.Comment))
+	}
+	var paths []string
+	for _, node := range r.Settings.Nodes {
+		paths = append(paths, settings.DisplayPath(node.Path))
+	}
+	return "settings " + strings.Join(paths, " ") + quoted(r.Settings.Comment)
+}
+
+func quoted(comment string) string {
+	if comment == "" {
+		return ""
+	}
+	return fmt.Sprintf(" %q", comment)
+}
+
+// printEntry prints an entry with the new values of each node.
+func printEntry(w io.Writer, entry publish.HistoryEntry) {
+	fmt.Fprintln(w, historyLine(entry))
+	if entry.Record.Settings == nil {
+		return
+	}
+	for _, node := range entry.Record.Settings.Nodes {
+		removed := ""
+		if node.Removed {
+			removed = " removed"
+		}
+		fmt.Fprintf(w, "\n%s, based on version %d%s\n%s", settings.DisplayPath(node.Path), node.Base, removed, node.TOML)
+	}
+}
+
+func settingsStatus(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	var t target
+	flags := newFlags("settings status [-wait DURATION]",
+		"Shows how far each host is. Exit code 1 says that the latest settings are not in force everywhere.",
+		[]string{"settings status", "settings status -wait 3s"}, stdout, stderr)
+	wait := flags.Duration("wait", 0, "wait this long until the settings are in force everywhere")
+	t.addAdmin(flags)
+	if _, code, ok := flags.parse(args, 0, 0); !ok {
+		return code
+	}
+	client, err := t.client()
+	if err != nil {
+		return fail(stderr, err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, t.timeout+*wait)
+	defer cancel()
+	reply, err := pollStatus(ctx, client, *wait)
+	if err != nil {
+		return fail(stderr, err)
+	}
+	printHosts(stdout, reply)
+	if !reply.InForce {
+		return cli.ExitFailure
+	}
+	return cli.ExitOK
+}
+
+// pollStatus returns the status once the settings are in force or the wait is over.
+func pollStatus(ctx context.Context, client *admin.Client, wait time.Duration) (admin.StatusReply, error) {
+	deadline := time.Now().Add(wait)
+	for {
+		reply, err := client.Status(ctx)
+		if err != nil || reply.InForce || !time.Now().Before(deadline) {
+			return reply, err
+		}
+		time.Sleep(statusPollInterval)
+	}
+}
+
+func printHosts(w io.Writer, reply admin.StatusReply) {
+	everywhere := "not in force everywhere"
+	if reply.InForce {
+		everywhere = "in force everywhere"
+	}
+	fmt.Fprintf(w, "settings version %d: %s\n", reply.SettingsVersion, everywhere)
+	table := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(table, "HOST\tZONE\tSTATE\tSETTINGS\tAPPLIED\tLOG\tERROR")
+	for _, host := range reply.Hosts {
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t%s\t%s\n", host.Host, host.Zone, host.State,
+			host.SettingsVersion, host.Applied, upText(host), host.Error)
+	}
+	_ = table.Flush() // w's errors show at the process's own output
+}
+
+func upText(host admin.HostStatus) string {
+	switch {
+	case !host.Reachable:
+		return "?"
+	case host.LogUp:
+		return "up"
+	}
+	return "down"
+}
--- a/internal/publish/publish.go
+++ b/internal/publish/publish.go
@@ -48,6 +48,12 @@
 	Reason string          `json:"reason,omitempty"`
 }
 
+// NothingToChange returns the result of a publication that changes nothing,
+// because what it asks for is in force since the given version.
+func NothingToChange(id record.ID, version platform.Offset) Result {
+	return Result{ID: id, Status: Accepted, Offset: version, Reason: "nothing to change"}
+}
+
 // Publisher publishes records from a process that does not follow the log
 // otherwise. It is not safe for concurrent use.
 type Publisher struct {
