Publisher for hosts; a view remembers operators' results

A host that follows the log needs the same publication as the command line. The view now remembers the verdicts of the latest settings and mark records by ID, so a repeated publication is answered without another append.

--- a/internal/publish/publish.go
+++ b/internal/publish/publish.go
@@ -25,6 +25,9 @@
 // callTimeout bounds one append, and one reading of the log to its end.
 const callTimeout = 3 * time.Second
 
+// readTimeout is how long a publisher waits for its process to read a record back.
+const readTimeout = time.Second
+
 // Status says what is known about a record that was to be published.
 type Status string
 
@@ -54,79 +57,68 @@
 	return Result{ID: id, Status: Accepted, Offset: version, Reason: "nothing to change"}
 }
 
-// Publisher publishes records from a process that does not follow the log
-// otherwise. It is not safe for concurrent use.
+// Publisher publishes operators' records. It is safe for concurrent use.
 type Publisher struct {
 	log    platform.Log
 	view   *view.View
 	author string
 	now    func() time.Time
-	seen   map[record.ID]view.Verdict
+	// read brings the view up to date with the log, or gives its process time
+	// to do so, and may return once the view shows the ID.
+	read func(ctx context.Context, p *Publisher, id record.ID) error
 }
 
-// Open reads the log to its end and returns a publisher that signs its records
-// with the author's name.
+// Open reads the log to its end and returns a publisher for a process that
+// does not follow the log. Records without an author get the given one.
 func Open(ctx context.Context, log platform.Log, author string, now func() time.Time) (*Publisher, error) {
-	p := &Publisher{
-		log:    log,
-		view:   view.New(),
-		author: author,
-		now:    now,
-		seen:   make(map[record.ID]view.Verdict),
-	}
-	return p, p.catchUp(ctx)
+	p := &Publisher{log: log, view: view.New(), author: author, now: now, read: catchUp}
+	return p, catchUp(ctx, p, "")
+}
+
+// Following returns a publisher for a process that keeps the view up to date itself.
+func Following(followed *view.View, log platform.Log, author string, now func() time.Time) *Publisher {
+	return &Publisher{log: log, view: followed, author: author, now: now, read: await}
 }
 
-// View returns the folded log as far as the publisher has read it.
+// View returns the folded log as far as it has been read.
 func (p *Publisher) View() *view.View {
 	return p.view
 }
 
-// Seen returns the result of a record that the log already holds.
+// Seen returns the result of a record that was read in the log.
 func (p *Publisher) Seen(id record.ID) (Result, bool) {
-	verdict, seen := p.seen[id]
+	verdict, seen := p.view.Result(id)
 	if !seen {
 		return Result{}, false
 	}
 	return resultOf(id, verdict), true
 }
 
-// Publish appends the record unless the log holds its ID already, and returns
-// its result. The result is Unknown where the context ends first; the same
-// record may then be published again under the same ID.
+// Publish appends a settings or mark record unless the log is known to hold
+// its ID already, and returns its result. The result is Unknown where the
+// context ends first; the same record may then be published again under the
+// same ID. An error says that nothing was appended.
 func (p *Publisher) Publish(ctx context.Context, r record.Record) (Result, error) {
-	r.Author = p.author
+	if r.Author == "" {
+		r.Author = p.author
+	}
 	r.TimeMS = p.now().UnixMilli()
 	data, err := record.Encode(r)
 	if err != nil {
 		return Result{}, err
 	}
-	var appendErr error
+	var lastErr error
 	for backoff := backoffMin; ; backoff = min(2*backoff, backoffMax) {
 		if result, seen := p.Seen(r.ID); seen {
 			return result, nil
 		}
 		if ctx.Err() != nil {
-			return unknown(r.ID, appendErr), nil
-		}
-		appendErr = p.append(ctx, data)
-		if err := p.readBack(ctx); err != nil {
-			appendErr = err
+			return unknown(r.ID, lastErr), nil
 		}
-		if _, seen := p.Seen(r.ID); !seen {
-			wait(ctx, backoff)
-		}
-	}
-}
-
-// readBack reads the log to its end, again and again until the log answers or the context ends.
-func (p *Publisher) readBack(ctx context.Context) error {
-	for backoff := backoffMin; ; backoff = min(2*backoff, backoffMax) {
-		err := p.catchUp(ctx)
-		if err == nil || ctx.Err() != nil {
-			return err
+		lastErr = p.append(ctx, data)
+		if err := p.readBack(ctx, r.ID, backoff); err != nil {
+			lastErr = err
 		}
-		wait(ctx, backoff)
 	}
 }
 
@@ -137,15 +129,43 @@
 	return err
 }
 
-// catchUp reads the log to its end and keeps the first verdict of each ID.
-func (p *Publisher) catchUp(ctx context.Context) error {
+// readBack reads the log until it shows the ID or has answered for at least the
+// pause without showing it.
+func (p *Publisher) readBack(ctx context.Context, id record.ID, pause time.Duration) error {
+	for answered := false; ; {
+		err := p.read(ctx, p, id)
+		if _, seen := p.Seen(id); seen || ctx.Err() != nil || answered {
+			return err
+		}
+		answered = err == nil
+		wait(ctx, pause)
+	}
+}
+
+// catchUp reads the log to its end.
+func catchUp(ctx context.Context, p *Publisher, _ record.ID) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return view.CatchUp(ctx, p.view, p.log, func(r record.Record, verdict view.Verdict) {
-		if _, repeated := p.seen[r.ID]; !repeated {
-			p.seen[r.ID] = verdict
+	return view.CatchUp(ctx, p.view, p.log, func(record.Record, view.Verdict) {})
+}
+
+// await waits until the view shows the ID, for readTimeout at most.
+func await(ctx context.Context, p *Publisher, id record.ID) error {
+	timer := time.NewTimer(readTimeout)
+	defer timer.Stop()
+	for {
+		changed := p.view.Changed()
+		if _, seen := p.Seen(id); seen {
+			return nil
 		}
-	})
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil
+		case <-ctx.Done():
+			return nil
+		}
+	}
 }
 
 func resultOf(id record.ID, verdict view.Verdict) Result {
--- a/internal/publish/publish_test.go
+++ b/internal/publish/publish_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/poplarcroft/poplarcroft/internal/platform"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 	"github.com/poplarcroft/poplarcroft/internal/settings"
+	"github.com/poplarcroft/poplarcroft/internal/view"
 )
 
 // memoryLog is a log in memory whose appends fail as a script says.
@@ -142,3 +144,45 @@
 	_, err := Open(context.Background(), log, "op", time.Now)
 	assert.Assert(t, errors.Is(err, platform.ErrUnavailable))
 }
+
+func TestAFollowedViewShowsTheResult(t *testing.T) {
+	log := &lockedLog{}
+	followed := view.New()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		view.NewFollower(followed, log, func(bool) {}).Run(ctx)
+	}()
+	p := Following(followed, log, "h1", time.Now)
+	for base, id := range []record.ID{"a", "b", "c"} {
+		r := change(id, platform.Offset(base))
+		r.Author = "anna"
+		assert.Equal(t, publish(t, p, r).Status, Accepted)
+	}
+	cancel()
+	<-done
+	assert.Equal(t, len(log.log.entries), 3)
+	stored, err := record.Decode(log.log.entries[0].Data)
+	assert.NilError(t, err)
+	assert.Equal(t, stored.Author, "anna")
+}
+
+// lockedLog is a memoryLog for concurrent use, whose reads wait a little for records.
+type lockedLog struct {
+	mu  sync.Mutex
+	log memoryLog
+}
+
+func (l *lockedLog) Append(ctx context.Context, data []byte) (platform.Offset, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.log.Append(ctx, data)
+}
+
+func (l *lockedLog) Read(ctx context.Context, from platform.Offset, max int, wait time.Duration) (platform.ReadReply, error) {
+	time.Sleep(min(wait, time.Millisecond))
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.log.Read(ctx, from, max, wait)
+}
--- a/internal/view/catchup.go
+++ b/internal/view/catchup.go
@@ -49,7 +49,9 @@
 			v.table.Skip(entry.Offset)
 			continue
 		}
-		observer(r, v.applyRecord(entry.Offset, r))
+		verdict := v.applyRecord(entry.Offset, r)
+		v.results.add(r, verdict)
+		observer(r, verdict)
 	}
 	v.notify()
 }
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -30,6 +30,7 @@
 	checkpoint platform.Offset
 	changed    chan struct{}
 	waiting    map[record.ID]chan Verdict
+	results    results
 	malformed  uint64
 	// confirmedAt is when the log or a peer last confirmed the applied offset.
 	confirmedAt time.Time
@@ -122,6 +123,7 @@
 		return
 	}
 	verdict := v.applyRecord(entry.Offset, r)
+	v.results.add(r, verdict)
 	if waiter, ok := v.waiting[r.ID]; ok {
 		delete(v.waiting, r.ID)
 		waiter <- verdict
