Add the scenario language and its harness

Scripts of testscript start a whole deployment as processes, break it, cut its network through one egress proxy for each host, send load and check the records.

--- a/internal/cmd/ctlcmd/standin.go
+++ b/internal/cmd/ctlcmd/standin.go
@@ -12,8 +12,8 @@
 	"github.com/poplarcroft/poplarcroft/internal/standin"
 )
 
-// poisonExitCode is the exit code of a backend server that a request crashed.
-const poisonExitCode = 70
+// PoisonExitCode is the exit code of a backend server that a request crashed.
+const PoisonExitCode = 70
 
 // startable is a stand-in that listens between Start and Close.
 type startable interface {
@@ -87,7 +87,7 @@
 	}
 	cfg.Listen = *listen
 	if *poison {
-		cfg.Poison = func() { os.Exit(poisonExitCode) }
+		cfg.Poison = func() { os.Exit(PoisonExitCode) }
 	}
 	server := standin.NewServer(cfg)
 	return runStandin(ctx, drainingServer{server, *drainTime}, stdout, stderr)
--- a/internal/standin/egress.go
+++ b/internal/standin/egress.go
@@ -20,6 +20,8 @@
 	PathSilence = "/_control/silence"
 	// dialTimeout bounds the time to connect to a destination.
 	dialTimeout = 5 * time.Second
+	// maxOpened bounds the connections that a proxy remembers.
+	maxOpened = 1024
 )
 
 // EgressRules say what happens to connections to the addresses that they name.
@@ -55,6 +57,8 @@
 	rules   EgressRules
 	changed chan struct{}
 	tunnels map[*tunnel]struct{}
+	// opened holds the local addresses of the last connections.
+	opened []string
 }
 
 // fate is what happens to a connection.
@@ -124,6 +128,14 @@
 	e.changed = make(chan struct{})
 }
 
+// Opened reports whether one of the proxy's last connections was opened from
+// the local address.
+func (e *Egress) Opened(local string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Contains(e.opened, local)
+}
+
 // fateOf returns what the rules say of connections to addr. The lock is held.
 func (e *Egress) fateOf(addr string) fate {
 	switch {
@@ -221,6 +233,10 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.tunnels[t] = struct{}{}
+	if len(e.opened) == maxOpened {
+		e.opened = e.opened[1:]
+	}
+	e.opened = append(e.opened, t.upstream.LocalAddr().String())
 }
 
 func (e *Egress) remove(t *tunnel) {
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -5,8 +5,10 @@
 	"math"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"github.com/gorilla/mux"
 
@@ -29,6 +31,27 @@
 	LoseGrantsEvery int `json:"lose_grants_every"`
 }
 
+// PathLastGrant is the control path by which a backend server's last grant is read.
+const PathLastGrant = "/_control/last-grant"
+
+// GrantInfo describes the last grant that a backend server applied.
+type GrantInfo struct {
+	// From is the address from which the grant's connection was opened.
+	From string `json:"from"`
+}
+
+// LastGrant returns the last grant that the backend server at addr applied.
+func LastGrant(client *http.Client, addr string) (GrantInfo, error) {
+	resp, err := client.Get("http://" + addr + PathLastGrant)
+	if err != nil {
+		return GrantInfo{}, errors.Wrap(err, "standin: last grant")
+	}
+	defer resp.Body.Close()
+	var info GrantInfo
+	err = json.NewDecoder(resp.Body).Decode(&info)
+	return info, errors.Wrap(err, "standin: last grant")
+}
+
 // ServerConfig configures a backend server.
 type ServerConfig struct {
 	// Listen is the address to listen on.
@@ -66,6 +89,8 @@
 	values   valueStore
 	answers  counter
 	grants   counter
+	// grantFrom is the remote address of the last grant that applied.
+	grantFrom atomic.Value
 
 	reportMu   sync.Mutex
 	report     backend.LoadReport
@@ -94,6 +119,7 @@
 	router.SkipClean(true)
 	router.HandleFunc(PathFaults, s.faults.serveGet).Methods(http.MethodGet)
 	router.HandleFunc(PathFaults, s.faults.servePatch).Methods(http.MethodPatch)
+	router.HandleFunc(PathLastGrant, s.serveLastGrant).Methods(http.MethodGet)
 	router.HandleFunc(backend.PathGrant, s.serveGrant).Methods(http.MethodPost)
 	router.HandleFunc(backend.PathLoad, s.serveLoad).Methods(http.MethodGet)
 	router.HandleFunc(backend.PathDrain, s.serveDrain).Methods(http.MethodPost, http.MethodDelete)
@@ -146,6 +172,9 @@
 	if applied && !s.waitDrops(r, req.Drop) {
 		return
 	}
+	if applied {
+		s.grantFrom.Store(r.RemoteAddr)
+	}
 	if s.grants.due(s.faults.current().LoseGrantsEvery) {
 		abortConnection()
 	}
@@ -168,6 +197,11 @@
 	}
 }
 
+func (s *Server) serveLastGrant(w http.ResponseWriter, _ *http.Request) {
+	from, _ := s.grantFrom.Load().(string)
+	writeJSON(w, http.StatusOK, GrantInfo{From: from})
+}
+
 func (s *Server) serveDrain(w http.ResponseWriter, r *http.Request) {
 	s.lease.setDraining(r.Method == http.MethodPost)
 	w.WriteHeader(http.StatusNoContent)
--- /dev/null
+++ b/scenarios/cmd_await.go
@@ -0,0 +1,162 @@
+package scenarios
+
+import (
+	"flag"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+const (
+	// maxAwait bounds the limit of await.
+	maxAwait = 60 * time.Second
+	// probePause is the time between two looks at a condition.
+	probePause = 20 * time.Millisecond
+)
+
+// condition looks at the deployment and returns nil where it holds. It takes at
+// most the time that is left.
+type condition func(left time.Duration) error
+
+// cmdAwait waits until a condition holds: await LIMIT CONDITION [flags] [ARGUMENTS].
+func cmdAwait(ts *testscript.TestScript, r *run, args []string) error {
+	if len(args) < 2 {
+		return errors.New("usage: await LIMIT CONDITION ...")
+	}
+	limit, err := time.ParseDuration(args[0])
+	if err != nil {
+		return err
+	}
+	if limit > maxAwait {
+		return errors.Newf("at most %v", maxAwait)
+	}
+	cond, err := r.newCondition(args[1], args[2:])
+	if err != nil {
+		return err
+	}
+	start := time.Now()
+	if err := waitFor(cond, limit); err != nil {
+		return errors.Wrapf(err, "not after %v", limit)
+	}
+	printf(ts, "after=%v\n", time.Since(start).Round(time.Millisecond))
+	return nil
+}
+
+// waitFor looks at the condition until it holds or the limit is over.
+func waitFor(cond condition, limit time.Duration) error {
+	deadline := time.Now().Add(limit)
+	for {
+		err := cond(time.Until(deadline))
+		if err == nil && !time.Now().After(deadline) {
+			return nil
+		}
+		if err == nil {
+			err = errors.New("held too late")
+		}
+		if time.Until(deadline) < probePause {
+			return err
+		}
+		time.Sleep(probePause)
+	}
+}
+
+func (r *run) newCondition(name string, args []string) (condition, error) {
+	switch name {
+	case "served":
+		return r.newServed(args)
+	case "away":
+		return r.newAway(args)
+	case "exited":
+		return r.newExited(args)
+	}
+	return nil, errors.Newf("unknown condition %q", name)
+}
+
+// keysFlags are the flags of conditions on the keys of a service.
+type keysFlags struct {
+	keys int
+	via  stringList
+}
+
+func (f *keysFlags) register(flags *flag.FlagSet) {
+	flags.IntVar(&f.keys, "keys", 20, "")
+	flags.Var(&f.via, "via", "")
+}
+
+// newServed returns the condition that every key is answered through every host:
+// served [-keys N] [-via HOST|ZONE] SERVICE.
+func (r *run) newServed(args []string) (condition, error) {
+	var f keysFlags
+	flags := flag.NewFlagSet("served", flag.ContinueOnError)
+	f.register(flags)
+	if err := parseFlags(flags, args, 1, 1); err != nil {
+		return nil, err
+	}
+	name := flags.Arg(0)
+	accept := func(string) error { return nil }
+	return func(left time.Duration) error { return r.probeKeys(name, f, left, accept) }, nil
+}
+
+// newAway returns the condition that every key is answered, and none by the named
+// servers or zones: away [-keys N] [-via HOST|ZONE] SERVICE NAME...
+func (r *run) newAway(args []string) (condition, error) {
+	var f keysFlags
+	flags := flag.NewFlagSet("away", flag.ContinueOnError)
+	f.register(flags)
+	if err := parseFlags(flags, args, 2, maxServices*maxZones*maxPerZone); err != nil {
+		return nil, err
+	}
+	name, names := flags.Arg(0), flags.Args()[1:]
+	accept := func(serverName string) error {
+		s := r.findServer(serverName)
+		for _, n := range names {
+			if s == nil || n == s.name || n == s.zone {
+				return errors.Newf("answered by %q", serverName)
+			}
+		}
+		return nil
+	}
+	return func(left time.Duration) error { return r.probeKeys(name, f, left, accept) }, nil
+}
+
+// probeKeys probes every key of a service through every host, all keys at a time.
+func (r *run) probeKeys(service string, f keysFlags, left time.Duration, accept func(server string) error) error {
+	hosts := r.callableHosts(f.via)
+	if len(hosts) == 0 {
+		return errors.New("no host to ask")
+	}
+	timeout := min(left, probeTimeout)
+	keys := make([]string, f.keys)
+	for i := range keys {
+		keys[i] = fmt.Sprintf("k%d", i)
+	}
+	return forEach(keys, func(key string) error {
+		for _, h := range hosts {
+			owner, err := r.probe(service, key, []*host{h}, timeout)
+			if err != nil {
+				return err
+			}
+			if err := accept(owner); err != nil {
+				return errors.Wrapf(err, "key %s", key)
+			}
+		}
+		return nil
+	})
+}
+
+// newExited returns the condition that no process of the names runs: exited NAME...
+func (r *run) newExited(args []string) (condition, error) {
+	if len(args) == 0 {
+		return nil, errors.New("no names")
+	}
+	return func(time.Duration) error {
+		for _, name := range args {
+			if running := r.running(name); len(running) > 0 {
+				return errors.Newf("%s is running", running[0].name)
+			}
+		}
+		return nil
+	}, nil
+}
--- /dev/null
+++ b/scenarios/cmd_calls.go
@@ -0,0 +1,264 @@
+package scenarios
+
+import (
+	"flag"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/poplarcroft/poplarcroft/internal/check"
+	"github.com/poplarcroft/poplarcroft/internal/standin"
+)
+
+const (
+	// defaultCallTimeout bounds a call of a load, or of send.
+	defaultCallTimeout = 5 * time.Second
+	// probeTimeout bounds a call that looks whether a key is served.
+	probeTimeout = 500 * time.Millisecond
+	// maxSleep bounds a pause of a script.
+	maxSleep = 30 * time.Second
+	// maxRate bounds the calls of a load per second.
+	maxRate = 1000
+	// maxProblems bounds the broken promises that check prints.
+	maxProblems = 10
+	// noLimit is the value of a limit that is not set.
+	noLimit = -1
+)
+
+// cmdSend makes one call and prints what became of it: send [flags] METHOD SERVICE/KEY.
+func cmdSend(ts *testscript.TestScript, r *run, args []string) error {
+	spec := callSpec{header: make(http.Header)}
+	var via stringList
+	flags := flag.NewFlagSet("send", flag.ContinueOnError)
+	flags.Var(&via, "via", "")
+	flags.StringVar(&spec.id, "id", "", "")
+	flags.StringVar(&spec.body, "body", "", "")
+	flags.DurationVar(&spec.timeout, "timeout", defaultCallTimeout, "")
+	poison := flags.Bool("poison", false, "")
+	if err := parseFlags(flags, args, 2, 2); err != nil {
+		return err
+	}
+	if *poison {
+		spec.header.Set(standin.HeaderPoison, "1")
+	}
+	spec.method = flags.Arg(0)
+	name, key, ok := strings.Cut(flags.Arg(1), "/")
+	if !ok {
+		return errors.Newf("%q is not SERVICE/KEY", flags.Arg(1))
+	}
+	spec.service, spec.key = name, key
+	result := r.callAny(spec, r.callableHosts(via))
+	r.addCall(result.Call)
+	printf(ts, "status=%d outcome=%s reason=%s server=%s retry-after=%s value=%q error=%q\n",
+		result.Status, result.Outcome, result.Reason, r.serverName(result.answer.Server),
+		result.retryAfter, result.answer.Value, result.Error)
+	return nil
+}
+
+// serverName returns the name of the server at an address.
+func (r *run) serverName(addr string) string {
+	for _, s := range r.servers {
+		if s.addr == addr {
+			return s.name
+		}
+	}
+	return ""
+}
+
+// probe looks which server answers for a key. The call is not recorded.
+func (r *run) probe(service, key string, hosts []*host, timeout time.Duration) (string, error) {
+	spec := callSpec{service: service, key: key, method: http.MethodGet, timeout: timeout}
+	result := r.callAny(spec, hosts)
+	if !result.Acknowledged() || result.Fault != "" {
+		return "", errors.Newf("%v", result.Call)
+	}
+	return r.serverName(result.answer.Server), nil
+}
+
+// cmdOwner puts the name of the server that owns a key into a variable: owner SERVICE/KEY VARIABLE.
+func cmdOwner(ts *testscript.TestScript, r *run, args []string) error {
+	if len(args) != 2 {
+		return errors.New("usage: owner SERVICE/KEY VARIABLE")
+	}
+	name, key, _ := strings.Cut(args[0], "/")
+	owner, err := r.probe(name, key, r.callableHosts(nil), defaultCallTimeout)
+	if err != nil {
+		return err
+	}
+	ts.Setenv(args[1], owner)
+	return nil
+}
+
+// cmdRenewer puts the name of the host that renews a server's lease into a
+// variable: renewer SERVER VARIABLE.
+func cmdRenewer(ts *testscript.TestScript, r *run, args []string) error {
+	if len(args) != 2 {
+		return errors.New("usage: renewer SERVER VARIABLE")
+	}
+	s := r.findServer(args[0])
+	if s == nil {
+		return errors.Newf("no server %q", args[0])
+	}
+	grant, err := standin.LastGrant(controlClient, s.addr)
+	if err != nil {
+		return err
+	}
+	for _, h := range r.hosts() {
+		if h.egress.Opened(grant.From) {
+			ts.Setenv(args[1], h.name)
+			return nil
+		}
+	}
+	return errors.Newf("no host has the connection %q that renewed last", grant.From)
+}
+
+// cmdLoad starts, stops or checks a load: load start|stop|check [flags].
+func cmdLoad(ts *testscript.TestScript, r *run, args []string) error {
+	if len(args) == 0 {
+		return errors.New("usage: load start|stop|check")
+	}
+	switch args[0] {
+	case "start":
+		return r.loadStart(args[1:])
+	case "stop":
+		if r.load == nil {
+			return errors.New("no load has been started")
+		}
+		r.load.stop()
+		return nil
+	case "check":
+		return r.loadCheck(ts, args[1:])
+	}
+	return errors.Newf("unknown word %q", args[0])
+}
+
+func (r *run) loadStart(args []string) error {
+	if r.load != nil {
+		r.load.stop()
+	}
+	var cfg loadConfig
+	flags := flag.NewFlagSet("load start", flag.ContinueOnError)
+	flags.Float64Var(&cfg.rate, "rate", 100, "")
+	flags.IntVar(&cfg.keys, "keys", 20, "")
+	flags.IntVar(&cfg.writes, "writes", 50, "")
+	flags.Uint64Var(&cfg.seed, "seed", 1, "")
+	flags.DurationVar(&cfg.timeout, "timeout", defaultCallTimeout, "")
+	flags.BoolVar(&cfg.repeat, "repeat", false, "")
+	flags.Var((*stringList)(&cfg.via), "via", "")
+	if err := parseFlags(flags, args, 1, 1); err != nil {
+		return err
+	}
+	if cfg.rate <= 0 || cfg.rate > maxRate || cfg.keys < 1 {
+		return errors.Newf("want a rate up to %d and at least one key", maxRate)
+	}
+	if _, err := r.findService(flags.Arg(0)); err != nil {
+		return err
+	}
+	cfg.service = flags.Arg(0)
+	r.loads++
+	r.load = startLoad(r, cfg, r.loads)
+	return nil
+}
+
+// loadCheck checks the record of the last load.
+func (r *run) loadCheck(ts *testscript.TestScript, args []string) error {
+	if r.load == nil {
+		return errors.New("no load has been started")
+	}
+	r.load.stop()
+	var limits loadLimits
+	flags := flag.NewFlagSet("load check", flag.ContinueOnError)
+	flags.DurationVar(&limits.maxOutage, "max-outage", 0, "")
+	flags.Float64Var(&limits.minDone, "min-done", 0, "")
+	flags.IntVar(&limits.maxUnknown, "max-unknown", noLimit, "")
+	flags.IntVar(&limits.maxNotRun, "max-not-run", noLimit, "")
+	flags.IntVar(&limits.minCalls, "min-calls", 1, "")
+	if err := parseFlags(flags, args, 0, 0); err != nil {
+		return err
+	}
+	s := summarize(r.load.calls())
+	printf(ts, "%v\n", s)
+	if n := r.load.dropped.Load(); n > 0 {
+		return errors.Newf("%d calls were not made, because %d were in flight", n, maxLoadCalls)
+	}
+	return limits.check(s)
+}
+
+// cmdCheck checks all records for broken promises: check.
+func cmdCheck(ts *testscript.TestScript, r *run, args []string) error {
+	if len(args) != 0 {
+		return errors.New("usage: check")
+	}
+	if r.load != nil {
+		r.load.stop()
+	}
+	for _, p := range r.processes() {
+		if err := p.process.unexpected(); err != nil {
+			return errors.Wrap(err, p.name)
+		}
+	}
+	executions, err := r.executions()
+	if err != nil {
+		return err
+	}
+	calls := r.allCalls()
+	printf(ts, "executions=%d calls=%d\n", len(executions), len(calls))
+	problems := check.Run(executions, calls)
+	if len(problems) == 0 {
+		return nil
+	}
+	var text strings.Builder
+	for i, p := range problems {
+		if i == maxProblems {
+			fmt.Fprintf(&text, "\n  and %d more", len(problems)-i)
+			break
+		}
+		fmt.Fprintf(&text, "\n  %v", p)
+	}
+	return errors.Newf("%d broken promises:%s", len(problems), text.String())
+}
+
+// cmdCrashes checks how many executions crashed a server: crashes MAX.
+func cmdCrashes(ts *testscript.TestScript, r *run, args []string) error {
+	flags := flag.NewFlagSet("crashes", flag.ContinueOnError)
+	least := flags.Int("min", 0, "")
+	most := flags.Int("max", 0, "")
+	if err := parseFlags(flags, args, 0, 0); err != nil {
+		return err
+	}
+	executions, err := r.executions()
+	if err != nil {
+		return err
+	}
+	crashed := 0
+	for _, e := range executions {
+		if e.Crashed {
+			crashed++
+		}
+	}
+	printf(ts, "crashes=%d\n", crashed)
+	if crashed < *least || crashed > *most {
+		return errors.Newf("%d crashes, want %d to %d", crashed, *least, *most)
+	}
+	return nil
+}
+
+// cmdSleep pauses the script: sleep DURATION.
+func cmdSleep(_ *testscript.TestScript, _ *run, args []string) error {
+	if len(args) != 1 {
+		return errors.New("usage: sleep DURATION")
+	}
+	d, err := time.ParseDuration(args[0])
+	if err != nil {
+		return err
+	}
+	if d > maxSleep {
+		return errors.Newf("at most %v", maxSleep)
+	}
+	time.Sleep(d)
+	return nil
+}
--- /dev/null
+++ b/scenarios/cmd_deploy.go
@@ -0,0 +1,237 @@
+package scenarios
+
+import (
+	"flag"
+	"io"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/poplarcroft/poplarcroft/internal/standin"
+)
+
+// Bounds of a deployment.
+const (
+	maxServices = 4
+	maxZones    = 6
+	maxPerZone  = 8
+)
+
+// parseFlags parses args by the flags and checks the number of what is left.
+func parseFlags(flags *flag.FlagSet, args []string, least, most int) error {
+	flags.SetOutput(io.Discard)
+	if err := flags.Parse(args); err != nil {
+		return err
+	}
+	if n := flags.NArg(); n < least || n > most {
+		return errors.Newf("%d arguments, want %d to %d", n, least, most)
+	}
+	return nil
+}
+
+// stringList is a flag that may be given more than once.
+type stringList []string
+
+// String implements flag.Value.
+func (l *stringList) String() string { return "" }
+
+// Set implements flag.Value.
+func (l *stringList) Set(text string) error {
+	*l = append(*l, text)
+	return nil
+}
+
+// cmdService declares a service: service [flags] NAME.
+func cmdService(_ *testscript.TestScript, r *run, args []string) error {
+	s := &service{}
+	flags := flag.NewFlagSet("service", flag.ContinueOnError)
+	flags.BoolVar(&s.keyed, "keyed", false, "")
+	flags.BoolVar(&s.unchecked, "unchecked", false, "")
+	flags.IntVar(&s.slices, "slices", 16, "")
+	flags.IntVar(&s.slots, "slots", 4, "")
+	flags.IntVar(&s.queue, "queue", 4, "")
+	flags.DurationVar(&s.work, "work", 2*time.Millisecond, "")
+	flags.DurationVar(&s.coldTime, "cold-time", 0, "")
+	flags.Float64Var(&s.coldFactor, "cold-factor", 1, "")
+	flags.BoolVar(&s.poison, "poison", false, "")
+	flags.Var((*stringList)(&s.settings), "set", "")
+	if err := parseFlags(flags, args, 1, 1); err != nil {
+		return err
+	}
+	if len(r.services) == maxServices || len(r.zones) > 0 {
+		return errors.Newf("at most %d services, declared before the zones", maxServices)
+	}
+	s.name = flags.Arg(0)
+	r.services = append(r.services, s)
+	return nil
+}
+
+// cmdZone declares a zone: zone [flags] NAME.
+func cmdZone(_ *testscript.TestScript, r *run, args []string) error {
+	flags := flag.NewFlagSet("zone", flag.ContinueOnError)
+	hosts := flags.Int("hosts", 1, "")
+	servers := flags.Int("servers", 1, "")
+	if err := parseFlags(flags, args, 1, 1); err != nil {
+		return err
+	}
+	if len(r.zones) == maxZones || *hosts > maxPerZone || *servers > maxPerZone {
+		return errors.Newf("at most %d zones with %d hosts and %d servers of each service", maxZones, maxPerZone, maxPerZone)
+	}
+	r.addZone(flags.Arg(0), *hosts, *servers)
+	return nil
+}
+
+// cmdStart starts the deployment, or hosts and servers that have ended: start [NAME...].
+func cmdStart(ts *testscript.TestScript, r *run, args []string) error {
+	if len(args) > 0 {
+		return forEach(args, r.startNamed)
+	}
+	if err := r.startAll(); err != nil {
+		return err
+	}
+	ts.Setenv("LOG", "http://"+r.log.ready)
+	ts.Setenv("HOSTLIST", "http://"+r.hostList.ready)
+	return nil
+}
+
+// eachProcess calls f for the processes of the named hosts, servers and zones.
+func (r *run) eachProcess(names []string, f func(name string, p *process) error) error {
+	if len(names) == 0 {
+		return errors.New("no names")
+	}
+	for _, name := range names {
+		targets := r.running(name)
+		if len(targets) == 0 {
+			return errors.Newf("no zone, host or server %q is running", name)
+		}
+		for _, target := range targets {
+			if err := f(target.name, target.process); err != nil {
+				return errors.Wrap(err, target.name)
+			}
+		}
+	}
+	return nil
+}
+
+// cmdCrash ends processes at once: crash NAME...
+func cmdCrash(_ *testscript.TestScript, r *run, args []string) error {
+	return r.eachProcess(args, func(_ string, p *process) error {
+		p.kill()
+		return nil
+	})
+}
+
+// cmdTerminate asks processes to end and waits for it: terminate NAME...
+func cmdTerminate(_ *testscript.TestScript, r *run, args []string) error {
+	return r.eachProcess(args, func(_ string, p *process) error { return p.terminate() })
+}
+
+// cmdFreeze stops processes until thaw: freeze NAME...
+func cmdFreeze(_ *testscript.TestScript, r *run, args []string) error {
+	return r.eachProcess(args, func(name string, p *process) error {
+		r.setFrozen(name, true)
+		return p.signal(syscall.SIGSTOP)
+	})
+}
+
+// cmdThaw lets frozen processes go on: thaw NAME...
+func cmdThaw(_ *testscript.TestScript, r *run, args []string) error {
+	return r.eachProcess(args, func(name string, p *process) error {
+		r.setFrozen(name, false)
+		return p.signal(syscall.SIGCONT)
+	})
+}
+
+// setFrozen notes whether a host is frozen, so that callers avoid it.
+func (r *run) setFrozen(name string, frozen bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if h := r.findHost(name); h != nil {
+		h.frozen = frozen
+	}
+}
+
+// cmdCut cuts connections: cut [-refuse] A [B].
+func cmdCut(_ *testscript.TestScript, r *run, args []string) error {
+	flags := flag.NewFlagSet("cut", flag.ContinueOnError)
+	refuse := flags.Bool("refuse", false, "")
+	if err := parseFlags(flags, args, 1, 2); err != nil {
+		return err
+	}
+	c, err := r.sides(flags.Args())
+	if err != nil {
+		return err
+	}
+	c.refuse = *refuse
+	r.network.add(c)
+	r.applyNetwork()
+	return nil
+}
+
+// cmdHeal heals cuts: heal [A [B]].
+func cmdHeal(_ *testscript.TestScript, r *run, args []string) error {
+	if len(args) == 0 {
+		r.network.cuts = nil
+		r.applyNetwork()
+		return nil
+	}
+	c, err := r.sides(args)
+	if err != nil {
+		return err
+	}
+	r.network.remove(c.a, c.b)
+	r.applyNetwork()
+	return nil
+}
+
+// cmdSilence silences open connections for good: silence A [B].
+func cmdSilence(_ *testscript.TestScript, r *run, args []string) error {
+	c, err := r.sides(args)
+	if err != nil {
+		return err
+	}
+	r.silence(c.a, c.b)
+	return nil
+}
+
+// sides reads the two sides of a cut. A missing second side is all the rest.
+func (r *run) sides(args []string) (cut, error) {
+	if len(args) < 1 || len(args) > 2 {
+		return cut{}, errors.New("want one or two names")
+	}
+	for _, name := range args {
+		if err := r.checkNodeName(name); err != nil {
+			return cut{}, err
+		}
+	}
+	if len(args) == 1 {
+		return cut{a: args[0], b: everything}, nil
+	}
+	return cut{a: args[0], b: args[1]}, nil
+}
+
+// cmdFault sets a server's faults: fault [flags] SERVER.
+func cmdFault(_ *testscript.TestScript, r *run, args []string) error {
+	var faults standin.ServerFaults
+	flags := flag.NewFlagSet("fault", flag.ContinueOnError)
+	flags.Float64Var(&faults.SlowFactor, "slow", 0, "")
+	flags.IntVar(&faults.DropEvery, "drop-every", 0, "")
+	flags.IntVar(&faults.HalfEvery, "half-every", 0, "")
+	flags.IntVar(&faults.LoseGrantsEvery, "lose-grants-every", 0, "")
+	lag := flags.Duration("report-lag", 0, "")
+	load := flags.Float64("report-load", -1, "")
+	if err := parseFlags(flags, args, 1, 1); err != nil {
+		return err
+	}
+	faults.ReportLagMS = int(lag.Milliseconds())
+	if *load >= 0 {
+		faults.ReportLoad = load
+	}
+	s := r.findServer(flags.Arg(0))
+	if s == nil {
+		return errors.Newf("no server %q", flags.Arg(0))
+	}
+	return setFaults(s.addr, faults)
+}
