--- a/scenarios/cmd_await.go
+++ b/scenarios/cmd_await.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,6 +15,8 @@
 	maxAwait = 60 * time.Second
 	// probePause is the time between two looks at a condition.
 	probePause = 20 * time.Millisecond
+	// defaultKeys is the number of keys where a command names none.
+	defaultKeys = 20
 )
 
 // condition looks at the deployment and returns nil where it holds. It takes at
@@ -77,16 +80,30 @@
 // keysFlags are the flags of conditions on the keys of a service.
 type keysFlags struct {
 	keys int
+	only string
 	via  stringList
 }
 
 func (f *keysFlags) register(flags *flag.FlagSet) {
-	flags.IntVar(&f.keys, "keys", 20, "")
+	flags.IntVar(&f.keys, "keys", defaultKeys, "")
+	flags.StringVar(&f.only, "only", "", "")
 	flags.Var(&f.via, "via", "")
 }
 
+// list returns the names of the keys.
+func (f *keysFlags) list() []string {
+	if f.only != "" {
+		return strings.Split(f.only, ",")
+	}
+	keys := make([]string, f.keys)
+	for i := range keys {
+		keys[i] = fmt.Sprintf("k%d", i)
+	}
+	return keys
+}
+
 // newServed returns the condition that every key is answered through every host:
-// served [-keys N] [-via HOST|ZONE] SERVICE.
+// served [-keys N | -only KEYS] [-via HOST|ZONE] SERVICE.
 func (r *run) newServed(args []string) (condition, error) {
 	var f keysFlags
 	flags := flag.NewFlagSet("served", flag.ContinueOnError)
@@ -100,21 +117,19 @@
 }
 
 // newAway returns the condition that every key is answered, and none by the named
-// servers or zones: away [-keys N] [-via HOST|ZONE] SERVICE NAME...
+// servers or zones: away [-keys N | -only KEYS] [-via HOST|ZONE] SERVICE NAME...
 func (r *run) newAway(args []string) (condition, error) {
 	var f keysFlags
 	flags := flag.NewFlagSet("away", flag.ContinueOnError)
 	f.register(flags)
-	if err := parseFlags(flags, args, 2, maxServices*maxZones*maxPerZone); err != nil {
+	if err := parseFlags(flags, args, 2, maxArgs); err != nil {
 		return nil, err
 	}
 	name, names := flags.Arg(0), flags.Args()[1:]
 	accept := func(serverName string) error {
 		s := r.findServer(serverName)
-		for _, n := range names {
-			if s == nil || n == s.name || n == s.zone {
-				return errors.Newf("answered by %q", serverName)
-			}
+		if s == nil || s.named(names) {
+			return errors.Newf("answered by %q", serverName)
 		}
 		return nil
 	}
@@ -128,11 +143,7 @@
 		return errors.New("no host to ask")
 	}
 	timeout := min(left, probeTimeout)
-	keys := make([]string, f.keys)
-	for i := range keys {
-		keys[i] = fmt.Sprintf("k%d", i)
-	}
-	return forEach(keys, func(key string) error {
+	return forEach(f.list(), func(key string) error {
 		for _, h := range hosts {
 			owner, err := r.probe(service, key, []*host{h}, timeout)
 			if err != nil {
--- a/scenarios/cmd_calls.go
+++ b/scenarios/cmd_calls.go
@@ -25,6 +25,8 @@
 	maxRate = 1000
 	// maxProblems bounds the broken promises that check prints.
 	maxProblems = 10
+	// maxArgs bounds the arguments of a command that takes any number of names.
+	maxArgs = 100
 	// noLimit is the value of a limit that is not set.
 	noLimit = -1
 )
@@ -93,6 +95,32 @@
 	return nil
 }
 
+// cmdKeys puts the keys whose owners are among the named servers and zones into
+// a variable: keys [-keys N] SERVICE VARIABLE NAME...
+func cmdKeys(ts *testscript.TestScript, r *run, args []string) error {
+	var f keysFlags
+	flags := flag.NewFlagSet("keys", flag.ContinueOnError)
+	f.register(flags)
+	if err := parseFlags(flags, args, 3, maxArgs); err != nil {
+		return err
+	}
+	var found []string
+	for _, key := range f.list() {
+		owner, err := r.probe(flags.Arg(0), key, r.callableHosts(f.via), defaultCallTimeout)
+		if err != nil {
+			return err
+		}
+		if s := r.findServer(owner); s != nil && s.named(flags.Args()[2:]) {
+			found = append(found, key)
+		}
+	}
+	if len(found) == 0 {
+		return errors.New("the servers own none of the keys")
+	}
+	ts.Setenv(flags.Arg(1), strings.Join(found, ","))
+	return nil
+}
+
 // cmdRenewer puts the name of the host that renews a server's lease into a
 // variable: renewer SERVER VARIABLE.
 func cmdRenewer(ts *testscript.TestScript, r *run, args []string) error {
@@ -141,18 +169,19 @@
 		r.load.stop()
 	}
 	var cfg loadConfig
+	var keys keysFlags
 	flags := flag.NewFlagSet("load start", flag.ContinueOnError)
 	flags.Float64Var(&cfg.rate, "rate", 100, "")
-	flags.IntVar(&cfg.keys, "keys", 20, "")
+	keys.register(flags)
 	flags.IntVar(&cfg.writes, "writes", 50, "")
 	flags.Uint64Var(&cfg.seed, "seed", 1, "")
 	flags.DurationVar(&cfg.timeout, "timeout", defaultCallTimeout, "")
 	flags.BoolVar(&cfg.repeat, "repeat", false, "")
-	flags.Var((*stringList)(&cfg.via), "via", "")
 	if err := parseFlags(flags, args, 1, 1); err != nil {
 		return err
 	}
-	if cfg.rate <= 0 || cfg.rate > maxRate || cfg.keys < 1 {
+	cfg.keys, cfg.via = keys.list(), keys.via
+	if cfg.rate <= 0 || cfg.rate > maxRate || len(cfg.keys) == 0 {
 		return errors.Newf("want a rate up to %d and at least one key", maxRate)
 	}
 	if _, err := r.findService(flags.Arg(0)); err != nil {
--- a/scenarios/deployment.go
+++ b/scenarios/deployment.go
@@ -77,6 +77,11 @@
 	process *process
 }
 
+// named reports whether one of the names is the server's or its zone's.
+func (s *server) named(names []string) bool {
+	return slices.Contains(names, s.name) || slices.Contains(names, s.zone)
+}
+
 // run is one run of a script: its deployment and what was recorded of it.
 type run struct {
 	dir      string
--- /dev/null
+++ b/scenarios/harness_test.go
@@ -0,0 +1,74 @@
+package scenarios
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/poplarcroft/poplarcroft/internal/check"
+	"github.com/poplarcroft/poplarcroft/internal/standin"
+)
+
+func TestNetworkRules(t *testing.T) {
+	from := node{name: "a-h1", zone: "a", host: &host{}}
+	nodes := []node{
+		from,
+		{name: "revize-a-1", zone: "a", addrs: []string{"same zone"}},
+		{name: "b-h1", zone: "b", addrs: []string{"other host"}},
+		{name: "revize-b-1", zone: "b", addrs: []string{"other server"}},
+		{name: logName, zone: platformName, addrs: []string{"log"}},
+	}
+	for name, test := range map[string]struct {
+		cut  cut
+		want standin.EgressRules
+	}{
+		"zones":          {cut{a: "a", b: "b"}, standin.EgressRules{Stall: []string{"other host", "other server"}}},
+		"other way":      {cut{a: "b", b: "a"}, standin.EgressRules{Stall: []string{"other host", "other server"}}},
+		"all but itself": {cut{a: "a", b: everything}, standin.EgressRules{Stall: []string{"other host", "other server", "log"}}},
+		"host":           {cut{a: "a-h1", b: everything}, standin.EgressRules{Stall: []string{"same zone", "other host", "other server", "log"}}},
+		"log refuses":    {cut{a: "a", b: logName, refuse: true}, standin.EgressRules{Cut: []string{"log"}}},
+		"platform":       {cut{a: platformName, b: everything}, standin.EgressRules{Stall: []string{"log"}}},
+		"others":         {cut{a: "b", b: logName}, standin.EgressRules{}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var n network
+			n.add(test.cut)
+			assert.DeepEqual(t, n.rules(from, nodes), test.want)
+			n.remove(test.cut.a, test.cut.b)
+			assert.DeepEqual(t, n.rules(from, nodes), standin.EgressRules{})
+		})
+	}
+}
+
+func TestLoadLimits(t *testing.T) {
+	s := summary{calls: 100, done: 90, notRun: 6, unknown: 4, outage: check.Outage{Length: time.Second}}
+	for name, test := range map[string]struct {
+		limits loadLimits
+		want   string
+	}{
+		"none":    {loadLimits{maxUnknown: noLimit, maxNotRun: noLimit}, ""},
+		"kept":    {loadLimits{maxUnknown: 4, maxNotRun: 6, minDone: 90, maxOutage: time.Second, minCalls: 100}, ""},
+		"calls":   {loadLimits{maxUnknown: 4, maxNotRun: 6, minCalls: 101}, "less than 101 calls"},
+		"outage":  {loadLimits{maxUnknown: 4, maxNotRun: 6, maxOutage: time.Millisecond}, "an outage above 1ms"},
+		"done":    {loadLimits{maxUnknown: 4, maxNotRun: 6, minDone: 91}, "less than 91 % done"},
+		"unknown": {loadLimits{maxUnknown: 3, maxNotRun: 6}, "more than 3 unknown"},
+		"not run": {loadLimits{maxUnknown: 4, maxNotRun: 5}, "more than 5 not run"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			err := test.limits.check(s)
+			if test.want == "" {
+				assert.NilError(t, err)
+				return
+			}
+			assert.ErrorContains(t, err, test.want)
+		})
+	}
+}
+
+func TestChangeLogFaultsRefusesUnknownWords(t *testing.T) {
+	for _, words := range [][]string{{}, {"sideways"}, {"slow"}, {"slow", "much"}, {"retain", "x"}, {"lose", "1"}, {"up", "1", "2"}} {
+		var faults standin.LogFaults
+		assert.Assert(t, changeLogFaults(&faults, words) != nil, "%q", words)
+	}
+}
--- a/scenarios/load.go
+++ b/scenarios/load.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,13 +33,13 @@
 	service string
 	// rate is the number of calls a second.
 	rate float64
-	keys int
+	keys []string
 	// writes is the share of calls that write, in percent.
 	writes  int
 	seed    uint64
 	timeout time.Duration
 	// via lists the hosts or zones that are asked; all where it is empty.
-	via []string
+	via stringList
 	// repeat says that calls without a known outcome, or refused as not run, are sent again.
 	repeat bool
 }
@@ -116,7 +117,7 @@
 
 // next returns the n-th call and the order in which hosts are asked.
 func (l *load) next(n int) (callSpec, []*host) {
-	key := fmt.Sprintf("k%d", n%l.cfg.keys)
+	key := l.cfg.keys[n%len(l.cfg.keys)]
 	spec := callSpec{
 		id:      fmt.Sprintf("%s-%d-%d", key, l.number, n),
 		service: l.cfg.service,
@@ -200,15 +201,7 @@
 
 // named reports whether one of the names is the host's or its zone's, or there are no names.
 func (h *host) named(names []string) bool {
-	if len(names) == 0 {
-		return true
-	}
-	for _, name := range names {
-		if name == h.name || name == h.zone {
-			return true
-		}
-	}
-	return false
+	return len(names) == 0 || slices.Contains(names, h.name) || slices.Contains(names, h.zone)
 }
 
 // loadLimits are the limits that a load's record has to keep.
--- a/scenarios/scenarios.go
+++ b/scenarios/scenarios.go
@@ -84,6 +84,7 @@
 		"fault":     cmdFault,
 		"send":      cmdSend,
 		"owner":     cmdOwner,
+		"keys":      cmdKeys,
 		"renewer":   cmdRenewer,
 		"load":      cmdLoad,
 		"await":     cmdAwait,
