--- a/internal/limit/admission.go
+++ b/internal/limit/admission.go
@@ -43,6 +43,7 @@
 	closing     outcome.Refusal
 	last        Ticket
 	running     map[Ticket]time.Time
+	alone       Ticket
 	queue       fairQueue
 	inherited   int
 	inheritedTo time.Time
@@ -101,25 +102,36 @@
 	return a.Advance(now)
 }
 
-// Offer asks for the admission of a request of a flow. Without an event for its
-// ticket among the returned ones the request waits.
-func (a *Admission) Offer(now time.Time, flow string, deadline time.Time) (Ticket, []Event) {
+// Request describes a request that asks for admission.
+type Request struct {
+	// Flow is what the queue is fair to: the request's key, or whatever stands for its caller.
+	Flow string
+	// Deadline is the latest time of admission.
+	Deadline time.Time
+	// Alone asks that nothing else is in execution together with the request.
+	Alone bool
+}
+
+// Offer asks for the admission of a request. Without an event for its ticket
+// among the returned ones the request waits.
+func (a *Admission) Offer(now time.Time, request Request) (Ticket, []Event) {
 	a.last++
 	ticket := a.last
 	events := a.Advance(now)
 	if a.closed {
 		return ticket, append(events, refused(ticket, a.closing))
 	}
-	if !deadline.After(now) {
+	if !request.Deadline.After(now) {
 		return ticket, append(events, refused(ticket, a.refusal(now, outcome.ReasonDeadline)))
 	}
-	if a.free(now) > 0 {
-		return ticket, append(events, a.admit(now, ticket))
+	w := waiting{ticket: ticket, flow: request.Flow, deadline: request.Deadline, alone: request.Alone}
+	if a.queue.length == 0 && a.admissible(now, w) {
+		return ticket, append(events, a.admit(now, w))
 	}
-	if a.wait(now, a.queue.ahead(flow)) >= deadline.Sub(now) {
+	if a.wait(now, a.queue.ahead(w.flow)) >= w.deadline.Sub(now) {
 		return ticket, append(events, refused(ticket, a.refusal(now, a.overloadReason(now))))
 	}
-	return ticket, append(events, a.enqueue(now, waiting{ticket: ticket, flow: flow, deadline: deadline})...)
+	return ticket, append(events, a.enqueue(now, w)...)
 }
 
 // Finish ends an admitted request and returns its slot.
@@ -128,6 +140,9 @@
 		return nil
 	}
 	delete(a.running, ticket)
+	if a.alone == ticket {
+		a.alone = 0
+	}
 	if result.Executed {
 		a.observeService(result.Took)
 	}
@@ -153,14 +168,14 @@
 	for _, w := range a.queue.removeIf(func(w waiting) bool { return !w.deadline.After(now) }) {
 		events = append(events, refused(w.ticket, a.refusal(now, outcome.ReasonDeadline)))
 	}
-	for a.free(now) > 0 {
-		w, ok := a.queue.pop()
-		if !ok {
-			break
+	for {
+		w, ok := a.queue.peek()
+		if !ok || !a.admissible(now, w) {
+			return events
 		}
-		events = append(events, a.admit(now, w.ticket))
+		a.queue.pop()
+		events = append(events, a.admit(now, w))
 	}
-	return events
 }
 
 // NextWake returns when Advance has to be called although nothing else happens,
@@ -218,15 +233,26 @@
 }
 
 func (a *Admission) free(now time.Time) int {
-	if a.closed {
+	if a.closed || a.alone != 0 {
 		return 0
 	}
 	return a.slots(now) - len(a.running) - a.inherited
 }
 
-func (a *Admission) admit(now time.Time, ticket Ticket) Event {
-	a.running[ticket] = now
-	return Event{Ticket: ticket, Admitted: true}
+// admissible reports whether a request may be in execution from now on.
+func (a *Admission) admissible(now time.Time, w waiting) bool {
+	if w.alone && len(a.running)+a.inherited > 0 {
+		return false
+	}
+	return a.free(now) > 0
+}
+
+func (a *Admission) admit(now time.Time, w waiting) Event {
+	a.running[w.ticket] = now
+	if w.alone {
+		a.alone = w.ticket
+	}
+	return Event{Ticket: w.ticket, Admitted: true}
 }
 
 // enqueue lets a request wait. Where the queue is full, the request takes the
--- a/internal/limit/admission_test.go
+++ b/internal/limit/admission_test.go
@@ -35,7 +35,7 @@
 // offer asks for a request that must be decided at once.
 func offer(t *testing.T, a *Admission, now time.Time, flow string, wait time.Duration) Event {
 	t.Helper()
-	ticket, events := a.Offer(now, flow, now.Add(wait))
+	ticket, events := a.Offer(now, Request{Flow: flow, Deadline: now.Add(wait)})
 	for _, event := range events {
 		if event.Ticket == ticket {
 			return event
@@ -62,7 +62,7 @@
 		},
 		"wait beyond the deadline": {
 			func(a *Admission) {
-				ticket, _ := a.Offer(start, "a", at(time.Minute))
+				ticket, _ := a.Offer(start, Request{Flow: "a", Deadline: at(time.Minute)})
 				a.Finish(start, ticket, second)
 				fill(a, 4+4)
 			},
@@ -70,7 +70,7 @@
 		},
 		"warming": {
 			func(a *Admission) {
-				ticket, _ := a.Offer(start, "a", at(time.Minute))
+				ticket, _ := a.Offer(start, Request{Flow: "a", Deadline: at(time.Minute)})
 				a.Finish(start, ticket, second)
 				a.Reset(start)
 				fill(a, 1)
@@ -106,17 +106,17 @@
 // fill offers requests of one flow.
 func fill(a *Admission, count int) {
 	for range count {
-		a.Offer(start, "a", at(time.Minute))
+		a.Offer(start, Request{Flow: "a", Deadline: at(time.Minute)})
 	}
 }
 
 func TestHotFlowDoesNotStarveOthers(t *testing.T) {
 	a := NewAdmission(Config{Slots: 1, QueueLimit: 4}, warmed)
-	running, _ := a.Offer(start, "hot", at(time.Minute))
+	running, _ := a.Offer(start, Request{Flow: "hot", Deadline: at(time.Minute)})
 	for range 4 {
-		a.Offer(start, "hot", at(time.Minute))
+		a.Offer(start, Request{Flow: "hot", Deadline: at(time.Minute)})
 	}
-	cold, events := a.Offer(start, "cold", at(time.Minute))
+	cold, events := a.Offer(start, Request{Flow: "cold", Deadline: at(time.Minute)})
 	assert.Equal(t, len(events), 1, "the youngest hot request makes room")
 	assert.Equal(t, events[0].Refusal.Reason, outcome.ReasonOverloaded)
 
@@ -126,10 +126,22 @@
 	assert.Assert(t, !offer(t, a, start, "hot", time.Minute).Admitted)
 }
 
+func TestSuspectRunsAlone(t *testing.T) {
+	a := NewAdmission(limits, warmed)
+	fill(a, 2)
+	alone, events := a.Offer(start, Request{Flow: "s", Deadline: at(time.Minute), Alone: true})
+	assert.Equal(t, len(events), 0, "two others are in execution")
+	next, events := a.Offer(start, Request{Flow: "b", Deadline: at(time.Minute)})
+	assert.Equal(t, len(events), 0, "later requests wait behind it")
+	assert.Equal(t, len(a.Finish(start, 1, Result{})), 0)
+	assert.DeepEqual(t, a.Finish(start, 2, Result{}), []Event{{Ticket: alone, Admitted: true}})
+	assert.DeepEqual(t, a.Finish(start, alone, Result{}), []Event{{Ticket: next, Admitted: true}})
+}
+
 func TestInheritedSlots(t *testing.T) {
 	a := NewAdmission(limits, warmed)
 	a.Inherit(start, limits.Slots, at(5*time.Second))
-	waits, _ := a.Offer(start, "a", at(time.Minute))
+	waits, _ := a.Offer(start, Request{Flow: "a", Deadline: at(time.Minute)})
 	assert.Equal(t, len(a.ObserveInFlight(start, start, 4)), 0)
 	events := a.ObserveInFlight(start, start, 3)
 	assert.DeepEqual(t, events, []Event{{Ticket: waits, Admitted: true}})
@@ -147,7 +159,7 @@
 	fill(a, 2)
 	lost := a.Reset(start)
 	assert.Equal(t, len(lost), 2)
-	waits, events := a.Offer(start, "a", at(time.Minute))
+	waits, events := a.Offer(start, Request{Flow: "a", Deadline: at(time.Minute)})
 	assert.Equal(t, len(events), 0)
 	assert.Equal(t, len(a.Finish(start, lost[0], Result{})), 0)
 	events = a.Finish(start, lost[1], Result{})
@@ -166,6 +178,7 @@
 		decided := map[Ticket]Event{}
 		offered := []Ticket{}
 		running := map[Ticket]bool{}
+		lonely := map[Ticket]bool{}
 		inherited := 0
 		note := func(events []Event) {
 			for _, event := range events {
@@ -174,6 +187,9 @@
 				decided[event.Ticket] = event
 				if event.Admitted {
 					running[event.Ticket] = true
+					for ticket := range running {
+						assert.Assert(t, !lonely[ticket] || len(running)+inherited == 1, "not alone")
+					}
 					assert.Assert(t, len(running)+inherited <= config.SlotsAt(now.Sub(began)))
 				} else {
 					assert.Equal(t, event.Refusal.Outcome, outcome.NotRun)
@@ -184,7 +200,11 @@
 			"offer": func(t *rapid.T) {
 				flow := rapid.SampledFrom([]string{"a", "a", "a", "b", "c"}).Draw(t, "flow")
 				wait := time.Duration(rapid.IntRange(-10, 4000).Draw(t, "wait")) * time.Millisecond
-				ticket, events := a.Offer(now, flow, now.Add(wait))
+				alone := rapid.IntRange(0, 4).Draw(t, "alone") == 0
+				ticket, events := a.Offer(now, Request{Flow: flow, Deadline: now.Add(wait), Alone: alone})
+				if alone {
+					lonely[ticket] = true
+				}
 				offered = append(offered, ticket)
 				note(events)
 			},
--- a/internal/limit/gate.go
+++ b/internal/limit/gate.go
@@ -53,7 +53,12 @@
 // and true, or the request's refusal and false. The refusal says truly that
 // nothing ran.
 func (g *Gate) Acquire(ctx context.Context, flow string, deadline time.Time) (*Permit, outcome.Refusal, bool) {
-	ticket, decided := g.offer(flow, deadline)
+	return g.AcquireFor(ctx, Request{Flow: flow, Deadline: deadline})
+}
+
+// AcquireFor does the same for a request that may ask to be alone.
+func (g *Gate) AcquireFor(ctx context.Context, request Request) (*Permit, outcome.Refusal, bool) {
+	ticket, decided := g.offer(request)
 	select {
 	case event := <-decided:
 		return g.accept(event)
@@ -113,11 +118,11 @@
 	g.deliver(now, change(now))
 }
 
-func (g *Gate) offer(flow string, deadline time.Time) (Ticket, <-chan Event) {
+func (g *Gate) offer(request Request) (Ticket, <-chan Event) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	ticket, events := g.admission.Offer(now, flow, deadline)
+	ticket, events := g.admission.Offer(now, request)
 	decided := make(chan Event, 1)
 	g.waiters[ticket] = decided
 	g.deliver(now, events)
--- a/internal/limit/queue.go
+++ b/internal/limit/queue.go
@@ -10,6 +10,7 @@
 	ticket   Ticket
 	flow     string
 	deadline time.Time
+	alone    bool
 }
 
 // fairQueue holds waiting requests by flow and serves the flows in turn. A
@@ -34,6 +35,14 @@
 	q.length++
 }
 
+// peek returns the request that pop would remove.
+func (q *fairQueue) peek() (waiting, bool) {
+	if q.length == 0 {
+		return waiting{}, false
+	}
+	return q.flows[q.turns[0]][0], true
+}
+
 // pop removes the oldest request of the flow whose turn it is.
 func (q *fairQueue) pop() (waiting, bool) {
 	if q.length == 0 {
