--- /dev/null
+++ b/internal/retry/retry_test.go
@@ -0,0 +1,167 @@
+package retry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/poplarcroft/poplarcroft/internal/outcome"
+)
+
+var (
+	signOff = Request{Keyed: true}
+	lookup  = Request{Keyed: true, Idempotent: true}
+	guide   = Request{Idempotent: true}
+)
+
+func TestDecisions(t *testing.T) {
+	const left = time.Second
+	notRun := func(reason outcome.Reason) outcome.Refusal {
+		return outcome.Refusal{Outcome: outcome.NotRun, Reason: reason, RetryAfter: time.Millisecond}
+	}
+	unknown := outcome.Refusal{Outcome: outcome.Unknown, Reason: outcome.ReasonAnswerLost}
+	for name, c := range map[string]struct {
+		request Request
+		failure Failure
+		budget  bool
+		want    Action
+		reason  outcome.Reason
+	}{
+		"sign-off without an answer":       {signOff, Failure{unknown, 1, 0, left, true}, true, GiveUp, outcome.ReasonAnswerLost},
+		"lookup without an answer":         {lookup, Failure{unknown, 1, 0, left, true}, true, Again, ""},
+		"catalogue without an answer":      {guide, Failure{unknown, 1, 0, left, true}, true, Elsewhere, ""},
+		"catalogue, no other server":       {guide, Failure{unknown, 1, 0, left, false}, true, Again, ""},
+		"budget spent, run unknown":        {guide, Failure{unknown, 1, 0, left, true}, false, GiveUp, outcome.ReasonRetryBudget},
+		"budget spent, not run":            {guide, Failure{notRun(outcome.ReasonOverloaded), 1, 0, left, true}, false, GiveUp, outcome.ReasonRetryBudget},
+		"too many sends":                   {guide, Failure{unknown, 3, 0, left, true}, true, GiveUp, outcome.ReasonAnswerLost},
+		"no time left":                     {guide, Failure{unknown, 1, 0, minRemaining - 1, true}, true, GiveUp, outcome.ReasonAnswerLost},
+		"sign-off, owner not known":        {signOff, Failure{notRun(outcome.ReasonNoOwner), 0, 0, left, false}, false, Search, ""},
+		"sign-off, lead has changed":       {signOff, Failure{notRun(outcome.ReasonNotLead), 0, 50, left, false}, false, Search, ""},
+		"sign-off, owner lost":             {signOff, Failure{notRun(outcome.ReasonUnreachable), 0, 3, left, false}, false, Search, ""},
+		"owner not known until the end":    {signOff, Failure{notRun(outcome.ReasonNoOwner), 0, 9, maxWait / 2, false}, true, GiveUp, outcome.ReasonNoOwner},
+		"catalogue server unreachable":     {guide, Failure{notRun(outcome.ReasonUnreachable), 0, 1, left, true}, true, Elsewhere, ""},
+		"all of them unreachable":          {guide, Failure{notRun(outcome.ReasonUnreachable), 0, 1, left, true}, false, GiveUp, outcome.ReasonRetryBudget},
+		"sign-off shed by the owner":       {signOff, Failure{notRun(outcome.ReasonOverloaded), 0, 0, left, true}, true, GiveUp, outcome.ReasonOverloaded},
+		"catalogue shed by a cold server":  {guide, Failure{notRun(outcome.ReasonWarming), 0, 0, left, true}, true, Elsewhere, ""},
+		"booking not divided by key, shed": {Request{}, Failure{notRun(outcome.ReasonOverloaded), 0, 0, left, true}, true, Elsewhere, ""},
+		"poison":                           {guide, Failure{notRun(outcome.ReasonPoison), 0, 0, left, true}, true, GiveUp, outcome.ReasonPoison},
+		"deadline passed in the queue":     {guide, Failure{notRun(outcome.ReasonDeadline), 0, 0, left, true}, true, GiveUp, outcome.ReasonDeadline},
+	} {
+		t.Run(name, func(t *testing.T) {
+			decision := Decide(c.request, c.failure, func() bool { return c.budget }, 0.5)
+			assert.Equal(t, decision.Action.String(), c.want.String())
+			assert.Equal(t, decision.Refusal.Reason, c.reason)
+			if c.want == GiveUp {
+				assert.Equal(t, decision.Refusal.Outcome, c.failure.Refusal.Outcome, "the outcome is never changed")
+			}
+		})
+	}
+}
+
+func TestSearchWaitsLongerEachTimeWithinTheDeadline(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		failure := Failure{
+			Refusal:   outcome.Refusal{Outcome: outcome.NotRun, Reason: outcome.ReasonNoOwner},
+			Searches:  rapid.IntRange(0, 1000).Draw(t, "searches"),
+			Remaining: time.Duration(rapid.IntRange(0, 5000).Draw(t, "remaining")) * time.Millisecond,
+		}
+		jitter := rapid.Float64Range(0, 0.999).Draw(t, "jitter")
+		decision := Decide(signOff, failure, func() bool { panic("asked") }, jitter)
+		assert.Assert(t, decision.Wait <= maxWait)
+		if decision.Action == Search {
+			assert.Assert(t, decision.Wait >= firstWait/2)
+			assert.Assert(t, decision.Wait+minRemaining <= failure.Remaining)
+		}
+	})
+}
+
+func TestBudgetBoundsRetriesToItsShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		percent := rapid.IntRange(0, 100).Draw(t, "percent")
+		budget := NewBudget(percent)
+		requests, retries := 0, 0
+		for _, request := range rapid.SliceOfN(rapid.Bool(), 0, 2000).Draw(t, "calls") {
+			if request {
+				requests++
+				budget.Request()
+			} else if budget.Take() {
+				retries++
+			}
+			assert.Assert(t, retries*100 <= requests*percent, "%d retries of %d requests", retries, requests)
+		}
+	})
+}
+
+func TestHedges(t *testing.T) {
+	for name, c := range map[string]struct {
+		request   Request
+		after     time.Duration
+		remaining time.Duration
+		want      bool
+	}{
+		"catalogue":              {guide, 50 * time.Millisecond, time.Second, true},
+		"not set":                {guide, 0, time.Second, false},
+		"too late to help":       {guide, 50 * time.Millisecond, 50 * time.Millisecond, false},
+		"only the owner can run": {lookup, 50 * time.Millisecond, time.Second, false},
+		"not idempotent":         {Request{}, 50 * time.Millisecond, time.Second, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, ok := HedgeAfter(c.request, c.after, c.remaining)
+			assert.Equal(t, ok, c.want)
+		})
+	}
+}
+
+// outage counts what reaches the servers of a service in full outage: every
+// try breaks off without an answer.
+func outage(requests int, request Request, decide func(Failure) Decision, note func()) (sends int) {
+	for range requests {
+		note()
+		failure := Failure{
+			Refusal:   outcome.Refusal{Outcome: outcome.Unknown, Reason: outcome.ReasonAnswerLost},
+			Remaining: time.Second,
+			Elsewhere: !request.Keyed,
+		}
+		for {
+			sends++
+			failure.Sends++
+			if decide(failure).Action == GiveUp {
+				break
+			}
+		}
+	}
+	return sends
+}
+
+// BenchmarkOutageAmplification reports the sends for each request in a full
+// outage, with the budget and with a plain limit of three tries.
+func BenchmarkOutageAmplification(b *testing.B) {
+	for _, percent := range []int{0, 5, 10} {
+		b.Run(fmt.Sprintf("budget=%d%%", percent), func(b *testing.B) {
+			budget := NewBudget(percent)
+			sends := outage(b.N, guide, func(f Failure) Decision {
+				return Decide(guide, f, budget.Take, 0)
+			}, budget.Request)
+			b.ReportMetric(float64(sends)/float64(b.N), "sends/request")
+		})
+	}
+	b.Run("three-tries", func(b *testing.B) {
+		sends := outage(b.N, guide, func(f Failure) Decision {
+			return Decide(guide, f, func() bool { return true }, 0)
+		}, func() {})
+		b.ReportMetric(float64(sends)/float64(b.N), "sends/request")
+	})
+}
+
+func TestOutageAmplification(t *testing.T) {
+	for _, request := range []Request{guide, lookup, signOff} {
+		budget := NewBudget(10)
+		sends := outage(10_000, request, func(f Failure) Decision {
+			return Decide(request, f, budget.Take, 0)
+		}, budget.Request)
+		assert.Assert(t, sends <= 11_000, "%d sends", sends)
+	}
+}
