Data path: transport, poison guard, retry budgets, hedging

Cause: the thin path sent over plain HTTP connections and retried without limit. Change: requests go over package transport, which knows what was sent; the guard follows requests in flight and passes evidence to all hosts; retries and hedges take from the service's budget; each host gets its share of a server's connections.

--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -67,6 +67,11 @@
 	return active
 }
 
+// LiveHosts implements route.Directory.
+func (d directory) LiveHosts() int {
+	return len(d.host.members.Live())
+}
+
 // Serving reports whether every slice of every keyed service has an owner, and
 // the sessions that this host is a lessor of have a lead.
 func (h *Host) Serving() bool {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -17,9 +17,11 @@
 	"github.com/poplarcroft/poplarcroft/internal/members"
 	"github.com/poplarcroft/poplarcroft/internal/peer"
 	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/poison"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 	"github.com/poplarcroft/poplarcroft/internal/route"
 	"github.com/poplarcroft/poplarcroft/internal/timeline"
+	"github.com/poplarcroft/poplarcroft/internal/transport"
 	"github.com/poplarcroft/poplarcroft/internal/view"
 )
 
@@ -42,6 +44,7 @@
 	members  *members.Members
 	servers  *backend.Client
 	events   *timeline.Recorder
+	guard    *poison.Guard
 	gateway  *route.Gateway
 	route    *route.Entry
 	counters *route.Counters
@@ -94,16 +97,26 @@
 
 // connect builds the clients and what depends on them.
 func (h *Host) connect() {
-	dial := dialer(h.config.EgressAddr)
+	dial := transport.Dialer(h.config.EgressAddr)
 	h.platform = platform.NewClient(h.config.LogURL, h.config.HostsURL, newHTTPClient(dial, platformConns))
 	h.writer = view.NewWriter(h.view, h.platform, h.config.Name)
 	h.follower = view.NewFollower(h.view, h.platform, h.logChanged)
-	h.peers = peer.NewPool(dial)
+	h.peers = peer.NewPool(peer.DialFunc(dial))
 	h.members = members.New(h.entry, h.platform, h.peers)
 	h.servers = backend.NewClient(newHTTPClient(dial, controlConns))
-	servers := newHTTPClient(dial, serverConns)
-	h.gateway = route.NewGateway(servers)
-	h.route = route.NewEntry(h.config.Name, h.config.Zone, directory{h}, h.gateway, newHTTPClient(dial, peerConns), servers, h.counters)
+	h.guard = poison.NewGuard(poison.Bounds{})
+	servers := newPool(dial, serverConns)
+	h.gateway = route.NewGateway(servers, h.guard)
+	h.route = route.NewEntry(route.EntryConfig{
+		Host:      h.config.Name,
+		Zone:      h.config.Zone,
+		Directory: directory{h},
+		Gateway:   h.gateway,
+		Guard:     h.guard,
+		Peers:     newPool(dial, peerConns),
+		Servers:   servers,
+		Counters:  h.counters,
+	})
 }
 
 func listen(config Config) (listeners, error) {
@@ -170,6 +183,7 @@
 		h.planDuty,
 		h.bootDuty,
 		h.checkpointDuty,
+		h.suspectDuty,
 	}
 }
 
--- a/internal/host/keep.go
+++ b/internal/host/keep.go
@@ -7,6 +7,7 @@
 
 	"github.com/poplarcroft/poplarcroft/internal/keeper"
 	"github.com/poplarcroft/poplarcroft/internal/ownership"
+	"github.com/poplarcroft/poplarcroft/internal/poison"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 	"github.com/poplarcroft/poplarcroft/internal/route"
 	"github.com/poplarcroft/poplarcroft/internal/settings"
@@ -81,7 +82,9 @@
 }
 
 func (h *Host) startKeeper(ctx context.Context, running *sync.WaitGroup, wanted sessionToKeep) {
-	lane := route.NewLane(wanted.values)
+	server := poison.Server{Addr: wanted.session.Addr, Incarnation: wanted.session.Incarnation}
+	lane := route.NewLane(wanted.values, server, h.guard)
+	h.guard.Configure(poison.Bounds{Deaths: wanted.values.PoisonDeaths, Retention: wanted.values.PoisonRetention})
 	deps := keeper.Deps{
 		Host:        h.config.Name,
 		Incarnation: h.entry.Incarnation,
@@ -99,7 +102,7 @@
 	h.gateway.Add(k, lane)
 	running.Go(func() {
 		k.Run(ctx)
-		lane.SessionEnded("")
+		lane.SessionEnded(false)
 		wait(ctx, lingerTime)
 		h.gateway.Remove(k.ID())
 		h.mu.Lock()
--- a/internal/host/rpc.go
+++ b/internal/host/rpc.go
@@ -96,6 +96,12 @@
 	return nil
 }
 
+// Suspects takes in another host's evidence against requests.
+func (s *peerService) Suspects(args peer.SuspectsArgs, _ *peer.Empty) error {
+	s.host.guard.Import(args.Records)
+	return nil
+}
+
 // Snapshot returns the host's folded state of the log.
 func (s *peerService) Snapshot(_ peer.Empty, reply *peer.SnapshotReply) error {
 	data, offset, err := s.host.view.Snapshot()
--- /dev/null
+++ b/internal/host/suspects.go
@@ -0,0 +1,45 @@
+package host
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/poplarcroft/poplarcroft/internal/peer"
+	"github.com/poplarcroft/poplarcroft/internal/poison"
+)
+
+const (
+	// suspectEvery is the time between two looks for new evidence to pass on.
+	suspectEvery = 50 * time.Millisecond
+	// suspectTimeout bounds one call that passes evidence on.
+	suspectTimeout = 300 * time.Millisecond
+)
+
+// suspectDuty passes new evidence against requests on to all other hosts, so
+// that a request that crashes servers is refused wherever its caller repeats it.
+func (h *Host) suspectDuty(ctx context.Context) {
+	var since uint64
+	every(ctx, suspectEvery, func(ctx context.Context) {
+		records, next := h.guard.Export(since)
+		since = next
+		if len(records) > 0 {
+			h.passOn(ctx, records)
+		}
+		h.guard.Expire()
+	})
+}
+
+func (h *Host) passOn(ctx context.Context, records []poison.Record) {
+	var calls sync.WaitGroup
+	for _, host := range h.members.All() {
+		if host.Name == h.config.Name {
+			continue
+		}
+		calls.Go(func() {
+			args := peer.SuspectsArgs{Records: records}
+			h.peers.CallTimeout(ctx, suspectTimeout, host.PeerAddr, "Peer.Suspects", args, &peer.Empty{})
+		})
+	}
+	calls.Wait()
+}
--- a/internal/keeper/closing.go
+++ b/internal/keeper/closing.go
@@ -35,7 +35,7 @@
 		return
 	}
 	k.record(timeline.KindSessionClosing, reason)
-	k.observer.SessionEnded(k.incarnation)
+	k.observer.SessionEnded(true)
 }
 
 // closeDuty carries a closing on until the log shows it.
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -100,8 +100,9 @@
 	ServerAnswered(asked time.Time, reply backend.GrantReply)
 	// LeadGained says that this host leads the session from now on.
 	LeadGained(values settings.Values)
-	// SessionEnded says that nothing more may be sent under the session.
-	SessionEnded(incarnation string)
+	// SessionEnded says that nothing more may be sent under the session; died
+	// tells whether its server has failed.
+	SessionEnded(died bool)
 }
 
 // New returns a keeper of an open session. Run starts it.
--- a/internal/peer/protocol.go
+++ b/internal/peer/protocol.go
@@ -10,6 +10,7 @@
 	"github.com/poplarcroft/poplarcroft/internal/idempotency"
 	"github.com/poplarcroft/poplarcroft/internal/lease"
 	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/poison"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 )
 
@@ -124,6 +125,11 @@
 	Entries []idempotency.Entry
 }
 
+// SuspectsArgs passes on evidence against requests that were in flight when servers died.
+type SuspectsArgs struct {
+	Records []poison.Record
+}
+
 // SnapshotReply is a host's folded state of the log.
 type SnapshotReply struct {
 	Offset platform.Offset
--- a/internal/route/entry.go
+++ b/internal/route/entry.go
@@ -11,8 +11,11 @@
 
 	"github.com/poplarcroft/poplarcroft/internal/outcome"
 	"github.com/poplarcroft/poplarcroft/internal/ownership"
+	"github.com/poplarcroft/poplarcroft/internal/poison"
 	"github.com/poplarcroft/poplarcroft/internal/record"
+	"github.com/poplarcroft/poplarcroft/internal/retry"
 	"github.com/poplarcroft/poplarcroft/internal/settings"
+	"github.com/poplarcroft/poplarcroft/internal/transport"
 )
 
 // Owner is the session that owns a slice, and its lessors.
@@ -33,6 +36,8 @@
 	Lessors(id record.SessionID) []record.Lessor
 	// MayTakeWork reports whether requests may go to the backend server at addr in the zone.
 	MayTakeWork(zone, addr string) bool
+	// LiveHosts returns the number of hosts that share the backend servers' connections.
+	LiveHosts() int
 }
 
 const (
@@ -52,21 +57,38 @@
 	gateway   *Gateway
 	forwarder *forwarder
 	keyless   *keyless
+	budgets   *retry.Budgets
+	guard     *poison.Guard
 	routes    *routeCache
 	counters  *Counters
 }
 
-// NewEntry returns the entry of the named host. Clients are used for other
-// hosts and for backend servers.
-func NewEntry(host, zone string, directory Directory, gateway *Gateway, peers, servers *http.Client, counters *Counters) *Entry {
+// EntryConfig is what an entry needs of its host.
+type EntryConfig struct {
+	Host      string
+	Zone      string
+	Directory Directory
+	Gateway   *Gateway
+	Guard     *poison.Guard
+	// Peers and Servers are the connections to other hosts and to backend servers.
+	Peers    *transport.Pool
+	Servers  *transport.Pool
+	Counters *Counters
+}
+
+// NewEntry returns an entry.
+func NewEntry(config EntryConfig) *Entry {
+	budgets := retry.NewBudgets()
 	return &Entry{
-		host:      host,
-		directory: directory,
-		gateway:   gateway,
-		forwarder: &forwarder{host: host, client: peers},
-		keyless:   newKeyless(zone, directory, servers),
+		host:      config.Host,
+		directory: config.Directory,
+		gateway:   config.Gateway,
+		guard:     config.Guard,
+		forwarder: &forwarder{host: config.Host, pool: config.Peers},
+		keyless:   newKeyless(config, budgets),
+		budgets:   budgets,
 		routes:    newRouteCache(),
-		counters:  counters,
+		counters:  config.Counters,
 	}
 }
 
@@ -111,16 +133,21 @@
 	request.Key = key
 	ctx, cancel := context.WithDeadline(r.Context(), request.Deadline)
 	defer cancel()
+	if e.guard.Check(request.fingerprint()) == poison.Condemned {
+		return Result{Refusal: poisoned()}
+	}
+	budget := e.budgets.For(service.Name, service.Values.RetryPercent)
+	budget.Request()
 	if !service.Values.Keyed {
 		return e.keyless.serve(ctx, service, request)
 	}
 	request.Slice = ownership.SliceOf(key, service.Values.Slices)
-	return e.serveKeyed(ctx, request)
+	return e.serveKeyed(ctx, request, budget)
 }
 
 // serveKeyed tries until the request has a final result. It waits while the
 // key has no owner, for as long as a recovery may take.
-func (e *Entry) serveKeyed(ctx context.Context, r *Request) Result {
+func (e *Entry) serveKeyed(ctx context.Context, r *Request, budget *retry.Budget) Result {
 	giveUp := time.Now().Add(recoveryLimit)
 	pause := retryPause
 	mayRun := false
@@ -130,6 +157,10 @@
 		if isFinal(r, result) || ctx.Err() != nil || time.Now().Add(pause).After(giveUp) {
 			return truthful(result, mayRun)
 		}
+		if result.Refusal.Outcome == outcome.Unknown && !budget.Take() {
+			result.Refusal.Reason = outcome.ReasonRetryBudget
+			return result
+		}
 		e.counters.Retries.Add(1)
 		wait(ctx, pause)
 		pause = min(2*pause, maxRetryPause)
--- a/internal/route/exchange.go
+++ b/internal/route/exchange.go
@@ -4,10 +4,10 @@
 	"context"
 	"io"
 	"net/http"
-	"net/http/httptrace"
-	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/poplarcroft/poplarcroft/internal/transport"
 )
 
 // exchange is one HTTP request and its answer. Exactly one of answer and err is set.
@@ -21,14 +21,11 @@
 // errAnswerTooLarge reports an answer over maxAnswerBytes.
 var errAnswerTooLarge = errors.New("route: answer too large")
 
-// send sends the request and reads the whole answer. A short answer is an
-// error. The connection of a cancelled or failed exchange is closed.
-func send(ctx context.Context, client *http.Client, req *http.Request) exchange {
-	var sent atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
-	resp, err := client.Do(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
+// send sends the request once and reads the whole answer. A short answer is an error.
+func send(ctx context.Context, pool *transport.Pool, req *http.Request) exchange {
+	resp, err := pool.RoundTrip(req.WithContext(ctx))
 	if err != nil {
-		return exchange{err: err, maybeSent: sent.Load()}
+		return exchange{err: err, maybeSent: !errors.Is(err, transport.ErrNotSent)}
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
--- a/internal/route/forward.go
+++ b/internal/route/forward.go
@@ -13,12 +13,13 @@
 	"github.com/poplarcroft/poplarcroft/internal/outcome"
 	"github.com/poplarcroft/poplarcroft/internal/peer"
 	"github.com/poplarcroft/poplarcroft/internal/record"
+	"github.com/poplarcroft/poplarcroft/internal/transport"
 )
 
 // forwarder passes requests on to other hosts.
 type forwarder struct {
-	host   string
-	client *http.Client
+	host string
+	pool *transport.Pool
 }
 
 // forward sends the request to the lessor's host. Where no answer comes the
@@ -31,7 +32,7 @@
 	req.Header.Set(backend.HeaderSlice, strconv.Itoa(r.Slice))
 	req.Header.Set(backend.HeaderSession, strconv.FormatUint(uint64(r.Session), 10))
 	req.Header.Set(peer.HeaderForwardedBy, f.host)
-	done := send(ctx, f.client, req)
+	done := send(ctx, f.pool, req)
 	if done.err != nil && ctx.Err() != nil && done.maybeSent {
 		return unknown(outcome.ReasonDeadline, "the deadline passed before an answer came")
 	}
--- a/internal/route/gateway.go
+++ b/internal/route/gateway.go
@@ -12,40 +12,16 @@
 	"github.com/poplarcroft/poplarcroft/internal/keeper"
 	"github.com/poplarcroft/poplarcroft/internal/limit"
 	"github.com/poplarcroft/poplarcroft/internal/outcome"
+	"github.com/poplarcroft/poplarcroft/internal/poison"
 	"github.com/poplarcroft/poplarcroft/internal/record"
-	"github.com/poplarcroft/poplarcroft/internal/settings"
+	"github.com/poplarcroft/poplarcroft/internal/transport"
 )
 
-// Lane is what the gateway keeps for one session: the admission to its server.
-// It implements keeper.Observer.
-type Lane struct {
-	gate *limit.Gate
-}
-
-// NewLane returns the lane of a session with the settings in force.
-func NewLane(values settings.Values) *Lane {
-	return &Lane{gate: limit.NewGate(limit.ConfigFrom(values), time.Now())}
-}
-
-// ServerAnswered implements keeper.Observer.
-func (l *Lane) ServerAnswered(asked time.Time, reply backend.GrantReply) {
-	l.gate.ObserveInFlight(asked, reply.InFlight)
-}
-
-// LeadGained implements keeper.Observer.
-func (l *Lane) LeadGained(values settings.Values) {
-	l.gate.Inherit(values.Slots, time.Now().Add(values.RequestTimeout))
-}
-
-// SessionEnded implements keeper.Observer.
-func (l *Lane) SessionEnded(string) {
-	l.gate.Close(notRun(outcome.ReasonNotOwner, "the server's session has ended").Refusal)
-}
-
 // Gateway sends requests to the backend servers whose sessions this host leads.
 // It is safe for concurrent use.
 type Gateway struct {
-	client *http.Client
+	pool  *transport.Pool
+	guard *poison.Guard
 
 	mu    sync.RWMutex
 	lanes map[record.SessionID]*laneEntry
@@ -56,9 +32,10 @@
 	lane   *Lane
 }
 
-// NewGateway returns a gateway that sends by the HTTP client.
-func NewGateway(client *http.Client) *Gateway {
-	return &Gateway{client: client, lanes: make(map[record.SessionID]*laneEntry)}
+// NewGateway returns a gateway that sends over the pool's connections and keeps
+// the guard informed.
+func NewGateway(pool *transport.Pool, guard *poison.Guard) *Gateway {
+	return &Gateway{pool: pool, guard: guard, lanes: make(map[record.SessionID]*laneEntry)}
 }
 
 // Add makes a session known to the gateway.
@@ -90,15 +67,43 @@
 	if _, refusal, ok := admit(entry.keeper, r); !ok {
 		return refusal
 	}
-	permit, refusal, ok := entry.lane.gate.Acquire(ctx, r.Key, r.Deadline)
+	pass, refused, ok := g.guard.Begin(ctx, entry.lane.server, r.fingerprint())
+	if !ok {
+		return Result{Refusal: refused}
+	}
+	result := g.acquireAndSend(ctx, entry, r, pass)
+	pass.End(ending(result))
+	return result
+}
+
+// acquireAndSend waits for a slot of the server and sends the request.
+func (g *Gateway) acquireAndSend(ctx context.Context, entry *laneEntry, r *Request, pass *poison.Pass) Result {
+	permit, refusal, ok := entry.lane.gate.AcquireFor(ctx, limit.Request{
+		Flow:     r.Key,
+		Deadline: r.Deadline,
+		Alone:    pass.Alone,
+	})
 	if !ok {
 		return Result{Refusal: refusal}
 	}
-	result := g.claimAndSend(ctx, entry, r, permit)
+	result := g.claimAndSend(ctx, entry, r, permit, pass)
 	permit.Release(result.Answer != nil)
 	return result
 }
 
+// ending tells the guard how a request ended.
+func ending(result Result) poison.Ending {
+	switch {
+	case result.Answer != nil:
+		return poison.Finished
+	case result.Refusal.Outcome != outcome.Unknown:
+		return poison.Refused
+	case result.Refusal.Reason == outcome.ReasonDeadline:
+		return poison.TimedOut
+	}
+	return poison.Broken
+}
+
 // admit checks that this host may send the request now.
 func admit(k *keeper.Keeper, r *Request) (keeper.Admission, Result, bool) {
 	admission := k.Admit(r.Slice)
@@ -119,9 +124,9 @@
 
 // claimAndSend remembers a non-idempotent request at a quorum of the session's
 // lessors before it sends it.
-func (g *Gateway) claimAndSend(ctx context.Context, entry *laneEntry, r *Request, permit *limit.Permit) Result {
+func (g *Gateway) claimAndSend(ctx context.Context, entry *laneEntry, r *Request, permit *limit.Permit, pass *poison.Pass) Result {
 	if r.Idempotent() {
-		return g.sendToServer(ctx, entry, r, permit)
+		return g.sendToServer(ctx, entry, r, permit, pass)
 	}
 	id := idempotency.ID{Service: r.Service, Key: r.Key, Request: r.ID}
 	verdict, claimed := entry.keeper.Claim(ctx, id, idempotency.DigestOf(r.Method, r.Path, r.Body))
@@ -132,7 +137,7 @@
 		entry.keeper.FinishClaim(id, verdict.Attempt, idempotency.Result{State: idempotency.StateReleased})
 		return notRun(outcome.ReasonNotLead, "the request's ID could not be copied to another host")
 	}
-	result := g.sendToServer(ctx, entry, r, permit)
+	result := g.sendToServer(ctx, entry, r, permit, pass)
 	entry.keeper.FinishClaim(id, verdict.Attempt, claimResult(result))
 	return result
 }
@@ -184,7 +189,7 @@
 }
 
 // sendToServer sends the request under the epoch that is in force now.
-func (g *Gateway) sendToServer(ctx context.Context, entry *laneEntry, r *Request, permit *limit.Permit) Result {
+func (g *Gateway) sendToServer(ctx context.Context, entry *laneEntry, r *Request, permit *limit.Permit, pass *poison.Pass) Result {
 	admission, refusal, ok := admit(entry.keeper, r)
 	if !ok {
 		return refusal
@@ -198,11 +203,12 @@
 	req.Header.Set(backend.HeaderSession, strconv.FormatUint(uint64(admission.Session), 10))
 	ctx, cancel := untilLost(ctx, permit, r.Deadline)
 	defer cancel()
-	done := send(ctx, g.client, req)
+	pass.Sent()
+	done := send(ctx, g.pool, req)
 	if done.err != nil {
 		entry.keeper.Suspect()
 	}
-	return serverResult(done)
+	return serverResult(done, time.Now().After(r.Deadline))
 }
 
 // untilLost ends the context at the deadline, or when the server's session ends.
@@ -219,8 +225,10 @@
 }
 
 // serverResult turns an exchange with a backend server into a result.
-func serverResult(done exchange) Result {
+func serverResult(done exchange, late bool) Result {
 	switch {
+	case done.err != nil && late && done.maybeSent:
+		return unknown(outcome.ReasonDeadline, "the deadline passed before the backend server answered")
 	case done.err != nil && !done.maybeSent:
 		return notRun(outcome.ReasonUnreachable, "the backend server cannot be reached")
 	case done.err != nil:
--- a/internal/route/keyless.go
+++ b/internal/route/keyless.go
@@ -3,142 +3,187 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
-	"slices"
 	"sync"
 	"time"
 
+	"github.com/poplarcroft/poplarcroft/internal/backend"
 	"github.com/poplarcroft/poplarcroft/internal/balance"
 	"github.com/poplarcroft/poplarcroft/internal/outcome"
+	"github.com/poplarcroft/poplarcroft/internal/poison"
+	"github.com/poplarcroft/poplarcroft/internal/retry"
 	"github.com/poplarcroft/poplarcroft/internal/settings"
+	"github.com/poplarcroft/poplarcroft/internal/transport"
 )
 
-// maxKeylessTries bounds the servers tried for one request.
-const maxKeylessTries = 3
-
 // keyless serves requests of services that are not divided by key: any
 // backend server may take them.
 type keyless struct {
 	zone      string
 	directory Directory
-	client    *http.Client
+	pool      *transport.Pool
+	guard     *poison.Guard
+	budgets   *retry.Budgets
 	started   time.Time
 
 	mu       sync.Mutex
-	services map[string]*keylessService
-}
-
-// keylessService is the choice of targets of one service. Its lock guards the policy.
-type keylessService struct {
-	mu      sync.Mutex
-	policy  balance.Policy
-	targets []balance.Target
+	services map[string]*targetSet
 }
 
-func newKeyless(zone string, directory Directory, client *http.Client) *keyless {
+func newKeyless(config EntryConfig, budgets *retry.Budgets) *keyless {
 	return &keyless{
-		zone:      zone,
-		directory: directory,
-		client:    client,
+		zone:      config.Zone,
+		directory: config.Directory,
+		pool:      config.Servers,
+		guard:     config.Guard,
+		budgets:   budgets,
 		started:   time.Now(),
-		services:  make(map[string]*keylessService),
+		services:  make(map[string]*targetSet),
 	}
 }
 
+// serve tries servers until one answers, the budget is spent or nothing is left to try.
 func (k *keyless) serve(ctx context.Context, service settings.Service, r *Request) Result {
-	state := k.state(service)
-	state.setTargets(k.now(), k.targets(service))
+	set := k.set(service)
+	set.update(k.now(), k.targets(service), k.directory.LiveHosts())
+	budget := k.budgets.For(service.Name, service.Values.RetryPercent)
 	var excluded []string
-	result := notRun(outcome.ReasonOverloaded, "no backend server takes the request")
-	for range maxKeylessTries {
-		addr, ok := state.pick(k.now(), excluded)
+	mayRun := false
+	for sends := 1; ; sends++ {
+		addr, ok := set.pick(k.now(), excluded)
 		if !ok {
-			return result
+			return truthful(notRun(outcome.ReasonOverloaded, "no backend server takes the request"), mayRun)
 		}
 		excluded = append(excluded, addr)
-		result = k.try(ctx, state, addr, r)
-		mayRepeat := result.Answer == nil && (result.Refusal.Outcome == outcome.NotRun || r.Idempotent())
-		if !mayRepeat || ctx.Err() != nil {
+		result := k.hedged(ctx, service, set, addr, &excluded, r, budget)
+		if result.Answer != nil {
 			return result
 		}
+		mayRun = mayRun || result.Refusal.Outcome == outcome.Unknown
+		decision := retry.Decide(
+			retry.Request{Idempotent: r.Idempotent()},
+			retry.Failure{
+				Refusal:   result.Refusal,
+				Sends:     sends,
+				Remaining: time.Until(r.Deadline),
+				Elsewhere: set.hasOther(excluded),
+			},
+			budget.Take, rand.Float64())
+		if decision.Action != retry.Elsewhere || ctx.Err() != nil {
+			return truthful(Result{Refusal: decision.Refusal}, mayRun)
+		}
 	}
-	return result
+}
+
+// hedged sends the request and, where the service's settings ask for it, after
+// a while a second time to another server. The first answer wins and the other try is cancelled.
+func (k *keyless) hedged(ctx context.Context, service settings.Service, set *targetSet, addr string, excluded *[]string, r *Request, budget *retry.Budget) Result {
+	request := retry.Request{Idempotent: r.Idempotent()}
+	after, hedge := retry.HedgeAfter(request, service.Values.HedgeAfter, time.Until(r.Deadline))
+	if !hedge {
+		return k.try(ctx, set, addr, r)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan Result, 2)
+	go func() { results <- k.try(ctx, set, addr, r) }()
+	timer := time.NewTimer(after)
+	defer timer.Stop()
+	select {
+	case result := <-results:
+		return result
+	case <-timer.C:
+	}
+	second, ok := set.pick(k.now(), *excluded)
+	if !ok || !budget.Take() {
+		return <-results
+	}
+	*excluded = append(*excluded, second)
+	go func() { results <- k.try(ctx, set, second, r) }()
+	if result := <-results; result.Answer != nil {
+		return result
+	}
+	return <-results
 }
 
 func (k *keyless) now() time.Duration {
 	return time.Since(k.started)
 }
 
-func (k *keyless) state(service settings.Service) *keylessService {
+func (k *keyless) set(service settings.Service) *targetSet {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	state := k.services[service.Name]
-	if state == nil {
-		policy, err := balance.New(balance.Adaptive, balance.Options{
-			Zone:           k.zone,
-			Rand:           rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-			ColdStart:      service.Values.ColdStartTime,
-			ColdStartSlots: service.Values.ColdStartSlots,
-		})
-		if err != nil {
-			panic(err)
-		}
-		state = &keylessService{policy: policy}
-		k.services[service.Name] = state
+	set := k.services[service.Name]
+	if set == nil {
+		set = newTargetSet(k.zone, service.Values, k.pool)
+		k.services[service.Name] = set
 	}
-	return state
+	return set
 }
 
-// targets returns the servers that may take work, all of them where every one is leaving.
-func (k *keyless) targets(service settings.Service) []balance.Target {
-	var open []balance.Target
+// targets returns the servers that may take work.
+func (k *keyless) targets(service settings.Service) []keylessTarget {
+	var open []keylessTarget
 	for _, zone := range service.Zones {
 		for _, addr := range zone.Servers {
-			if k.directory.MayTakeWork(zone.Name, addr) {
-				open = append(open, balance.Target{Addr: addr, Zone: zone.Name, Slots: zone.Values.Slots})
+			if !k.directory.MayTakeWork(zone.Name, addr) {
+				continue
 			}
+			open = append(open, keylessTarget{
+				Target:      balance.Target{Addr: addr, Zone: zone.Name, Slots: zone.Values.Slots},
+				connections: zone.Values.Connections,
+			})
 		}
 	}
 	return open
 }
 
-func (s *keylessService) setTargets(now time.Duration, targets []balance.Target) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !slices.Equal(s.targets, targets) {
-		s.targets = targets
-		s.policy.SetTargets(now, targets)
+// try sends the request to one server, under the guard's permission.
+func (k *keyless) try(ctx context.Context, set *targetSet, addr string, r *Request) Result {
+	server := poison.Server{Addr: addr, Incarnation: set.incarnation(addr)}
+	pass, refusal, ok := k.guard.Begin(ctx, server, r.fingerprint())
+	if !ok {
+		set.cancelled(addr, k.now())
+		return Result{Refusal: refusal}
 	}
-}
-
-func (s *keylessService) pick(now time.Duration, excluded []string) (string, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	addr, ok := s.policy.Pick(now, excluded...)
-	if ok {
-		s.policy.Started(addr, now)
-	}
-	return addr, ok
-}
-
-func (s *keylessService) finished(addr string, now, latency time.Duration, result balance.Result) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.policy.Finished(addr, now, latency, result)
-}
-
-func (k *keyless) try(ctx context.Context, state *keylessService, addr string, r *Request) Result {
 	req, err := r.httpRequest("http://" + addr)
 	if err != nil {
+		pass.End(poison.Refused)
+		set.cancelled(addr, k.now())
 		return Result{Refusal: badRequest(err.Error())}
 	}
+	pass.Sent()
 	started := k.now()
-	result := serverResult(send(ctx, k.client, req))
+	done := send(ctx, k.pool, req)
+	result := serverResult(done, time.Now().After(r.Deadline))
+	pass.End(ending(result))
 	now := k.now()
-	state.finished(addr, now, now-started, balanceResult(ctx, result))
+	set.finished(addr, now, now-started, balanceResult(ctx, result))
+	k.noteIncarnation(set, addr, done, now)
 	return result
 }
 
+// noteIncarnation notices a restart of the server: by another incarnation in its
+// answer, or by a refused connection.
+func (k *keyless) noteIncarnation(set *targetSet, addr string, done exchange, now time.Duration) {
+	seen := ""
+	if done.answer != nil {
+		seen = done.answer.Header.Get(backend.HeaderIncarnation)
+		if seen == "" {
+			return
+		}
+	} else if done.maybeSent {
+		return
+	}
+	former := set.incarnation(addr)
+	if former == seen {
+		return
+	}
+	set.setIncarnation(addr, seen, now)
+	if former != "" {
+		k.guard.ServerDied(poison.Server{Addr: addr, Incarnation: former})
+	}
+}
+
 func balanceResult(ctx context.Context, result Result) balance.Result {
 	switch {
 	case result.Answer != nil:
--- a/internal/route/request.go
+++ b/internal/route/request.go
@@ -18,6 +18,7 @@
 
 	"github.com/poplarcroft/poplarcroft/internal/backend"
 	"github.com/poplarcroft/poplarcroft/internal/outcome"
+	"github.com/poplarcroft/poplarcroft/internal/poison"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 )
 
@@ -54,6 +55,18 @@
 	return false
 }
 
+// fingerprint identifies the request over its caller's repeats.
+func (r *Request) fingerprint() poison.Fingerprint {
+	return poison.FingerprintOf(poison.Request{
+		Service:        r.Service,
+		Key:            r.Key,
+		IdempotencyKey: r.Header.Get(backend.HeaderIdempotencyKey),
+		Method:         r.Method,
+		Path:           r.Path,
+		Body:           r.Body,
+	})
+}
+
 // Answer is a whole answer of a backend server.
 type Answer struct {
 	Status int
@@ -93,6 +106,15 @@
 	}}
 }
 
+// poisoned is the final refusal of a request that has crashed backend servers.
+func poisoned() outcome.Refusal {
+	return outcome.Refusal{
+		Outcome: outcome.NotRun,
+		Reason:  outcome.ReasonPoison,
+		Detail:  "backend servers failed whenever they ran this request",
+	}
+}
+
 // defaultRetryAfter is when a caller may come back where nothing better is known.
 const defaultRetryAfter = time.Second
 
--- /dev/null
+++ b/internal/route/targets.go
@@ -0,0 +1,110 @@
+package route
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/poplarcroft/poplarcroft/internal/balance"
+	"github.com/poplarcroft/poplarcroft/internal/settings"
+	"github.com/poplarcroft/poplarcroft/internal/transport"
+)
+
+// keylessTarget is a backend server that may take work, with the largest number
+// of connections to it over all hosts.
+type keylessTarget struct {
+	balance.Target
+	connections int
+}
+
+// targetSet holds the choice among the backend servers of one service. It is
+// safe for concurrent use; its lock guards the policy.
+type targetSet struct {
+	pool *transport.Pool
+
+	mu           sync.Mutex
+	policy       balance.Policy
+	targets      []keylessTarget
+	hosts        int
+	incarnations map[string]string
+}
+
+func newTargetSet(zone string, values settings.Values, pool *transport.Pool) *targetSet {
+	policy, err := balance.New(balance.Adaptive, balance.Options{
+		Zone:           zone,
+		Rand:           rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		ColdStart:      values.ColdStartTime,
+		ColdStartSlots: values.ColdStartSlots,
+	})
+	if err != nil {
+		panic(err)
+	}
+	return &targetSet{pool: pool, policy: policy, incarnations: make(map[string]string)}
+}
+
+// update takes over the targets and this host's share of their connections.
+func (s *targetSet) update(now time.Duration, targets []keylessTarget, hosts int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.hosts == hosts && slices.Equal(s.targets, targets) {
+		return
+	}
+	s.targets = targets
+	s.hosts = hosts
+	list := make([]balance.Target, 0, len(targets))
+	for _, target := range targets {
+		list = append(list, target.Target)
+		share := max(1, target.connections/max(1, hosts))
+		s.pool.Target(target.Addr).SetConnections(share)
+	}
+	s.policy.SetTargets(now, list)
+}
+
+func (s *targetSet) pick(now time.Duration, excluded []string) (string, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	addr, ok := s.policy.Pick(now, excluded...)
+	if ok {
+		s.policy.Started(addr, now)
+	}
+	return addr, ok
+}
+
+// hasOther reports whether a target is left that was not tried.
+func (s *targetSet) hasOther(excluded []string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(s.targets, func(t keylessTarget) bool {
+		return !slices.Contains(excluded, t.Addr)
+	})
+}
+
+func (s *targetSet) finished(addr string, now, latency time.Duration, result balance.Result) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.policy.Finished(addr, now, latency, result)
+}
+
+// cancelled ends a try that was not sent.
+func (s *targetSet) cancelled(addr string, now time.Duration) {
+	s.finished(addr, now, 0, balance.Cancelled)
+}
+
+// incarnation returns the incarnation under which the server answered last, "" where none is known.
+func (s *targetSet) incarnation(addr string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.incarnations[addr]
+}
+
+// setIncarnation notes another incarnation of the server.
+func (s *targetSet) setIncarnation(addr, incarnation string, now time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := s.incarnations[addr] != ""
+	s.incarnations[addr] = incarnation
+	if known {
+		s.policy.Restarted(addr, now)
+	}
+}
