--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -174,9 +174,9 @@
 		want  bool
 	}{
 		{"none", nil, false},
-		{"all", []HostStatus{{Reachable: true, SettingsVersion: 4}, {Reachable: true, SettingsVersion: 5}}, true},
-		{"one behind", []HostStatus{{Reachable: true, SettingsVersion: 4}, {Reachable: true, SettingsVersion: 3}}, false},
-		{"one unreachable", []HostStatus{{Reachable: true, SettingsVersion: 4}, {SettingsVersion: 4}}, false},
+		{"all", []HostStatus{{Reachable: true, Applied: 4}, {Reachable: true, Applied: 5}}, true},
+		{"one behind", []HostStatus{{Reachable: true, Applied: 4}, {Reachable: true, Applied: 3}}, false},
+		{"one unreachable", []HostStatus{{Reachable: true, Applied: 4}, {Applied: 4}}, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			assert.Equal(t, inForce(4, c.hosts), c.want)
--- a/internal/admin/api.go
+++ b/internal/admin/api.go
@@ -75,8 +75,8 @@
 	Sessions() []Session
 	// Load returns what this host knows of the backend servers' load.
 	Load() []ServerLoad
-	// Hosts returns the status of every host of the platform's list, asking them where it can.
-	Hosts(ctx context.Context) []HostStatus
+	// Hosts returns the status of every known host by name, this one included.
+	Hosts() []HostStatus
 	// Events returns this host's events with a sequence number above since.
 	Events(since uint64) []timeline.Event
 }
@@ -134,18 +134,17 @@
 	Draining    bool    `json:"draining,omitempty"`
 }
 
-// HostStatus is what is known of one host. Where Reachable is false, Error says
-// why and the fields below it are zero.
+// HostStatus is what is known of one host of the platform's list.
 type HostStatus struct {
-	Host            string          `json:"host"`
-	Zone            string          `json:"zone"`
-	Incarnation     string          `json:"incarnation"`
-	State           string          `json:"state"`
-	Reachable       bool            `json:"reachable"`
-	Error           string          `json:"error,omitempty"`
-	Applied         platform.Offset `json:"applied"`
-	SettingsVersion platform.Offset `json:"settings_version"`
-	LogUp           bool            `json:"log_up"`
+	Host        string `json:"host"`
+	Zone        string `json:"zone"`
+	Incarnation string `json:"incarnation"`
+	State       string `json:"state"`
+	// Reachable says that the host answers the host that was asked.
+	Reachable bool `json:"reachable"`
+	// Applied is the log offset that the host told last, AnsweredMS ago.
+	Applied    platform.Offset `json:"applied"`
+	AnsweredMS int64           `json:"answered_ms"`
 }
 
 // SettingsReply is the tree of settings with its version.
--- a/internal/admin/fake_test.go
+++ b/internal/admin/fake_test.go
@@ -95,6 +95,6 @@
 
 func (f *fakeSystem) Load() []ServerLoad { return []ServerLoad{{Server: "127.0.0.1:9101"}} }
 
-func (f *fakeSystem) Hosts(context.Context) []HostStatus { return f.hosts }
+func (f *fakeSystem) Hosts() []HostStatus { return f.hosts }
 
 func (f *fakeSystem) Events(since uint64) []timeline.Event { return f.events.Since(since) }
--- a/internal/admin/settings.go
+++ b/internal/admin/settings.go
@@ -145,11 +145,9 @@
 	writeJSON(w, http.StatusOK, HistoryReply{Entries: entries})
 }
 
-func (s *Server) getStatus(w http.ResponseWriter, r *http.Request) {
-	ctx, cancel := context.WithTimeout(r.Context(), readTimeout)
-	defer cancel()
+func (s *Server) getStatus(w http.ResponseWriter, _ *http.Request) {
 	version := s.system.Settings().Version()
-	hosts := s.system.Hosts(ctx)
+	hosts := s.system.Hosts()
 	writeJSON(w, http.StatusOK, StatusReply{
 		SettingsVersion: version,
 		InForce:         inForce(version, hosts),
@@ -161,7 +159,7 @@
 // where there is no host to say so.
 func inForce(version platform.Offset, hosts []HostStatus) bool {
 	for _, host := range hosts {
-		if !host.Reachable || host.SettingsVersion < version {
+		if !host.Reachable || host.Applied < version {
 			return false
 		}
 	}
--- a/internal/cmd/ctlcmd/settings_status.go
+++ b/internal/cmd/ctlcmd/settings_status.go
@@ -158,20 +158,20 @@
 	}
 	fmt.Fprintf(w, "settings version %d: %s\n", reply.SettingsVersion, everywhere)
 	table := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
-	fmt.Fprintln(table, "HOST\tZONE\tSTATE\tSETTINGS\tAPPLIED\tLOG\tERROR")
+	fmt.Fprintln(table, "HOST\tZONE\tSTATE\tAPPLIED\tANSWERED\tSETTINGS")
 	for _, host := range reply.Hosts {
-		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t%s\t%s\n", host.Host, host.Zone, host.State,
-			host.SettingsVersion, host.Applied, upText(host), host.Error)
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%dms ago\t%s\n", host.Host, host.Zone, host.State,
+			host.Applied, host.AnsweredMS, inForceText(host, reply.SettingsVersion))
 	}
-	_ = table.Flush() // w's errors show at the process's own output
+	_ = table.Flush() // a failure of w shows at the process's own output
 }
 
-func upText(host admin.HostStatus) string {
+func inForceText(host admin.HostStatus, version platform.Offset) string {
 	switch {
 	case !host.Reachable:
-		return "?"
-	case host.LogUp:
-		return "up"
+		return "unreachable"
+	case host.Applied < version:
+		return "behind"
 	}
-	return "down"
+	return "in force"
 }
--- a/internal/cmd/ctlcmd/show_test.go
+++ b/internal/cmd/ctlcmd/show_test.go
@@ -51,7 +51,7 @@
 }
 
 func TestStatusFailsUntilInForceEverywhere(t *testing.T) {
-	reply := admin.StatusReply{SettingsVersion: 4, Hosts: []admin.HostStatus{{Host: "h1", Zone: "zlin", State: "live", Error: "refused"}}}
+	reply := admin.StatusReply{SettingsVersion: 4, Hosts: []admin.HostStatus{{Host: "h1", Zone: "zlin", State: "live"}}}
 	got := ctl(t, "settings status -wait 100ms"+startAdmin(t, map[string]any{"/settings/status": reply}))
 	assert.Equal(t, got.code, cli.ExitFailure)
 	assert.Assert(t, strings.HasPrefix(got.stdout, "settings version 4: not in force everywhere\n"), got.stdout)
