Hosts serve the administration API

A host hands its view, hosts and events to the API. Without -operators everybody may read and nobody change anything; the development system lets everybody change. The files are checked at the start; TLS and client certificates are options.

--- a/internal/cmd/hostcmd/dev.go
+++ b/internal/cmd/hostcmd/dev.go
@@ -186,6 +186,7 @@
 			LogURL:     s.logURL,
 			HostsURL:   s.listURL,
 			Events:     events,
+			Operators:  devOperator,
 			LeaveTime:  devLeaveTime,
 			DrainTime:  host.DefaultDrainTime,
 		}
--- a/internal/cmd/hostcmd/serve.go
+++ b/internal/cmd/hostcmd/serve.go
@@ -70,7 +70,7 @@
 	flags.StringVar(&config.LogURL, "log", "", "base `URL` of the platform's log (required)")
 	flags.StringVar(&config.HostsURL, "hosts", "", "base `URL` of the platform's host list (required)")
 	flags.StringVar(&config.EgressAddr, "egress", "", "`address` of an HTTP CONNECT proxy for all outgoing connections")
-	flags.StringVar(&config.TokenFile, "tokens", "", "`file` of the administration's bearer tokens")
+	operators := addOperatorFlags(flags)
 	flags.DurationVar(&config.LeaveTime, "leave-time", host.DefaultLeaveTime, "how long a stopping host goes on accepting requests")
 	flags.DurationVar(&config.DrainTime, "drain-time", host.DefaultDrainTime, "how long a stopping host waits for requests in flight")
 	flags.StringVar(&eventsFile, "events", "", "`file` to which events are appended as JSON lines")
@@ -82,7 +82,10 @@
 	if err := flags.Parse(args); err != nil {
 		return config, "", err
 	}
-	return config, eventsFile, checkServe(config, flags.Args())
+	if err := checkServe(config, flags.Args()); err != nil {
+		return config, "", err
+	}
+	return config, eventsFile, operators.apply(&config)
 }
 
 // checkServe reports every fault of the command line at once.
--- a/internal/host/config.go
+++ b/internal/host/config.go
@@ -4,8 +4,11 @@
 package host
 
 import (
+	"crypto/tls"
 	"io"
 	"time"
+
+	"github.com/poplarcroft/poplarcroft/internal/admin"
 )
 
 // Config is what a host is told at its start. Everything else comes from the log.
@@ -25,8 +28,10 @@
 	EgressAddr string
 	// Events takes the host's events as JSON lines; nil for none.
 	Events io.Writer
-	// TokenFile names the file of the administration's bearer tokens; empty leaves the administration read-only.
-	TokenFile string
+	// Operators tells who may use the administration; nil lets everybody read and nobody change anything.
+	Operators admin.Authenticator
+	// AdminTLS is the administration's TLS configuration; nil for plain HTTP.
+	AdminTLS *tls.Config
 	// LeaveTime is how long a stopping host goes on accepting requests while the
 	// balancer and the host list learn that it leaves.
 	LeaveTime time.Duration
--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"expvar"
 	"net"
 	"net/http"
 	"net/rpc"
@@ -20,7 +19,7 @@
 	return []*http.Server{
 		start(h.listeners.caller, h.route.Handler()),
 		start(h.listeners.peer, h.peerHandler(ctx)),
-		start(h.listeners.admin, h.adminHandler()),
+		start(h.adminListener(), h.adminHandler()),
 	}
 }
 
@@ -48,10 +47,3 @@
 		}
 	})
 }
-
-// adminHandler serves operators.
-func (h *Host) adminHandler() http.Handler {
-	handler := http.NewServeMux()
-	handler.Handle("/debug/vars", expvar.Handler())
-	return handler
-}
