--- a/internal/limit/admission.go
+++ b/internal/limit/admission.go
@@ -162,10 +162,7 @@
 		a.inherited = 0
 	}
 	var events []Event
-	if a.queue.length == 0 {
-		return nil
-	}
-	for _, w := range a.queue.removeIf(func(w waiting) bool { return !w.deadline.After(now) }) {
+	for _, w := range a.queue.expire(now) {
 		events = append(events, refused(w.ticket, a.refusal(now, outcome.ReasonDeadline)))
 	}
 	for {
@@ -181,10 +178,10 @@
 // NextWake returns when Advance has to be called although nothing else happens,
 // and false where it need not.
 func (a *Admission) NextWake(now time.Time) (time.Time, bool) {
-	wake, ok := a.queue.earliestDeadline()
-	if !ok {
+	if a.queue.length == 0 {
 		return time.Time{}, false
 	}
+	wake := a.queue.soonest
 	if step, rises := a.config.nextStep(now.Sub(a.started)); rises {
 		wake = earlier(wake, a.started.Add(step))
 	}
--- a/internal/limit/queue.go
+++ b/internal/limit/queue.go
@@ -20,6 +20,8 @@
 	flows  map[string][]waiting
 	turns  []string
 	length int
+	// soonest is not after the first deadline of all waiting requests.
+	soonest time.Time
 }
 
 func newFairQueue() fairQueue {
@@ -31,6 +33,9 @@
 	if len(q.flows[w.flow]) == 0 {
 		q.turns = append(q.turns, w.flow)
 	}
+	if q.length == 0 || w.deadline.Before(q.soonest) {
+		q.soonest = w.deadline
+	}
 	q.flows[w.flow] = append(q.flows[w.flow], w)
 	q.length++
 }
@@ -93,40 +98,27 @@
 	return w, true
 }
 
+// expire removes the requests that have passed their deadlines and returns them.
+func (q *fairQueue) expire(now time.Time) []waiting {
+	if q.length == 0 || q.soonest.After(now) {
+		return nil
+	}
+	return q.removeIf(func(w waiting) bool { return !w.deadline.After(now) })
+}
+
 // removeIf removes the requests for which the predicate holds and returns them.
 func (q *fairQueue) removeIf(match func(waiting) bool) []waiting {
 	var removed []waiting
-	var turns []string
-	for _, flow := range q.turns {
-		var kept []waiting
-		for _, w := range q.flows[flow] {
+	old := *q
+	*q = newFairQueue()
+	for _, flow := range old.turns {
+		for _, w := range old.flows[flow] {
 			if match(w) {
 				removed = append(removed, w)
 			} else {
-				kept = append(kept, w)
+				q.push(w)
 			}
 		}
-		if len(kept) == 0 {
-			delete(q.flows, flow)
-			continue
-		}
-		q.flows[flow] = kept
-		turns = append(turns, flow)
 	}
-	q.turns = turns
-	q.length -= len(removed)
 	return removed
 }
-
-// earliestDeadline returns the first deadline of all waiting requests.
-func (q *fairQueue) earliestDeadline() (time.Time, bool) {
-	var earliest time.Time
-	for _, requests := range q.flows {
-		for _, w := range requests {
-			if earliest.IsZero() || w.deadline.Before(earliest) {
-				earliest = w.deadline
-			}
-		}
-	}
-	return earliest, !earliest.IsZero()
-}
