Unchecked servers, moves to closed successors, recovery without lessors

Cause: a session whose quorum of lessors was lost stayed without service for good; a move to a server that failed could not be replaced; a server that does not check epochs was treated like one that does. Change: the server's word (and that of every possible successor) ends a session without lessors; a move may be replaced once its successor's session is closed; an unchecked server's session ends only on a new incarnation or an operator's word, and a slice leaves it only when the lead's own requests have ended.

--- a/internal/backend/protocol.go
+++ b/internal/backend/protocol.go
@@ -77,6 +77,8 @@
 	Applied     bool   `json:"applied"`
 	Incarnation string `json:"incarnation"`
 	Session     uint64 `json:"session"`
+	// Ended says that the server has ended the session and serves nothing under it again.
+	Ended bool `json:"ended"`
 	// ClockMS is the server's monotonic clock in milliseconds, read before
 	// the reply was sent.
 	ClockMS int64        `json:"clock_ms"`
@@ -87,6 +89,15 @@
 	Draining bool         `json:"draining"`
 }
 
+// Over reports whether the server can serve nothing under the given session
+// and incarnation any more, by its own word.
+func (r GrantReply) Over(session uint64, incarnation string) bool {
+	if r.Incarnation != incarnation || r.Session > session {
+		return true
+	}
+	return r.Session == session && r.Ended
+}
+
 // LoadReport is a server's own word on its load. It lags and may mislead.
 type LoadReport struct {
 	Incarnation string  `json:"incarnation"`
--- a/internal/host/plan.go
+++ b/internal/host/plan.go
@@ -79,19 +79,34 @@
 	every(ctx, planEvery, h.plan)
 }
 
+// staying returns the hosts without an operator's mark: the others shall keep no duties.
+func (h *Host) staying(live []members.Host) []members.Host {
+	var unmarked []members.Host
+	h.view.Read(func(_ *settings.State, table *ownership.Table) {
+		for _, host := range live {
+			if table.Mark(record.SubjectHost, host.Name).State == record.MarkActive {
+				unmarked = append(unmarked, host)
+			}
+		}
+	})
+	return unmarked
+}
+
 // need is one change that the table lacks. Subject decides which host goes first.
 type need struct {
 	name    string
 	subject string
 	zone    string
-	act     func(context.Context)
+	// wait is how long the need must stand before anybody acts.
+	wait time.Duration
+	act  func(context.Context)
 }
 
 func (h *Host) plan(ctx context.Context) {
 	if h.leaving.Load() || !h.members.Settled() {
 		return
 	}
-	live := h.members.Live()
+	live := h.staying(h.members.Live())
 	needs := h.needs(live)
 	standing := make(map[string]bool, len(needs))
 	for _, need := range needs {
@@ -120,7 +135,7 @@
 	if rank == len(near) {
 		rank += members.RankOf(need.subject, h.config.Name, live)
 	}
-	return time.Duration(rank) * rankDelay
+	return need.wait + time.Duration(rank)*rankDelay
 }
 
 func (h *Host) needs(live []members.Host) []need {
@@ -141,6 +156,9 @@
 			if lessors, ok := planner.ReplaceLessors(session, live); ok {
 				needs = append(needs, h.lessorsNeed(session, lessors))
 			}
+			if recovery, ok := planner.ToRecover(session, table, live); ok && h.checksEpochs(state, session.Service) {
+				needs = append(needs, h.recoverNeed(recovery))
+			}
 		}
 	})
 	return needs
--- /dev/null
+++ b/internal/keeper/admit.go
@@ -0,0 +1,83 @@
+package keeper
+
+import (
+	"time"
+
+	"github.com/poplarcroft/poplarcroft/internal/ownership"
+	"github.com/poplarcroft/poplarcroft/internal/record"
+)
+
+// Admission is the right to send a request for a slice to the server.
+type Admission struct {
+	Allowed bool
+	Addr    string
+	Epoch   record.Epoch
+	Session record.SessionID
+	// Lead is the host that leads, where this one does not.
+	Lead string
+	// Successor is the session that has taken the slice over.
+	Successor record.SessionID
+}
+
+// Admit decides whether this host may send a request for the slice to the
+// server now, and under which epoch.
+func (k *Keeper) Admit(slice int) Admission {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.admit(slice)
+}
+
+// Begin is Admit for a request that is sent at once. A request that is allowed
+// counts as in flight until End.
+func (k *Keeper) Begin(slice int) Admission {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	admission := k.admit(slice)
+	if admission.Allowed {
+		k.inFlight[slice]++
+	}
+	return admission
+}
+
+// End ends a request that Begin allowed.
+func (k *Keeper) End(slice int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.inFlight[slice]--
+	if k.inFlight[slice] == 0 {
+		delete(k.inFlight, slice)
+	}
+}
+
+func (k *Keeper) admit(slice int) Admission {
+	now := k.deps.Clock()
+	key := ownership.SliceKey{Service: k.service, Slice: slice}
+	if k.activated[key] {
+		return Admission{Successor: k.handovers[key].Successor}
+	}
+	if !k.lessor.IsLead(now) {
+		return Admission{Lead: k.hostOf(k.lessor.Holder(now))}
+	}
+	epoch, held := k.holds[slice]
+	if !held || k.mayLetGo(k.handovers[key]) {
+		return Admission{}
+	}
+	return Admission{Allowed: true, Addr: k.addr, Epoch: epoch, Session: k.id}
+}
+
+// mayLetGo reports whether the slice is to move and a quorum of the lessors
+// acts under the version that says so. No new request is then sent for it.
+func (k *Keeper) mayLetGo(handover Handover) bool {
+	return handover.Moving && k.lessor.QuorumAt(k.lessor.Version())
+}
+
+// idle reports whether nothing that was sent for the slice can still run. A
+// server that checks epochs ends what it has before it acknowledges; for one
+// that does not, this host's own requests must have ended, and those of a former
+// lead must have passed their deadlines.
+func (k *Keeper) idle(now time.Duration, slice int) bool {
+	if k.inFlight[slice] > 0 {
+		return false
+	}
+	return k.values.ChecksEpochs || now-k.leadSince >= k.values.RequestTimeout
+}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -81,6 +81,10 @@
 	// handoversAt is the version that handovers were taken at.
 	handoversAt platform.Offset
 	silence     silence
+	// inFlight counts the requests that this host has sent, by slice.
+	inFlight map[int]int
+	// leadSince is when this lessor gained the lead last.
+	leadSince   time.Duration
 	activated   map[ownership.SliceKey]bool
 	closeReason string
 	wasLead     bool
@@ -123,6 +127,7 @@
 		adopted:     make(map[int]record.Epoch),
 		gaveUp:      make(map[int]record.Epoch),
 		activated:   make(map[ownership.SliceKey]bool),
+		inFlight:    make(map[int]int),
 		finished:    make(chan idempotency.Entry, finishedRing),
 	}
 	config := lease.Config{
@@ -194,38 +199,6 @@
 	return ""
 }
 
-// Admission is the right to send a request for a slice to the server.
-type Admission struct {
-	Allowed bool
-	Addr    string
-	Epoch   record.Epoch
-	Session record.SessionID
-	// Lead is the host that leads, where this one does not.
-	Lead string
-	// Successor is the session that has taken the slice over.
-	Successor record.SessionID
-}
-
-// Admit decides whether this host may send a request for the slice to the
-// server now, and under which epoch.
-func (k *Keeper) Admit(slice int) Admission {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	now := k.deps.Clock()
-	key := ownership.SliceKey{Service: k.service, Slice: slice}
-	if k.activated[key] {
-		return Admission{Successor: k.handovers[key].Successor}
-	}
-	if !k.lessor.IsLead(now) {
-		return Admission{Lead: k.hostOf(k.lessor.Holder(now))}
-	}
-	epoch, held := k.holds[slice]
-	if !held {
-		return Admission{}
-	}
-	return Admission{Allowed: true, Addr: k.addr, Epoch: epoch, Session: k.id}
-}
-
 // HandleLead answers another lessor that asks for consent.
 func (k *Keeper) HandleLead(request lease.LeadRequest) lease.LeadReply {
 	k.mu.Lock()
--- a/internal/keeper/lead.go
+++ b/internal/keeper/lead.go
@@ -58,6 +58,7 @@
 		k.silence = silence{limit: k.values.ServerSilence}
 		k.silence.answered(k.deps.Clock())
 		k.term.Add(1)
+		k.leadSince = k.deps.Clock()
 	}
 	k.mu.Unlock()
 	switch {
--- a/internal/keeper/moves.go
+++ b/internal/keeper/moves.go
@@ -35,8 +35,8 @@
 
 // sync takes over the session's newest version. It reports whether the session is over for this host.
 func (k *Keeper) sync() (over bool) {
+	lost := false
 	k.mu.Lock()
-	defer k.mu.Unlock()
 	k.deps.View.Read(func(_ *settings.State, table *ownership.Table) {
 		session := table.Session(k.id)
 		if session == nil || session.Closed {
@@ -44,8 +44,14 @@
 			return
 		}
 		k.adoptVersion(session, table)
+		lost = table.Mark(record.SubjectServer, k.addr).State == record.MarkLost
 	})
-	return over || k.lessor.Phase() == lease.PhaseRetired
+	over = over || k.lessor.Phase() == lease.PhaseRetired
+	k.mu.Unlock()
+	if lost && !over {
+		k.startClose("declared lost", lease.ProofEnded)
+	}
+	return over
 }
 
 func (k *Keeper) adoptVersion(session *ownership.Session, table *ownership.Table) {
--- a/internal/keeper/renew.go
+++ b/internal/keeper/renew.go
@@ -74,7 +74,7 @@
 	switch {
 	case k.gaveUp[key.Slice] >= handover.Epoch:
 	case handover.Moving:
-		if k.lessor.QuorumAt(k.lessor.Version()) {
+		if k.mayLetGo(handover) && k.idle(k.deps.Clock(), key.Slice) {
 			grant.Drop = append(grant.Drop, change)
 		}
 	case k.holds[key.Slice] < handover.Epoch:
@@ -87,8 +87,8 @@
 		k.startClose("server restarted", lease.ProofNewIncarnation)
 		return
 	}
-	if reply.Session > uint64(k.id) {
-		k.startClose("server has a newer session", lease.ProofEnded)
+	if reply.Over(uint64(k.id), k.incarnation) {
+		k.startClose("server has ended the session", lease.ProofEnded)
 		return
 	}
 	k.mu.Lock()
@@ -114,12 +114,17 @@
 	}
 }
 
+// onServerSilent notes an unanswered grant. A server that does not check epochs
+// may go on serving after its lease: only a new incarnation or an operator's word ends its session.
 func (k *Keeper) onServerSilent() {
 	k.mu.Lock()
 	gone := k.silence.failed(k.deps.Clock())
 	k.mu.Unlock()
-	if gone {
-		k.record(timeline.KindServerSilent, "")
+	if !gone {
+		return
+	}
+	k.record(timeline.KindServerSilent, "")
+	if k.values.ChecksEpochs {
 		k.startClose("server silent", lease.ProofNone)
 	}
 }
--- a/internal/ownership/apply.go
+++ b/internal/ownership/apply.go
@@ -251,7 +251,7 @@
 	if change.Successor != 0 && (change.Successor == owner || !t.serves(change.Successor, service)) {
 		return refused("slice %d: successor %d is not another open session of %s", change.Slice, change.Successor, service)
 	}
-	if change.Owner == 0 && slice.Moving {
+	if change.Owner == 0 && t.IsMoving(slice) {
 		return refused("slice %d is moving", change.Slice)
 	}
 	if change.Move && (change.Successor == 0 || change.Owner != 0) {
--- a/internal/ownership/table.go
+++ b/internal/ownership/table.go
@@ -145,6 +145,12 @@
 	return t.isOpen(t.Slice(key).Owner)
 }
 
+// IsMoving reports whether the slice moves to an open session. A move whose
+// successor's session is closed can never end there; another successor may be named.
+func (t *Table) IsMoving(slice Slice) bool {
+	return slice.Moving && t.isOpen(slice.Successor)
+}
+
 // Owned returns the slices that the session owns, in order.
 func (t *Table) Owned(id record.SessionID) []SliceKey {
 	keys := make([]SliceKey, 0, len(t.owned[id]))
--- a/internal/planner/slices.go
+++ b/internal/planner/slices.go
@@ -58,7 +58,7 @@
 		p.current[number] = slice.Owner
 		afterMoves[number] = slice.Owner
 		named[number] = slice.Successor
-		if slice.Moving {
+		if table.IsMoving(slice) {
 			p.moving++
 			afterMoves[number] = slice.Successor
 		}
@@ -112,8 +112,12 @@
 		change.Owner = p.wanted[number]
 		change.Successor = p.successors[number]
 		return change, change.Owner != placement.None
-	case slice.Moving:
+	case p.table.IsMoving(slice):
 		return change, false
+	case slice.Moving:
+		change.Successor = p.successors[number]
+		change.Move = true
+		return change, change.Successor != placement.None
 	case p.wanted[number] != p.current[number] && p.wanted[number] != placement.None:
 		if p.moving >= MaxMoving {
 			return change, false
--- a/internal/route/gateway.go
+++ b/internal/route/gateway.go
@@ -64,8 +64,8 @@
 	if entry == nil {
 		return notRun(outcome.ReasonNotLead, "this host is no lessor of the session")
 	}
-	if _, refusal, ok := admit(entry.keeper, r); !ok {
-		return refusal
+	if admission := entry.keeper.Admit(r.Slice); !admission.Allowed {
+		return notAdmitted(admission)
 	}
 	pass, refused, ok := g.guard.Begin(ctx, entry.lane.server, r.fingerprint())
 	if !ok {
@@ -104,22 +104,19 @@
 	return poison.Broken
 }
 
-// admit checks that this host may send the request now.
-func admit(k *keeper.Keeper, r *Request) (keeper.Admission, Result, bool) {
-	admission := k.Admit(r.Slice)
+// notAdmitted tells where the request may go instead.
+func notAdmitted(admission keeper.Admission) Result {
 	switch {
-	case admission.Allowed:
-		return admission, Result{}, true
 	case admission.Successor != 0:
 		result := notRun(outcome.ReasonNotOwner, "the slice has moved")
 		result.Successor = admission.Successor
-		return admission, result, false
+		return result
 	case admission.Lead != "":
 		result := notRun(outcome.ReasonNotLead, "another host leads the session")
 		result.Lead = admission.Lead
-		return admission, result, false
+		return result
 	}
-	return admission, notRun(outcome.ReasonNoOwner, "the server does not hold the slice yet"), false
+	return notRun(outcome.ReasonNoOwner, "the server does not hold the slice at the moment")
 }
 
 // claimAndSend remembers a non-idempotent request at a quorum of the session's
@@ -190,10 +187,11 @@
 
 // sendToServer sends the request under the epoch that is in force now.
 func (g *Gateway) sendToServer(ctx context.Context, entry *laneEntry, r *Request, permit *limit.Permit, pass *poison.Pass) Result {
-	admission, refusal, ok := admit(entry.keeper, r)
-	if !ok {
-		return refusal
+	admission := entry.keeper.Begin(r.Slice)
+	if !admission.Allowed {
+		return notAdmitted(admission)
 	}
+	defer entry.keeper.End(r.Slice)
 	req, err := r.httpRequest("http://" + admission.Addr)
 	if err != nil {
 		return Result{Refusal: badRequest(err.Error())}
--- a/internal/standin/lease.go
+++ b/internal/standin/lease.go
@@ -249,6 +249,7 @@
 		Applied:     applied,
 		Incarnation: l.incarnation,
 		Session:     l.session,
+		Ended:       l.ended,
 		ClockMS:     l.clock(time.Now()).Milliseconds(),
 		Holds:       sliceGrants(l.holds),
 		GaveUp:      sliceGrants(l.gaveUp),
