--- a/internal/admin/api.go
+++ b/internal/admin/api.go
@@ -29,6 +29,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -55,6 +56,8 @@
 	Settings() *settings.State
 	// Applied returns the offset of the last record that this host has applied.
 	Applied() platform.Offset
+	// LogSilence returns how long ago the log last confirmed that this host is up to date.
+	LogSilence() time.Duration
 	// Publish appends the record and returns what became of it. It keeps the
 	// record's ID and author. A record whose ID this host has read in the log
 	// already is not appended again. Where the context ends before the result
@@ -200,11 +203,13 @@
 }
 
 // StatusReply tells how far each host is. InForce says that every host of the
-// list has applied the settings version.
+// list has applied the settings version, the latest that the host asked knows.
 type StatusReply struct {
 	SettingsVersion platform.Offset `json:"settings_version"`
 	InForce         bool            `json:"in_force"`
-	Hosts           []HostStatus    `json:"hosts"`
+	// LogSilenceMS is how long ago the log last confirmed the version to the host that was asked.
+	LogSilenceMS int64        `json:"log_silence_ms"`
+	Hosts        []HostStatus `json:"hosts"`
 }
 
 // MarksReply lists marks.
--- a/internal/admin/overview/overview.go
+++ b/internal/admin/overview/overview.go
@@ -66,6 +66,11 @@
 	return o.sources.View.Applied()
 }
 
+// LogSilence implements admin.System.
+func (o *Overview) LogSilence() time.Duration {
+	return o.sources.Now().Sub(o.sources.View.ConfirmedAt())
+}
+
 // Publish implements admin.System.
 func (o *Overview) Publish(ctx context.Context, r record.Record) (publish.Result, error) {
 	return o.sources.Publisher.Publish(ctx, r)
--- a/internal/admin/settings.go
+++ b/internal/admin/settings.go
@@ -151,6 +151,7 @@
 	writeJSON(w, http.StatusOK, StatusReply{
 		SettingsVersion: version,
 		InForce:         inForce(version, hosts),
+		LogSilenceMS:    s.system.LogSilence().Milliseconds(),
 		Hosts:           hosts,
 	})
 }
--- a/internal/cmd/ctlcmd/settings_status.go
+++ b/internal/cmd/ctlcmd/settings_status.go
@@ -16,8 +16,12 @@
 	"github.com/poplarcroft/poplarcroft/internal/settings"
 )
 
-// statusPollInterval is the pause between two looks at the hosts' status.
-const statusPollInterval = 50 * time.Millisecond
+const (
+	// statusPollInterval is the pause between two looks at the hosts' status.
+	statusPollInterval = 50 * time.Millisecond
+	// logSilenceNoticed is the silence of the log from which on the status mentions it.
+	logSilenceNoticed = 5 * time.Second
+)
 
 func settingsHistory(ctx context.Context, args []string, stdout, stderr io.Writer) int {
 	var t target
@@ -157,6 +161,10 @@
 		everywhere = "in force everywhere"
 	}
 	fmt.Fprintf(w, "settings version %d: %s\n", reply.SettingsVersion, everywhere)
+	silence := time.Duration(reply.LogSilenceMS) * time.Millisecond
+	if silence >= logSilenceNoticed {
+		fmt.Fprintf(w, "the log has not answered this host for %s; later changes may exist\n", silence.Round(time.Second))
+	}
 	table := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
 	fmt.Fprintln(table, "HOST\tZONE\tSTATE\tAPPLIED\tANSWERED\tSETTINGS")
 	for _, host := range reply.Hosts {
--- a/internal/cmd/ctlcmd/show_test.go
+++ b/internal/cmd/ctlcmd/show_test.go
@@ -56,7 +56,10 @@
 	assert.Equal(t, got.code, cli.ExitFailure)
 	assert.Assert(t, strings.HasPrefix(got.stdout, "settings version 4: not in force everywhere\n"), got.stdout)
 	reply.InForce = true
-	assert.Equal(t, ctl(t, "settings status"+startAdmin(t, map[string]any{"/settings/status": reply})).code, cli.ExitOK)
+	reply.LogSilenceMS = 7_000
+	got = ctl(t, "settings status"+startAdmin(t, map[string]any{"/settings/status": reply}))
+	assert.Equal(t, got.code, cli.ExitOK)
+	assert.Assert(t, strings.Contains(got.stdout, "the log has not answered this host for 7s"), got.stdout)
 }
 
 func TestTimelineMergesHostsAndFiles(t *testing.T) {
