Adaptive policy: no load reports in the score, mean latency, fewer false ejections

Cause: at 70 percent load with one server in five slowed the adaptive policy ejected up to 40 percent of the servers and overloaded the rest; and all hosts followed the same late load report at once. Ruled out: the preference for the near zone (weights 0, 0.2 and 0.5 gave the same p99 within a few percent), and two or five draws in place of three. Change: no ejection while the median is above twice its least value of late, servers return when the others are as slow, good probes follow each other sooner; the score takes a moving mean, the age of tries in flight and their number, and no reports.

--- a/internal/balance/adaptive.go
+++ b/internal/balance/adaptive.go
@@ -10,15 +10,15 @@
 )
 
 const (
-	// farPenalty is the share of the typical latency by which a target in
+	// farPenalty is the share of the expected latency by which a target in
 	// another zone must be better than one in the host's own.
 	farPenalty = 0.5
-	// reportWeight is how much a fresh report of full slots adds to a score, as a share of the latency.
-	reportWeight = 0.5
 	// choices is the number of targets drawn for each pick, per zone class.
 	choices = 3
 	// maxDraws bounds the draws for one pick where cold targets are passed over.
 	maxDraws = 16
+	// minLatency is the expected latency in seconds where nothing is known yet.
+	minLatency = 1e-6
 )
 
 // adaptivePolicy draws a few targets near and far and picks the one that is
@@ -136,31 +136,25 @@
 			continue
 		}
 		drawn++
-		if score := expectedLatency(state, now); best == nil || score < bestScore {
+		if score := p.expectedLatency(state, now); best == nil || score < bestScore {
 			best, bestScore = state, score
 		}
 	}
 	if best == nil {
 		best = group[p.options.Rand.IntN(len(group))]
-		bestScore = expectedLatency(best, now)
+		bestScore = p.expectedLatency(best, now)
 	}
 	return best, bestScore
 }
 
 // expectedLatency estimates in seconds how long the target's next try takes. A
-// try that is still in flight counts with its age.
-func expectedLatency(state *targetState, now time.Duration) float64 {
-	latency := max(state.latency, state.oldestAge(now))
-	load := float64(state.inFlight()) / float64(state.Slots)
-	return latency * (1 + load + reportWeight*reportedLoad(state, now))
-}
-
-// reportedLoad is the target's own word on its load, faded by its age.
-func reportedLoad(state *targetState, now time.Duration) float64 {
-	if state.report.Slots <= 0 {
-		return 0
+// try that is still in flight counts with its age. Load reports have no part
+// in it: all hosts would follow the same late report at once.
+func (p *adaptivePolicy) expectedLatency(state *targetState, now time.Duration) float64 {
+	latency := state.mean
+	if latency == 0 {
+		latency = p.typical
 	}
-	busy := float64(state.report.InFlight+state.report.Queued) / float64(state.report.Slots)
-	age := (now - state.reported).Seconds()
-	return busy * math.Exp(-age/reportDecay.Seconds())
+	latency = max(latency, state.oldestAge(now), minLatency)
+	return latency * float64(state.inFlight()+1)
 }
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -4,7 +4,8 @@
 // Policies are pure decisions: the caller passes the time, and the random
 // source is given when a policy is made. A policy belongs to one goroutine. It
 // knows only what its own host sent, so every host balances by its own
-// observations; load reports are hints that fade with their age.
+// observations. Of a load report it uses the incarnation and the draining
+// mark; the load in it is too old when it arrives.
 package balance
 
 import (
--- a/internal/balance/baseline.go
+++ b/internal/balance/baseline.go
@@ -82,5 +82,5 @@
 
 // latencyScore is the decayed peak latency times the tries in flight.
 func latencyScore(state *targetState, now time.Duration) float64 {
-	return state.latency * float64(state.inFlight()+1)
+	return state.peak * float64(state.inFlight()+1)
 }
--- a/internal/balance/targets.go
+++ b/internal/balance/targets.go
@@ -9,10 +9,10 @@
 )
 
 const (
-	// latencyDecay is the time in which an old latency loses most of its weight.
-	latencyDecay = 2 * time.Second
-	// reportDecay is the age at which a load report counts for about a third.
-	reportDecay = 500 * time.Millisecond
+	// peakDecay is the time in which an old peak loses most of its weight.
+	peakDecay = 2 * time.Second
+	// meanWeight is the weight of a new latency in a target's mean.
+	meanWeight = 0.1
 	// failurePenalty is the latency that a failed try counts for at least.
 	failurePenalty = time.Second
 )
@@ -22,13 +22,14 @@
 	Target
 	// started holds the start times of the tries in flight, oldest first.
 	started []time.Duration
-	// latency is the moving average in seconds; zero where nothing is known.
-	latency float64
-	// sampled is when latency last changed.
+	// mean is the moving average of the latency in seconds; zero where nothing is known.
+	mean float64
+	// peak follows a higher latency at once and a lower one slowly. It last
+	// changed at sampled.
+	peak    float64
 	sampled time.Duration
 
-	report   backend.LoadReport
-	reported time.Duration
+	report backend.LoadReport
 
 	// cold says that the target restarted at coldSince.
 	cold      bool
@@ -41,6 +42,8 @@
 	targets []*targetState
 	byAddr  map[string]*targetState
 	filled  bool
+	// typical is the moving average of the latency over all targets, in seconds.
+	typical float64
 	// candidates is reused between picks.
 	candidates []*targetState
 }
@@ -85,7 +88,12 @@
 		return
 	}
 	state.removeStarted(now - latency)
-	state.observe(now, latency, result)
+	sample, known := state.sample(latency, result)
+	if !known {
+		return
+	}
+	state.observe(now, sample)
+	t.typical = average(t.typical, sample)
 }
 
 // Report implements Policy.
@@ -105,7 +113,6 @@
 		t.Restarted(addr, now)
 	}
 	state.report = report
-	state.reported = now - time.Duration(report.AgeMS)*time.Millisecond
 	return restarted
 }
 
@@ -117,7 +124,8 @@
 	}
 	state.cold = true
 	state.coldSince = now
-	state.latency = 0
+	state.mean = 0
+	state.peak = 0
 	state.report = backend.LoadReport{}
 }
 
@@ -170,27 +178,39 @@
 	}
 }
 
-// observe adds a finished try to the moving average. A latency above the
-// average replaces it at once; one below lowers it by its weight.
-func (s *targetState) observe(now, latency time.Duration, result Result) {
-	sample := latency.Seconds()
+// sample is the latency in seconds that a finished try counts for. A cancelled
+// try counts only where it shows that the target is slower than its mean.
+func (s *targetState) sample(latency time.Duration, result Result) (sample float64, known bool) {
+	sample = latency.Seconds()
 	switch result {
 	case Refused, Failure:
-		sample = max(sample, failurePenalty.Seconds())
+		return max(sample, failurePenalty.Seconds()), true
 	case Cancelled:
-		if sample <= s.latency {
-			return
-		}
+		return sample, sample > s.mean
 	}
-	if sample >= s.latency {
-		s.latency = sample
+	return sample, true
+}
+
+// observe adds a sample to the target's averages.
+func (s *targetState) observe(now time.Duration, sample float64) {
+	s.mean = average(s.mean, sample)
+	if sample >= s.peak {
+		s.peak = sample
 	} else {
-		keep := math.Exp(-(now - s.sampled).Seconds() / latencyDecay.Seconds())
-		s.latency = s.latency*keep + sample*(1-keep)
+		keep := math.Exp(-(now - s.sampled).Seconds() / peakDecay.Seconds())
+		s.peak = s.peak*keep + sample*(1-keep)
 	}
 	s.sampled = now
 }
 
+// average adds a sample to a moving average; zero means that there is none yet.
+func average(mean, sample float64) float64 {
+	if mean == 0 {
+		return sample
+	}
+	return mean + meanWeight*(sample-mean)
+}
+
 // inFlight is the number of this host's tries on the target.
 func (s *targetState) inFlight() int {
 	return len(s.started)
--- a/internal/outlier/outlier.go
+++ b/internal/outlier/outlier.go
@@ -6,6 +6,7 @@
 package outlier
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -72,6 +73,12 @@
 const (
 	// sampleWeight is the weight of a new latency in the moving average.
 	sampleWeight = 0.2
+	// goodProbeRate is how many times more often a server is probed after a good probe.
+	goodProbeRate = 10
+	// busyFactor is how many times the least median the median must be to stop ejections.
+	busyFactor = 2
+	// baselineDoubling is the time in which the least median may double.
+	baselineDoubling = 2 * time.Minute
 	// minPeers is the number of judged servers below which no latency is an outlier.
 	minPeers = 3
 )
@@ -102,6 +109,9 @@
 	// picks counts the picks since the last probe, which was at probed.
 	picks  int
 	probed time.Duration
+	// baseline is the least median latency of late, as of baselineAt.
+	baseline   float64
+	baselineAt time.Duration
 	// latencies is reused between medians.
 	latencies []float64
 }
@@ -168,17 +178,15 @@
 		return "", false
 	}
 	d.picks++
-	waited := now - d.probed
-	if d.picks < d.options.PicksPerProbe && waited < d.options.MaxProbeInterval {
+	next := d.nextProbe(now)
+	if next == nil {
 		return "", false
 	}
-	var next *server
-	for _, each := range d.servers {
-		if each.ejected && each.probeAt <= now && (next == nil || each.probeAt < next.probeAt) {
-			next = each
-		}
+	needed := d.options.PicksPerProbe
+	if next.goodProbes > 0 {
+		needed /= goodProbeRate
 	}
-	if next == nil {
+	if d.picks < needed && now-d.probed < d.options.MaxProbeInterval {
 		return "", false
 	}
 	d.picks = 0
@@ -187,6 +195,21 @@
 	return next.addr, true
 }
 
+// nextProbe returns the ejected server that is due, those with a good probe first.
+func (d *Detector) nextProbe(now time.Duration) *server {
+	var next *server
+	for _, each := range d.servers {
+		if !each.ejected || each.probeAt > now {
+			continue
+		}
+		if next == nil || each.goodProbes > next.goodProbes ||
+			(each.goodProbes == next.goodProbes && each.probeAt < next.probeAt) {
+			next = each
+		}
+	}
+	return next
+}
+
 // Succeeded notes a try that the server answered after latency. The answer to
 // a try from before the server's ejection is no probe.
 func (d *Detector) Succeeded(addr string, now, latency time.Duration) {
@@ -196,19 +219,54 @@
 	}
 	sample := latency.Seconds()
 	each.failures = 0
-	if each.ejected {
-		if now-latency >= each.ejectedAt {
-			d.judgeProbe(each, now, sample)
-		}
-		return
-	}
 	if each.samples == 0 {
 		each.latency = sample
 	}
 	each.latency += sampleWeight * (sample - each.latency)
 	each.samples++
-	if each.samples >= d.options.MinSamples && d.isSlow(each.latency, d.options.SlowFactor) {
-		d.eject(each, now)
+	median, known := d.median()
+	if !known {
+		return
+	}
+	d.noteMedian(now, median)
+	switch {
+	case !each.ejected:
+		if each.samples >= d.options.MinSamples && each.latency > d.options.SlowFactor*median && !d.busy(median) {
+			d.eject(each, now)
+		}
+	case now-latency >= each.ejectedAt:
+		d.judgeProbe(each, now, sample <= d.options.ReturnFactor*median)
+	}
+	d.readmitEqual(median)
+}
+
+// noteMedian follows the least median, which rises slowly so that it adapts to
+// a service that has become slower for good.
+func (d *Detector) noteMedian(now time.Duration, median float64) {
+	rise := math.Exp2((now - d.baselineAt).Seconds() / baselineDoubling.Seconds())
+	d.baselineAt = now
+	if d.baseline == 0 {
+		d.baseline = median
+	}
+	d.baseline = min(d.baseline*rise, median)
+}
+
+// busy says that the servers that are not ejected are loaded so much that
+// another ejection may overload them.
+func (d *Detector) busy(median float64) bool {
+	return median > busyFactor*d.baseline
+}
+
+// readmitEqual readmits servers that are no longer much slower than the
+// others, because those have become slow under their load.
+func (d *Detector) readmitEqual(median float64) {
+	if d.ejected == 0 {
+		return
+	}
+	for _, each := range d.servers {
+		if each.ejected && each.failures == 0 && each.latency < d.options.ReturnFactor*median {
+			d.readmit(each)
+		}
 	}
 }
 
@@ -227,15 +285,16 @@
 	}
 }
 
-// judgeProbe counts an ejected server's answer as a good or bad probe.
-func (d *Detector) judgeProbe(each *server, now time.Duration, sample float64) {
-	if d.isSlow(sample, d.options.ReturnFactor) {
+// judgeProbe counts an ejected server's answer as a good or bad probe. Good
+// ones cost little, so the next one follows soon.
+func (d *Detector) judgeProbe(each *server, now time.Duration, good bool) {
+	if !good {
 		d.badProbe(each, now)
 		return
 	}
 	each.goodProbes++
 	each.interval = d.options.ProbeInterval
-	each.probeAt = min(each.probeAt, now+each.interval)
+	each.probeAt = now
 	if each.goodProbes >= d.options.GoodProbes {
 		d.readmit(each)
 	}
@@ -275,9 +334,9 @@
 	return int(d.options.MaxShare * float64(len(d.servers)))
 }
 
-// isSlow says whether a latency is above factor times the median of the
-// servers that are not ejected.
-func (d *Detector) isSlow(latency, factor float64) bool {
+// median returns the median latency of the servers that are not ejected, and
+// false where too few are known.
+func (d *Detector) median() (latency float64, known bool) {
 	d.latencies = d.latencies[:0]
 	for _, each := range d.servers {
 		if !each.ejected && each.samples > 0 {
@@ -285,8 +344,8 @@
 		}
 	}
 	if len(d.latencies) < minPeers {
-		return false
+		return 0, false
 	}
 	slices.Sort(d.latencies)
-	return latency > factor*d.latencies[len(d.latencies)/2]
+	return d.latencies[len(d.latencies)/2], true
 }
