--- a/internal/lease/close.go
+++ b/internal/lease/close.go
@@ -29,7 +29,7 @@
 // must not close: it is not sealed, retired, or the session is closed.
 func (l *Lessor) StartClose(now time.Duration, reason string, proof Proof) (CloseRequest, bool) {
 	l.advance(now)
-	if !l.sealed || l.phase == PhaseClosed || l.phase == PhaseRetired {
+	if !l.actsSealed() || l.phase == PhaseClosed || l.phase == PhaseRetired {
 		return CloseRequest{}, false
 	}
 	if !l.closing.proposed {
@@ -81,7 +81,7 @@
 
 // join stops the lessor's own actions for good on another's request.
 func (l *Lessor) join(request CloseRequest) {
-	if !l.sealed || request.Version != l.version || !l.isMember(request.From) {
+	if !l.actsSealed() || request.Version != l.version || !l.isMember(request.From) {
 		return
 	}
 	switch l.phase {
@@ -146,21 +146,23 @@
 // complete excludes it. Then only the own leases count, and those of leads
 // before, which were based on readings taken before the own lead began.
 func (l *Lessor) leasesOver() time.Duration {
-	lease := l.cfg.LeaseTTL
-	if l.faults.noLeaseWait {
-		lease = 0
+	lead, lease := l.closingWaits()
+	if l.now < l.closing.leadUntil || l.faults.shortWaitAlways && l.closing.leadUntil > 0 {
+		return l.ownLeasesOver(lease)
 	}
-	if l.now < l.closing.leadUntil {
-		if l.faults.noLeaseWait {
-			return l.now
-		}
-		return max(l.leasesEnd, l.closing.leadSince+l.outlast(lease))
+	return l.now + l.outlast(lead+lease)
+}
+
+// ownLeasesOver returns when the leases of the lead given up for the closing,
+// and of every lead before it, have ended.
+func (l *Lessor) ownLeasesOver(lease time.Duration) time.Duration {
+	if l.faults.noLeaseWait {
+		return l.now
 	}
-	lead := l.cfg.LeadTTL
-	if l.faults.noLeadWait {
-		lead = 0
+	if l.faults.noEarlierLeads {
+		return l.leasesEnd
 	}
-	return l.now + l.outlast(lead+lease)
+	return max(l.leasesEnd, l.closing.leadSince+l.outlast(lease))
 }
 
 // finishClosing ends the closing once its waits are over.
--- a/internal/lease/lead.go
+++ b/internal/lease/lead.go
@@ -84,7 +84,10 @@
 // takeBack ends the promise to a lead that yields. A yield that arrives after a
 // later request of the same lessor was granted has no effect.
 func (l *Lessor) takeBack(request LeadRequest) {
-	if l.promise.to == request.From && l.promise.asked <= request.Asked {
+	if l.promise.to != request.From {
+		return
+	}
+	if l.promise.asked <= request.Asked || l.faults.yieldAnything {
 		l.promise = promise{}
 	}
 }
--- /dev/null
+++ b/internal/lease/model_mutation_test.go
@@ -0,0 +1,39 @@
+package lease
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestRandomModelNoticesARuleLeftOut shows that the random model is able to find
+// the faults: without the rule some seed breaks an invariant.
+func TestRandomModelNoticesARuleLeftOut(t *testing.T) {
+	for _, mutation := range []struct {
+		name   string
+		faults faults
+		model  modelFaults
+	}{
+		{name: "wait for LeadTTL", faults: faults{noLeadWait: true}},
+		{name: "wait for LeaseTTL", faults: faults{noLeaseWait: true}},
+		{name: "drift", faults: faults{noDrift: true}},
+		{name: "promise is remembered", faults: faults{forgetPromise: true}},
+		{name: "joined lessor keeps its version", faults: faults{retireJoined: true}},
+		{name: "lease counts from the clock reading", faults: faults{leaseFromSending: true}},
+		{name: "leads before the own one count", faults: faults{noEarlierLeads: true}},
+		{name: "unsealed lessors do not close", faults: faults{closeUnsealed: true}},
+		{name: "leads of the former lessors count", faults: faults{forgetFormers: true}},
+		{name: "restarted lessor does not act", model: modelFaults{restartKeepsName: true}},
+		{name: "proof is evidence", model: modelFaults{falseProof: true}},
+	} {
+		t.Run(mutation.name, func(t *testing.T) {
+			t.Parallel()
+			seed, trace, err := findViolation(randomRuns, mutation.faults, mutation.model)
+			assert.ErrorIs(t, err, errInvariant)
+			t.Logf("seed %d: %v", seed, err)
+			if testing.Verbose() {
+				t.Log("\n" + trace)
+			}
+		})
+	}
+}
--- a/internal/lease/version.go
+++ b/internal/lease/version.go
@@ -66,7 +66,9 @@
 // replaceMembers puts a new set of lessors in place of the present one.
 func (l *Lessor) replaceMembers(lessors Lessors) {
 	if lessors.Since > l.membersSince {
-		if lessors.FormerSince == l.membersSince {
+		if l.faults.forgetFormers {
+			l.formersUnknown = false
+		} else if lessors.FormerSince == l.membersSince {
 			l.formers = append(l.formers, l.members)
 		} else {
 			l.formersUnknown = true
