Seeds for a start during an outage, checkpoints by age, shorter reads of the log

A read that hung on a silent connection to the log delayed a change by up to 4 s, above the 3 s in which it has to be in force; a read now ends after 1.2 s.

--- a/internal/cmd/hostcmd/serve.go
+++ b/internal/cmd/hostcmd/serve.go
@@ -71,6 +71,10 @@
 	flags.StringVar(&config.HostsURL, "hosts", "", "base `URL` of the platform's host list (required)")
 	flags.StringVar(&config.EgressAddr, "egress", "", "`address` of an HTTP CONNECT proxy for all outgoing connections")
 	operators := addOperatorFlags(flags)
+	flags.Func("peers", "peer `addresses` of other hosts, separated by commas, for a start during an outage of the platform", func(list string) error {
+		config.Peers = strings.Split(list, ",")
+		return nil
+	})
 	flags.DurationVar(&config.LeaveTime, "leave-time", host.DefaultLeaveTime, "how long a stopping host goes on accepting requests")
 	flags.DurationVar(&config.DrainTime, "drain-time", host.DefaultDrainTime, "how long a stopping host waits for requests in flight")
 	flags.StringVar(&eventsFile, "events", "", "`file` to which events are appended as JSON lines")
--- a/internal/host/boot.go
+++ b/internal/host/boot.go
@@ -18,6 +18,8 @@
 	staleAfter = 3 * time.Second
 	// checkpointRecords is the number of records after which a checkpoint is due.
 	checkpointRecords = 500
+	// checkpointAge is how long records may go without a checkpoint after them.
+	checkpointAge = 10 * time.Minute
 	// checkpointEvery is the time between two looks whether a checkpoint is due.
 	checkpointEvery = time.Second
 )
@@ -59,9 +61,13 @@
 
 // checkpointDuty appends a checkpoint well before the log trims what lies before it.
 func (h *Host) checkpointDuty(ctx context.Context) {
+	covered := h.view.LastCheckpoint()
+	coveredAt := time.Now()
 	every(ctx, checkpointEvery, func(ctx context.Context) {
-		due := h.view.LastCheckpoint() + checkpointRecords
-		if h.leaving.Load() || h.view.Applied() < due+platform.Offset(h.checkpointRank()) {
+		if last := h.view.LastCheckpoint(); last != covered {
+			covered, coveredAt = last, time.Now()
+		}
+		if h.leaving.Load() || !h.checkpointDue(covered, coveredAt) {
 			return
 		}
 		ctx, cancel := context.WithTimeout(ctx, planTimeout)
@@ -72,11 +78,22 @@
 	})
 }
 
-// checkpointRank spreads the hosts, so that the first one's checkpoint comes before the others are due.
+// checkpointDue reports whether this host shall append a checkpoint. Hosts of a
+// higher rank wait longer.
+func (h *Host) checkpointDue(covered platform.Offset, coveredAt time.Time) bool {
+	rank := h.checkpointRank()
+	records := h.view.Applied() - covered
+	if records >= checkpointRecords+platform.Offset(rank*checkpointRecords/10) {
+		return true
+	}
+	return records > 1 && time.Since(coveredAt) >= checkpointAge+time.Duration(rank)*checkpointEvery*5
+}
+
+// checkpointRank is this host's place among the live ones.
 func (h *Host) checkpointRank() int {
 	for rank, host := range h.members.Live() {
 		if host.Name == h.config.Name {
-			return rank * 20
+			return rank
 		}
 	}
 	return 0
--- a/internal/host/config.go
+++ b/internal/host/config.go
@@ -24,6 +24,9 @@
 	// LogURL and HostsURL are the base URLs of the platform's services.
 	LogURL   string
 	HostsURL string
+	// Peers are peer addresses of other hosts, asked for the hosts that they know
+	// while the platform's list does not answer. They may be empty or out of date.
+	Peers []string
 	// EgressAddr is the address of an HTTP CONNECT proxy for all outgoing connections; empty for none.
 	EgressAddr string
 	// Events takes the host's events as JSON lines; nil for none.
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -102,7 +102,7 @@
 	h.writer = view.NewWriter(h.view, h.platform, h.config.Name)
 	h.follower = view.NewFollower(h.view, h.platform, h.logChanged)
 	h.peers = peer.NewPool(peer.DialFunc(dial))
-	h.members = members.New(h.entry, h.platform, h.peers)
+	h.members = members.New(h.entry, h.platform, h.peers, h.config.Peers)
 	h.servers = backend.NewClient(newHTTPClient(dial, controlConns))
 	h.guard = poison.NewGuard(poison.Bounds{})
 	servers := newPool(dial, serverConns)
--- a/internal/host/rpc.go
+++ b/internal/host/rpc.go
@@ -110,6 +110,14 @@
 	return err
 }
 
+// Hosts returns the hosts that this one knows.
+func (s *peerService) Hosts(_ peer.Empty, reply *peer.HostsReply) error {
+	for _, host := range s.host.members.All() {
+		reply.Hosts = append(reply.Hosts, host.HostEntry)
+	}
+	return nil
+}
+
 // Status returns what the host says of itself.
 func (s *peerService) Status(_ peer.Empty, reply *peer.StatusReply) error {
 	reply.Host = s.host.config.Name
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -40,6 +40,7 @@
 	self  platform.HostEntry
 	hosts platform.Hosts
 	peers *peer.Pool
+	seeds []string
 
 	started time.Time
 
@@ -48,12 +49,14 @@
 	listed bool
 }
 
-// New returns a list that knows only this host. self must not change.
-func New(self platform.HostEntry, hosts platform.Hosts, peers *peer.Pool) *Members {
+// New returns a list that knows only this host. Seeds are the peer addresses of
+// hosts that are asked while the platform's list does not answer.
+func New(self platform.HostEntry, hosts platform.Hosts, peers *peer.Pool, seeds []string) *Members {
 	return &Members{
 		self:  self,
 		hosts: hosts,
 		peers: peers,
+		seeds: seeds,
 
 		started: time.Now(),
 		known:   map[string]Host{self.Name: {HostEntry: self, Answered: time.Now()}},
@@ -88,6 +91,7 @@
 	defer cancel()
 	list, err := m.hosts.List(ctx)
 	if err != nil {
+		m.askSeeds()
 		return
 	}
 	m.merge(list)
@@ -97,6 +101,33 @@
 	}
 }
 
+// askSeeds learns of hosts from other hosts. It is only needed until this host
+// knows any, since a known host stays known as long as it answers.
+func (m *Members) askSeeds() {
+	if len(m.All()) > 1 {
+		return
+	}
+	for _, addr := range m.seeds {
+		var reply peer.HostsReply
+		err := m.peers.CallTimeout(context.Background(), callTimeout, addr, "Peer.Hosts", peer.Empty{}, &reply)
+		if err == nil {
+			m.add(reply.Hosts)
+		}
+	}
+}
+
+// add takes in hosts without forgetting any.
+func (m *Members) add(entries []platform.HostEntry) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.listed = true
+	for _, entry := range entries {
+		if _, known := m.known[entry.Name]; !known {
+			m.known[entry.Name] = Host{HostEntry: entry}
+		}
+	}
+}
+
 func (m *Members) merge(list platform.HostList) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/peer/protocol.go
+++ b/internal/peer/protocol.go
@@ -144,5 +144,10 @@
 	Leaving     bool
 }
 
+// HostsReply lists the hosts that a host knows, itself included.
+type HostsReply struct {
+	Hosts []platform.HostEntry
+}
+
 // Empty carries nothing.
 type Empty struct{}
--- a/internal/transport/silence_test.go
+++ b/internal/transport/silence_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -117,8 +116,8 @@
 					}
 				}
 				harmed, mean := harmedBy(send)
-				t.Log(fmt.Sprintf("%-20s %-17s harmed %4d of %d, %.2f new connections per request, mean %v",
-					box.name, policy.name, harmed, silenceRequests, float64(*dials)/silenceRequests, mean.Round(10*time.Microsecond)))
+				t.Logf("%-20s %-17s harmed %4d of %d, %.2f new connections per request, mean %v",
+					box.name, policy.name, harmed, silenceRequests, float64(*dials)/silenceRequests, mean.Round(10*time.Microsecond))
 				if policy.freshFor != 0 && box.name == boxes[0].name {
 					assert.Equal(t, harmed, 0)
 				}
--- a/internal/view/follower.go
+++ b/internal/view/follower.go
@@ -15,12 +15,13 @@
 	// readBatch is the largest number of records taken in one read.
 	readBatch = 1000
 	// readWait is how long a read waits for a new record.
-	readWait = 2 * time.Second
-	// readTimeout bounds a read; it exceeds readWait.
-	readTimeout = 4 * time.Second
+	readWait = 500 * time.Millisecond
+	// readTimeout bounds a read; it exceeds readWait. A connection to the log that
+	// has gone silent is noticed within it, so that a change is still in force in time.
+	readTimeout = 1200 * time.Millisecond
 	// backoffMin and backoffMax bound the jittered pause after a failed read.
 	backoffMin = 50 * time.Millisecond
-	backoffMax = time.Second
+	backoffMax = 500 * time.Millisecond
 )
 
 // Follower keeps a view up to date with the log.
