--- a/internal/lease/lead.go
+++ b/internal/lease/lead.go
@@ -58,7 +58,7 @@
 	if l.phase != PhaseActive || !l.isMember(request.From) || request.Version < l.membersSince {
 		return false
 	}
-	if l.leading() {
+	if l.leading() || l.now < l.muteUntil {
 		return false
 	}
 	return !l.promisedToOther() || l.promise.to == request.From
@@ -106,6 +106,8 @@
 	switch {
 	case l.promisedToOther():
 		reply.RetryIn = l.promise.until - l.now
+	case l.now < l.muteUntil:
+		reply.RetryIn = l.muteUntil - l.now
 	case l.leading():
 		reply.RetryIn = l.leadUntil - l.now
 	}
--- a/internal/lease/lessor.go
+++ b/internal/lease/lessor.go
@@ -8,8 +8,8 @@
 )
 
 // Lessor is the state of one lessor of one session. It is not safe for
-// concurrent use. There must be at most one Lessor for a name and a session over
-// the life of a process: a second one would not know the promises of the first.
+// concurrent use. A process has at most one Lessor for a session at a time. It
+// may drop one that is retired and create another when it is named again.
 type Lessor struct {
 	cfg     Config
 	self    string
@@ -34,6 +34,10 @@
 	peers map[string]Version
 
 	promise promise
+	// muteUntil is until when the lessor gives no consent. It is set at the first
+	// reading of the clock where an earlier lessor of this name may have promised some.
+	muteUntil time.Duration
+	started   bool
 	// consents holds until when each member's consent lasts, the own included.
 	consents  map[string]time.Duration
 	leadSince time.Duration
@@ -134,6 +138,9 @@
 // reading older than one seen before counts as that one.
 func (l *Lessor) advance(now time.Duration) time.Duration {
 	l.now = max(l.now, now)
+	if !l.started {
+		l.start()
+	}
 	if l.sealed && l.settled == 0 && l.unsettled() {
 		l.settled = l.now + l.outlast(l.cfg.LeadTTL)
 	}
@@ -146,6 +153,14 @@
 	return l.now
 }
 
+// start notes the first reading of the clock.
+func (l *Lessor) start() {
+	l.started = true
+	if l.formersUnknown {
+		l.muteUntil = l.now + l.outlast(l.cfg.LeadTTL)
+	}
+}
+
 // unsettled reports whether a lead of a former set of lessors may be left.
 func (l *Lessor) unsettled() bool {
 	return l.formersUnknown || len(l.formers) > 0
--- a/internal/lease/lessor_test.go
+++ b/internal/lease/lessor_test.go
@@ -395,3 +395,29 @@
 	assert.Equal(t, bothLost, 1884*ms)
 	assert.Assert(t, bothLost < target)
 }
+
+// TestLessorNamedAgainWaitsForItsFormerPromises covers a host that has dropped
+// its lessor when it was replaced, and is named again shortly after: what it
+// promised before is still counted on by another.
+func TestLessorNamedAgainWaitsForItsFormerPromises(t *testing.T) {
+	set := newSet("a", "b", "c")
+	a, b, c := set["a"], set["b"], set["c"]
+	ask(t, 0, b, c)
+	assert.Assert(t, b.IsLead(0))
+
+	second := replacing(20, []string{"a", "b", "c"}, "a", "b", "d")
+	c.Retire(10*ms, 20, second)
+	second.Sealed = true
+	a.Retire(10*ms, 20, second)
+	d := New(testConfig(), "d", testSession, 20, second)
+
+	third := Lessors{Names: []string{"a", "b", "c"}, Since: 30, Former: second.Names, FormerSince: 20}
+	a.Retire(20*ms, 30, third)
+	again := New(testConfig(), "c", testSession, 30, third)
+	ask(t, 30*ms, a, again, d)
+	ask(t, 399*ms, a, again, d)
+	assert.Assert(t, !(a.IsLead(399*ms) && b.IsLead(399*ms)), "two leads")
+
+	ask(t, 434*ms, a, again, d)
+	assert.Assert(t, a.IsLead(434*ms))
+}
--- a/internal/lease/model_exhaustive_test.go
+++ b/internal/lease/model_exhaustive_test.go
@@ -310,10 +310,10 @@
 		return
 	}
 	e.int(int64(l.version), int64(l.membersSince), int64(l.phase), l.clock.clockMS)
-	e.bool(l.sealed, l.yielded, l.clock.known, l.closing.proposed, l.outcome != nil)
+	e.bool(l.sealed, l.started, l.formersUnknown, l.yielded, l.clock.known, l.closing.proposed, l.outcome != nil)
 	e.string(l.promise.to)
 	e.time(l.promise.until, l.promise.asked, l.leadSince, l.leadUntil, l.yieldedAt)
-	e.time(l.clock.receivedAt, l.leasesEnd, l.closing.leadSince, l.closing.leadUntil, l.closing.due)
+	e.time(l.muteUntil, l.settled, l.clock.receivedAt, l.leasesEnd, l.closing.leadSince, l.closing.leadUntil, l.closing.due)
 	e.int(int64(l.closing.proof))
 	for _, h := range hosts {
 		e.time(l.consents[h.name()])
--- a/internal/lease/model_random_test.go
+++ b/internal/lease/model_random_test.go
@@ -91,6 +91,7 @@
 	for i := range 5 {
 		r.hosts = append(r.hosts, &modelHost{id: "h" + strconv.Itoa(i), clock: r.clock()})
 	}
+	r.forgetRetired = rng.IntN(2) == 0
 	r.server = modelServer{clock: r.clock(), incarnation: 1}
 	r.openSession([]int{1, 2, 3, 3, 3, 3}[rng.IntN(6)])
 	return r
--- a/internal/lease/model_test.go
+++ b/internal/lease/model_test.go
@@ -156,6 +156,8 @@
 	// activated are the successors that have been told to serve the slice.
 	activated map[string]bool
 	moving    bool
+	// forgetRetired lets hosts drop a lessor that is none any more, promises included.
+	forgetRetired bool
 
 	faults      faults
 	modelFaults modelFaults
@@ -222,6 +224,9 @@
 func (w *world) fold(h *modelHost, entries int) {
 	h.folded = max(h.folded, entries)
 	v := w.viewOf(h.folded)
+	if h.lessor != nil && h.lessor.Phase() == PhaseRetired && w.forgetRetired {
+		w.forget(h)
+	}
 	if h.lessor != nil {
 		done := h.lessor.Retire(h.clock.at(w.real), v.version, v.lessors)
 		w.note("%s folds to version %d: retired %v", h.name(), v.version, done)
@@ -234,6 +239,15 @@
 	}
 }
 
+// forget lets a host drop its lessor, together with the answers that it waits for.
+func (w *world) forget(h *modelHost) {
+	h.lessor = nil
+	h.inbox = nil
+	w.net = slices.DeleteFunc(w.net, func(m message) bool {
+		return m.to == h.name() && (m.kind == leadReplyKind || m.kind == closeReplyKind || m.kind == grantReplyKind)
+	})
+}
+
 // send puts a message in flight.
 func (w *world) send(m message) {
 	w.net = append(w.net, m)
@@ -463,8 +477,7 @@
 	}
 	retired := 0
 	for _, h := range w.hosts {
-		former := slices.Contains(last.lessors.Former, h.name())
-		if former && h.lessor != nil && h.lessor.Version() >= last.lessors.Since {
+		if slices.Contains(last.lessors.Former, h.name()) && w.hasRetired(h, last.lessors.Since) {
 			retired++
 		}
 	}
@@ -476,6 +489,14 @@
 	return true
 }
 
+// hasRetired reports whether a host acts for no version before the given one.
+func (w *world) hasRetired(h *modelHost, version Version) bool {
+	if h.lessor == nil {
+		return h.folded > 0 && w.viewOf(h.folded).version >= version
+	}
+	return h.lessor.Version() >= version
+}
+
 // errInvariant reports a state that must never occur.
 var errInvariant = errors.New("model: invariant broken")
 
