Lessor: no closing of a session that another leads

Cause: a lead that is cut off from everything finds its server silent and proposes to close. When the cut heals, or its request arrives late, the other lessors joined although one of them leads a server that is well: an unneeded closing, and a lessor that has joined acts no more. Safety was not touched. Change: a lessor does not join while it leads or while its consent is promised to a third one; the proposer learns the holder and withdraws.

The random model also lets a host's clock stop while the host is frozen, which it notices: monotonic clocks have to go on while a machine is suspended.

--- a/internal/lease/close.go
+++ b/internal/lease/close.go
@@ -62,7 +62,9 @@
 }
 
 // HandleClose answers another lessor's closing. To join means to stop leading,
-// asking and consenting under the present version for good.
+// asking and consenting under the present version for good. A lessor does not
+// join while a third one leads or it leads itself: the proposer may have been
+// cut off from a server that is well. It joins later if the lead lapses.
 func (l *Lessor) HandleClose(now time.Duration, request CloseRequest) CloseReply {
 	l.advance(now)
 	if request.Session == l.session {
@@ -74,6 +76,7 @@
 		Session: l.session,
 		Version: l.version,
 		Joined:  l.hasJoined(),
+		Holder:  l.holder(),
 		Phase:   l.phase,
 		Outcome: l.outcome,
 	}
@@ -86,7 +89,10 @@
 	}
 	switch l.phase {
 	case PhaseActive:
-		l.giveUpLead()
+		if holder := l.holder(); holder != "" && holder != request.From {
+			return
+		}
+		l.dropLead()
 		l.closing.reason = request.Reason
 		l.phase = PhaseJoined
 	case PhaseProposing:
@@ -109,7 +115,11 @@
 	}
 	l.observe(reply.From, reply.Version, reply.Joined)
 	l.adopt(reply.Outcome)
-	if !reply.Joined || reply.Version != l.version || !l.isMember(reply.From) {
+	if reply.Version != l.version || !l.isMember(reply.From) {
+		return
+	}
+	if !reply.Joined {
+		l.yieldToHolder(now, reply.Holder)
 		return
 	}
 	if l.phase != PhaseProposing && l.phase != PhaseJoined {
@@ -122,6 +132,14 @@
 	l.finishClosing()
 }
 
+// yieldToHolder withdraws the own proposal where another lessor leads. That one
+// closes the session itself if need be.
+func (l *Lessor) yieldToHolder(now time.Duration, holder string) {
+	if holder != "" && holder != l.self {
+		l.Withdraw(now)
+	}
+}
+
 // countJoined starts the waits once a quorum, the lessor itself included, has stopped.
 func (l *Lessor) countJoined() {
 	if l.phase != PhaseProposing && l.phase != PhaseJoined {
--- a/internal/lease/model_test.go
+++ b/internal/lease/model_test.go
@@ -139,6 +139,8 @@
 type modelFaults struct {
 	// restartKeepsName lets a restarted host act under its former name.
 	restartKeepsName bool
+	// clockStops lets a host's clock stand still while the host is frozen.
+	clockStops bool
 	// falseProof lets a host close with a proof that it does not have.
 	falseProof bool
 }
@@ -349,6 +351,12 @@
 	}
 }
 
+// freeze lets a host's clock fall behind.
+func (w *world) freeze(h *modelHost, d time.Duration) {
+	w.note("the clock of %s stops for %v", h.name(), d)
+	h.clock.offset -= d
+}
+
 // ask lets a host ask for the lead. The messages are in flight afterwards.
 func (w *world) ask(h *modelHost, now time.Duration) bool {
 	request, ok := h.lessor.AskLead(now)
--- a/internal/lease/types.go
+++ b/internal/lease/types.go
@@ -146,6 +146,8 @@
 	Session record.SessionID `json:"session"`
 	Version Version          `json:"version"`
 	Joined  bool             `json:"joined"`
-	Phase   Phase            `json:"phase"`
-	Outcome *Closing         `json:"outcome,omitempty"`
+	// Holder is the lessor that leads as far as the answering one knows, if any.
+	Holder  string   `json:"holder"`
+	Phase   Phase    `json:"phase"`
+	Outcome *Closing `json:"outcome,omitempty"`
 }
