--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -22,7 +22,8 @@
 	broken func(v *Values) string
 }
 
-// relations lists the rules between fields.
+// relations lists the rules between fields. Like the ranges of the fields they
+// are part of the fold: hosts with different rules would accept different records.
 var relations = []relation{
 	{mustFieldSet("server_silence", "lead_ttl", "lease_ttl", "drift_permille"), recoveryTooLong},
 	{mustFieldSet("renew_every", "lead_ttl"), leadRenewedTooSeldom},
--- a/internal/settings/deploy_test.go
+++ b/internal/settings/deploy_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -32,3 +33,11 @@
 		})
 	}
 }
+
+func TestEveryFieldIsInTheOperatorsManual(t *testing.T) {
+	text, err := os.ReadFile(filepath.Join("..", "..", "docs", "OPERATIONS.md"))
+	assert.NilError(t, err)
+	for _, f := range fields {
+		assert.Assert(t, strings.Contains(string(text), "| `"+f.name+"` |"), f.name)
+	}
+}
