Marks of unknown zones and servers are refused

A mark with a misspelt name was accepted and took no zone out. The name is now checked against the settings, with the nearest known one in the answer; -force allows zones that have hosts only.

--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -49,7 +49,7 @@
 	reads := []string{"/v1/admin/settings", "/v1/admin/settings/effective?path=", "/v1/admin/settings/status", "/v1/admin/marks", "/v1/admin/owners/revize/k", "/v1/admin/sessions", "/v1/admin/load", "/v1/admin/hosts", "/v1/admin/timeline", "/debug/vars"}
 	writes := map[string]string{
 		"/v1/admin/settings/publish": file,
-		"/v1/admin/marks":            `{"subject":"zone","name":"z","state":"leaving"}`,
+		"/v1/admin/marks":            `{"subject":"host","name":"h1","state":"leaving"}`,
 	}
 	for _, c := range []struct {
 		name, header string
@@ -138,7 +138,7 @@
 	client := serveOperator(t, system)
 	system.lostAfter = true
 	assert.Equal(t, client.PublishSettings(ctx, "a", publish.Latest, "", []byte(file)).Status, publish.Unknown)
-	mark := MarkRequest{ID: "m", Subject: record.SubjectZone, Name: "z", State: record.MarkLeaving}
+	mark := MarkRequest{ID: "m", Subject: record.SubjectHost, Name: "h1", State: record.MarkLeaving}
 	reply, err := client.SetMark(ctx, mark)
 	assert.NilError(t, err)
 	assert.Equal(t, reply.Status, publish.Unknown)
@@ -158,6 +158,7 @@
 		{Subject: "planet", Name: "z", State: record.MarkLeaving},
 		{Subject: record.SubjectZone, Name: "z", State: "gone"},
 		{Subject: record.SubjectZone, State: record.MarkLost},
+		{Subject: record.SubjectZone, Name: "z", State: record.MarkLeaving},
 	} {
 		reply, err := client.SetMark(context.Background(), request)
 		assert.NilError(t, err)
--- a/internal/admin/api.go
+++ b/internal/admin/api.go
@@ -217,13 +217,24 @@
 	Marks []Mark `json:"marks"`
 }
 
-// MarkRequest asks to mark a subject. ID may be empty.
+// MarkRequest asks to mark a subject. ID may be empty. Force allows a zone or
+// backend server that the settings do not know.
 type MarkRequest struct {
 	ID      record.ID        `json:"id"`
 	Subject record.Subject   `json:"subject"`
 	Name    string           `json:"name"`
 	State   record.MarkState `json:"state"`
 	Comment string           `json:"comment,omitempty"`
+	Force   bool             `json:"force,omitempty"`
+}
+
+// Check returns what is wrong with the request under the settings in force, or "".
+func (r MarkRequest) Check(tree *settings.Tree) string {
+	problem := publish.CheckMark(r.Subject, r.Name, r.State)
+	if problem != "" || r.Force {
+		return problem
+	}
+	return publish.CheckMarkName(tree, r.Subject, r.Name)
 }
 
 // Mark returns the mark asked for, without its base.
--- a/internal/admin/state.go
+++ b/internal/admin/state.go
@@ -25,7 +25,7 @@
 		writeError(w, http.StatusBadRequest, "mark: "+err.Error())
 		return
 	}
-	if problem := publish.CheckMark(request.Subject, request.Name, request.State); problem != "" {
+	if problem := request.Check(s.system.Settings().Tree()); problem != "" {
 		writeError(w, http.StatusUnprocessableEntity, problem)
 		return
 	}
--- a/internal/cmd/ctlcmd/mark.go
+++ b/internal/cmd/ctlcmd/mark.go
@@ -30,6 +30,7 @@
 			"lost: asserts that everything there has stopped for good; wants -yes.",
 		[]string{"mark zone olomouc leaving -comment 'power work'", "mark zone olomouc active", "mark server 127.0.0.1:9101 leaving"}, stdout, stderr)
 	comment := flags.String("comment", "", "`text` for the history")
+	force := flags.Bool("force", false, "also mark a zone or backend server that the settings do not know")
 	yes := flags.Bool("yes", false, "confirm what a mark as lost asserts")
 	id := flags.String("id", "", "`ID` of an earlier try, to repeat it safely")
 	t.addAdmin(flags)
@@ -44,6 +45,7 @@
 		Name:    arguments[1],
 		State:   record.MarkState(arguments[2]),
 		Comment: *comment,
+		Force:   *force,
 	}
 	if problem := publish.CheckMark(request.Subject, request.Name, request.State); problem != "" {
 		return flags.wrongUsage(problem)
@@ -65,7 +67,10 @@
 func markAgain(t target, request admin.MarkRequest) string {
 	confirmed := ""
 	if request.State == record.MarkLost {
-		confirmed = " -yes"
+		confirmed += " -yes"
+	}
+	if request.Force {
+		confirmed += " -force"
 	}
 	return fmt.Sprintf("mark %s -id %s%s %s %s %s", t.where(), request.ID, confirmed, request.Subject, request.Name, request.State)
 }
@@ -86,6 +91,9 @@
 	if result, seen := publisher.Seen(request.ID); seen {
 		return admin.PublishReply{Result: result}, nil
 	}
+	if problem := request.Check(stateOf(publisher).Tree()); problem != "" {
+		return admin.PublishReply{Result: publish.Result{ID: request.ID, Status: publish.NotAppended, Reason: problem}}, nil
+	}
 	present := presentMark(publisher, request)
 	if present.State == request.State {
 		return admin.PublishReply{Result: publish.NothingToChange(request.ID, present.Version)}, nil
@@ -109,8 +117,12 @@
 		record.SubjectHost:   "the process of the host " + name + " has",
 		record.SubjectServer: "the process of the backend server " + name + " has",
 	}[subject]
+	consequence := ""
+	if subject == record.SubjectZone {
+		consequence = "Its keys are then given to other servers at once, without waiting for leases.\n"
+	}
 	return fmt.Sprintf("Declaring it lost asserts that %s stopped for good,\n"+
-		"and can neither run a request nor write any data any more. Its keys are then given to\n"+
-		"other servers at once, without waiting for leases. If this is not so, a key can have two\n"+
-		"owners. Nothing was changed; repeat the command with -yes to declare it.\n", what)
+		"and can neither run a request nor write any data any more.\n%s"+
+		"If this is not so, a key can have two owners.\n"+
+		"Nothing was changed; repeat the command with -yes to declare it.\n", what, consequence)
 }
--- a/internal/cmd/ctlcmd/settings_test.go
+++ b/internal/cmd/ctlcmd/settings_test.go
@@ -88,7 +88,7 @@
 func TestLostAnswersStillEndAccepted(t *testing.T) {
 	log := startLog(t, standin.LogFaults{LoseEvery: 1})
 	assert.Equal(t, ctl(t, "settings publish"+log+writeFile(t, keyedService)), result{stdout: "accepted: version 1\n"})
-	assert.Equal(t, ctl(t, "mark zone olomouc leaving"+log).code, cli.ExitOK)
+	assert.Equal(t, ctl(t, "mark host h1 leaving"+log).code, cli.ExitOK)
 }
 
 func TestAnUnknownResultPrintsHowToRepeat(t *testing.T) {
@@ -107,13 +107,18 @@
 
 func TestMarksOnTheLog(t *testing.T) {
 	log := startLog(t, standin.LogFaults{})
-	assert.Equal(t, ctl(t, "mark zone olomouc leaving"+log).stdout, "accepted: version 1\n")
-	assert.Equal(t, ctl(t, "mark zone olomouc leaving"+log).stdout, "accepted: version 1: nothing to change\n")
+	assert.Equal(t, ctl(t, "settings publish ../../../deploy/moravia.toml"+log).code, cli.ExitOK)
+	typo := ctl(t, "mark zone olomuc leaving"+log)
+	assert.Equal(t, typo.code, cli.ExitFailure)
+	assert.Assert(t, strings.Contains(typo.stderr, `unknown zone "olomuc"; did you mean "olomouc"?`), typo.stderr)
+	assert.Equal(t, ctl(t, "mark zone olomouc leaving"+log).stdout, "accepted: version 2\n")
+	assert.Equal(t, ctl(t, "mark zone olomouc leaving"+log).stdout, "accepted: version 2: nothing to change\n")
 	lost := ctl(t, "mark zone olomouc lost"+log)
 	assert.Equal(t, lost.code, cli.ExitUsage)
 	assert.Assert(t, strings.Contains(lost.stderr, "every host and every backend server in the zone olomouc"))
-	assert.Equal(t, ctl(t, "mark zone olomouc lost -yes"+log).stdout, "accepted: version 2\n")
-	assert.Equal(t, ctl(t, "mark zone olomouc active"+log).stdout, "accepted: version 3\n")
+	assert.Equal(t, ctl(t, "mark zone olomouc lost -yes"+log).stdout, "accepted: version 3\n")
+	assert.Equal(t, ctl(t, "mark zone olomouc active"+log).stdout, "accepted: version 4\n")
+	assert.Equal(t, ctl(t, "mark zone hosts-only leaving -force"+log).code, cli.ExitOK)
 	assert.Equal(t, ctl(t, "mark planet earth active"+log).code, cli.ExitUsage)
 }
 
--- a/internal/publish/build.go
+++ b/internal/publish/build.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/poplarcroft/poplarcroft/internal/platform"
 	"github.com/poplarcroft/poplarcroft/internal/record"
@@ -65,3 +66,22 @@
 	}
 	return ""
 }
+
+// CheckMarkName returns what is wrong with the name of a zone or backend server
+// that the settings do not know, with the nearest known one, or "". Hosts are
+// not in the settings; their names are not checked.
+func CheckMarkName(tree *settings.Tree, subject record.Subject, name string) string {
+	var known []string
+	switch subject {
+	case record.SubjectZone:
+		known = tree.Zones()
+	case record.SubjectServer:
+		known = tree.Servers()
+	default:
+		return ""
+	}
+	if slices.Contains(known, name) {
+		return ""
+	}
+	return settings.UnknownName(string(subject), name, known)
+}
--- a/internal/settings/field.go
+++ b/internal/settings/field.go
@@ -265,8 +265,8 @@
 	return best
 }
 
-// unknownName returns the message for an unknown name, with the nearest known one.
-func unknownName(what, name string, known []string) string {
+// UnknownName returns the message for an unknown name, with the nearest known one.
+func UnknownName(what, name string, known []string) string {
 	message := "unknown " + what + " " + strconv.Quote(name)
 	if nearest := nearestName(name, known); nearest != "" {
 		message += "; did you mean " + strconv.Quote(nearest) + "?"
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -170,7 +170,7 @@
 			continue
 		}
 		if part != keywords[i/2] {
-			return "", unknownName("table", part, tableKeywords(i/2, keywords))
+			return "", UnknownName("table", part, tableKeywords(i/2, keywords))
 		}
 	}
 	if len(parts)%2 == 1 {
@@ -205,7 +205,7 @@
 	}
 	index, known := fieldIndex(name)
 	if !known {
-		p.fault(line, "", unknownName("field", name, fieldNames(pathLevel(p.node))))
+		p.fault(line, "", UnknownName("field", name, fieldNames(pathLevel(p.node))))
 		return
 	}
 	p.setField(line, index, node.Value())
@@ -238,7 +238,7 @@
 // topKey reads a key above all tables.
 func (p *parser) topKey(line int, name string, node *unstable.Node) {
 	if name != basedOnKey {
-		p.fault(line, "", unknownName("key", name, []string{basedOnKey})+"; fields go into a table such as [defaults]")
+		p.fault(line, "", UnknownName("key", name, []string{basedOnKey})+"; fields go into a table such as [defaults]")
 		return
 	}
 	raw, err := decodeScalar(node)
--- a/internal/settings/tree.go
+++ b/internal/settings/tree.go
@@ -110,7 +110,7 @@
 func (t *Tree) Effective(path string) (Values, error) {
 	values, known := t.effective[path]
 	if !known {
-		return Values{}, errors.Wrap(ErrNoNode, unknownName("path", path, t.Paths()))
+		return Values{}, errors.Wrap(ErrNoNode, UnknownName("path", path, t.Paths()))
 	}
 	return values, nil
 }
@@ -141,6 +141,30 @@
 	return services
 }
 
+// Zones returns the names of all availability zones in order, each once.
+func (t *Tree) Zones() []string {
+	var names []string
+	for _, service := range t.services {
+		for _, zone := range service.Zones {
+			names = append(names, zone.Name)
+		}
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// Servers returns the addresses of all backend servers in order.
+func (t *Tree) Servers() []string {
+	var addresses []string
+	for _, service := range t.services {
+		for _, zone := range service.Zones {
+			addresses = append(addresses, zone.Servers...)
+		}
+	}
+	slices.Sort(addresses)
+	return addresses
+}
+
 // Text returns the tree in TOML as Parse reads it, headed by the version that
 // it is based on.
 func (t *Tree) Text(basedOn platform.Offset) string {
