Events for settings and marks that come into force

The time line did not show when a host took over new settings or a mark. A duty of the host now records it and writes a log line for the change.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -178,6 +178,7 @@
 func (h *Host) duties() []func(context.Context) {
 	return []func(context.Context){
 		h.follower.Run,
+		h.operatorDuty,
 		h.members.Run,
 		h.keepDuty,
 		h.planDuty,
--- a/internal/host/operators.go
+++ b/internal/host/operators.go
@@ -1,15 +1,21 @@
 package host
 
 import (
+	"context"
 	"crypto/tls"
+	"fmt"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/poplarcroft/poplarcroft/internal/admin"
 	"github.com/poplarcroft/poplarcroft/internal/admin/overview"
+	"github.com/poplarcroft/poplarcroft/internal/ownership"
+	"github.com/poplarcroft/poplarcroft/internal/platform"
 	"github.com/poplarcroft/poplarcroft/internal/publish"
 	"github.com/poplarcroft/poplarcroft/internal/record"
+	"github.com/poplarcroft/poplarcroft/internal/settings"
+	"github.com/poplarcroft/poplarcroft/internal/timeline"
 )
 
 // anonymous is every operator of a host that knows none: it may only read.
@@ -58,3 +64,61 @@
 	lead, _ := k.Lead()
 	return lead
 }
+
+// operatorDuty notes settings and marks that come into force on this host.
+func (h *Host) operatorDuty(ctx context.Context) {
+	noted := h.view.Applied()
+	for {
+		changed := h.view.Changed()
+		noted = h.noteOperators(noted)
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// noteOperators records an event for the settings and for each mark above the
+// offset, and returns the offset applied.
+func (h *Host) noteOperators(after platform.Offset) platform.Offset {
+	var applied platform.Offset
+	var events []timeline.Event
+	h.view.Read(func(state *settings.State, table *ownership.Table) {
+		applied = table.Applied()
+		if state.Version() > after {
+			events = append(events, timeline.Event{
+				Kind:   timeline.KindSettingsInForce,
+				Offset: applied,
+				Zone:   h.config.Zone,
+				Detail: fmt.Sprintf("version %d", state.Version()),
+			})
+		}
+		for key, mark := range table.Marks() {
+			if mark.Version > after {
+				events = append(events, markEvent(key, mark, applied))
+			}
+		}
+	})
+	for _, event := range events {
+		h.events.Record(event)
+		h.logger.Info(string(event.Kind), "host", h.config.Name, "detail", event.Detail)
+	}
+	return applied
+}
+
+// markEvent is the event of a mark that has come into force, filed under what it is put on.
+func markEvent(key ownership.MarkKey, mark ownership.Mark, applied platform.Offset) timeline.Event {
+	event := timeline.Event{
+		Kind:   timeline.KindMarkInForce,
+		Offset: applied,
+		Detail: fmt.Sprintf("%s %s %s, version %d", key.Subject, key.Name, mark.State, mark.Version),
+	}
+	switch key.Subject {
+	case record.SubjectZone:
+		event.Zone = key.Name
+	case record.SubjectServer:
+		event.Server = key.Name
+	}
+	return event
+}
