poplarctl settings timing

Shows per version how long it took until the last host had the settings in force, with p50, p99 and max, from the history and the hosts' events.

--- a/internal/cmd/ctlcmd/settings.go
+++ b/internal/cmd/ctlcmd/settings.go
@@ -22,6 +22,7 @@
 		{Name: "diff", Summary: "compare settings", Run: diffSettings},
 		{Name: "history", Summary: "list the changes that operators published", Run: settingsHistory},
 		{Name: "status", Summary: "show which hosts have the settings in force", Run: settingsStatus},
+		{Name: "timing", Summary: "show how long changes took to be in force", Run: settingsTiming},
 	}
 	return cli.Command{
 		Name:    "settings",
--- a/internal/cmd/ctlcmd/settings_test.go
+++ b/internal/cmd/ctlcmd/settings_test.go
@@ -123,7 +123,7 @@
 }
 
 func TestHelpHasExamples(t *testing.T) {
-	for _, command := range []string{"settings check", "settings publish", "settings show", "settings diff", "settings history", "settings status", "mark", "show owners", "show sessions", "show load", "show hosts", "show marks", "timeline"} {
+	for _, command := range []string{"settings check", "settings publish", "settings show", "settings diff", "settings history", "settings status", "settings timing", "mark", "show owners", "show sessions", "show load", "show hosts", "show marks", "timeline"} {
 		got := ctl(t, command+" -help")
 		assert.Equal(t, got.code, cli.ExitOK, command)
 		assert.Assert(t, strings.Contains(got.stdout, "Examples:\n  poplarctl "+strings.Fields(command)[0]), command)
--- a/internal/cmd/ctlcmd/show_test.go
+++ b/internal/cmd/ctlcmd/show_test.go
@@ -1,6 +1,7 @@
 package ctlcmd
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
@@ -13,6 +14,9 @@
 
 	"github.com/poplarcroft/poplarcroft/internal/admin"
 	"github.com/poplarcroft/poplarcroft/internal/cli"
+	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/publish"
+	"github.com/poplarcroft/poplarcroft/internal/record"
 	"github.com/poplarcroft/poplarcroft/internal/timeline"
 )
 
@@ -88,3 +92,24 @@
 	assert.Equal(t, partial.code, cli.ExitFailure)
 	assert.Assert(t, strings.Contains(partial.stdout, "slice-dropped"))
 }
+
+func TestTimingIsThatOfTheLastHost(t *testing.T) {
+	all := newTimings([]publish.HistoryEntry{
+		{Offset: 3, Accepted: true, Record: record.Record{TimeMS: 1_000, Settings: &record.Settings{}}},
+		{Offset: 4, Record: record.Record{TimeMS: 1_500, Settings: &record.Settings{}}},
+		{Offset: 5, Accepted: true, Record: record.Record{TimeMS: 2_000, Settings: &record.Settings{}}},
+		{Offset: 6, Accepted: true, Record: record.Record{TimeMS: 3_000, Settings: &record.Settings{}}},
+	})
+	inForce := func(offset platform.Offset, timeMS int64) timeline.Event {
+		return timeline.Event{Kind: timeline.KindSettingsInForce, Offset: offset, TimeMS: timeMS}
+	}
+	all.addHost([]timeline.Event{inForce(3, 1_004), inForce(5, 2_003), inForce(6, 3_010)})
+	all.addHost([]timeline.Event{inForce(5, 2_020)})
+	var out bytes.Buffer
+	assert.NilError(t, all.print(&out))
+	lines := strings.Split(out.String(), "\n")
+	assert.Equal(t, len(lines), 6)
+	assert.Assert(t, strings.HasSuffix(lines[1], "1020ms          0"), lines[1])
+	assert.Assert(t, strings.HasSuffix(lines[3], "-               1"), lines[3])
+	assert.Equal(t, lines[4], "2 versions: p50 20ms, p99 1020ms, max 1020ms")
+}
