A settings file without a version is based on nothing

Without based_on or -base a publication took the latest version as its base, and so undid the change of an operator who had been faster. It now conflicts with every node that has changed; -base latest asks for the old behaviour.

--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -111,11 +111,11 @@
 	system := newFakeSystem()
 	client := serveOperator(t, system)
 
-	accepted := client.PublishSettings(ctx, "a", publish.Latest, "", []byte(file))
+	accepted := client.PublishSettings(ctx, "a", 0, "", []byte(file))
 	assert.Equal(t, accepted.Status, publish.Accepted)
 	version := accepted.Offset
 
-	again := client.PublishSettings(ctx, "b", publish.Latest, "", []byte(file))
+	again := client.PublishSettings(ctx, "b", 0, "", []byte(file))
 	assert.Equal(t, again.Status, publish.Accepted)
 	assert.Equal(t, again.Reason, "nothing to change")
 
@@ -126,7 +126,7 @@
 	assert.Equal(t, len(stale.Conflicts), 1)
 	assert.Equal(t, stale.Conflicts[0].Version, later.Offset)
 
-	faulty := client.PublishSettings(ctx, "e", publish.Latest, "", []byte("[service.revize]\nkeyed = true\nslices = 0\n"))
+	faulty := client.PublishSettings(ctx, "e", 0, "", []byte("[service.revize]\nkeyed = true\nslices = 0\n"))
 	assert.Equal(t, faulty.Status, publish.NotAppended)
 	assert.Assert(t, strings.Contains(faulty.Reason, "line 3: revize.slices"), faulty.Reason)
 	assert.Equal(t, len(system.seen), 2)
@@ -137,14 +137,14 @@
 	system := newFakeSystem()
 	client := serveOperator(t, system)
 	system.lostAfter = true
-	assert.Equal(t, client.PublishSettings(ctx, "a", publish.Latest, "", []byte(file)).Status, publish.Unknown)
+	assert.Equal(t, client.PublishSettings(ctx, "a", 0, "", []byte(file)).Status, publish.Unknown)
 	mark := MarkRequest{ID: "m", Subject: record.SubjectHost, Name: "h1", State: record.MarkLeaving}
 	reply, err := client.SetMark(ctx, mark)
 	assert.NilError(t, err)
 	assert.Equal(t, reply.Status, publish.Unknown)
 
 	system.lostAfter = false
-	assert.Equal(t, client.PublishSettings(ctx, "a", publish.Latest, "", []byte(file)).Status, publish.Accepted)
+	assert.Equal(t, client.PublishSettings(ctx, "a", 0, "", []byte(file)).Status, publish.Accepted)
 	reply, err = client.SetMark(ctx, mark)
 	assert.NilError(t, err)
 	assert.Equal(t, reply.Status, publish.Accepted)
@@ -189,7 +189,7 @@
 	ctx := context.Background()
 	system := newFakeSystem()
 	client := serveOperator(t, system)
-	client.PublishSettings(ctx, "a", publish.Latest, "", []byte(file))
+	client.PublishSettings(ctx, "a", 0, "", []byte(file))
 	system.events.Record(timeline.Event{Kind: timeline.KindLogDown})
 
 	tree, err := client.Settings(ctx)
@@ -230,7 +230,7 @@
 		t.Run(name, func(t *testing.T) {
 			server := httptest.NewServer(handler)
 			t.Cleanup(server.Close)
-			reply := NewClient(server.URL, "", http.DefaultClient).PublishSettings(context.Background(), "a", publish.Latest, "", []byte(file))
+			reply := NewClient(server.URL, "", http.DefaultClient).PublishSettings(context.Background(), "a", 0, "", []byte(file))
 			assert.Equal(t, reply.Status, publish.Unknown)
 			assert.Equal(t, reply.ID, record.ID("a"))
 		})
@@ -240,7 +240,7 @@
 func TestAPublicationThatWasNotAppendedSaysSo(t *testing.T) {
 	system := newFakeSystem()
 	system.refuse = errors.New("still starting")
-	reply := serveOperator(t, system).PublishSettings(context.Background(), "a", publish.Latest, "", []byte(file))
+	reply := serveOperator(t, system).PublishSettings(context.Background(), "a", 0, "", []byte(file))
 	assert.Equal(t, reply.Status, publish.NotAppended)
 	assert.Equal(t, reply.Reason, "still starting")
 }
--- a/internal/admin/api.go
+++ b/internal/admin/api.go
@@ -18,6 +18,7 @@
 //	GET  /hosts                                    -> StatusReply
 //	GET  /timeline?since=SEQ                       -> TimelineReply
 //
+// A settings file is based on the version in base, or on the one that it names.
 // A publication answers 202 where it is accepted, 409 where it is refused
 // because something else came first, 422 where its contents are at fault, 503
 // where it was not appended for another reason, and 504 where it is not known
--- a/internal/admin/client.go
+++ b/internal/admin/client.go
@@ -100,8 +100,8 @@
 	return get[TimelineReply](ctx, c, "/timeline?since="+strconv.FormatUint(since, 10))
 }
 
-// PublishSettings publishes a settings file that is based on a version,
-// publish.Latest for the one that the file names or else the latest.
+// PublishSettings publishes a settings file that is based on a version, zero
+// for the one that the file names.
 func (c *Client) PublishSettings(ctx context.Context, id record.ID, base platform.Offset, comment string, text []byte) PublishReply {
 	query := url.Values{}
 	query.Set("id", string(id))
--- a/internal/admin/overview/overview_test.go
+++ b/internal/admin/overview/overview_test.go
@@ -83,9 +83,9 @@
 func TestOperatorsSeeSettingsMarksOwnersAndSessions(t *testing.T) {
 	ctx := context.Background()
 	client, log, _ := startHost(t)
-	reply := client.PublishSettings(ctx, "a", publish.Latest, "first", []byte(tree))
+	reply := client.PublishSettings(ctx, "a", 0, "first", []byte(tree))
 	assert.Equal(t, reply.Status, publish.Accepted, reply.Reason)
-	reply = client.PublishSettings(ctx, "a", publish.Latest, "first", []byte(tree))
+	reply = client.PublishSettings(ctx, "a", 0, "first", []byte(tree))
 	assert.Equal(t, reply.Offset, platform.Offset(1))
 
 	owner, err := client.Owner(ctx, "revize", "k")
@@ -126,7 +126,7 @@
 func TestHostsThatAreBehindOrSilentAreShown(t *testing.T) {
 	ctx := context.Background()
 	client, _, hosts := startHost(t)
-	client.PublishSettings(ctx, "a", publish.Latest, "", []byte(tree))
+	client.PublishSettings(ctx, "a", 0, "", []byte(tree))
 	self := members.Host{HostEntry: platform.HostEntry{Name: "h1"}}
 	other := members.Host{HostEntry: platform.HostEntry{Name: "h2"}, Applied: 1, Answered: time.Now()}
 	behind, silent := other, other
--- a/internal/admin/tls_test.go
+++ b/internal/admin/tls_test.go
@@ -115,7 +115,7 @@
 		{"known name", a.client(t, a, "anna"), publish.Accepted},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			reply := NewClient(server.URL, "", c.client).PublishSettings(context.Background(), "a", publish.Latest, "", []byte(file))
+			reply := NewClient(server.URL, "", c.client).PublishSettings(context.Background(), "a", 0, "", []byte(file))
 			assert.Equal(t, reply.Status, c.want, reply.Reason)
 		})
 	}
--- a/internal/cmd/ctlcmd/settings_publish.go
+++ b/internal/cmd/ctlcmd/settings_publish.go
@@ -5,6 +5,9 @@
 	"fmt"
 	"io"
 	"os"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
 
 	"github.com/poplarcroft/poplarcroft/internal/admin"
 	"github.com/poplarcroft/poplarcroft/internal/cli"
@@ -23,18 +26,22 @@
 	tree    *settings.Tree
 	id      record.ID
 	base    platform.Offset
+	latest  bool // base is the latest version, whatever it is
 	comment string
 }
 
+// latestBase is the value of -base that means the latest version.
+const latestBase = "latest"
+
 func publishSettings(ctx context.Context, args []string, stdout, stderr io.Writer) int {
 	var p publication
 	flags := newFlags("settings publish [-admin ADDR | -log URL] FILE",
 		"Publishes a settings file: the whole tree. Nodes that others changed since the version\n"+
 			"that the file is based on (its based_on, or -base) are conflicts and change nothing.\n"+
 			"Exit code 3 reports a conflict, 4 a result that is not known.",
-		[]string{"settings publish moravia.toml", "settings publish -log http://127.0.0.1:7000 -base 42 moravia.toml"}, stdout, stderr)
+		[]string{"settings publish moravia.toml", "settings publish -base 42 moravia.toml", "settings publish -log http://127.0.0.1:7000 moravia.toml"}, stdout, stderr)
 	id := flags.String("id", "", "`ID` of an earlier try, to repeat it safely")
-	base := flags.Uint64("base", 0, "`version` that the file is based on; default the file's based_on, or else the latest")
+	base := flags.String("base", "", "`version` that the file is based on, or \"latest\" to replace whatever is in force; default the file's based_on")
 	flags.StringVar(&p.comment, "comment", "", "`text` for the history")
 	p.addAdmin(flags)
 	p.addLog(flags)
@@ -44,7 +51,9 @@
 	}
 	p.file = files[0]
 	p.id = idOrNew(*id)
-	p.base = platform.Offset(*base)
+	if err := p.parseBase(*base); err != nil {
+		return flags.wrongUsage(err.Error())
+	}
 	if err := p.load(); err != nil {
 		printFileError(stderr, p.file, err)
 		return cli.ExitFailure
@@ -67,6 +76,23 @@
 	return record.ID(id)
 }
 
+// parseBase reads the value of -base.
+func (p *publication) parseBase(text string) error {
+	if text == "" {
+		return nil
+	}
+	if text == latestBase {
+		p.latest = true
+		return nil
+	}
+	version, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return errors.Newf("-base wants a version or %q, not %q", latestBase, text)
+	}
+	p.base = platform.Offset(version)
+	return nil
+}
+
 // load reads and checks the file.
 func (p *publication) load() error {
 	text, err := os.ReadFile(p.file)
@@ -75,7 +101,7 @@
 	}
 	p.text = text
 	p.tree, err = settings.Parse(text)
-	if err == nil && p.base == publish.Latest {
+	if err == nil && p.base == 0 {
 		p.base = p.tree.BasedOn
 	}
 	return err
@@ -91,7 +117,7 @@
 	if err != nil {
 		return admin.PublishReply{}, err
 	}
-	if p.base == publish.Latest {
+	if p.latest {
 		reply, err := client.Settings(ctx)
 		if err != nil {
 			return admin.PublishReply{}, err
@@ -110,7 +136,7 @@
 		return admin.PublishReply{Result: result}, nil
 	}
 	state := stateOf(publisher)
-	if p.base == publish.Latest {
+	if p.latest {
 		p.base = state.Version()
 	}
 	r, verdict := publish.SettingsRecord(p.id, state, p.tree, p.base, p.comment)
@@ -144,6 +170,7 @@
 	}
 	fmt.Fprintf(stderr, "the settings in force are version %d; %s is based on version %d; from the file to them:\n", version, p.file, p.base)
 	fmt.Fprint(stderr, settings.DiffText(settings.Diff(p.tree, tree)))
+	fmt.Fprintf(stderr, "to replace them all the same: -base %d\n", version)
 }
 
 // where returns the flags that choose the target again.
--- a/internal/cmd/ctlcmd/settings_test.go
+++ b/internal/cmd/ctlcmd/settings_test.go
@@ -66,7 +66,11 @@
 	assert.Assert(t, strings.Contains(ctl(t, "settings show -effective revise"+log).stderr, `did you mean "revize"?`))
 	changed := writeFile(t, keyedService+"slots = 5\n")
 	assert.Equal(t, ctl(t, "settings diff"+log+changed), result{stdout: "[service.revize]\n+ slots = 5\n"})
-	assert.Equal(t, ctl(t, "settings publish -author anna"+log+changed).code, cli.ExitOK)
+	unnamed := ctl(t, "settings publish"+log+changed)
+	assert.Equal(t, unnamed.code, cli.ExitConflict)
+	assert.Assert(t, strings.HasSuffix(unnamed.stderr, "to replace them all the same: -base 1\nrefused, nothing is changed: revize: based on version 0, but has version 1\n"), unnamed.stderr)
+	assert.Equal(t, ctl(t, "settings publish -base x"+log+changed).code, cli.ExitUsage)
+	assert.Equal(t, ctl(t, "settings publish -author anna -base latest"+log+changed).code, cli.ExitOK)
 	history := ctl(t, "settings history"+log).stdout
 	assert.Equal(t, strings.Count(history, "\n"), 2)
 	assert.Assert(t, strings.Contains(history, "anna         accepted settings revize\n"), history)
@@ -95,7 +99,7 @@
 	log := startLog(t, standin.LogFaults{AppendsPerSecond: 1e-6})
 	assert.Equal(t, ctl(t, "settings publish"+log+writeFile(t, keyedService)).code, cli.ExitOK)
 	file := writeFile(t, keyedService+"slots = 5\n")
-	got := ctl(t, "settings publish -timeout 300ms -id again"+log+file)
+	got := ctl(t, "settings publish -timeout 300ms -base 1 -id again"+log+file)
 	assert.Equal(t, got.code, cli.ExitUnknown)
 	assert.Assert(t, strings.HasSuffix(got.stderr, "  poplarctl settings publish"+log+"-id again -base 1 "+file+"\n"), got.stderr)
 }
--- a/internal/publish/build.go
+++ b/internal/publish/build.go
@@ -9,21 +9,16 @@
 	"github.com/poplarcroft/poplarcroft/internal/settings"
 )
 
-// Latest as the base of a change means the version that is in force.
-const Latest platform.Offset = 0
-
 // SettingsRecord returns the record that turns the state's tree into the given
 // one, and the verdict that the record would get now. The tree was made from
-// the version base, or from the version that its file names where base is
-// Latest; nodes that have changed since are conflicts. The record is to be
-// published only where the verdict accepts it. It has no nodes where the trees are equal.
+// the version base, or from the version that its file names where base is zero;
+// a file that names none was made from nothing. Nodes that have changed since
+// are conflicts. The record is to be published only where the verdict accepts
+// it. It has no nodes where the trees are equal.
 func SettingsRecord(id record.ID, state *settings.State, tree *settings.Tree, base platform.Offset, comment string) (record.Record, settings.Verdict) {
-	if base == Latest {
+	if base == 0 {
 		base = tree.BasedOn
 	}
-	if base == Latest {
-		base = state.Version()
-	}
 	change := state.Change(tree, comment)
 	r := record.Record{ID: id, Kind: record.KindSettings, Settings: &change}
 	if base > state.Version() {
