--- a/internal/cmd/ctlcmd/settings_test.go
+++ b/internal/cmd/ctlcmd/settings_test.go
@@ -66,7 +66,11 @@
 	assert.Assert(t, strings.Contains(ctl(t, "settings show -effective revise"+log).stderr, `did you mean "revize"?`))
 	changed := writeFile(t, keyedService+"slots = 5\n")
 	assert.Equal(t, ctl(t, "settings diff"+log+changed), result{stdout: "[service.revize]\n+ slots = 5\n"})
-	assert.Equal(t, ctl(t, "settings publish -author anna"+log+changed).code, cli.ExitOK)
+	unnamed := ctl(t, "settings publish"+log+changed)
+	assert.Equal(t, unnamed.code, cli.ExitConflict)
+	assert.Assert(t, strings.HasSuffix(unnamed.stderr, "to replace them all the same: -base 1\nrefused, nothing is changed: revize: based on version 0, but has version 1\n"), unnamed.stderr)
+	assert.Equal(t, ctl(t, "settings publish -base x"+log+changed).code, cli.ExitUsage)
+	assert.Equal(t, ctl(t, "settings publish -author anna -base latest"+log+changed).code, cli.ExitOK)
 	history := ctl(t, "settings history"+log).stdout
 	assert.Equal(t, strings.Count(history, "\n"), 2)
 	assert.Assert(t, strings.Contains(history, "anna         accepted settings revize\n"), history)
@@ -88,14 +92,14 @@
 func TestLostAnswersStillEndAccepted(t *testing.T) {
 	log := startLog(t, standin.LogFaults{LoseEvery: 1})
 	assert.Equal(t, ctl(t, "settings publish"+log+writeFile(t, keyedService)), result{stdout: "accepted: version 1\n"})
-	assert.Equal(t, ctl(t, "mark zone olomouc leaving"+log).code, cli.ExitOK)
+	assert.Equal(t, ctl(t, "mark host h1 leaving"+log).code, cli.ExitOK)
 }
 
 func TestAnUnknownResultPrintsHowToRepeat(t *testing.T) {
 	log := startLog(t, standin.LogFaults{AppendsPerSecond: 1e-6})
 	assert.Equal(t, ctl(t, "settings publish"+log+writeFile(t, keyedService)).code, cli.ExitOK)
 	file := writeFile(t, keyedService+"slots = 5\n")
-	got := ctl(t, "settings publish -timeout 300ms -id again"+log+file)
+	got := ctl(t, "settings publish -timeout 300ms -base 1 -id again"+log+file)
 	assert.Equal(t, got.code, cli.ExitUnknown)
 	assert.Assert(t, strings.HasSuffix(got.stderr, "  poplarctl settings publish"+log+"-id again -base 1 "+file+"\n"), got.stderr)
 }
@@ -107,18 +111,23 @@
 
 func TestMarksOnTheLog(t *testing.T) {
 	log := startLog(t, standin.LogFaults{})
-	assert.Equal(t, ctl(t, "mark zone olomouc leaving"+log).stdout, "accepted: version 1\n")
-	assert.Equal(t, ctl(t, "mark zone olomouc leaving"+log).stdout, "accepted: version 1: nothing to change\n")
+	assert.Equal(t, ctl(t, "settings publish ../../../deploy/moravia.toml"+log).code, cli.ExitOK)
+	typo := ctl(t, "mark zone olomuc leaving"+log)
+	assert.Equal(t, typo.code, cli.ExitFailure)
+	assert.Assert(t, strings.Contains(typo.stderr, `unknown zone "olomuc"; did you mean "olomouc"?`), typo.stderr)
+	assert.Equal(t, ctl(t, "mark zone olomouc leaving"+log).stdout, "accepted: version 2\n")
+	assert.Equal(t, ctl(t, "mark zone olomouc leaving"+log).stdout, "accepted: version 2: nothing to change\n")
 	lost := ctl(t, "mark zone olomouc lost"+log)
 	assert.Equal(t, lost.code, cli.ExitUsage)
 	assert.Assert(t, strings.Contains(lost.stderr, "every host and every backend server in the zone olomouc"))
-	assert.Equal(t, ctl(t, "mark zone olomouc lost -yes"+log).stdout, "accepted: version 2\n")
-	assert.Equal(t, ctl(t, "mark zone olomouc active"+log).stdout, "accepted: version 3\n")
+	assert.Equal(t, ctl(t, "mark zone olomouc lost -yes"+log).stdout, "accepted: version 3\n")
+	assert.Equal(t, ctl(t, "mark zone olomouc active"+log).stdout, "accepted: version 4\n")
+	assert.Equal(t, ctl(t, "mark zone hosts-only leaving -force"+log).code, cli.ExitOK)
 	assert.Equal(t, ctl(t, "mark planet earth active"+log).code, cli.ExitUsage)
 }
 
 func TestHelpHasExamples(t *testing.T) {
-	for _, command := range []string{"settings check", "settings publish", "settings show", "settings diff", "settings history", "settings status", "mark", "show owners", "show sessions", "show load", "show hosts", "show marks", "timeline"} {
+	for _, command := range []string{"settings check", "settings publish", "settings show", "settings diff", "settings history", "settings status", "settings timing", "mark", "show owners", "show sessions", "show load", "show hosts", "show marks", "timeline"} {
 		got := ctl(t, command+" -help")
 		assert.Equal(t, got.code, cli.ExitOK, command)
 		assert.Assert(t, strings.Contains(got.stdout, "Examples:\n  poplarctl "+strings.Fields(command)[0]), command)
--- a/internal/publish/build.go
+++ b/internal/publish/build.go
@@ -2,27 +2,23 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/poplarcroft/poplarcroft/internal/platform"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 	"github.com/poplarcroft/poplarcroft/internal/settings"
 )
 
-// Latest as the base of a change means the version that is in force.
-const Latest platform.Offset = 0
-
 // SettingsRecord returns the record that turns the state's tree into the given
 // one, and the verdict that the record would get now. The tree was made from
-// the version base, or from the version that its file names where base is
-// Latest; nodes that have changed since are conflicts. The record is to be
-// published only where the verdict accepts it. It has no nodes where the trees are equal.
+// the version base, or from the version that its file names where base is zero;
+// a file that names none was made from nothing. Nodes that have changed since
+// are conflicts. The record is to be published only where the verdict accepts
+// it. It has no nodes where the trees are equal.
 func SettingsRecord(id record.ID, state *settings.State, tree *settings.Tree, base platform.Offset, comment string) (record.Record, settings.Verdict) {
-	if base == Latest {
+	if base == 0 {
 		base = tree.BasedOn
 	}
-	if base == Latest {
-		base = state.Version()
-	}
 	change := state.Change(tree, comment)
 	r := record.Record{ID: id, Kind: record.KindSettings, Settings: &change}
 	if base > state.Version() {
@@ -65,3 +61,22 @@
 	}
 	return ""
 }
+
+// CheckMarkName returns what is wrong with the name of a zone or backend server
+// that the settings do not know, with the nearest known one, or "". Hosts are
+// not in the settings; their names are not checked.
+func CheckMarkName(tree *settings.Tree, subject record.Subject, name string) string {
+	var known []string
+	switch subject {
+	case record.SubjectZone:
+		known = tree.Zones()
+	case record.SubjectServer:
+		known = tree.Servers()
+	default:
+		return ""
+	}
+	if slices.Contains(known, name) {
+		return ""
+	}
+	return settings.UnknownName(string(subject), name, known)
+}
