--- a/scenarios/deployment.go
+++ b/scenarios/deployment.go
@@ -1,7 +1,9 @@
 package scenarios
 
 import (
+	"encoding/json"
 	"fmt"
+	"os"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -105,17 +107,32 @@
 
 // close ends every process.
 func (r *run) close() {
-	if r.load != nil {
-		r.load.stop()
-	}
 	for _, p := range r.processes() {
 		p.process.kill()
 	}
+	if r.load != nil {
+		r.load.stop()
+	}
 	for _, h := range r.hosts() {
 		if h.egress != nil {
 			_ = h.egress.Close()
 		}
 	}
+	r.writeCalls()
+}
+
+// writeCalls keeps the callers' record beside the servers' ones, one JSON line a call.
+func (r *run) writeCalls() {
+	file, err := os.Create(filepath.Join(r.dir, "calls.record"))
+	if err != nil {
+		return
+	}
+	defer file.Close()
+	encoder := json.NewEncoder(file)
+	for _, c := range r.allCalls() {
+		// The record only helps to understand a failure.
+		_ = encoder.Encode(c)
+	}
 }
 
 // namedProcess is a process of the deployment, with its name and zone.
