--- a/scenarios/scenarios.go
+++ b/scenarios/scenarios.go
@@ -53,8 +53,12 @@
 	if logs == "" {
 		logs = env.WorkDir
 	}
-	dir := filepath.Join(logs, filepath.Base(env.WorkDir)+"-processes")
-	if err := os.MkdirAll(dir, logDirMode); err != nil {
+	if err := os.MkdirAll(logs, logDirMode); err != nil {
+		return err
+	}
+	// Records of an earlier run would be taken for those of this one.
+	dir, err := os.MkdirTemp(logs, filepath.Base(env.WorkDir)+"-processes-")
+	if err != nil {
 		return err
 	}
 	r := newRun(dir)
