--- a/internal/check/check.go
+++ b/internal/check/check.go
@@ -18,6 +18,9 @@
 	// at a time, an older epoch goes on after a newer one has started, or one
 	// epoch has two owners.
 	RuleTwoOwners Rule = "two owners"
+	// RuleTwoIncarnations is broken where two incarnations of a server execute
+	// under one session: a session ends with its server's process.
+	RuleTwoIncarnations Rule = "two incarnations"
 	// RuleNoSlice is broken where a keyed service executes a request that names no slice.
 	RuleNoSlice Rule = "no slice"
 	// RuleTwice is broken where a request whose method is not safe takes effect twice.
@@ -53,6 +56,7 @@
 	}
 	var problems []Problem
 	problems = append(problems, checkOwners(effective)...)
+	problems = append(problems, checkIncarnations(effective)...)
 	problems = append(problems, checkNoSlice(effective)...)
 	problems = append(problems, checkTwice(effective)...)
 	problems = append(problems, checkLostWrites(effective, calls)...)
@@ -151,13 +155,34 @@
 			first[e.Epoch] = e
 			continue
 		}
-		if other.owner() != e.owner() {
+		if other.Session != e.Session || other.Server != e.Server {
 			problems = append(problems, Problem{RuleTwoOwners, fmt.Sprintf("%v has the epoch of %v", e, other)})
 		}
 	}
 	return problems
 }
 
+// checkIncarnations looks for sessions under which two incarnations of a server executed.
+func checkIncarnations(executions []Execution) []Problem {
+	first := make(map[string]Execution)
+	var problems []Problem
+	for _, e := range executions {
+		if e.Slice == NoSlice {
+			continue
+		}
+		name := groupName(e.Service, e.Server, strconv.FormatUint(e.Session, 10))
+		other, ok := first[name]
+		if !ok {
+			first[name] = e
+			continue
+		}
+		if other.Incarnation != e.Incarnation {
+			problems = append(problems, Problem{RuleTwoIncarnations, fmt.Sprintf("%v and %v", other, e)})
+		}
+	}
+	return problems
+}
+
 // checkNoSlice looks for requests without a slice in services that have slices.
 func checkNoSlice(executions []Execution) []Problem {
 	keyed := make(map[string]bool)
--- a/internal/check/check_test.go
+++ b/internal/check/check_test.go
@@ -36,6 +36,7 @@
 	noSlice := func(e *Execution) { e.Slice = NoSlice }
 	otherSlice := func(e *Execution) { e.Slice = 2 }
 	otherServer := func(e *Execution) { e.Server = "s2" }
+	otherIncarnation := func(e *Execution) { e.Incarnation = "i2" }
 	otherID := func(e *Execution) { e.IdempotencyKey = "other" }
 	otherKey := func(e *Execution) { e.Key = "k2" }
 	fault := call("a", outcome.Done, 200, 5, 30)
@@ -53,6 +54,8 @@
 		"overlap of a key":          {[]Execution{write("a", 1, 1, 10, 20), write("b", 2, 2, 15, 25).with(otherSlice)}, nil, []Rule{RuleTwoOwners}},
 		"older epoch later":         {[]Execution{write("a", 2, 2, 10, 20), write("b", 1, 1, 30, 40)}, nil, []Rule{RuleTwoOwners}},
 		"older epoch same session":  {[]Execution{write("a", 1, 2, 10, 20), write("b", 1, 1, 30, 40)}, nil, []Rule{RuleTwoOwners}},
+		"two incarnations":          {[]Execution{write("a", 1, 1, 10, 20), write("b", 1, 1, 30, 40).with(otherIncarnation)}, nil, []Rule{RuleTwoIncarnations}},
+		"restart in a new session":  {[]Execution{write("a", 1, 1, 10, 20), write("b", 2, 2, 30, 40).with(otherIncarnation)}, nil, nil},
 		"reads by two owners":       {[]Execution{write("a", 1, 1, 10, 20).with(read), write("b", 2, 1, 30, 40).with(read)}, nil, []Rule{RuleTwoOwners}},
 		"no slice":                  {[]Execution{write("a", 1, 1, 10, 20), write("b", 0, 0, 30, 40).with(noSlice)}, nil, []Rule{RuleNoSlice}},
 		"not keyed":                 {[]Execution{write("a", 0, 0, 10, 20).with(noSlice), write("b", 0, 0, 15, 25).with(otherServer).with(noSlice)}, nil, nil},
--- a/scenarios/cmd_await.go
+++ b/scenarios/cmd_await.go
@@ -71,6 +71,8 @@
 		return r.newServed(args)
 	case "away":
 		return r.newAway(args)
+	case "used":
+		return r.newUsed(args)
 	case "exited":
 		return r.newExited(args)
 	}
@@ -136,6 +138,24 @@
 	return func(left time.Duration) error { return r.probeKeys(name, f, left, accept) }, nil
 }
 
+// newUsed returns the condition that some key is answered by the named servers
+// or zones: used [-keys N | -only KEYS] [-via HOST|ZONE] SERVICE NAME...
+func (r *run) newUsed(args []string) (condition, error) {
+	var f keysFlags
+	flags := flag.NewFlagSet("used", flag.ContinueOnError)
+	f.register(flags)
+	if err := parseFlags(flags, args, 2, maxArgs); err != nil {
+		return nil, err
+	}
+	return func(left time.Duration) error {
+		found, err := r.keysOf(flags.Arg(0), f, flags.Args()[1:])
+		if err == nil && len(found) == 0 {
+			err = errors.New("no key is answered by them")
+		}
+		return err
+	}, nil
+}
+
 // probeKeys probes every key of a service through every host, all keys at a time.
 func (r *run) probeKeys(service string, f keysFlags, left time.Duration, accept func(server string) error) error {
 	hosts := r.callableHosts(f.via)
--- a/scenarios/cmd_calls.go
+++ b/scenarios/cmd_calls.go
@@ -104,21 +104,47 @@
 	if err := parseFlags(flags, args, 3, maxArgs); err != nil {
 		return err
 	}
+	found, err := r.keysOf(flags.Arg(0), f, flags.Args()[2:])
+	if err != nil {
+		return err
+	}
+	if len(found) == 0 {
+		return errors.New("the servers own none of the keys")
+	}
+	ts.Setenv(flags.Arg(1), strings.Join(found, ","))
+	return nil
+}
+
+// keysOf returns the keys that the named servers and zones answer for.
+func (r *run) keysOf(service string, f keysFlags, names []string) ([]string, error) {
 	var found []string
 	for _, key := range f.list() {
-		owner, err := r.probe(flags.Arg(0), key, r.callableHosts(f.via), defaultCallTimeout)
+		owner, err := r.probe(service, key, r.callableHosts(f.via), defaultCallTimeout)
 		if err != nil {
-			return err
+			return nil, err
 		}
-		if s := r.findServer(owner); s != nil && s.named(flags.Args()[2:]) {
+		if s := r.findServer(owner); s != nil && s.named(names) {
 			found = append(found, key)
 		}
 	}
-	if len(found) == 0 {
-		return errors.New("the servers own none of the keys")
+	return found, nil
+}
+
+// cmdAddr puts the address of a server, or the administration's address of a
+// host, into a variable: addr NAME VARIABLE.
+func cmdAddr(ts *testscript.TestScript, r *run, args []string) error {
+	if len(args) != 2 {
+		return errors.New("usage: addr NAME VARIABLE")
 	}
-	ts.Setenv(flags.Arg(1), strings.Join(found, ","))
-	return nil
+	if s := r.findServer(args[0]); s != nil {
+		ts.Setenv(args[1], s.addr)
+		return nil
+	}
+	if h := r.findHost(args[0]); h != nil {
+		ts.Setenv(args[1], h.addrs.admin)
+		return nil
+	}
+	return errors.Newf("no host or server %q", args[0])
 }
 
 // cmdRenewer puts the name of the host that renews a server's lease into a
--- a/scenarios/scenarios.go
+++ b/scenarios/scenarios.go
@@ -87,6 +87,7 @@
 		"hostlist":  cmdHostList,
 		"fault":     cmdFault,
 		"send":      cmdSend,
+		"addr":      cmdAddr,
 		"owner":     cmdOwner,
 		"keys":      cmdKeys,
 		"renewer":   cmdRenewer,
