Scenarios: send prints a refusal's detail

zone-leaves-and-returns: slices that return to a session stay without service, because the keeper never forgets that it once activated them at their successor (Keeper.activated).

--- a/scenarios/caller.go
+++ b/scenarios/caller.go
@@ -42,6 +42,8 @@
 	answer standin.Answer
 	// unsent says that no connection to the host could be opened.
 	unsent bool
+	// detail is what a refusal says in words.
+	detail string
 	// retryAfter is the Retry-After header of the answer.
 	retryAfter string
 }
@@ -104,7 +106,7 @@
 		if err := json.Unmarshal(body, &refusal); err != nil || refusal.Outcome != r.Outcome {
 			r.Fault = fmt.Sprintf("refusal with the body %q", body)
 		}
-		r.Reason = refusal.Reason
+		r.Reason, r.detail = refusal.Reason, refusal.Detail
 	default:
 		r.Fault = fmt.Sprintf("answer with the outcome %q", r.Outcome)
 	}
--- a/scenarios/cmd_calls.go
+++ b/scenarios/cmd_calls.go
@@ -55,9 +55,9 @@
 	spec.service, spec.key = name, key
 	result := r.callAny(spec, r.callableHosts(via))
 	r.addCall(result.Call)
-	printf(ts, "status=%d outcome=%s reason=%s server=%s retry-after=%s value=%q error=%q\n",
+	printf(ts, "status=%d outcome=%s reason=%s server=%s retry-after=%s value=%q detail=%q error=%q\n",
 		result.Status, result.Outcome, result.Reason, r.serverName(result.answer.Server),
-		result.retryAfter, result.answer.Value, result.Error)
+		result.retryAfter, result.answer.Value, result.detail, result.Error)
 	return nil
 }
 
