--- a/internal/limit/admission.go
+++ b/internal/limit/admission.go
@@ -13,6 +13,9 @@
 	minRetryAfter = 50 * time.Millisecond
 	// maxRetryAfter is the longest such time.
 	maxRetryAfter = 30 * time.Second
+	// recoverAfter is the number of executed requests for each slot after which a
+	// server that has shed load gets one more slot.
+	recoverAfter = 4
 	// settleTime is how long after its admission a request counts as arrived at the server.
 	settleTime = 100 * time.Millisecond
 )
@@ -21,6 +24,8 @@
 type Result struct {
 	// Executed says that the server answered the request after executing it.
 	Executed bool
+	// Shed says that the server refused the request because it had too much to do.
+	Shed bool
 	// Took is the time from the request's admission to its end.
 	Took time.Duration
 }
@@ -48,6 +53,10 @@
 	inherited   int
 	inheritedTo time.Time
 	service     time.Duration
+	// ceiling is the number of slots that a server which has shed load gets, zero
+	// where it gets all; executed counts towards its rise.
+	ceiling  int
+	executed int
 }
 
 // NewAdmission returns the admission to a server whose incarnation this host
@@ -77,6 +86,7 @@
 	a.started = now
 	a.inherited = 0
 	a.service = 0
+	a.ceiling = 0
 	return a.runningTickets()
 }
 
@@ -143,7 +153,14 @@
 	if a.alone == ticket {
 		a.alone = 0
 	}
-	if result.Executed {
+	switch {
+	case result.Shed:
+		a.lowerCeiling()
+	case result.Executed:
+		a.observeService(result.Took)
+		a.raiseCeiling(now)
+	case result.Took > a.service:
+		// The server took at least that long and was not done.
 		a.observeService(result.Took)
 	}
 	return a.Advance(now)
@@ -225,8 +242,35 @@
 	}
 }
 
+// slots returns the number of slots that the server gets now.
 func (a *Admission) slots(now time.Time) int {
-	return a.config.SlotsAt(now.Sub(a.started))
+	slots := a.config.SlotsAt(now.Sub(a.started))
+	if a.ceiling > 0 {
+		return min(slots, a.ceiling)
+	}
+	return slots
+}
+
+// lowerCeiling gives the server as many slots as it had in use when it shed a request.
+func (a *Admission) lowerCeiling() {
+	a.ceiling = max(len(a.running), 1)
+	a.executed = 0
+}
+
+// raiseCeiling gives the server a slot back when it has executed enough requests.
+func (a *Admission) raiseCeiling(now time.Time) {
+	if a.ceiling == 0 {
+		return
+	}
+	a.executed++
+	if a.executed < recoverAfter*a.ceiling {
+		return
+	}
+	a.executed = 0
+	a.ceiling++
+	if a.ceiling >= a.config.SlotsAt(now.Sub(a.started)) {
+		a.ceiling = 0
+	}
 }
 
 func (a *Admission) free(now time.Time) int {
--- a/internal/limit/admission_test.go
+++ b/internal/limit/admission_test.go
@@ -138,6 +138,30 @@
 	assert.DeepEqual(t, a.Finish(start, alone, Result{}), []Event{{Ticket: next, Admitted: true}})
 }
 
+func TestServerThatShedsGetsFewerSlotsUntilItRecovers(t *testing.T) {
+	a := NewAdmission(limits, warmed)
+	fill(a, 4)
+	a.Finish(start, 4, Result{Shed: true})
+	a.Finish(start, 3, Result{Shed: true})
+	assert.Equal(t, a.Stats(start).Slots, 2)
+	executed := 0
+	for ; executed < 100 && a.Stats(start).Slots < limits.Slots; executed++ {
+		a.Finish(start, a.runningTickets()[0], Result{Executed: true, Took: time.Millisecond})
+		fill(a, 1)
+	}
+	assert.Equal(t, executed, recoverAfter*(2+3))
+}
+
+func TestUnansweredRequestsRaiseTheServiceTime(t *testing.T) {
+	a := NewAdmission(limits, warmed)
+	fill(a, 3)
+	a.Finish(start, 1, Result{Executed: true, Took: 80 * time.Millisecond})
+	a.Finish(start, 2, Result{Took: time.Millisecond})
+	assert.Equal(t, a.Stats(start).Service, 80*time.Millisecond, "it says nothing of the server")
+	a.Finish(start, 3, Result{Took: 880 * time.Millisecond})
+	assert.Equal(t, a.Stats(start).Service, 180*time.Millisecond)
+}
+
 func TestInheritedSlots(t *testing.T) {
 	a := NewAdmission(limits, warmed)
 	a.Inherit(start, limits.Slots, at(5*time.Second))
@@ -212,7 +236,8 @@
 				for _, ticket := range offered {
 					if running[ticket] {
 						delete(running, ticket)
-						note(a.Finish(now, ticket, Result{Executed: true, Took: 50 * time.Millisecond}))
+						shed := rapid.IntRange(0, 4).Draw(t, "shed") == 0
+						note(a.Finish(now, ticket, Result{Executed: true, Shed: shed, Took: 50 * time.Millisecond}))
 						return
 					}
 				}
--- a/internal/limit/gate.go
+++ b/internal/limit/gate.go
@@ -44,9 +44,15 @@
 }
 
 // Release returns the slot. Executed says that the server executed the request
-// and answered it. Only the first call has an effect.
+// and answered it. Only the first call of a release method has an effect.
 func (p *Permit) Release(executed bool) {
-	p.gate.release(p, executed)
+	p.gate.release(p, Result{Executed: executed})
+}
+
+// ReleaseShed returns the slot of a request that the server refused because it
+// had too much to do. The server gets fewer slots until it has recovered.
+func (p *Permit) ReleaseShed() {
+	p.gate.release(p, Result{Shed: true})
 }
 
 // Acquire waits for a slot for a request of the given flow. It returns a permit
@@ -189,10 +195,10 @@
 	return g.permits[event.Ticket], outcome.Refusal{}, true
 }
 
-func (g *Gate) release(p *Permit, executed bool) {
+func (g *Gate) release(p *Permit, result Result) {
 	g.update(func(now time.Time) []Event {
 		delete(g.permits, p.ticket)
-		result := Result{Executed: executed, Took: now.Sub(p.admitted)}
+		result.Took = now.Sub(p.admitted)
 		return g.admission.Finish(now, p.ticket, result)
 	})
 }
