--- a/internal/idempotency/entry.go
+++ b/internal/idempotency/entry.go
@@ -6,7 +6,7 @@
 //
 // The memory of one host is not enough, since hosts are lost. The lead of a
 // session claims an ID, waits for a slot, copies the claim to so many other
-// lessors that a quorum holds it (Keep), checks that the claim is still its own
+// lessors that a quorum holds it (Hold), checks that the claim is still its own
 // (Claimed), and only then sends the request. A
 // host that becomes the lead merges the copies of a quorum (Snapshot, Merge)
 // before its first claim, and so finds every claim under which a request may have run.
--- a/internal/idempotency/memory.go
+++ b/internal/idempotency/memory.go
@@ -189,24 +189,11 @@
 	return known.export(now), true
 }
 
-// Keep takes in entries that another host copies here and reports whether they
-// are remembered. Where it returns false, the other host must not run requests
-// under those of the claims that are its own.
-func (m *Memory) Keep(now time.Time, from string, entries []Entry) bool {
-	if m.Merge(now, entries) > 0 {
-		return false
-	}
-	for _, entry := range entries {
-		if entry.State == StateRunning && entry.Claimant == from && !m.holds(entry) {
-			return false
-		}
-	}
-	return true
-}
-
-// holds reports whether a claim is remembered so that no host which merges this
-// memory will run the request.
-func (m *Memory) holds(claim Entry) bool {
+// Hold takes in another host's claim and reports whether it is remembered here
+// now, so that no host which merges this memory will run the request. Where it
+// returns false the other host must not run the request under this claim.
+func (m *Memory) Hold(now time.Time, claim Entry) bool {
+	m.Merge(now, []Entry{claim})
 	known, ok := m.index[claim.ID]
 	return ok && known.entry.State != StateReleased &&
 		known.entry.Attempt == claim.Attempt && known.entry.Claimant == claim.Claimant
--- a/internal/idempotency/table.go
+++ b/internal/idempotency/table.go
@@ -69,11 +69,11 @@
 	}
 }
 
-// Keep takes in entries that another host copies here, see Memory.Keep.
-func (t *Table) Keep(from string, entries []Entry) bool {
+// Hold takes in another host's claim, see Memory.Hold.
+func (t *Table) Hold(claim Entry) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.memory.Keep(time.Now(), from, entries)
+	return t.memory.Hold(time.Now(), claim)
 }
 
 // Claimed returns the entry of a claim, for copying it to another host, and
