--- a/internal/idempotency/memory_test.go
+++ b/internal/idempotency/memory_test.go
@@ -114,15 +114,28 @@
 	}
 }
 
-func TestHoldRefusesAClaimThatIsSuperseded(t *testing.T) {
-	m := NewMemory("a", Bounds{Retention: retention})
-	m.Merge(start, []Entry{{ID: signed, Digest: digest, Attempt: 1, State: StateReleased}})
-	claim := Entry{ID: signed, Digest: digest, Attempt: 1, State: StateRunning}
-	assert.Equal(t, m.Hold(start, claim), false)
-	claim.Attempt = 2
-	assert.Equal(t, m.Hold(start, claim), true)
-	claim.Digest = Digest{1}
-	assert.Equal(t, m.Hold(start, claim), false)
+func TestHoldRefusesAClaimThatOthersMayRun(t *testing.T) {
+	claim := Entry{ID: signed, Digest: digest, Attempt: 2, Claimant: "a", State: StateRunning}
+	known := func(attempt int, claimant string, state State) Entry {
+		return Entry{ID: signed, Digest: digest, Attempt: attempt, Claimant: claimant, State: state}
+	}
+	for name, c := range map[string]struct {
+		known Entry
+		want  bool
+	}{
+		"released before":    {known(1, "b", StateReleased), true},
+		"released already":   {known(2, "a", StateReleased), false},
+		"copied before":      {known(2, "a", StateRunning), true},
+		"claimed by another": {known(2, "b", StateRunning), false},
+		"claimed later":      {known(3, "b", StateRunning), false},
+		"answered before":    {known(2, "a", StateDone), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := NewMemory("x", Bounds{Retention: retention})
+			m.Merge(start, []Entry{c.known})
+			assert.Equal(t, m.Hold(start, claim), c.want)
+		})
+	}
 }
 
 func TestMergeOrderDoesNotMatter(t *testing.T) {
@@ -171,6 +184,7 @@
 				}()
 				ctx, cancel := context.WithTimeout(t.Context(), c.timeout)
 				defer cancel()
+				assert.Equal(t, table.Lookup(ctx, signed, digest).Kind, c.want)
 				assert.Equal(t, table.Claim(ctx, signed, digest).Kind, c.want)
 				time.Sleep(time.Second)
 			})
