Cold targets are warmed by one host within their slots

Cause: every host sent a cold target its share, and the shares of 9 to 12 hosts met by chance. Change: of the hosts, the one with the highest rank for the target sends to it during its cold start, and counts its own tries against the ramp; a failure begins the ramp anew, because the target has not started yet. Options.MayWarm switches it on.

--- a/internal/balance/adaptive.go
+++ b/internal/balance/adaptive.go
@@ -70,7 +70,7 @@
 
 // Pick implements Policy.
 func (p *adaptivePolicy) Pick(now time.Duration, exclude ...string) (string, bool) {
-	candidates := p.eligible(exclude)
+	candidates := p.withoutColdOfOthers(p.eligible(exclude), now)
 	if len(candidates) == 0 {
 		return "", false
 	}
@@ -87,6 +87,22 @@
 	return near.Addr, true
 }
 
+// withoutColdOfOthers removes the cold targets that another host warms, and
+// those that this host warms and that run as many tries as they bear.
+func (p *adaptivePolicy) withoutColdOfOthers(candidates []*targetState, now time.Duration) []*targetState {
+	if p.options.MayWarm == nil {
+		return candidates
+	}
+	return slices.DeleteFunc(candidates, func(state *targetState) bool {
+		warmth := p.warmth(state, now)
+		if warmth >= 1 {
+			return false
+		}
+		full := float64(state.inFlight()+1) > warmth*float64(state.Slots)
+		return full || !p.options.MayWarm(state.Addr)
+	})
+}
+
 // withoutOutliers removes the ejected targets, unless that leaves none.
 func (p *adaptivePolicy) withoutOutliers(candidates []*targetState) []*targetState {
 	if p.outliers.Count() == 0 {
@@ -132,7 +148,7 @@
 	drawn := 0
 	for try := 0; drawn < choices && try < maxDraws; try++ {
 		state := group[p.options.Rand.IntN(len(group))]
-		if p.options.Rand.Float64() >= p.warmth(state, now) {
+		if p.passesOver(state, now) {
 			continue
 		}
 		drawn++
@@ -147,6 +163,12 @@
 	return best, bestScore
 }
 
+// passesOver says that a draw of a cold target does not count, so that all
+// hosts together send it its share. A warming host needs no such draw.
+func (p *adaptivePolicy) passesOver(state *targetState, now time.Duration) bool {
+	return p.options.MayWarm == nil && p.options.Rand.Float64() >= p.warmth(state, now)
+}
+
 // expectedLatency estimates in seconds how long the target's next try takes. A
 // try that is still in flight counts with its age. Load reports have no part
 // in it: all hosts would follow the same late report at once.
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -43,7 +43,8 @@
 // decrease from call to call.
 type Policy interface {
 	// Pick returns the target for the next try. It never returns an excluded
-	// one, and false where no other target is left.
+	// one, and false where no other target is left, or none but targets in cold
+	// start that take no more.
 	Pick(now time.Duration, exclude ...string) (addr string, ok bool)
 	// Started notes that a try was sent to the target.
 	Started(addr string, now time.Duration)
@@ -89,6 +90,10 @@
 	ColdStart time.Duration
 	// ColdStartSlots is the number of slots of a target that has just restarted; at least 1.
 	ColdStartSlots int
+	// MayWarm says whether this host sends to the target while that is in cold
+	// start. It is asked at every pick; see WarmingHost. Without it every host
+	// sends its share, and together they may send more than the target bears.
+	MayWarm func(addr string) bool
 }
 
 // ErrUnknownPolicy reports a policy name that is not in Names.
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -104,3 +104,63 @@
 	policy.Finished(testTargets[2].Addr, 0, 10*time.Millisecond, Success)
 	assert.Equal(t, share(policy, 0, 100)[testTargets[2].Addr], 100)
 }
+
+func TestColdTargetIsWarmedByOneHostWithinItsSlots(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := []string{"host-1", "host-2", "host-3"}
+		cold := testTargets[0].Addr
+		policies := map[string]Policy{}
+		for i, host := range hosts {
+			policy, err := New(Adaptive, Options{
+				Zone:    "brno-sever",
+				Rand:    rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), uint64(i))),
+				MayWarm: func(addr string) bool { return WarmingHost(addr, hosts) == host },
+			})
+			assert.NilError(t, err)
+			policy.SetTargets(0, testTargets)
+			policy.Restarted(cold, 0)
+			policies[host] = policy
+		}
+		inFlight := 0
+		for now := time.Duration(0); now < DefaultColdStart; now += 100 * time.Millisecond {
+			host := rapid.SampledFrom(hosts).Draw(t, "host")
+			addr, ok := policies[host].Pick(now, testTargets[1].Addr, testTargets[2].Addr)
+			if !ok {
+				continue
+			}
+			assert.Equal(t, addr, cold)
+			assert.Equal(t, host, WarmingHost(cold, hosts))
+			policies[host].Started(addr, now)
+			inFlight++
+			allowed := 1 + 3*now.Seconds()/DefaultColdStart.Seconds()
+			assert.Assert(t, float64(inFlight) <= allowed)
+		}
+	})
+}
+
+func TestFailureRestartsColdStart(t *testing.T) {
+	policy, err := New(Adaptive, Options{Rand: rand.New(rand.NewPCG(1, 1)), MayWarm: func(string) bool { return false }})
+	assert.NilError(t, err)
+	policy.SetTargets(0, testTargets[:1])
+	policy.Restarted(testTargets[0].Addr, 0)
+	policy.Finished(testTargets[0].Addr, 3*time.Second, 0, Failure)
+	_, ok := policy.Pick(DefaultColdStart)
+	assert.Assert(t, !ok)
+	_, ok = policy.Pick(DefaultColdStart + 3*time.Second)
+	assert.Assert(t, ok)
+}
+
+func TestWarmingHostChangesWithFewHosts(t *testing.T) {
+	hosts := []string{"a", "b", "c", "d"}
+	rapid.Check(t, func(t *rapid.T) {
+		addr := rapid.String().Draw(t, "addr")
+		chosen := WarmingHost(addr, hosts)
+		assert.Assert(t, slices.Contains(hosts, chosen))
+		lost := rapid.SampledFrom(hosts).Draw(t, "lost")
+		left := slices.DeleteFunc(slices.Clone(hosts), func(host string) bool { return host == lost })
+		if lost != chosen {
+			assert.Equal(t, WarmingHost(addr, left), chosen)
+		}
+	})
+	assert.Equal(t, WarmingHost("addr", nil), "")
+}
--- a/internal/balance/targets.go
+++ b/internal/balance/targets.go
@@ -88,6 +88,10 @@
 		return
 	}
 	state.removeStarted(now - latency)
+	if state.cold && result == Failure {
+		// The target has not started yet, or again.
+		state.coldSince = now
+	}
 	sample, known := state.sample(latency, result)
 	if !known {
 		return
--- a/internal/experiment/compare.go
+++ b/internal/experiment/compare.go
@@ -37,24 +37,42 @@
 	P99Ratio Spread `json:"p99_ratio"`
 }
 
+// variant is a policy under comparison.
+type variant struct {
+	name     string
+	policy   balance.Name
+	oneWarms bool
+}
+
+// variants lists all policies, and the adaptive one also with every host
+// sending to cold servers.
+func variants() []variant {
+	all := []variant{{name: "adaptive-all-warm", policy: balance.Adaptive}}
+	for _, policy := range balance.Names() {
+		all = append(all, variant{name: string(policy), policy: policy, oneWarms: true})
+	}
+	return all
+}
+
 // Compare runs every policy at every site under every fault, with runs seeds
 // from base.Seed on. The first fault should be FaultNone; the ratios refer to it.
 func Compare(base Config, faults []Fault, runs int) ([]Row, error) {
 	var rows []Row
 	for _, site := range Sites() {
-		healthy := map[balance.Name][]Result{}
+		healthy := map[string][]Result{}
 		for _, fault := range faults {
-			for _, policy := range balance.Names() {
+			for _, variant := range variants() {
 				config := base
-				config.Site, config.Fault, config.Policy = site, fault, policy
+				config.Site, config.Fault = site, fault
+				config.Policy, config.OneWarms = variant.policy, variant.oneWarms
 				results, err := runSeeds(config, runs)
 				if err != nil {
 					return nil, err
 				}
 				if fault == FaultNone {
-					healthy[policy] = results
+					healthy[variant.name] = results
 				}
-				rows = append(rows, newRow(results, healthy[policy]))
+				rows = append(rows, newRow(variant.name, results, healthy[variant.name]))
 			}
 		}
 	}
@@ -89,11 +107,11 @@
 	return results, nil
 }
 
-func newRow(results, healthy []Result) Row {
+func newRow(policy string, results, healthy []Result) Row {
 	row := Row{
 		Site:      results[0].Site,
 		Fault:     results[0].Fault,
-		Policy:    results[0].Policy,
+		Policy:    policy,
 		Runs:      len(results),
 		P50MS:     spreadOf(results, func(r Result) float64 { return r.P50MS }),
 		P99MS:     spreadOf(results, func(r Result) float64 { return r.P99MS }),
--- a/internal/experiment/config.go
+++ b/internal/experiment/config.go
@@ -71,8 +71,10 @@
 type Config struct {
 	Site   Site
 	Policy balance.Name
-	Fault  Fault
-	Seed   uint64
+	// OneWarms says that one host alone sends to a server in cold start. Only the adaptive policy heeds it.
+	OneWarms bool
+	Fault    Fault
+	Seed     uint64
 	// Load is the share of all slots that the requests need.
 	Load     float64
 	Duration time.Duration
@@ -104,6 +106,7 @@
 func DefaultConfig() Config {
 	return Config{
 		Policy:   balance.Adaptive,
+		OneWarms: true,
 		Fault:    FaultNone,
 		Seed:     1,
 		Load:     0.5,
--- a/internal/experiment/model.go
+++ b/internal/experiment/model.go
@@ -67,12 +67,21 @@
 		m.targets = append(m.targets, balance.Target{Addr: addr, Zone: zone, Slots: site.Slots})
 		m.servers[addr] = &modelServer{clock: &m.clock, slots: site.Slots, slow: 1}
 	}
-	for i := range site.Hosts {
+	names := make([]string, site.Hosts)
+	for i := range names {
+		names[i] = fmt.Sprintf("host-%d", i)
+	}
+	for i, name := range names {
 		zone := site.Zones[i%len(site.Zones)]
-		policy, err := balance.New(config.Policy, balance.Options{
-			Zone: zone,
-			Rand: rand.New(rand.NewPCG(config.Seed, hostsStream+uint64(i))),
-		})
+		options := balance.Options{
+			Zone:      zone,
+			Rand:      rand.New(rand.NewPCG(config.Seed, hostsStream+uint64(i))),
+			ColdStart: coldStart,
+		}
+		if config.OneWarms {
+			options.MayWarm = func(addr string) bool { return balance.WarmingHost(addr, names) == name }
+		}
+		policy, err := balance.New(config.Policy, options)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -5,7 +5,6 @@
 // Result is what one run measured over the requests that arrived after the warm-up.
 type Result struct {
 	Site     string  `json:"site"`
-	Policy   string  `json:"policy"`
 	Fault    Fault   `json:"fault"`
 	Seed     uint64  `json:"seed"`
 	Requests int     `json:"requests"`
@@ -26,7 +25,6 @@
 func (m *model) result() Result {
 	r := Result{
 		Site:     m.config.Site.Name,
-		Policy:   string(m.config.Policy),
 		Fault:    m.config.Fault,
 		Seed:     m.config.Seed,
 		Requests: m.counted,
