--- a/internal/cmd/ctlcmd/experiment.go
+++ b/internal/cmd/ctlcmd/experiment.go
@@ -33,6 +33,7 @@
 			"balance", experiment.FaultNone, experiment.FaultCold, experiment.FaultCrash)},
 		{Name: "slow", Summary: "policies with one server in five slowed", Run: runPolicies(
 			"slow", experiment.FaultNone, experiment.FaultSlow, experiment.FaultMoving)},
+		{Name: "hot", Summary: "slices and consistent hashing with hot keys and changing servers", Run: runHot},
 	}
 }
 
@@ -77,10 +78,37 @@
 		if *asJSON {
 			return printJSON(rows, stdout, stderr)
 		}
-		if err := experiment.PrintRows(stdout, rows); err != nil {
-			fmt.Fprintln(stderr, err)
-			return cli.ExitFailure
-		}
-		return cli.ExitOK
+		return exitCode(experiment.PrintRows(stdout, rows), stderr)
+	}
+}
+
+func runHot(_ context.Context, args []string, stdout, stderr io.Writer) int {
+	config := experiment.DefaultHotConfig()
+	flags, runs, asJSON := experimentFlags("hot", stderr)
+	flags.Uint64Var(&config.Seed, "seed", config.Seed, "first seed")
+	flags.IntVar(&config.Servers, "servers", config.Servers, "number of servers, at least 3")
+	flags.IntVar(&config.Slices, "slices", config.Slices, "number of slices, at least that of servers")
+	flags.Float64Var(&config.HotShare, "hot-share", config.HotShare, "share of requests that go to hot keys")
+	flags.IntVar(&config.HotKeys, "hot-keys", config.HotKeys, "number of keys that are hot at a time")
+	if code, proceed := parseExperiment(flags, args, runs, stderr); !proceed {
+		return code
+	}
+	if err := config.Check(); err != nil {
+		fmt.Fprintln(stderr, err)
+		return cli.ExitUsage
+	}
+	rows := experiment.CompareHot(config, *runs)
+	if *asJSON {
+		return printJSON(rows, stdout, stderr)
+	}
+	return exitCode(experiment.PrintHotRows(stdout, rows), stderr)
+}
+
+// exitCode reports an error.
+func exitCode(err error, stderr io.Writer) int {
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return cli.ExitFailure
 	}
+	return cli.ExitOK
 }
--- a/internal/experiment/compare.go
+++ b/internal/experiment/compare.go
@@ -129,7 +129,7 @@
 	return row
 }
 
-func spreadOf(results []Result, value func(Result) float64) Spread {
+func spreadOf[T any](results []T, value func(T) float64) Spread {
 	values := make([]float64, len(results))
 	for i, result := range results {
 		values[i] = value(result)
--- /dev/null
+++ b/internal/experiment/hot_test.go
@@ -0,0 +1,36 @@
+package experiment
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestHotRunIsDeterministic(t *testing.T) {
+	for _, strategy := range Strategies() {
+		config := DefaultHotConfig()
+		config.Strategy = strategy
+		assert.DeepEqual(t, RunHot(config), RunHot(config))
+	}
+}
+
+func TestMovedSlicesBeatConsistentHashing(t *testing.T) {
+	for seed := uint64(1); seed <= 3; seed++ {
+		config := DefaultHotConfig()
+		config.Seed = seed
+		config.Strategy = ConsistentHashing
+		baseline := RunHot(config)
+		config.Strategy = MovedSlices
+		moved := RunHot(config)
+		assert.Equal(t, moved.Floor, baseline.Floor)
+		assert.Assert(t, moved.Settled < baseline.Settled, "seed %d: %v against %v", seed, moved.Settled, baseline.Settled)
+		assert.Assert(t, moved.LeaveChurn <= 1.1 && moved.JoinChurn <= 1.1)
+	}
+}
+
+func TestHotConfigIsChecked(t *testing.T) {
+	config := DefaultHotConfig()
+	assert.NilError(t, config.Check())
+	config.Slices = config.Servers
+	assert.ErrorContains(t, config.Check(), "slices must be")
+}
--- /dev/null
+++ b/internal/experiment/hotcompare.go
@@ -0,0 +1,68 @@
+package experiment
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+)
+
+// HotRow sums up the runs of one strategy.
+type HotRow struct {
+	Strategy   Strategy `json:"strategy"`
+	Runs       int      `json:"runs"`
+	Imbalance  Spread   `json:"imbalance"`
+	Settled    Spread   `json:"settled"`
+	Floor      Spread   `json:"floor"`
+	LeaveChurn Spread   `json:"leave_churn"`
+	JoinChurn  Spread   `json:"join_churn"`
+	HotMoved   Spread   `json:"hot_moved_per_minute"`
+}
+
+// CompareHot runs every strategy with runs seeds from base.Seed on.
+func CompareHot(base HotConfig, runs int) []HotRow {
+	var rows []HotRow
+	for _, strategy := range Strategies() {
+		results := make([]HotResult, runs)
+		for i := range results {
+			config := base
+			config.Strategy = strategy
+			config.Seed += uint64(i)
+			results[i] = RunHot(config)
+		}
+		rows = append(rows, newHotRow(strategy, results))
+	}
+	return rows
+}
+
+func newHotRow(strategy Strategy, results []HotResult) HotRow {
+	return HotRow{
+		Strategy:   strategy,
+		Runs:       len(results),
+		Imbalance:  spreadOf(results, func(r HotResult) float64 { return r.Imbalance }),
+		Settled:    spreadOf(results, func(r HotResult) float64 { return r.Settled }),
+		Floor:      spreadOf(results, func(r HotResult) float64 { return r.Floor }),
+		LeaveChurn: spreadOf(results, func(r HotResult) float64 { return r.LeaveChurn }),
+		JoinChurn:  spreadOf(results, func(r HotResult) float64 { return r.JoinChurn }),
+		HotMoved:   spreadOf(results, func(r HotResult) float64 { return r.HotMoved }),
+	}
+}
+
+// PrintHotRows writes the rows as a table of medians with least and largest values.
+func PrintHotRows(w io.Writer, rows []HotRow) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "strategy\tmax/mean\tmax/mean settled\thottest key/mean\tleave: moved/had to\tjoin: moved/had to\thot: % of slices moved/min")
+	for _, row := range rows {
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\t%s\n", row.Strategy,
+			row.Imbalance, row.Settled, row.Floor, row.LeaveChurn, row.JoinChurn, row.HotMoved.scaled(100))
+	}
+	return table.Flush()
+}
+
+// String shows the median with the least and largest value.
+func (s Spread) String() string {
+	return fmt.Sprintf("%.2f (%.2f-%.2f)", s.Median, s.Min, s.Max)
+}
+
+func (s Spread) scaled(factor float64) Spread {
+	return Spread{Median: factor * s.Median, Min: factor * s.Min, Max: factor * s.Max}
+}
