Hot slices move; the hosts' clock counts suspended time

Cause: a slice stayed where its number put it, however hot its keys were; a host's clock stood still while its machine was suspended, which the model of the lessors shows to allow two owners. Durations of leases count CLOCK_BOOTTIME.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -13,6 +13,7 @@
 	"github.com/google/uuid"
 
 	"github.com/poplarcroft/poplarcroft/internal/backend"
+	"github.com/poplarcroft/poplarcroft/internal/clock"
 	"github.com/poplarcroft/poplarcroft/internal/keeper"
 	"github.com/poplarcroft/poplarcroft/internal/members"
 	"github.com/poplarcroft/poplarcroft/internal/peer"
@@ -33,7 +34,6 @@
 	config  Config
 	entry   platform.HostEntry
 	logger  *log.Logger
-	started time.Time
 	leaving atomic.Bool
 
 	view     *view.View
@@ -52,6 +52,7 @@
 
 	mu      sync.RWMutex
 	keepers map[record.SessionID]*keeper.Keeper
+	rates   sliceRates
 
 	listeners listeners
 	attempts  attempts
@@ -73,7 +74,6 @@
 	h := &Host{
 		config:    config,
 		logger:    logger,
-		started:   time.Now(),
 		view:      view.New(),
 		events:    timeline.NewRecorder(config.Name, eventRing, time.Now),
 		counters:  &route.Counters{},
@@ -185,6 +185,7 @@
 		h.bootDuty,
 		h.checkpointDuty,
 		h.suspectDuty,
+		h.rateDuty,
 	}
 }
 
@@ -230,7 +231,7 @@
 
 // clock is the host's monotonic clock.
 func (h *Host) clock() time.Duration {
-	return time.Since(h.started)
+	return clock.Monotonic()
 }
 
 func wait(ctx context.Context, d time.Duration) {
--- a/internal/host/plan.go
+++ b/internal/host/plan.go
@@ -140,6 +140,7 @@
 
 func (h *Host) needs(live []members.Host) []need {
 	var needs []need
+	rates := h.allRates()
 	h.view.Read(func(state *settings.State, table *ownership.Table) {
 		for _, server := range planner.ToOpen(state, table) {
 			needs = append(needs, h.openNeed(server, live))
@@ -150,6 +151,8 @@
 			}
 			if plan, ok := planner.Slices(service, table); ok {
 				needs = append(needs, h.sliceNeed(plan))
+			} else if plan, ok := h.balancePlan(service, table, rates); ok {
+				needs = append(needs, h.balanceNeed(plan))
 			}
 		}
 		for _, session := range table.Sessions() {
@@ -174,6 +177,12 @@
 	}
 }
 
+func (h *Host) balanceNeed(plan record.Plan) need {
+	need := h.sliceNeed(plan)
+	need.name = "balance " + plan.Service
+	return need
+}
+
 func (h *Host) lessorsNeed(session *ownership.Session, lessors record.Lessors) need {
 	return need{
 		name:    "lessors " + session.Addr,
--- a/internal/host/rpc.go
+++ b/internal/host/rpc.go
@@ -123,6 +123,7 @@
 	reply.Host = s.host.config.Name
 	reply.Incarnation = s.host.entry.Incarnation
 	reply.Applied = s.host.view.Applied()
+	reply.Rates = s.host.rates.current()
 	reply.Leaving = s.host.leaving.Load()
 	return nil
 }
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -31,6 +31,8 @@
 	platform.HostEntry
 	// Applied is the log offset that the host told last.
 	Applied platform.Offset
+	// Rates are the loads of the slices whose servers the host leads.
+	Rates []peer.SliceRate
 	// Answered is when the host answered last; zero where it never did.
 	Answered time.Time
 }
@@ -177,6 +179,7 @@
 	}
 	known.Answered = time.Now()
 	known.Applied = reply.Applied
+	known.Rates = reply.Rates
 	if reply.Leaving {
 		known.State = platform.HostLeaving
 	}
--- a/internal/peer/protocol.go
+++ b/internal/peer/protocol.go
@@ -136,8 +136,16 @@
 	Data   []byte
 }
 
-// StatusReply is a host's word on itself.
+// SliceRate is the load of a slice whose server the host leads, in requests per second.
+type SliceRate struct {
+	Service string
+	Slice   int
+	Rate    float64
+}
+
+// StatusReply is a host's word on itself. Rates lists the slices with any load.
 type StatusReply struct {
+	Rates       []SliceRate
 	Host        string
 	Incarnation string
 	Applied     platform.Offset
--- a/internal/planner/slices.go
+++ b/internal/planner/slices.go
@@ -44,7 +44,7 @@
 
 func newSlicePlanner(service settings.Service, table *ownership.Table) *slicePlanner {
 	p := &slicePlanner{service: service.Name, table: table}
-	p.servers = servers(service, table)
+	p.servers = Servers(service, table)
 	count := service.Values.Slices
 	p.current = make([]record.SessionID, count)
 	afterMoves := make([]record.SessionID, count)
@@ -75,9 +75,9 @@
 	return p
 }
 
-// servers returns the open sessions of the service. One that its settings no longer
+// Servers returns the open sessions of the service. One that its settings no longer
 // list, or that is marked, is leaving.
-func servers(service settings.Service, table *ownership.Table) []placement.Server {
+func Servers(service settings.Service, table *ownership.Table) []placement.Server {
 	listed := make(map[string]bool)
 	for _, zone := range service.Zones {
 		for _, addr := range zone.Servers {
--- a/internal/route/gateway.go
+++ b/internal/route/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/poplarcroft/poplarcroft/internal/keeper"
 	"github.com/poplarcroft/poplarcroft/internal/limit"
 	"github.com/poplarcroft/poplarcroft/internal/outcome"
+	"github.com/poplarcroft/poplarcroft/internal/ownership"
 	"github.com/poplarcroft/poplarcroft/internal/poison"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 	"github.com/poplarcroft/poplarcroft/internal/transport"
@@ -22,6 +23,7 @@
 type Gateway struct {
 	pool  *transport.Pool
 	guard *poison.Guard
+	sent  sliceCounts
 
 	mu    sync.RWMutex
 	lanes map[record.SessionID]*laneEntry
@@ -202,6 +204,7 @@
 	ctx, cancel := untilLost(ctx, permit, r.Deadline)
 	defer cancel()
 	pass.Sent()
+	g.sent.add(ownership.SliceKey{Service: r.Service, Slice: r.Slice})
 	done := send(ctx, g.pool, req)
 	if done.err != nil {
 		entry.keeper.Suspect()
