Ownership: fold checked with random logs; three faults mended

Lessors that are cut off from the log may close under an older version and activate a successor that the log has replaced: two owners. The table now keeps replaced successors until the owner changes (Successions), and recovery asks them all.

Open: where a zone is declared lost, a successor outside it that the log had replaced by another may still have been activated; the fold cannot know.

--- a/internal/ownership/apply.go
+++ b/internal/ownership/apply.go
@@ -92,8 +92,9 @@
 }
 
 // closeZone closes every open session of a zone that an operator declared
-// lost. A slice that was moving out of the zone goes to its successor, which may
-// have been activated; every other one is left without an owner.
+// lost. A slice with a successor outside the zone goes to it: the zone's lessors
+// may have closed the session and activated the successor before they were
+// lost. Every other slice is left without an owner.
 func (t *Table) closeZone(offset platform.Offset, zone string) {
 	for _, session := range t.Sessions() {
 		if session.Zone != zone {
@@ -104,7 +105,7 @@
 		for _, key := range t.Owned(session.ID) {
 			slice := t.slot(key)
 			to := t.sessions[slice.Successor]
-			if slice.Moving && to != nil && !to.Closed && to.Zone != zone {
+			if to != nil && !to.Closed && to.Zone != zone {
 				t.handOver(offset, key, slice.Successor, slice.NextEpoch)
 				continue
 			}
@@ -178,6 +179,9 @@
 		if move.Epoch <= t.Slice(key).Epoch {
 			return refused("slice %d of %s: epoch %d is not above its owner's", move.Slice, move.Service, move.Epoch)
 		}
+		if move.Epoch >= OwnerEpoch(offset) {
+			return refused("slice %d of %s: epoch %d was not named before", move.Slice, move.Service, move.Epoch)
+		}
 	}
 	session.Closed = true
 	session.CloseReason = c.Reason
@@ -270,6 +274,8 @@
 	if change.Owner != 0 {
 		t.setOwner(key, slice, change.Owner, OwnerEpoch(offset))
 		t.forgetReplaced(former)
+	} else {
+		t.replaceSuccessor(key, *slice, change.Successor)
 	}
 	slice.Version = offset
 	slice.Successor = change.Successor
--- /dev/null
+++ b/internal/ownership/fold_test.go
@@ -0,0 +1,475 @@
+package ownership
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/record"
+)
+
+const (
+	testService  = "revize"
+	otherService = "archiv"
+	testSlices   = 4
+	foldRecords  = 120
+	// foldSeeds is the number of random logs of each test.
+	foldSeeds = 150
+)
+
+// logRecord is a record at its offset.
+type logRecord struct {
+	offset platform.Offset
+	record record.Record
+}
+
+// generator draws records: some that fit the table, some based on older
+// versions, some with values that no record should have, and duplicates.
+type generator struct {
+	rng     *rand.Rand
+	table   *Table
+	written []logRecord
+}
+
+// draw returns the next record of the log.
+func (g *generator) draw() record.Record {
+	if len(g.written) > 0 && g.oneIn(8) {
+		return sample(g, g.written).record
+	}
+	id := record.ID(fmt.Sprintf("r%d", len(g.written)))
+	r := record.Record{ID: id, Author: "host"}
+	kinds := []func(*record.Record){
+		g.drawOpen, g.drawOpen, g.drawPlan, g.drawPlan, g.drawPlan, g.drawPlan,
+		g.drawMoved, g.drawMoved, g.drawClose, g.drawLessors, g.drawSealed, g.drawMark,
+	}
+	sample(g, kinds)(&r)
+	return r
+}
+
+func (g *generator) oneIn(n int) bool {
+	return g.rng.IntN(n) == 0
+}
+
+// between returns a number from low to high.
+func (g *generator) between(low, high int) int {
+	return low + g.rng.IntN(high-low+1)
+}
+
+// sample returns one of the values.
+func sample[T any](g *generator, values []T) T {
+	return values[g.rng.IntN(len(values))]
+}
+
+// session returns one of the sessions of the service, most often an open one,
+// or one that does not exist.
+func (g *generator) session() record.SessionID {
+	if g.oneIn(20) {
+		return record.SessionID(g.between(0, 1)) * 9999
+	}
+	var open, all []record.SessionID
+	for _, s := range g.table.Snapshot().Sessions {
+		all = append(all, s.ID)
+		if !s.Closed && s.Service == testService {
+			open = append(open, s.ID)
+		}
+	}
+	if len(open) == 0 || g.oneIn(10) {
+		return sample(g, append(all, 0))
+	}
+	return sample(g, open)
+}
+
+// base returns a version that holds, or an older one.
+func (g *generator) base(version platform.Offset) platform.Offset {
+	if version > 0 && g.oneIn(8) {
+		return version - 1
+	}
+	return version
+}
+
+func (g *generator) lessors() []record.Lessor {
+	count := g.between(1, 3)
+	if g.oneIn(20) {
+		count = sample(g, []int{0, 4})
+	}
+	var lessors []record.Lessor
+	for i := range count {
+		incarnation := sample(g, []string{"1", "2"})
+		lessors = append(lessors, record.Lessor{Host: fmt.Sprintf("h%d", i), Incarnation: incarnation})
+	}
+	return lessors
+}
+
+func (g *generator) drawOpen(r *record.Record) {
+	addr := sample(g, []string{"10.0.0.1:80", "10.0.0.2:80", "10.0.0.3:80", "10.0.0.4:80"})
+	r.Kind = record.KindOpen
+	r.Open = &record.Open{
+		Service:     g.service(),
+		Zone:        sample(g, []string{"brno-sever", "zlin"}),
+		Addr:        addr,
+		Incarnation: "i" + string(r.ID),
+		Lessors:     g.lessors(),
+	}
+	if latest := g.table.Latest(addr); latest != nil && !g.oneIn(8) {
+		r.Open.Previous = latest.ID
+	}
+}
+
+func (g *generator) service() string {
+	if g.oneIn(10) {
+		return sample(g, []string{otherService, ""})
+	}
+	return testService
+}
+
+func (g *generator) drawPlan(r *record.Record) {
+	r.Kind = record.KindPlan
+	r.Plan = &record.Plan{Service: testService}
+	for _, slice := range g.rng.Perm(testSlices)[:g.between(1, 3)] {
+		r.Plan.Slices = append(r.Plan.Slices, g.change(slice))
+	}
+	if g.oneIn(15) {
+		r.Plan.Slices = append(r.Plan.Slices, g.change(g.between(-1, testSlices)))
+	}
+}
+
+// change returns a change of one slice.
+func (g *generator) change(slice int) record.SlicePlan {
+	key := SliceKey{testService, slice}
+	change := record.SlicePlan{
+		Slice:     slice,
+		Base:      g.base(g.table.Slice(key).Version),
+		Successor: g.session(),
+	}
+	switch {
+	case !g.table.HasOwner(key) || g.oneIn(15):
+		change.Owner = g.session()
+	case g.oneIn(3):
+		change.Move = true
+	}
+	return change
+}
+
+// moves returns moves of slices to their successors, some of them altered.
+func (g *generator) moves(keys []SliceKey) []record.SliceMove {
+	var moves []record.SliceMove
+	for _, key := range keys {
+		slice := g.table.Slice(key)
+		if slice.Successor == 0 || g.oneIn(4) {
+			continue
+		}
+		move := record.SliceMove{Service: key.Service, Slice: key.Slice, To: slice.Successor, Epoch: slice.NextEpoch}
+		if g.oneIn(8) {
+			move.Epoch += record.Epoch(g.between(-3, 1000))
+		}
+		if g.oneIn(8) {
+			move.To = g.session()
+		}
+		moves = append(moves, move)
+		if g.oneIn(8) {
+			moves = append(moves, move)
+		}
+	}
+	return moves
+}
+
+func (g *generator) drawMoved(r *record.Record) {
+	var keys []SliceKey
+	for i := range testSlices {
+		if key := (SliceKey{testService, i}); g.table.Slice(key).Moving {
+			keys = append(keys, key)
+		}
+	}
+	r.Kind = record.KindMoved
+	r.Moved = &record.Moved{Moves: g.moves(keys)}
+}
+
+func (g *generator) drawClose(r *record.Record) {
+	id := g.session()
+	r.Kind = record.KindClose
+	r.Close = &record.Close{Session: id, Reason: "test", Moves: g.moves(g.table.Owned(id))}
+}
+
+func (g *generator) drawLessors(r *record.Record) {
+	id := g.session()
+	r.Kind = record.KindLessors
+	r.Lessors = &record.Lessors{Session: id, Lessors: g.lessors()}
+	if session := g.table.Session(id); session != nil {
+		r.Lessors.Base = g.base(session.Version)
+	}
+}
+
+func (g *generator) drawSealed(r *record.Record) {
+	id := g.session()
+	r.Kind = record.KindSealed
+	r.Sealed = &record.Sealed{Session: id}
+	if session := g.table.Session(id); session != nil {
+		r.Sealed.Version = g.base(session.LessorsSince)
+	}
+}
+
+func (g *generator) drawMark(r *record.Record) {
+	name := sample(g, []string{"zlin", "brno-sever", ""})
+	states := []record.MarkState{record.MarkActive, record.MarkLeaving, record.MarkLeaving, "odd"}
+	if g.oneIn(4) {
+		states = []record.MarkState{record.MarkLost}
+	}
+	r.Kind = record.KindMark
+	r.Mark = &record.Mark{
+		Subject: record.SubjectZone,
+		Name:    name,
+		State:   sample(g, states),
+		Base:    g.base(g.table.Mark(record.SubjectZone, name).Version),
+	}
+}
+
+// drawLog folds a random log, calling check before and after every record.
+func drawLog(seed uint64, check func(before Snapshot, r logRecord, verdict Verdict, table *Table)) {
+	g := &generator{rng: rand.New(rand.NewPCG(seed, 3)), table: NewTable()}
+	offset := platform.Offset(0)
+	for range foldRecords {
+		offset += platform.Offset(g.between(1, 2))
+		r := logRecord{offset, g.draw()}
+		before := g.table.Snapshot()
+		verdict := g.table.Apply(r.offset, r.record)
+		g.written = append(g.written, r)
+		check(before, r, verdict, g.table)
+	}
+}
+
+// forEachLog runs a test on random logs, with the seed in its name, up to the first that fails.
+func forEachLog(t *testing.T, test func(t *testing.T, seed uint64)) {
+	for seed := range uint64(foldSeeds) {
+		if !t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { test(t, seed) }) {
+			return
+		}
+	}
+}
+
+// restored returns the table of a snapshot that went over the wire.
+func restored(t *testing.T, table *Table) *Table {
+	data, err := json.Marshal(table.Snapshot())
+	assert.NilError(t, err)
+	var snapshot Snapshot
+	assert.NilError(t, json.Unmarshal(data, &snapshot))
+	restored, err := Restore(snapshot)
+	assert.NilError(t, err)
+	return restored
+}
+
+func TestFoldFromASnapshotEqualsTheFoldFromTheStart(t *testing.T) {
+	forEachLog(t, func(t *testing.T, seed uint64) {
+		follower := NewTable()
+		drawLog(seed, func(_ Snapshot, r logRecord, verdict Verdict, table *Table) {
+			follower = restored(t, follower)
+			assert.Equal(t, follower.Apply(r.offset, r.record), verdict)
+			assert.DeepEqual(t, follower.Snapshot(), table.Snapshot())
+			assert.DeepEqual(t, follower.latest, table.latest)
+			again := follower.Apply(r.offset, r.record)
+			assert.Assert(t, !again.Accepted, "the same offset twice")
+			assert.DeepEqual(t, follower.Snapshot(), table.Snapshot())
+		})
+	})
+}
+
+func TestRefusedRecordChangesNothing(t *testing.T) {
+	forEachLog(t, func(t *testing.T, seed uint64) {
+		drawLog(seed, func(before Snapshot, r logRecord, verdict Verdict, table *Table) {
+			assert.Equal(t, verdict.Accepted, verdict.Reason == "")
+			if !verdict.Accepted {
+				before.Applied = r.offset
+				assert.DeepEqual(t, before, table.Snapshot())
+			}
+		})
+	})
+}
+
+func TestDuplicateOfAnAcceptedRecordIsRefused(t *testing.T) {
+	forEachLog(t, func(t *testing.T, seed uint64) {
+		accepted := make(map[record.ID]bool)
+		drawLog(seed, func(_ Snapshot, r logRecord, verdict Verdict, _ *Table) {
+			assert.Assert(t, !(verdict.Accepted && accepted[r.record.ID]), "%+v", r.record)
+			accepted[r.record.ID] = accepted[r.record.ID] || verdict.Accepted
+		})
+	})
+}
+
+func TestEpochsOnlyGrow(t *testing.T) {
+	forEachLog(t, func(t *testing.T, seed uint64) {
+		drawLog(seed, func(before Snapshot, r logRecord, _ Verdict, table *Table) {
+			for _, service := range table.Snapshot().Services {
+				for number, slice := range service.Slices {
+					former := sliceIn(before, service.Service, number)
+					assert.Assert(t, slice.Epoch <= SuccessorEpoch(r.offset), "epoch %d at offset %d", slice.Epoch, r.offset)
+					assert.Assert(t, slice.Epoch >= former.Epoch)
+					changed := slice.Owner != former.Owner
+					assert.Assert(t, !changed || slice.Epoch > former.Epoch, "owner changed under epoch %d", slice.Epoch)
+					assert.Assert(t, slice.Successor == 0 || slice.NextEpoch > slice.Epoch)
+					assert.Assert(t, slice.Successor == 0 || slice.Successor != slice.Owner)
+				}
+			}
+		})
+	})
+}
+
+// TestOpenOwnerLosesASliceOnlyByItsRecords checks that a slice with an open
+// owner changes hands only by a move that was planned, or by the end of the session.
+func TestOpenOwnerLosesASliceOnlyByItsRecords(t *testing.T) {
+	forEachLog(t, func(t *testing.T, seed uint64) {
+		drawLog(seed, func(before Snapshot, r logRecord, _ Verdict, table *Table) {
+			for number := range testSlices {
+				former := sliceIn(before, testService, number)
+				slice := table.Slice(SliceKey{testService, number})
+				if former.Owner == slice.Owner || !openIn(before, former.Owner) {
+					continue
+				}
+				switch r.record.Kind {
+				case record.KindMoved:
+					assert.Assert(t, former.Moving)
+					assert.Equal(t, slice.Owner, former.Successor)
+					assert.Equal(t, slice.Epoch, former.NextEpoch)
+				case record.KindClose, record.KindMark:
+					assert.Assert(t, !table.isOpen(former.Owner))
+				default:
+					t.Fatalf("slice %d changed hands by %s", number, r.record.Kind)
+				}
+			}
+		})
+	})
+}
+
+func TestIndexesAgreeWithTheSlices(t *testing.T) {
+	forEachLog(t, func(t *testing.T, seed uint64) {
+		drawLog(seed, func(before Snapshot, r logRecord, _ Verdict, table *Table) {
+			snapshot := table.Snapshot()
+			for _, session := range snapshot.Sessions {
+				var owned []SliceKey
+				for _, service := range snapshot.Services {
+					for number, slice := range service.Slices {
+						if slice.Owner == session.ID {
+							owned = append(owned, SliceKey{service.Service, number})
+						}
+					}
+				}
+				assert.Assert(t, slices.Equal(owned, table.Owned(session.ID)))
+				checkSession(t, before, session, r.offset)
+			}
+		})
+	})
+}
+
+// checkSession checks one session after a record.
+func checkSession(t *testing.T, before Snapshot, session Session, offset platform.Offset) {
+	assert.Assert(t, session.Version <= offset)
+	assert.Assert(t, session.LessorsSince <= session.Version)
+	assert.Assert(t, session.FormerSince < session.LessorsSince)
+	assert.Equal(t, session.Sealed(), session.FormerSince == 0)
+	for _, former := range before.Sessions {
+		if former.ID == session.ID {
+			assert.Assert(t, session.Version >= former.Version)
+			assert.Assert(t, session.Closed || !former.Closed, "a closed session is open again")
+		}
+	}
+}
+
+// TestVersionOfASessionChangesWithItsContent checks that lessors of a session
+// learn of every change of its slices by its version.
+func TestVersionOfASessionChangesWithItsContent(t *testing.T) {
+	forEachLog(t, func(t *testing.T, seed uint64) {
+		drawLog(seed, func(before Snapshot, r logRecord, _ Verdict, table *Table) {
+			for number := range testSlices {
+				former := sliceIn(before, testService, number)
+				slice := table.Slice(SliceKey{testService, number})
+				if former == slice {
+					continue
+				}
+				for _, id := range []record.SessionID{former.Owner, slice.Owner} {
+					if session := table.Session(id); session != nil && !session.Closed {
+						assert.Equal(t, session.Version, r.offset, "slice %d by %s", number, r.record.Kind)
+					}
+				}
+			}
+		})
+	})
+}
+
+// TestSuccessionsKeepEverySuccessorOfTheOwner checks that nobody is forgotten
+// whom lessors at any version under the same owner may have activated.
+func TestSuccessionsKeepEverySuccessorOfTheOwner(t *testing.T) {
+	forEachLog(t, func(t *testing.T, seed uint64) {
+		named := make([]map[record.SessionID]record.Epoch, testSlices)
+		drawLog(seed, func(before Snapshot, _ logRecord, _ Verdict, table *Table) {
+			for number := range testSlices {
+				key := SliceKey{testService, number}
+				slice := table.Slice(key)
+				if named[number] == nil || slice.Epoch != sliceIn(before, testService, number).Epoch {
+					named[number] = make(map[record.SessionID]record.Epoch)
+				}
+				if slice.Successor != 0 {
+					named[number][slice.Successor] = slice.NextEpoch
+				}
+				got := make(map[record.SessionID]record.Epoch)
+				for _, succession := range table.Successions(key) {
+					got[succession.Session] = succession.Epoch
+				}
+				if table.HasOwner(key) {
+					assert.DeepEqual(t, got, openOnly(table, named[number]))
+				}
+			}
+		})
+	})
+}
+
+// openOnly returns the entries whose session is open.
+func openOnly(table *Table, named map[record.SessionID]record.Epoch) map[record.SessionID]record.Epoch {
+	open := make(map[record.SessionID]record.Epoch)
+	for id, epoch := range named {
+		if table.isOpen(id) {
+			open[id] = epoch
+		}
+	}
+	return open
+}
+
+func sliceIn(snapshot Snapshot, service string, number int) Slice {
+	for _, s := range snapshot.Services {
+		if s.Service == service && number < len(s.Slices) {
+			return s.Slices[number]
+		}
+	}
+	return Slice{}
+}
+
+func openIn(snapshot Snapshot, id record.SessionID) bool {
+	return slices.ContainsFunc(snapshot.Sessions, func(s Session) bool { return s.ID == id && !s.Closed })
+}
+
+// TestRandomLogsReachEveryVerdict guards against logs whose records are all refused.
+func TestRandomLogsReachEveryVerdict(t *testing.T) {
+	accepted := make(map[record.Kind]int)
+	withMoves := 0
+	for seed := range uint64(foldSeeds) {
+		drawLog(seed, func(_ Snapshot, r logRecord, verdict Verdict, _ *Table) {
+			if !verdict.Accepted {
+				return
+			}
+			accepted[r.record.Kind]++
+			if r.record.Kind == record.KindClose && len(r.record.Close.Moves) > 0 {
+				withMoves++
+			}
+		})
+	}
+	t.Log(accepted, withMoves)
+	for _, kind := range []record.Kind{
+		record.KindOpen, record.KindPlan, record.KindMoved, record.KindClose,
+		record.KindLessors, record.KindSealed, record.KindMark,
+	} {
+		assert.Assert(t, accepted[kind] >= foldSeeds/4, "%s: %d", kind, accepted[kind])
+	}
+	assert.Assert(t, withMoves >= foldSeeds/4, "closings with moves: %d", withMoves)
+}
--- a/internal/ownership/snapshot.go
+++ b/internal/ownership/snapshot.go
@@ -16,6 +16,14 @@
 	Sessions []Session         `json:"sessions"`
 	Services []ServiceSnapshot `json:"services"`
 	Marks    []MarkSnapshot    `json:"marks"`
+	Earlier  []EarlierSnapshot `json:"earlier,omitempty"`
+}
+
+// EarlierSnapshot holds the replaced successors of one slice.
+type EarlierSnapshot struct {
+	Service     string       `json:"service"`
+	Slice       int          `json:"slice"`
+	Successions []Succession `json:"successions"`
 }
 
 // ServiceSnapshot holds a service's slices by number.
@@ -45,6 +53,12 @@
 	for key, mark := range t.marks {
 		snapshot.Marks = append(snapshot.Marks, MarkSnapshot{key.Subject, key.Name, mark})
 	}
+	for key, earlier := range t.earlier {
+		snapshot.Earlier = append(snapshot.Earlier, EarlierSnapshot{key.Service, key.Slice, earlier})
+	}
+	slices.SortFunc(snapshot.Earlier, func(a, b EarlierSnapshot) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Slice, b.Slice))
+	})
 	slices.SortFunc(snapshot.Marks, func(a, b MarkSnapshot) int {
 		return cmp.Or(cmp.Compare(a.Subject, b.Subject), cmp.Compare(a.Name, b.Name))
 	})
@@ -72,6 +86,9 @@
 		t.services[service.Service] = slices.Clone(service.Slices)
 		t.indexOwners(service)
 	}
+	for _, earlier := range snapshot.Earlier {
+		t.earlier[SliceKey{earlier.Service, earlier.Slice}] = earlier.Successions
+	}
 	for _, mark := range snapshot.Marks {
 		t.marks[MarkKey{mark.Subject, mark.Name}] = mark.Mark
 	}
--- a/internal/ownership/table.go
+++ b/internal/ownership/table.go
@@ -80,6 +80,8 @@
 	services map[string][]Slice
 	marks    map[MarkKey]Mark
 	owned    map[record.SessionID]map[SliceKey]struct{}
+	// earlier holds the successors that others have replaced under the same owner.
+	earlier map[SliceKey][]Succession
 }
 
 // SliceKey identifies a slice.
@@ -101,6 +103,7 @@
 		services: make(map[string][]Slice),
 		marks:    make(map[MarkKey]Mark),
 		owned:    make(map[record.SessionID]map[SliceKey]struct{}),
+		earlier:  make(map[SliceKey][]Succession),
 	}
 }
 
@@ -191,6 +194,7 @@
 	}
 	slice.Owner = owner
 	slice.Epoch = epoch
+	delete(t.earlier, key)
 	if t.owned[owner] == nil {
 		t.owned[owner] = make(map[SliceKey]struct{})
 	}
--- a/internal/planner/recover.go
+++ b/internal/planner/recover.go
@@ -1,6 +1,8 @@
 package planner
 
 import (
+	"slices"
+
 	"github.com/poplarcroft/poplarcroft/internal/lease"
 	"github.com/poplarcroft/poplarcroft/internal/members"
 	"github.com/poplarcroft/poplarcroft/internal/ownership"
@@ -29,26 +31,26 @@
 		return Recovery{}, false
 	}
 	recovery := Recovery{Session: *session}
-	found := make(map[record.SessionID]int)
 	for _, key := range table.Owned(session.ID) {
-		slice := table.Slice(key)
-		successor := table.Session(slice.Successor)
-		if successor == nil || successor.Closed {
-			continue
-		}
-		at, known := found[successor.ID]
-		if !known {
-			at = len(recovery.Successors)
-			found[successor.ID] = at
-			recovery.Successors = append(recovery.Successors, Succession{Session: *successor})
+		for _, succession := range table.Successions(key) {
+			recovery.add(key, succession, table)
 		}
-		entry := &recovery.Successors[at]
-		entry.Slices = append(entry.Slices, key)
-		entry.Epochs = append(entry.Epochs, slice.NextEpoch)
 	}
 	return recovery, true
 }
 
+// add notes a slice that a session may have taken over.
+func (r *Recovery) add(key ownership.SliceKey, succession ownership.Succession, table *ownership.Table) {
+	at := slices.IndexFunc(r.Successors, func(s Succession) bool { return s.Session.ID == succession.Session })
+	if at < 0 {
+		at = len(r.Successors)
+		r.Successors = append(r.Successors, Succession{Session: *table.Session(succession.Session)})
+	}
+	entry := &r.Successors[at]
+	entry.Slices = append(entry.Slices, key)
+	entry.Epochs = append(entry.Epochs, succession.Epoch)
+}
+
 func hasQuorum(lessors []record.Lessor, live []members.Host) bool {
 	alive := 0
 	for _, lessor := range lessors {
