Recovery: not on an older version, not while lessors are only leaving

- A recovery asks the successors of the version that it knows.
Where the log has named another one since, lessors that are alive after all may have activated that one, and the close record made way for a second owner.
Close has a Base for records that rest on the servers' word; the fold refuses an older one.
Failed first: TestCloseOnTheServersWordIsRefusedAfterANewerPlan.
- Hosts that an operator marked as leaving counted as lost lessors: with two of three marked, the session's server was told to end it while its lessors served.
Found by reading; no test, since package host has none of its own.

Run: go test ./internal/ownership ./internal/record ok; go build, go vet ok.

--- a/internal/host/plan.go
+++ b/internal/host/plan.go
@@ -106,8 +106,9 @@
 	if h.leaving.Load() || !h.members.Settled() {
 		return
 	}
-	live := h.staying(h.members.Live())
-	needs := h.needs(live)
+	all := h.members.Live()
+	live := h.staying(all)
+	needs := h.needs(live, all)
 	standing := make(map[string]bool, len(needs))
 	for _, need := range needs {
 		standing[need.name] = true
@@ -138,7 +139,9 @@
 	return need.wait + time.Duration(rank)*rankDelay
 }
 
-func (h *Host) needs(live []members.Host) []need {
+// needs returns what the table lacks. Live are the hosts that may take on
+// duties, all those that are alive: a leaving lessor still takes part in a quorum.
+func (h *Host) needs(live, all []members.Host) []need {
 	var needs []need
 	rates := h.allRates()
 	h.view.Read(func(state *settings.State, table *ownership.Table) {
@@ -159,7 +162,7 @@
 			if lessors, ok := planner.ReplaceLessors(session, live); ok {
 				needs = append(needs, h.lessorsNeed(session, lessors))
 			}
-			if recovery, ok := planner.ToRecover(session, table, live); ok && h.checksEpochs(state, session.Service) {
+			if recovery, ok := planner.ToRecover(session, table, all); ok && h.checksEpochs(state, session.Service) {
 				needs = append(needs, h.recoverNeed(recovery))
 			}
 		}
--- a/internal/host/recover.go
+++ b/internal/host/recover.go
@@ -54,6 +54,7 @@
 		Session: recovery.Session.ID,
 		By:      []string{h.config.Name},
 		Reason:  "lessors lost, ended by the server's word",
+		Base:    recovery.Session.Version,
 	}})
 }
 
--- a/internal/ownership/apply.go
+++ b/internal/ownership/apply.go
@@ -171,6 +171,9 @@
 	if session == nil || session.Closed {
 		return refused("session %d is not open", c.Session)
 	}
+	if c.Base != 0 && c.Base != session.Version {
+		return refused("session %d is at version %d, not %d", c.Session, session.Version, c.Base)
+	}
 	for _, move := range c.Moves {
 		key := SliceKey{move.Service, move.Slice}
 		if _, owned := t.owned[c.Session][key]; !owned {
--- a/internal/ownership/lost_test.go
+++ b/internal/ownership/lost_test.go
@@ -82,3 +82,21 @@
 	}})
 	assert.Assert(t, !verdict.Accepted)
 }
+
+// TestCloseOnTheServersWordIsRefusedAfterANewerPlan covers a recovery that asked the
+// successors of one version while the log has named another since: lessors that
+// are alive after all may have activated that one.
+func TestCloseOnTheServersWordIsRefusedAfterANewerPlan(t *testing.T) {
+	table := scriptedTable{NewTable(), t}
+	owner := table.open("zlin", "10.0.0.1:80")
+	first := table.open("zlin", "10.0.0.2:80")
+	second := table.open("zlin", "10.0.0.3:80")
+	table.plan(owner, first)
+	base := table.Session(owner).Version
+	table.plan(0, second)
+	closed := record.Record{Kind: record.KindClose, Close: &record.Close{Session: owner, Base: base}}
+	assert.Assert(t, !table.Apply(table.Applied()+1, closed).Accepted)
+
+	closed.Close.Base = table.Session(owner).Version
+	table.add(closed)
+}
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -153,6 +153,10 @@
 	By      []string    `json:"by"`
 	Reason  string      `json:"reason"`
 	Moves   []SliceMove `json:"moves"`
+	// Base is set where the record rests on the word of the servers that may own
+	// the slices, instead of a quorum of lessors: it is then accepted only if Base
+	// is the session's version, since a later one may name further servers.
+	Base platform.Offset `json:"base,omitempty"`
 }
 
 // SliceMove says that a slice went from one session to another under an epoch.
