--- a/internal/settings/field.go
+++ b/internal/settings/field.go
@@ -26,7 +26,7 @@
 const anyLevel level = -1
 
 // maxServersPerZone bounds the backend servers of one service in one zone.
-const maxServersPerZone = 4096
+const maxServersPerZone = 16_384
 
 // nearestNameMaxDistance is the largest edit distance at which a known name is offered for an unknown one.
 const nearestNameMaxDistance = 3
--- a/internal/settings/state_test.go
+++ b/internal/settings/state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -162,3 +163,29 @@
 		assert.NilError(t, json.Unmarshal(data, other))
 	})
 }
+
+// BenchmarkApply folds a change of one zone into a tree with many backend servers.
+func BenchmarkApply(b *testing.B) {
+	for _, servers := range []int{300, 3_000, 12_000} {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			tree := "[service.s]\nkeyed = true\n"
+			for zone := range 4 {
+				tree += fmt.Sprintf("[service.s.place.p.zone.z%d]\nservers = [", zone)
+				for i := range servers / 4 {
+					tree += fmt.Sprintf("\"10.%d.%d.%d:80\", ", zone, i/250, i%250)
+				}
+				tree += "]\n"
+			}
+			parsed, err := Parse([]byte(tree))
+			assert.NilError(b, err)
+			state := NewState()
+			assert.Assert(b, state.Apply(1, state.Change(parsed, "")).Accepted())
+			base := platform.Offset(1)
+			for b.Loop() {
+				verdict := state.Apply(base+1, set("s", base, "keyed = true\nslots = 5\n"))
+				assert.Assert(b, verdict.Accepted())
+				base++
+			}
+		})
+	}
+}
