poplarctl show load

A host tells the load of the servers whose sessions it leads, from their admission, and what it has observed of servers of services not divided by key. Several hosts can be asked at once.

--- a/internal/cmd/ctlcmd/show.go
+++ b/internal/cmd/ctlcmd/show.go
@@ -162,21 +162,50 @@
 	})
 }
 
+// hostLoad is one host's word on one backend server's load.
+type hostLoad struct {
+	// Asked is the address of the host that was asked.
+	Asked string `json:"asked"`
+	admin.ServerLoad
+}
+
 func showLoad(ctx context.Context, args []string, stdout, stderr io.Writer) int {
-	d := newDisplay("show load", "Shows the backend servers' load as the host sees it.", "show load", stdout, stderr)
+	d := newDisplay("show load [-admin ADDR,ADDR,...]",
+		"Shows the backend servers' load as hosts see it. A host knows the servers whose sessions it leads,\n"+
+			"and those of services not divided by key that it has sent requests to.",
+		"show load -admin 10.0.0.1:8081,10.0.0.2:8081", stdout, stderr)
 	if _, code, ok := d.flags.parse(args, 0, 0); !ok {
 		return code
 	}
-	fetch := func(ctx context.Context, client *admin.Client) (admin.LoadReply, error) { return client.Load(ctx) }
-	return run(ctx, d, fetch, func(w io.Writer, reply admin.LoadReply) {
-		fmt.Fprintln(w, "SERVICE\tZONE\tSERVER\tIN FLIGHT\tQUEUED\tSLOTS\tLATENCY\tREPORTED\tREPORT AGE\tDRAINING")
-		for _, s := range reply.Servers {
-			fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%.1fms\t%.2f\t%dms\t%t\n", s.Service, s.Zone, s.Server, s.InFlight,
-				s.Queued, s.Slots, s.LatencyMS, s.Reported, s.ReportAgeMS, s.Draining)
+	fetch := func(ctx context.Context, _ *admin.Client) ([]hostLoad, error) { return d.fetchLoads(ctx) }
+	return run(ctx, d, fetch, func(w io.Writer, loads []hostLoad) {
+		fmt.Fprintln(w, "ASKED\tSERVICE\tZONE\tSERVER\tIN FLIGHT\tQUEUED\tSLOTS\tLATENCY\tREPORTED\tREPORT AGE\tDRAINING")
+		for _, s := range loads {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%.1fms\t%.2f\t%dms\t%t\n", s.Asked, s.Service, s.Zone, s.Server,
+				s.InFlight, s.Queued, s.Slots, s.LatencyMS, s.Reported, s.ReportAgeMS, s.Draining)
 		}
 	})
 }
 
+// fetchLoads asks every host named for what it knows.
+func (d *display) fetchLoads(ctx context.Context) ([]hostLoad, error) {
+	loads := []hostLoad{}
+	for _, address := range strings.Split(d.admin, ",") {
+		client, err := d.clientOf(address)
+		if err != nil {
+			return nil, err
+		}
+		reply, err := client.Load(ctx)
+		if err != nil {
+			return nil, errors.Wrap(err, address)
+		}
+		for _, server := range reply.Servers {
+			loads = append(loads, hostLoad{Asked: address, ServerLoad: server})
+		}
+	}
+	return loads, nil
+}
+
 func showHosts(ctx context.Context, args []string, stdout, stderr io.Writer) int {
 	d := newDisplay("show hosts", "Shows all hosts of the platform's list.", "show hosts", stdout, stderr)
 	if _, code, ok := d.flags.parse(args, 0, 0); !ok {
--- a/internal/cmd/ctlcmd/show_test.go
+++ b/internal/cmd/ctlcmd/show_test.go
@@ -113,3 +113,12 @@
 	assert.Assert(t, strings.HasSuffix(lines[3], "-               1"), lines[3])
 	assert.Equal(t, lines[4], "2 versions: p50 20ms, p99 1020ms, max 1020ms")
 }
+
+func TestLoadIsThatOfAllHostsAsked(t *testing.T) {
+	host := startAdmin(t, map[string]any{"/load": admin.LoadReply{Servers: []admin.ServerLoad{{Service: "archiv", Server: "127.0.0.1:9151", LatencyMS: 5}}}})
+	address := strings.Fields(host)[1]
+	got := ctl(t, "show load -admin "+address+","+address)
+	assert.Equal(t, got.code, cli.ExitOK, got.stderr)
+	assert.Equal(t, strings.Count(got.stdout, "127.0.0.1:9151"), 2)
+	assert.Equal(t, ctl(t, "show load -admin "+address+",127.0.0.1:1").code, cli.ExitFailure)
+}
--- a/internal/host/operators.go
+++ b/internal/host/operators.go
@@ -48,7 +48,7 @@
 		Events:    h.events,
 		Members:   h.members.All,
 		Lead:      h.leadOf,
-		Load:      func() []admin.ServerLoad { return []admin.ServerLoad{} },
+		Load:      h.serverLoads,
 		Now:       time.Now,
 	}
 }
