--- a/internal/idempotency/model_test.go
+++ b/internal/idempotency/model_test.go
@@ -67,42 +67,48 @@
 }
 
 func TestARequestRunsAtMostOnceOverAllLeads(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		l := &lessors{runs: map[ID]int{}}
-		for i := range l.memories {
-			entries := rapid.IntRange(1, 2).Draw(t, "entries")
-			l.memories[i] = NewMemory(string(rune('a'+i)), Bounds{Entries: entries, Retention: retention})
-		}
-		host := rapid.IntRange(0, 2)
-		other := func(t *rapid.T, than int) int {
-			return (than + rapid.IntRange(1, 2).Draw(t, "other")) % 3
-		}
-		pick := func(t *rapid.T) int { return rapid.IntRange(0, len(l.claims)-1).Draw(t, "claim") }
-		t.Repeat(map[string]func(*rapid.T){
-			"claim": func(t *rapid.T) { l.claim(numbered(rapid.IntRange(0, 1).Draw(t, "id"))) },
-			"send": func(t *rapid.T) {
-				if len(l.claims) > 0 {
-					c := &l.claims[pick(t)]
-					l.send(t, c, other(t, c.host))
-				}
-			},
-			"finish": func(t *rapid.T) {
-				if len(l.claims) > 0 {
-					i := pick(t)
-					l.finish(l.claims[i], rapid.SampledFrom([]State{StateReleased, StateUnknown, StateDone}).Draw(t, "state"))
-					l.claims = append(l.claims[:i], l.claims[i+1:]...)
-				}
-			},
-			"take over": func(t *rapid.T) {
-				h := host.Draw(t, "host")
-				l.takeOver(h, other(t, h))
-			},
-			"late copy": func(t *rapid.T) {
-				if len(l.late) > 0 {
-					i := rapid.IntRange(0, len(l.late)-1).Draw(t, "copy")
-					l.memories[host.Draw(t, "host")].Merge(start, l.late[i:i+1])
-				}
-			},
-		})
+	// Some faults need a rare order of steps: rapid's default is too few runs.
+	const rounds = 50
+	for range rounds {
+		rapid.Check(t, runAtMostOnce)
+	}
+}
+
+func runAtMostOnce(t *rapid.T) {
+	l := &lessors{runs: map[ID]int{}}
+	for i := range l.memories {
+		entries := rapid.IntRange(1, 2).Draw(t, "entries")
+		l.memories[i] = NewMemory(string(rune('a'+i)), Bounds{Entries: entries, Retention: retention})
+	}
+	host := rapid.IntRange(0, 2)
+	other := func(t *rapid.T, than int) int {
+		return (than + rapid.IntRange(1, 2).Draw(t, "other")) % 3
+	}
+	pick := func(t *rapid.T) int { return rapid.IntRange(0, len(l.claims)-1).Draw(t, "claim") }
+	t.Repeat(map[string]func(*rapid.T){
+		"claim": func(t *rapid.T) { l.claim(numbered(rapid.IntRange(0, 1).Draw(t, "id"))) },
+		"send": func(t *rapid.T) {
+			if len(l.claims) > 0 {
+				c := &l.claims[pick(t)]
+				l.send(t, c, other(t, c.host))
+			}
+		},
+		"finish": func(t *rapid.T) {
+			if len(l.claims) > 0 {
+				i := pick(t)
+				l.finish(l.claims[i], rapid.SampledFrom([]State{StateReleased, StateUnknown, StateDone}).Draw(t, "state"))
+				l.claims = append(l.claims[:i], l.claims[i+1:]...)
+			}
+		},
+		"take over": func(t *rapid.T) {
+			h := host.Draw(t, "host")
+			l.takeOver(h, other(t, h))
+		},
+		"late copy": func(t *rapid.T) {
+			if len(l.late) > 0 {
+				i := rapid.IntRange(0, len(l.late)-1).Draw(t, "copy")
+				l.memories[host.Draw(t, "host")].Merge(start, l.late[i:i+1])
+			}
+		},
 	})
 }
--- a/internal/poison/model_test.go
+++ b/internal/poison/model_test.go
@@ -91,40 +91,46 @@
 }
 
 func TestPoisonIsFoundAndItsCompanyIsNot(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		memory := NewMemory(bounds)
-		m := &crashModel{tracker: NewTracker(memory), now: start}
-		for i := range m.servers {
-			m.restart(i)
+	// Some faults need a rare order of steps: rapid's default is too few runs.
+	const rounds = 20
+	for range rounds {
+		rapid.Check(t, findPoison)
+	}
+}
+
+func findPoison(t *rapid.T) {
+	memory := NewMemory(bounds)
+	m := &crashModel{tracker: NewTracker(memory), now: start}
+	for i := range m.servers {
+		m.restart(i)
+	}
+	index := func(s Server) int { return int(s.Addr[0] - 'a') }
+	notice := func() {
+		for _, server := range m.unknown {
+			m.tracker.ServerDied(m.now, server)
 		}
-		index := func(s Server) int { return int(s.Addr[0] - 'a') }
-		notice := func() {
-			for _, server := range m.unknown {
-				m.tracker.ServerDied(m.now, server)
+		m.unknown = nil
+	}
+	t.Repeat(map[string]func(*rapid.T){
+		"send": func(t *rapid.T) {
+			server := rapid.IntRange(0, modelServers-1).Draw(t, "server")
+			m.send(server, Fingerprint{rapid.Byte().Draw(t, "request") % 6})
+		},
+		"end": func(t *rapid.T) {
+			if len(m.runs) > 0 {
+				m.end(rapid.IntRange(0, len(m.runs)-1).Draw(t, "run"), index)
 			}
-			m.unknown = nil
-		}
-		t.Repeat(map[string]func(*rapid.T){
-			"send": func(t *rapid.T) {
-				server := rapid.IntRange(0, modelServers-1).Draw(t, "server")
-				m.send(server, Fingerprint{rapid.Byte().Draw(t, "request") % 6})
-			},
-			"end": func(t *rapid.T) {
-				if len(m.runs) > 0 {
-					m.end(rapid.IntRange(0, len(m.runs)-1).Draw(t, "run"), index)
-				}
-			},
-			"notice": func(*rapid.T) { notice() },
-			"time": func(*rapid.T) {
-				m.now = m.now.Add(100 * time.Millisecond)
-				notice()
-			},
-			"": func(t *rapid.T) {
-				for f := byte(1); f < 6; f++ {
-					assert.Assert(t, memory.Check(m.now, Fingerprint{f}) != Condemned, "innocent %d condemned", f)
-				}
-				assert.Assert(t, m.deaths <= bounds.Deaths, "%d deaths", m.deaths)
-			},
-		})
+		},
+		"notice": func(*rapid.T) { notice() },
+		"time": func(*rapid.T) {
+			m.now = m.now.Add(100 * time.Millisecond)
+			notice()
+		},
+		"": func(t *rapid.T) {
+			for f := byte(1); f < 6; f++ {
+				assert.Assert(t, memory.Check(m.now, Fingerprint{f}) != Condemned, "innocent %d condemned", f)
+			}
+			assert.Assert(t, m.deaths <= bounds.Deaths, "%d deaths", m.deaths)
+		},
 	})
 }
