Freshness of connections counts the time in suspension

net/http counts a connection's idle time on a clock that stands still while the machine is suspended. The age now runs from the last byte heard, on the hosts' clock.

--- a/internal/transport/attempt.go
+++ b/internal/transport/attempt.go
@@ -35,17 +35,17 @@
 	a.reused = info.Reused || info.WasIdle
 	conn.begin()
 	a.conns = append(a.conns, conn)
-	if a.needsFresh && a.stale(info) {
+	if a.needsFresh && a.stale(conn) {
 		conn.seal()
 	}
 }
 
-// stale reports whether the connection may have gone silent since its last use.
-func (a *attempt) stale(info httptrace.GotConnInfo) bool {
+// stale reports whether the connection may have gone silent since the server was heard on it.
+func (a *attempt) stale(conn *trackedConn) bool {
 	if a.freshFor < 0 {
-		return info.Reused || info.WasIdle
+		return a.reused
 	}
-	return info.WasIdle && info.IdleTime > a.freshFor
+	return conn.silence() > a.freshFor
 }
 
 // sealAll forbids further writes on the connections given so far and reports
--- a/internal/transport/fake_test.go
+++ b/internal/transport/fake_test.go
@@ -65,6 +65,9 @@
 // target returns a target of the fake that the test's end closes.
 func (f *fake) target(t *testing.T, options Options) *Target {
 	options.Dial = f.dial
+	if options.Clock == nil {
+		options.Clock = fakeClock
+	}
 	if options.Connections == 0 {
 		options.Connections = 10
 	}
@@ -73,6 +76,11 @@
 	return target
 }
 
+// fakeClock reads the clock of a test that runs on fake time.
+func fakeClock() time.Duration {
+	return time.Since(time.Time{}.AddDate(1999, 0, 0))
+}
+
 // write answers with the given bytes and keeps the connection open.
 func write(answer string) script {
 	return func(conn net.Conn, _ *http.Request) bool {
--- a/internal/transport/pool_test.go
+++ b/internal/transport/pool_test.go
@@ -27,7 +27,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				server := newFake(c.scripts...)
 				server.refuse.Store(c.refuse)
-				pool := NewPool(Options{Dial: server.dial, Connections: 4})
+				pool := NewPool(Options{Dial: server.dial, Clock: fakeClock, Connections: 4})
 				client := &http.Client{Transport: pool}
 				var err error
 				for range c.scripts {
@@ -54,7 +54,7 @@
 
 func TestPoolForgetsUnusedTargets(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		pool := NewPool(Options{Dial: newFake(write(whole)).dial, Connections: 1})
+		pool := NewPool(Options{Dial: newFake(write(whole)).dial, Clock: fakeClock, Connections: 1})
 		first := pool.Target("10.0.0.1:80")
 		assert.Equal(t, pool.Target("10.0.0.1:80"), first)
 		time.Sleep(targetUnused)
--- a/internal/transport/silence_test.go
+++ b/internal/transport/silence_test.go
@@ -99,7 +99,7 @@
 	}
 	ours := func(freshFor time.Duration) func(DialFunc) func(context.Context) error {
 		return func(dial DialFunc) func(context.Context) error {
-			target := NewTarget("10.0.0.1:80", Options{Dial: dial, Connections: 8, FreshFor: freshFor})
+			target := NewTarget("10.0.0.1:80", Options{Dial: dial, Clock: fakeClock, Connections: 8, FreshFor: freshFor})
 			return func(ctx context.Context) error {
 				result := target.Send(ctx, post)
 				return drain(result.Response, result.Err)
--- a/internal/transport/target.go
+++ b/internal/transport/target.go
@@ -14,11 +14,13 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/poplarcroft/poplarcroft/internal/backend"
+	"github.com/poplarcroft/poplarcroft/internal/clock"
 )
 
 // Default options.
 const (
-	// DefaultFreshFor is how long a connection may have been idle before a non-idempotent request.
+	// DefaultFreshFor is how long the server may not have been heard on a
+	// connection before a non-idempotent request.
 	DefaultFreshFor = 100 * time.Millisecond
 	// DefaultIdleTimeout is how long an idle connection is kept.
 	DefaultIdleTimeout = 5 * time.Second
@@ -64,17 +66,20 @@
 	Dial DialFunc
 	// Connections is the largest number of open connections.
 	Connections int
-	// FreshFor is how long a connection may have been idle before a
-	// non-idempotent request; negative always takes a new one.
+	// FreshFor is how long the server may not have been heard on a connection
+	// before a non-idempotent request; negative always takes a new one.
 	FreshFor time.Duration
 	// IdleTimeout is how long an idle connection is kept.
 	IdleTimeout time.Duration
+	// Clock is a monotonic clock; nil stands for one that counts the time in suspension.
+	Clock func() time.Duration
 }
 
 // Target is one server that requests are sent to. It is safe for concurrent use.
 type Target struct {
 	addr     string
 	freshFor time.Duration
+	clock    func() time.Duration
 	dial     DialFunc
 	limiter  *limiter
 	http     *http.Transport
@@ -88,9 +93,13 @@
 	if options.IdleTimeout == 0 {
 		options.IdleTimeout = DefaultIdleTimeout
 	}
+	if options.Clock == nil {
+		options.Clock = clock.Monotonic
+	}
 	t := &Target{
 		addr:     addr,
 		freshFor: options.FreshFor,
+		clock:    options.Clock,
 		dial:     options.Dial,
 		limiter:  newLimiter(options.Connections),
 	}
@@ -224,7 +233,7 @@
 		t.limiter.release()
 		return nil, err
 	}
-	return &trackedConn{Conn: conn, closed: t.limiter.release}, nil
+	return track(conn, t.clock, t.limiter.release), nil
 }
 
 // checkHeader refuses an answer whose end could not be recognised or that
--- a/internal/transport/target_test.go
+++ b/internal/transport/target_test.go
@@ -137,6 +137,22 @@
 	}
 }
 
+func TestSuspendedMachineTakesFreshConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var suspended time.Duration
+		server := newFake(write(whole))
+		clock := func() time.Duration { return fakeClock() + suspended }
+		target := server.target(t, Options{Clock: clock})
+		for range 2 {
+			sent, _, err := send(t, target, post)
+			assert.Equal(t, sent, Answered, "%v", err)
+			synctest.Wait()
+			suspended = time.Hour
+		}
+		assert.Equal(t, server.dials.Load(), int64(2))
+	})
+}
+
 func TestSilentConnectionHarmsNoSignOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		server := newFake(write(whole), silent)
--- a/internal/transport/truth_test.go
+++ b/internal/transport/truth_test.go
@@ -64,7 +64,7 @@
 				time.Sleep(rand.N(3 * time.Millisecond))
 				return server.dial(ctx, network, addr)
 			}
-			target := NewTarget("10.0.0.1:80", Options{Dial: dial, Connections: 3, FreshFor: time.Millisecond})
+			target := NewTarget("10.0.0.1:80", Options{Dial: dial, Clock: fakeClock, Connections: 3, FreshFor: time.Millisecond})
 			results := make([]Sent, workers*requests)
 			var group sync.WaitGroup
 			for worker := range workers {
