A suspect that waits to be alone does not hold up others for nothing

Cause: a suspect at the head of the queue blocked it. A suspect whose caller gave up left the requests behind it waiting until the next change; one that waited for inherited requests, whose end only the server knows, stopped the server for up to a request's timeout. The first was seen to fail in a test before the change. Now a cancelled request lets the next go, and a suspect is passed over while inherited requests are in execution.

--- a/internal/limit/admission.go
+++ b/internal/limit/admission.go
@@ -141,7 +141,8 @@
 	if a.wait(now, a.queue.ahead(w.flow)) >= w.deadline.Sub(now) {
 		return ticket, append(events, refused(ticket, a.refusal(now, a.overloadReason(now))))
 	}
-	return ticket, append(events, a.enqueue(now, w)...)
+	events = append(events, a.enqueue(now, w)...)
+	return ticket, append(events, a.admitWaiting(now)...)
 }
 
 // Finish ends an admitted request and returns its slot.
@@ -182,14 +183,29 @@
 	for _, w := range a.queue.expire(now) {
 		events = append(events, refused(w.ticket, a.refusal(now, outcome.ReasonDeadline)))
 	}
-	for {
-		w, ok := a.queue.peek()
-		if !ok || !a.admissible(now, w) {
+	return append(events, a.admitWaiting(now)...)
+}
+
+// admitWaiting admits waiting requests to free slots, the flows in turn. A
+// request that has to be alone is waited for, so that the others drain, but not
+// while inherited requests are in execution, whose end is not known.
+func (a *Admission) admitWaiting(now time.Time) []Event {
+	var events []Event
+	for skipped := 0; skipped < len(a.queue.turns); {
+		w, _ := a.queue.peek()
+		switch {
+		case a.admissible(now, w):
+			a.queue.pop()
+			events = append(events, a.admit(now, w))
+			skipped = 0
+		case w.alone && a.inherited > 0:
+			a.queue.rotate()
+			skipped++
+		default:
 			return events
 		}
-		a.queue.pop()
-		events = append(events, a.admit(now, w))
 	}
+	return events
 }
 
 // NextWake returns when Advance has to be called although nothing else happens,
--- a/internal/limit/admission_test.go
+++ b/internal/limit/admission_test.go
@@ -162,6 +162,17 @@
 	assert.Equal(t, a.Stats(start).Service, 180*time.Millisecond)
 }
 
+func TestSuspectDoesNotBlockOthersForInheritedRequests(t *testing.T) {
+	a := NewAdmission(limits, warmed)
+	a.Inherit(start, 1, at(time.Second))
+	suspect, events := a.Offer(start, Request{Flow: "s", Deadline: at(time.Minute), Alone: true})
+	assert.Equal(t, len(events), 0)
+	assert.Assert(t, offer(t, a, start, "b", time.Minute).Admitted)
+	assert.Equal(t, len(a.Advance(at(time.Second))), 0, "now it waits for the other")
+	assert.Assert(t, !offer(t, a, at(time.Second), "c", time.Minute).Admitted)
+	assert.DeepEqual(t, a.Finish(at(time.Second), suspect+1, Result{}), []Event{{Ticket: suspect, Admitted: true}})
+}
+
 func TestInheritedSlots(t *testing.T) {
 	a := NewAdmission(limits, warmed)
 	a.Inherit(start, limits.Slots, at(5*time.Second))
--- a/internal/limit/gate.go
+++ b/internal/limit/gate.go
@@ -144,6 +144,9 @@
 		return outcome.Refusal{}, false
 	}
 	delete(g.waiters, ticket)
+	// Requests may have waited behind it for slots that were free.
+	now := time.Now()
+	g.deliver(now, g.admission.Advance(now))
 	return outcome.Refusal{Outcome: outcome.NotRun, Reason: outcome.ReasonDeadline, RetryAfter: minRetryAfter}, true
 }
 
--- a/internal/limit/gate_test.go
+++ b/internal/limit/gate_test.go
@@ -70,6 +70,22 @@
 	})
 }
 
+func TestCancelledSuspectLetsTheNextGo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate := NewGate(Config{Slots: 2, QueueLimit: 8}, time.Now())
+		began := time.Now()
+		held, _, _ := gate.Acquire(t.Context(), "a", began.Add(time.Hour))
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		go gate.AcquireFor(ctx, Request{Flow: "a", Deadline: began.Add(time.Hour), Alone: true})
+		synctest.Wait()
+		_, _, ok := gate.Acquire(t.Context(), "b", began.Add(time.Hour))
+		assert.Assert(t, ok)
+		assert.Equal(t, time.Since(began), time.Second)
+		held.Release(true)
+	})
+}
+
 func TestGateWakesForTheColdStart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		gate := NewGate(Config{Slots: 2, ColdStartSlots: 1, ColdStartTime: 4 * time.Second, QueueLimit: 1}, time.Now())
--- a/internal/limit/queue.go
+++ b/internal/limit/queue.go
@@ -66,6 +66,11 @@
 	return w, true
 }
 
+// rotate gives the turn to the next flow.
+func (q *fairQueue) rotate() {
+	q.turns = append(q.turns[1:], q.turns[0])
+}
+
 // ahead returns how many waiting requests would be served before a new one of the flow.
 func (q *fairQueue) ahead(flow string) int {
 	own := len(q.flows[flow])
