Unchecked servers: no request while a restart is possible; no wait with the slice blocked

Cause: a slice that was to leave an unchecked server was blocked for up to the request timeout after a change of lead; a restarted unchecked server ran requests under its former session until the next renewal. Change: the slice stays in use until former leads' deadlines have passed; after any failure nothing is sent until a grant's answer shows the incarnation.

--- a/internal/keeper/admit.go
+++ b/internal/keeper/admit.go
@@ -1,8 +1,6 @@
 package keeper
 
 import (
-	"time"
-
 	"github.com/poplarcroft/poplarcroft/internal/ownership"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 )
@@ -59,7 +57,7 @@
 		return Admission{Lead: k.hostOf(k.lessor.Holder(now))}
 	}
 	epoch, held := k.holds[slice]
-	if !held || k.mayLetGo(k.handovers[key]) {
+	if !held || k.mayLetGo(k.handovers[key]) || k.mayHaveRestarted() {
 		return Admission{}
 	}
 	return Admission{Allowed: true, Addr: k.addr, Epoch: epoch, Session: k.id}
@@ -67,17 +65,24 @@
 
 // mayLetGo reports whether the slice is to move and a quorum of the lessors
 // acts under the version that says so. No new request is then sent for it.
+//
+// A server that checks epochs ends what it has for the slice before it
+// acknowledges. One that does not may still run a former lead's requests: the
+// slice stays where it is until their deadlines have passed.
 func (k *Keeper) mayLetGo(handover Handover) bool {
-	return handover.Moving && k.lessor.QuorumAt(k.lessor.Version())
-}
-
-// idle reports whether nothing that was sent for the slice can still run. A
-// server that checks epochs ends what it has before it acknowledges; for one
-// that does not, this host's own requests must have ended, and those of a former
-// lead must have passed their deadlines.
-func (k *Keeper) idle(now time.Duration, slice int) bool {
-	if k.inFlight[slice] > 0 {
+	if !handover.Moving || !k.lessor.QuorumAt(k.lessor.Version()) {
 		return false
 	}
-	return k.values.ChecksEpochs || now-k.leadSince >= k.values.RequestTimeout
+	return k.values.ChecksEpochs || k.deps.Clock()-k.leadSince >= k.values.RequestTimeout
+}
+
+// mayHaveRestarted reports whether a server that would run a request under any
+// session may be another incarnation by now. A server that checks epochs refuses by itself.
+func (k *Keeper) mayHaveRestarted() bool {
+	return k.inDoubt && !k.values.ChecksEpochs
+}
+
+// idle reports whether nothing that this host has sent for the slice is in flight.
+func (k *Keeper) idle(slice int) bool {
+	return k.inFlight[slice] == 0
 }
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -81,6 +81,8 @@
 	// handoversAt is the version that handovers were taken at.
 	handoversAt platform.Offset
 	silence     silence
+	// inDoubt says that the server has failed to answer since its last grant: it may have restarted.
+	inDoubt bool
 	// inFlight counts the requests that this host has sent, by slice.
 	inFlight map[int]int
 	// asideUntil is until when this lessor leaves the lead to others that reach the server.
@@ -244,9 +246,12 @@
 	return all
 }
 
-// Suspect tells the keeper that a request found the server gone, so that it
-// asks the server at once.
+// Suspect tells the keeper that a request got no answer from the server, so
+// that it asks the server at once.
 func (k *Keeper) Suspect() {
+	k.mu.Lock()
+	k.inDoubt = true
+	k.mu.Unlock()
 	select {
 	case k.kick <- struct{}{}:
 	default:
@@ -272,6 +277,14 @@
 	return names
 }
 
+// Answered tells the keeper under which incarnation the server answered a
+// request. Another one ends the session at once.
+func (k *Keeper) Answered(incarnation string) {
+	if incarnation != "" && incarnation != k.incarnation {
+		k.startClose("server restarted", lease.ProofNewIncarnation)
+	}
+}
+
 func (k *Keeper) record(kind timeline.Kind, detail string) {
 	k.deps.Events.Record(timeline.Event{
 		Kind:    kind,
--- a/internal/keeper/renew.go
+++ b/internal/keeper/renew.go
@@ -74,7 +74,7 @@
 	switch {
 	case k.gaveUp[key.Slice] >= handover.Epoch:
 	case handover.Moving:
-		if k.mayLetGo(handover) && k.idle(k.deps.Clock(), key.Slice) {
+		if k.mayLetGo(handover) && k.idle(key.Slice) {
 			grant.Drop = append(grant.Drop, change)
 		}
 	case k.holds[key.Slice] < handover.Epoch:
@@ -95,6 +95,7 @@
 	now := k.deps.Clock()
 	k.lessor.OnServerClock(now, reply.ClockMS)
 	k.silence.answered(now)
+	k.inDoubt = false
 	k.noteHolds(reply)
 	k.mu.Unlock()
 	k.observer.ServerAnswered(asked, reply)
@@ -119,6 +120,7 @@
 func (k *Keeper) onServerSilent(ctx context.Context) {
 	k.mu.Lock()
 	gone := k.silence.failed(k.deps.Clock())
+	k.inDoubt = true
 	k.mu.Unlock()
 	if !gone {
 		return
--- a/internal/route/gateway.go
+++ b/internal/route/gateway.go
@@ -214,6 +214,8 @@
 	done := send(ctx, g.pool, req)
 	if done.err != nil {
 		entry.keeper.Suspect()
+	} else {
+		entry.keeper.Answered(done.answer.Header.Get(backend.HeaderIncarnation))
 	}
 	return serverResult(done, time.Now().After(r.Deadline))
 }
