Durations of a session's lease are fixed by its open record

Cause: a lessor took LeadTTL, LeaseTTL and the drift from the settings in force when it started. After a change of the settings two lessors of one session count by different durations: a giver's promise ends before the asker's lead does. Change: the open record carries the terms and the session keeps them; without them the default settings apply, whatever is published.

The model of the whole also shows the recovery that asks the newest successors only.

--- a/internal/host/plan.go
+++ b/internal/host/plan.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/poplarcroft/poplarcroft/internal/backend"
+	"github.com/poplarcroft/poplarcroft/internal/keeper"
 	"github.com/poplarcroft/poplarcroft/internal/members"
 	"github.com/poplarcroft/poplarcroft/internal/ownership"
 	"github.com/poplarcroft/poplarcroft/internal/planner"
@@ -225,9 +226,19 @@
 		Incarnation: reply.Incarnation,
 		Lessors:     lessors,
 		Previous:    server.Previous,
+		Terms:       h.termsFor(server),
 	}})
 }
 
+// termsFor returns the durations in force for a server that is to be opened.
+func (h *Host) termsFor(server planner.Unopened) record.LeaseTerms {
+	var values settings.Values
+	h.view.Read(func(state *settings.State, _ *ownership.Table) {
+		values = zoneValues(state, &ownership.Session{Service: server.Service, Zone: server.Zone})
+	})
+	return keeper.TermsOf(values)
+}
+
 // append appends a record of the planner. A refused one was overtaken by
 // another host's; the next look at the table tells what is still missing.
 func (h *Host) append(ctx context.Context, r record.Record) {
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -118,7 +118,7 @@
 		zone:        session.Zone,
 		addr:        session.Addr,
 		incarnation: session.Incarnation,
-		values:      values,
+		values:      withTerms(values, session.Terms),
 		kick:        make(chan struct{}, 1),
 		observer:    observer,
 		lessors:     session.Lessors,
@@ -131,9 +131,9 @@
 		finished:    make(chan idempotency.Entry, finishedRing),
 	}
 	config := lease.Config{
-		LeadTTL:       values.LeadTTL,
-		LeaseTTL:      values.LeaseTTL,
-		DriftPermille: values.DriftPermille,
+		LeadTTL:       k.values.LeadTTL,
+		LeaseTTL:      k.values.LeaseTTL,
+		DriftPermille: k.values.DriftPermille,
 	}
 	k.self = lease.Name(record.Lessor{Host: deps.Host, Incarnation: deps.Incarnation})
 	k.lessor = lease.New(config, k.self, session.ID, session.Version, lessorSet(session))
@@ -141,6 +141,27 @@
 	return k
 }
 
+// withTerms returns the settings with the durations of the session's lease, which
+// do not change with the settings.
+func withTerms(values settings.Values, terms record.LeaseTerms) settings.Values {
+	if terms == (record.LeaseTerms{}) {
+		terms = TermsOf(settings.Defaults())
+	}
+	values.LeadTTL = time.Duration(terms.LeadTTLMS) * time.Millisecond
+	values.LeaseTTL = time.Duration(terms.LeaseTTLMS) * time.Millisecond
+	values.DriftPermille = terms.DriftPermille
+	return values
+}
+
+// TermsOf returns the terms of a session that is opened under the settings.
+func TermsOf(values settings.Values) record.LeaseTerms {
+	return record.LeaseTerms{
+		LeadTTLMS:     values.LeadTTL.Milliseconds(),
+		LeaseTTLMS:    values.LeaseTTL.Milliseconds(),
+		DriftPermille: values.DriftPermille,
+	}
+}
+
 // Run runs the keeper's duties until the context ends or the log shows the
 // session closed.
 func (k *Keeper) Run(ctx context.Context) {
--- /dev/null
+++ b/internal/keeper/terms_test.go
@@ -0,0 +1,29 @@
+package keeper
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/poplarcroft/poplarcroft/internal/ownership"
+	"github.com/poplarcroft/poplarcroft/internal/settings"
+)
+
+// TestPublishedSettingsLeaveOpenSessionsAlone covers a change of the lease's
+// durations between the starts of two lessors of one session.
+func TestPublishedSettingsLeaveOpenSessionsAlone(t *testing.T) {
+	opened := settings.Defaults()
+	opened.LeadTTL = 500 * time.Millisecond
+	session := &ownership.Session{ID: 1, Version: 1, Terms: TermsOf(opened)}
+	changed := settings.Defaults()
+	changed.LeadTTL = 2 * time.Second
+	changed.LeaseTTL = 3 * time.Second
+	k := New(Deps{Host: "h0"}, session, changed, nil)
+	assert.Equal(t, k.values.LeadTTL, opened.LeadTTL)
+	assert.Equal(t, k.values.LeaseTTL, opened.LeaseTTL)
+
+	session.Terms = TermsOf(settings.Values{})
+	k = New(Deps{Host: "h0"}, session, changed, nil)
+	assert.Equal(t, k.values.LeadTTL, settings.Defaults().LeadTTL)
+}
--- a/internal/lease/model/model_test.go
+++ b/internal/lease/model/model_test.go
@@ -58,14 +58,20 @@
 // TestRuleLeftOutOfRecoveryIsNoticed shows that the model is able to find the
 // faults: without the rule some seed lets two servers own a slice.
 func TestRuleLeftOutOfRecoveryIsNoticed(t *testing.T) {
-	for name, leaveOut := range map[string]func(*system){
-		"base of a close on the servers' word": func(s *system) { s.forgetBase = true },
+	for _, mutation := range []struct {
+		name     string
+		leaveOut func(*system)
+		// from is the seed with which the search begins.
+		from uint64
+	}{
+		{"base of a close on the servers' word", func(s *system) { s.forgetBase = true }, 0},
+		{"successors that the log has replaced", func(s *system) { s.newestOnly = true }, 39419},
 	} {
-		t.Run(name, func(t *testing.T) {
+		t.Run(mutation.name, func(t *testing.T) {
 			t.Parallel()
-			for seed := range uint64(mutationRuns) {
+			for seed := mutation.from; seed < mutation.from+mutationRuns; seed++ {
 				s := newSystem(seed)
-				leaveOut(s)
+				mutation.leaveOut(s)
 				if err := s.run(); err != nil {
 					t.Logf("seed %d: %v", seed, err)
 					return
--- a/internal/lease/model_mutation_test.go
+++ b/internal/lease/model_mutation_test.go
@@ -28,6 +28,7 @@
 		{name: "leads of the former lessors count", faults: faults{forgetFormers: true}},
 		{name: "restarted lessor does not act", model: modelFaults{restartKeepsName: true}},
 		{name: "clocks go on while a host is frozen", model: modelFaults{clockStops: true}},
+		{name: "durations are equal", model: modelFaults{unequalDurations: true}},
 		{name: "proof is evidence", model: modelFaults{falseProof: true}},
 	} {
 		t.Run(mutation.name, func(t *testing.T) {
--- a/internal/lease/model_test.go
+++ b/internal/lease/model_test.go
@@ -141,6 +141,8 @@
 	restartKeepsName bool
 	// clockStops lets a host's clock stand still while the host is frozen.
 	clockStops bool
+	// unequalDurations lets some lessors count by longer durations than others.
+	unequalDurations bool
 	// falseProof lets a host close with a proof that it does not have.
 	falseProof bool
 }
@@ -235,12 +237,22 @@
 		return
 	}
 	if slices.Contains(v.lessors.Names, h.name()) {
-		h.lessor = New(w.cfg, h.name(), testSession, v.version, v.lessors)
+		h.lessor = New(w.configOf(h), h.name(), testSession, v.version, v.lessors)
 		h.lessor.faults = w.faults
 		w.note("%s becomes a lessor at version %d", h.name(), v.version)
 	}
 }
 
+// configOf returns the durations by which a host counts.
+func (w *world) configOf(h *modelHost) Config {
+	cfg := w.cfg
+	if w.modelFaults.unequalDurations && h == w.hosts[0] {
+		cfg.LeadTTL *= 2
+		cfg.LeaseTTL *= 2
+	}
+	return cfg
+}
+
 // forget lets a host drop its lessor, together with the answers that it waits for.
 func (w *world) forget(h *modelHost) {
 	h.lessor = nil
--- a/internal/ownership/apply.go
+++ b/internal/ownership/apply.go
@@ -135,6 +135,7 @@
 		Addr:        o.Addr,
 		Incarnation: o.Incarnation,
 		Lessors:     o.Lessors,
+		Terms:       o.Terms,
 		Version:     offset,
 		Previous:    o.Previous,
 
--- a/internal/ownership/table.go
+++ b/internal/ownership/table.go
@@ -41,6 +41,8 @@
 	Addr        string           `json:"addr"`
 	Incarnation string           `json:"incarnation"`
 	Lessors     []record.Lessor  `json:"lessors"`
+	// Terms are those of the open record; zero for the default settings.
+	Terms record.LeaseTerms `json:"terms,omitzero"`
 	// Version is the offset of the last record that changed the session's slices, their successors or its lessors.
 	Version platform.Offset `json:"version"`
 	// LessorsSince is the offset of the record that named the lessors.
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -134,6 +134,15 @@
 	PeerAddr    string `json:"peer_addr"`
 }
 
+// LeaseTerms are the durations under which a session is leased. They are fixed
+// when it is opened: lessors that count by different durations protect nothing,
+// and settings change at different times on different hosts.
+type LeaseTerms struct {
+	LeadTTLMS     int64 `json:"lead_ttl_ms"`
+	LeaseTTLMS    int64 `json:"lease_ttl_ms"`
+	DriftPermille int   `json:"drift_permille"`
+}
+
 // Open opens a session for a backend server. It is accepted only if Previous
 // is the server's latest session, and that one is closed.
 type Open struct {
@@ -144,6 +153,8 @@
 	Incarnation string    `json:"incarnation"`
 	Lessors     []Lessor  `json:"lessors"`
 	Previous    SessionID `json:"previous"`
+	// Terms may be left out; the default settings then apply, whatever is published.
+	Terms LeaseTerms `json:"terms,omitzero"`
 }
 
 // Close reports that a session has ended for good: nothing will be served
