Assign keeps whole shares exact

Cause: a server whose share is a whole number counted as one that may keep a slice more, so it ended a whole slice above its share. Found by the property test TestAssignIsFairAndDeterministic on a run with the race detector. Ruled out: rounding of the shares, which gets a tolerance all the same. Change: ShareBounds gives both bounds, for the assignment and the hot-key plan; TestAssignTakesSliceAboveWholeShare failed before with 4 slices for 3.

--- a/internal/hotkey/plan.go
+++ b/internal/hotkey/plan.go
@@ -1,7 +1,6 @@
 package hotkey
 
 import (
-	"math"
 	"slices"
 
 	"github.com/poplarcroft/poplarcroft/internal/placement"
@@ -143,9 +142,7 @@
 		}
 	}
 	for _, each := range table {
-		share := float64(len(loads)) * each.weight / totalWeight
-		each.least = int(share)
-		each.most = int(math.Ceil(share))
+		each.least, each.most = placement.ShareBounds(len(loads), each.weight, totalWeight)
 	}
 	return table, total / totalWeight
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -97,8 +97,8 @@
 }
 
 // quotas divides count slices by weight. Each server gets its exact share
-// rounded down; what is left over goes first to servers that own more than
-// that already, then to the largest fractions, then to the lower IDs.
+// rounded down; what is left over goes first to servers with a fraction that own
+// more than that already, then to the largest fractions, then to the lower IDs.
 func quotas(count int, takers []Server, owned map[record.SessionID]int) map[record.SessionID]int {
 	total := 0.0
 	for _, server := range takers {
@@ -113,11 +113,11 @@
 	shares := make([]share, len(takers))
 	left := count
 	for i, server := range takers {
+		least, most := ShareBounds(count, server.weight(), total)
 		exact := float64(count) * server.weight() / total
-		whole := int(exact)
-		quota[server.ID] = whole
-		left -= whole
-		shares[i] = share{server.ID, exact - float64(whole), owned[server.ID] > whole}
+		quota[server.ID] = least
+		left -= least
+		shares[i] = share{server.ID, exact - float64(least), most > least && owned[server.ID] > least}
 	}
 	slices.SortFunc(shares, func(a, b share) int {
 		if a.keeps != b.keeps {
@@ -131,6 +131,20 @@
 	return quota
 }
 
+// shareTolerance is the difference from a whole number that counts as rounding error.
+const shareTolerance = 1e-9
+
+// ShareBounds returns a server's share of count slices by its weight out of the
+// total, rounded down and up.
+func ShareBounds(count int, weight, total float64) (least, most int) {
+	exact := float64(count) * weight / total
+	least = int(exact + shareTolerance)
+	if exact-float64(least) <= shareTolerance {
+		return least, least
+	}
+	return least, least + 1
+}
+
 // takeRoom takes one slice out of the quota of the server with the most room
 // for its weight, in the given zone where that has any.
 func takeRoom(takers []Server, quota map[record.SessionID]int, zone string) record.SessionID {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -82,6 +82,13 @@
 	}
 }
 
+func TestAssignTakesSliceAboveWholeShare(t *testing.T) {
+	servers := equalServers(1, 2, 3)
+	servers[0].Weight = 2
+	after := Assign(6, servers, []record.SessionID{1, 1, 1, 1, 2, 3})
+	assert.Equal(t, countOwned(6, after)[1], 3)
+}
+
 func TestAssignEmptiesLeavingServer(t *testing.T) {
 	servers := equalServers(1, 2, 3)
 	before := Assign(30, servers, nil)
