Outliers by tries given up, frozen servers in the experiment

Cause: a try that its caller's deadline ended counted neither as answer nor as failure, so a frozen server was never ejected; and one good probe readmitted a server ejected for failures. Change: a try given up counts with the time waited; only servers ejected as slow return when the others are as slow. The model ends requests at their deadline instead of trying again, and freezes servers.

--- a/internal/balance/adaptive.go
+++ b/internal/balance/adaptive.go
@@ -52,6 +52,8 @@
 		p.outliers.Succeeded(addr, now, latency)
 	case Failure:
 		p.outliers.Failed(addr, now)
+	case Cancelled:
+		p.outliers.GaveUp(addr, now, latency)
 	}
 }
 
--- a/internal/cmd/ctlcmd/experiment.go
+++ b/internal/cmd/ctlcmd/experiment.go
@@ -29,8 +29,8 @@
 
 func experimentCommands() []cli.Command {
 	return []cli.Command{
-		{Name: "balance", Summary: "policies without faults, with cold starts and crashes", Run: runPolicies(
-			"balance", experiment.FaultNone, experiment.FaultCold, experiment.FaultCrash)},
+		{Name: "balance", Summary: "policies without faults, with cold starts, crashes and freezes", Run: runPolicies(
+			"balance", experiment.FaultNone, experiment.FaultCold, experiment.FaultCrash, experiment.FaultFreeze)},
 		{Name: "slow", Summary: "policies with one server in five slowed", Run: runPolicies(
 			"slow", experiment.FaultNone, experiment.FaultSlow, experiment.FaultMoving)},
 		{Name: "hot", Summary: "slices and consistent hashing with hot keys and changing servers", Run: runHot},
--- a/internal/experiment/config.go
+++ b/internal/experiment/config.go
@@ -15,19 +15,21 @@
 const (
 	// FaultNone lets every server work as it should.
 	FaultNone Fault = "none"
-	// FaultSlow slows one server in five by SlowFactor from FaultAt to the end.
+	// FaultSlow slows one server in five by slowFactor from FaultAt to the end.
 	FaultSlow Fault = "slow"
-	// FaultMoving slows one server in five; every SlowMoves other servers.
+	// FaultMoving slows one server in five; every slowMoves other servers.
 	FaultMoving Fault = "moving"
 	// FaultCold restarts one server in five at FaultAt with a cold start.
 	FaultCold Fault = "cold"
-	// FaultCrash stops one server in five at FaultAt; each returns cold after CrashTime.
+	// FaultCrash stops one server in five at FaultAt; each returns cold after crashTime.
 	FaultCrash Fault = "crash"
+	// FaultFreeze freezes one server in five at FaultAt for freezeTime; then each goes on.
+	FaultFreeze Fault = "freeze"
 )
 
 // Faults lists all faults.
 func Faults() []Fault {
-	return []Fault{FaultNone, FaultSlow, FaultMoving, FaultCold, FaultCrash}
+	return []Fault{FaultNone, FaultSlow, FaultMoving, FaultCold, FaultCrash, FaultFreeze}
 }
 
 // Site is the size of a service at one of the users.
@@ -89,7 +91,7 @@
 	localLatency   = 100 * time.Microsecond
 	reportInterval = 500 * time.Millisecond
 	reportDelay    = time.Second
-	tryTimeout     = 2 * time.Second
+	deadline       = 2 * time.Second
 	maxTries       = 3
 	queueLimit     = 64
 	slowFactor     = 10
@@ -97,6 +99,7 @@
 	coldStart      = 5 * time.Second
 	coldFactor     = 4
 	crashTime      = 3 * time.Second
+	freezeTime     = 20 * time.Second
 	faultyShare    = 5
 	// coldCapacity is the share of its slots that a server bears at the start of a cold start.
 	coldCapacity = 0.25
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -54,6 +54,20 @@
 	}
 }
 
+// A host learns of a frozen server by a request that hangs, and then probes it.
+func TestFrozenServersHarmFewRequestsPerHost(t *testing.T) {
+	const harmedPerHostAndServer = 3
+	for seed := uint64(1); seed <= 3; seed++ {
+		config := testConfig(FaultFreeze)
+		config.Seed = seed
+		result := mustRun(t, config)
+		frozen := config.Site.Servers / faultyShare
+		bound := harmedPerHostAndServer * config.Site.Hosts * frozen
+		harmed := result.NotServed * float64(result.Requests)
+		assert.Assert(t, harmed <= float64(bound), "seed %d: %v requests, bound %d", seed, harmed, bound)
+	}
+}
+
 func TestColdServersGetNoMoreThanTheyBear(t *testing.T) {
 	for _, fault := range []Fault{FaultCold, FaultCrash} {
 		for seed := uint64(1); seed <= 3; seed++ {
--- a/internal/experiment/fault.go
+++ b/internal/experiment/fault.go
@@ -11,6 +11,8 @@
 		m.after(m.config.FaultAt, m.moveSlow)
 	case FaultCold:
 		m.after(m.config.FaultAt, func() { m.restart(m.drawFaulty()) })
+	case FaultFreeze:
+		m.after(m.config.FaultAt, m.freezeSome)
 	case FaultCrash:
 		m.after(m.config.FaultAt, m.crashSome)
 	}
@@ -41,6 +43,12 @@
 	m.after(slowMoves, m.moveSlow)
 }
 
+func (m *model) freezeSome() {
+	for _, target := range m.drawFaulty() {
+		m.servers[target.Addr].frozenUntil = m.now + freezeTime
+	}
+}
+
 func (m *model) crashSome() {
 	faulty := m.drawFaulty()
 	for _, target := range faulty {
--- a/internal/experiment/model.go
+++ b/internal/experiment/model.go
@@ -106,7 +106,7 @@
 	}
 	m.planFault()
 	// Requests that arrived before the end finish or time out.
-	m.run(config.Duration + maxTries*tryTimeout + time.Second)
+	m.run(config.Duration + deadline + time.Second)
 	return m.result(), nil
 }
 
@@ -155,15 +155,15 @@
 			m.after(travel, func() { answer(result) })
 		}})
 	})
-	m.after(tryTimeout, func() { answer(balance.Failure) })
+	m.after(r.arrived+deadline-m.now, func() { answer(balance.Cancelled) })
 }
 
-// answered ends the request or tries it again elsewhere.
+// answered ends the request, or tries it again elsewhere where time is left.
 func (m *model) answered(r *request, result balance.Result) {
 	switch {
 	case result == balance.Success:
 		m.finish(r, true)
-	case len(r.tried) >= maxTries:
+	case result == balance.Cancelled || len(r.tried) >= maxTries:
 		m.finish(r, false)
 	default:
 		m.try(r)
--- a/internal/experiment/server.go
+++ b/internal/experiment/server.go
@@ -27,6 +27,8 @@
 	down    bool
 	// slow multiplies service times.
 	slow float64
+	// frozenUntil is the time before which nothing ends.
+	frozenUntil time.Duration
 	// coldUntil is the end of the cold start.
 	coldUntil time.Duration
 
@@ -55,11 +57,15 @@
 	s.running = append(s.running, j)
 	s.noteOvershoot()
 	took := time.Duration(float64(j.demand) * s.factor())
-	s.clock.after(took, func() {
-		if !j.lost {
+	var end func()
+	end = func() {
+		if frozen := s.frozenUntil - s.clock.now; frozen > 0 {
+			s.clock.after(frozen, end)
+		} else if !j.lost {
 			s.finish(j, took)
 		}
-	})
+	}
+	s.clock.after(took, end)
 }
 
 func (s *modelServer) finish(j *job, took time.Duration) {
--- a/internal/outlier/outlier.go
+++ b/internal/outlier/outlier.go
@@ -93,6 +93,8 @@
 
 	ejected   bool
 	ejectedAt time.Duration
+	// slow says that the server was ejected because of its latency.
+	slow bool
 	// probeAt is when the next probe is due, and interval the time to the one after it.
 	probeAt    time.Duration
 	interval   time.Duration
@@ -217,8 +219,23 @@
 	if each == nil {
 		return
 	}
-	sample := latency.Seconds()
 	each.failures = 0
+	d.observe(each, now, latency)
+}
+
+// GaveUp notes a try that was given up after waiting for the server. It counts
+// only where it shows that the server is slower than its mean.
+func (d *Detector) GaveUp(addr string, now, waited time.Duration) {
+	each := d.byAddr[addr]
+	if each == nil || waited.Seconds() <= each.latency {
+		return
+	}
+	d.observe(each, now, waited)
+}
+
+// observe adds a latency to the server's mean and judges the server by it.
+func (d *Detector) observe(each *server, now, latency time.Duration) {
+	sample := latency.Seconds()
 	if each.samples == 0 {
 		each.latency = sample
 	}
@@ -233,6 +250,7 @@
 	case !each.ejected:
 		if each.samples >= d.options.MinSamples && each.latency > d.options.SlowFactor*median && !d.busy(median) {
 			d.eject(each, now)
+			each.slow = each.ejected
 		}
 	case now-latency >= each.ejectedAt:
 		d.judgeProbe(each, now, sample <= d.options.ReturnFactor*median)
@@ -257,14 +275,14 @@
 	return median > busyFactor*d.baseline
 }
 
-// readmitEqual readmits servers that are no longer much slower than the
+// readmitEqual readmits servers that were ejected as slow and are no longer much slower than the
 // others, because those have become slow under their load.
 func (d *Detector) readmitEqual(median float64) {
 	if d.ejected == 0 {
 		return
 	}
 	for _, each := range d.servers {
-		if each.ejected && each.failures == 0 && each.latency < d.options.ReturnFactor*median {
+		if each.slow && each.latency < d.options.ReturnFactor*median {
 			d.readmit(each)
 		}
 	}
--- a/internal/outlier/outlier_test.go
+++ b/internal/outlier/outlier_test.go
@@ -87,6 +87,28 @@
 	assert.Equal(t, detector.Count(), 0)
 }
 
+func TestFailedServerNeedsAllGoodProbes(t *testing.T) {
+	detector, addrs := newWarmDetector()
+	for range Defaults().Failures {
+		detector.Failed(addrs[0], 0)
+	}
+	for probe := range Defaults().GoodProbes {
+		assert.Assert(t, detector.Ejected(addrs[0]), "after %d good probes", probe)
+		detector.Succeeded(addrs[0], time.Second, normal)
+	}
+	assert.Assert(t, !detector.Ejected(addrs[0]))
+}
+
+func TestServerThatIsGivenUpIsEjected(t *testing.T) {
+	detector, addrs := newWarmDetector()
+	for range 100 {
+		detector.GaveUp(addrs[0], 0, normal/2)
+	}
+	assert.Assert(t, !detector.Ejected(addrs[0]))
+	detector.GaveUp(addrs[0], 0, 100*normal)
+	assert.Assert(t, detector.Ejected(addrs[0]))
+}
+
 func TestBadProbesGrowRarer(t *testing.T) {
 	detector, addrs := newWarmDetector()
 	for range 5 {
@@ -137,7 +159,9 @@
 				detector.SetServers(addrs)
 			case 1:
 				detector.Forget(addr)
-			case 2, 3, 4:
+			case 2:
+				detector.GaveUp(addr, now, time.Second)
+			case 3, 4:
 				detector.Failed(addr, now)
 			default:
 				latency := rapid.IntRange(0, 1000).Draw(t, "latency")
