A slice that comes back to a session is served there

Cause: a keeper remembered that it had handed a slice over and went on redirecting requests after the slice had come back under a higher epoch, so that the key was not served until the session ended. Ruled out: the entry's cache of moves, which ends with the slice's version. Change: a handover is remembered with its epoch.

--- a/internal/keeper/admit.go
+++ b/internal/keeper/admit.go
@@ -50,13 +50,13 @@
 func (k *Keeper) admit(slice int) Admission {
 	now := k.deps.Clock()
 	key := ownership.SliceKey{Service: k.service, Slice: slice}
-	if k.activated[key] {
-		return Admission{Successor: k.handovers[key].Successor}
+	epoch, held := k.holds[slice]
+	if gone, ok := k.activated[key]; ok && epoch <= gone.epoch {
+		return Admission{Successor: gone.successor}
 	}
 	if !k.lessor.IsLead(now) {
 		return Admission{Lead: k.hostOf(k.lessor.Holder(now))}
 	}
-	epoch, held := k.holds[slice]
 	if !held || k.mayLetGo(k.handovers[key]) || k.mayHaveRestarted() {
 		return Admission{}
 	}
--- /dev/null
+++ b/internal/keeper/admit_test.go
@@ -0,0 +1,75 @@
+package keeper
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/poplarcroft/poplarcroft/internal/ownership"
+	"github.com/poplarcroft/poplarcroft/internal/record"
+	"github.com/poplarcroft/poplarcroft/internal/settings"
+	"github.com/poplarcroft/poplarcroft/internal/timeline"
+	"github.com/poplarcroft/poplarcroft/internal/view"
+)
+
+// newLeader returns a keeper that leads a session whose only lessor it is.
+func newLeader(t *testing.T, values settings.Values) *Keeper {
+	t.Helper()
+	deps := Deps{
+		Host:        "h1",
+		Incarnation: "i",
+		View:        view.New(),
+		Events:      timeline.NewRecorder("h1", 16, time.Now),
+		Clock:       func() time.Duration { return time.Hour },
+	}
+	session := &ownership.Session{
+		ID: 7, Service: "revize", Zone: "zlin", Addr: "10.0.0.1:1", Incarnation: "s", Version: 7, LessorsSince: 7,
+		Lessors: []record.Lessor{{Host: "h1", Incarnation: "i"}},
+	}
+	k := New(deps, session, values, nil)
+	k.lessor.AskLead(time.Hour)
+	assert.Assert(t, k.lessor.IsLead(time.Hour))
+	return k
+}
+
+func TestAdmit(t *testing.T) {
+	key := ownership.SliceKey{Service: "revize", Slice: 3}
+	checked := settings.Defaults()
+	unchecked := settings.Defaults()
+	unchecked.ChecksEpochs = false
+	for _, test := range []struct {
+		name   string
+		values settings.Values
+		state  func(k *Keeper)
+		want   Admission
+	}{
+		{"held", checked, func(k *Keeper) { k.holds[3] = 14 },
+			Admission{Allowed: true, Addr: "10.0.0.1:1", Epoch: 14, Session: 7}},
+		{"not held", checked, func(*Keeper) {}, Admission{}},
+		{"handed over", checked, func(k *Keeper) { k.activated[key] = activation{epoch: 14, successor: 9} },
+			Admission{Successor: 9}},
+		{"handed over and got back", checked, func(k *Keeper) {
+			k.activated[key] = activation{epoch: 14, successor: 9}
+			k.holds[3] = 27
+		}, Admission{Allowed: true, Addr: "10.0.0.1:1", Epoch: 27, Session: 7}},
+		{"about to move", checked, func(k *Keeper) {
+			k.holds[3] = 14
+			k.handovers = map[ownership.SliceKey]Handover{key: {Key: key, Epoch: 14, Moving: true}}
+		}, Admission{}},
+		{"about to move, former lead's requests may run", unchecked, func(k *Keeper) {
+			k.holds[3] = 14
+			k.handovers = map[ownership.SliceKey]Handover{key: {Key: key, Epoch: 14, Moving: true}}
+			k.leadSince = time.Hour - time.Second
+		}, Admission{Allowed: true, Addr: "10.0.0.1:1", Epoch: 14, Session: 7}},
+		{"in doubt, checked", checked, func(k *Keeper) { k.holds[3], k.inDoubt = 14, true },
+			Admission{Allowed: true, Addr: "10.0.0.1:1", Epoch: 14, Session: 7}},
+		{"in doubt, unchecked", unchecked, func(k *Keeper) { k.holds[3], k.inDoubt = 14, true }, Admission{}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			k := newLeader(t, test.values)
+			test.state(k)
+			assert.DeepEqual(t, k.Admit(3), test.want)
+		})
+	}
+}
--- a/internal/keeper/closing.go
+++ b/internal/keeper/closing.go
@@ -132,7 +132,7 @@
 	defer k.mu.Unlock()
 	grants := make(map[record.SessionID][]backend.SliceGrant)
 	for key, handover := range k.handovers {
-		if handover.Successor == 0 || k.activated[key] || !include(handover) {
+		if handover.Successor == 0 || k.isActivated(key, handover) || !include(handover) {
 			continue
 		}
 		grant := backend.SliceGrant{Slice: key.Slice, Epoch: uint64(handover.NextEpoch)}
@@ -149,17 +149,24 @@
 		var reply peer.AdoptReply
 		err := k.deps.Peers.CallTimeout(ctx, adoptTimeout, lessor.PeerAddr, "Peer.Adopt", args, &reply)
 		if err == nil && reply.Adopted {
-			k.markActivated(grants)
+			k.markActivated(successor, grants)
 			return true
 		}
 	}
 	return false
 }
 
-func (k *Keeper) markActivated(grants []backend.SliceGrant) {
+// isActivated reports whether the slice has been handed over since the session got it last.
+func (k *Keeper) isActivated(key ownership.SliceKey, handover Handover) bool {
+	gone, ok := k.activated[key]
+	return ok && gone.epoch >= handover.Epoch
+}
+
+func (k *Keeper) markActivated(successor record.SessionID, grants []backend.SliceGrant) {
 	k.mu.Lock()
 	for _, grant := range grants {
-		k.activated[ownership.SliceKey{Service: k.service, Slice: grant.Slice}] = true
+		key := ownership.SliceKey{Service: k.service, Slice: grant.Slice}
+		k.activated[key] = activation{epoch: k.handovers[key].Epoch, successor: successor}
 	}
 	k.mu.Unlock()
 	for _, grant := range grants {
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -49,6 +49,13 @@
 	Moving    bool
 }
 
+// activation is the end of a slice's ownership by the session: the epoch under
+// which the session owned it, and the session that took it over.
+type activation struct {
+	epoch     record.Epoch
+	successor record.SessionID
+}
+
 // Keeper is one host's part in one session.
 type Keeper struct {
 	deps    Deps
@@ -88,8 +95,9 @@
 	// asideUntil is until when this lessor leaves the lead to others that reach the server.
 	asideUntil time.Duration
 	// leadSince is when this lessor gained the lead last.
-	leadSince   time.Duration
-	activated   map[ownership.SliceKey]bool
+	leadSince time.Duration
+	// activated are the slices that were handed over, the last time of each.
+	activated   map[ownership.SliceKey]activation
 	closeReason string
 	wasLead     bool
 
@@ -130,7 +138,7 @@
 		holds:       make(map[int]record.Epoch),
 		adopted:     make(map[int]record.Epoch),
 		gaveUp:      make(map[int]record.Epoch),
-		activated:   make(map[ownership.SliceKey]bool),
+		activated:   make(map[ownership.SliceKey]activation),
 		inFlight:    make(map[int]int),
 		finished:    make(chan idempotency.Entry, finishedRing),
 	}
--- a/internal/keeper/moves.go
+++ b/internal/keeper/moves.go
@@ -146,7 +146,7 @@
 	defer k.mu.Unlock()
 	var moves []record.SliceMove
 	for key, handover := range k.handovers {
-		if handover.Moving && k.activated[key] {
+		if handover.Moving && k.isActivated(key, handover) {
 			moves = append(moves, record.SliceMove{
 				Service: key.Service, Slice: key.Slice, To: handover.Successor, Epoch: handover.NextEpoch,
 			})
