Gate.Drain: a host that ceases to lead cuts none of its requests

Those looked at were cut about 0.5 s after the load began, when the host is marked leaving and stops being a lessor: the end of its part in the session closed the gate, which told the requests in execution that their server was lost, and they were cancelled. Change: Drain refuses waiting and later requests and leaves those in execution. The lane has to call it where the server has not died.

--- a/internal/limit/gate.go
+++ b/internal/limit/gate.go
@@ -100,7 +100,16 @@
 	})
 }
 
-// Close refuses all waiting and all later requests at once.
+// Drain refuses all waiting and all later requests at once. Requests in
+// execution go on: the server is still there, only this host sends no more to it.
+func (g *Gate) Drain(refusal outcome.Refusal) {
+	g.update(func(time.Time) []Event {
+		events, _ := g.admission.Close(refusal)
+		return events
+	})
+}
+
+// Close does the same and tells the requests in execution that their server is lost.
 func (g *Gate) Close(refusal outcome.Refusal) {
 	g.update(func(time.Time) []Event {
 		events, running := g.admission.Close(refusal)
--- a/internal/limit/gate_test.go
+++ b/internal/limit/gate_test.go
@@ -98,6 +98,24 @@
 	})
 }
 
+func TestDrainingLetsRequestsInExecutionFinish(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate := NewGate(single, time.Now())
+		held, _, _ := gate.Acquire(t.Context(), "a", time.Now().Add(time.Minute))
+		gone := outcome.Refusal{Outcome: outcome.NotRun, Reason: outcome.ReasonNotLead}
+		gate.Drain(gone)
+		_, refusal, ok := gate.Acquire(t.Context(), "a", time.Now().Add(time.Minute))
+		assert.Assert(t, !ok)
+		assert.DeepEqual(t, refusal, gone)
+		select {
+		case <-held.Lost():
+			t.Fatal("the request in execution was told that its server is lost")
+		default:
+			held.Release(true)
+		}
+	})
+}
+
 func TestGateTellsOfTheEndOfASession(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		gate := NewGate(single, time.Now())
