Hosts that cease to be lessors cut no request; renewals begin at once

Change: the gate drains; cancelled requests end as timed out; the first answer starts the next renewal; a joined lessor coordinates after two periods; the cold start counts from when the session was first seen.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -53,6 +53,8 @@
 	mu      sync.RWMutex
 	keepers map[record.SessionID]*keeper.Keeper
 	rates   sliceRates
+	// seen holds when this host first saw each open session.
+	seen map[record.SessionID]time.Time
 
 	listeners listeners
 	attempts  attempts
--- a/internal/host/keep.go
+++ b/internal/host/keep.go
@@ -23,6 +23,7 @@
 	defer running.Wait()
 	for {
 		changed := h.view.Changed()
+		h.noteSessions()
 		for _, session := range h.newSessions() {
 			h.startKeeper(ctx, &running, session)
 		}
@@ -34,6 +35,33 @@
 	}
 }
 
+// noteSessions remembers when this host first saw each open session: the
+// cold start of its server counts from then.
+func (h *Host) noteSessions() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	seen := make(map[record.SessionID]time.Time)
+	h.view.Read(func(_ *settings.State, table *ownership.Table) {
+		for _, session := range table.Sessions() {
+			seen[session.ID] = time.Now()
+			if before, known := h.seen[session.ID]; known {
+				seen[session.ID] = before
+			}
+		}
+	})
+	h.seen = seen
+}
+
+// firstSeen returns when this host first saw an open session.
+func (h *Host) firstSeen(id record.SessionID) time.Time {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	if seen, known := h.seen[id]; known {
+		return seen
+	}
+	return time.Now()
+}
+
 // sessionToKeep is a session that needs a keeper, with the settings in force for it.
 type sessionToKeep struct {
 	session ownership.Session
@@ -83,7 +111,7 @@
 
 func (h *Host) startKeeper(ctx context.Context, running *sync.WaitGroup, wanted sessionToKeep) {
 	server := poison.Server{Addr: wanted.session.Addr, Incarnation: wanted.session.Incarnation}
-	lane := route.NewLane(wanted.values, server, h.guard)
+	lane := route.NewLane(wanted.values, server, h.firstSeen(wanted.session.ID), h.guard)
 	h.guard.Configure(poison.Bounds{Deaths: wanted.values.PoisonDeaths, Retention: wanted.values.PoisonRetention})
 	deps := keeper.Deps{
 		Host:        h.config.Name,
--- a/internal/keeper/closing.go
+++ b/internal/keeper/closing.go
@@ -67,10 +67,10 @@
 	})
 }
 
-// coordinatorLimit is how long a lessor that joined a closing waits for its
-// coordinator before it coordinates itself.
+// coordinatorLimit is how long a lessor that joined a closing leaves it to its
+// coordinator. More coordinators than one do no harm; each waits for itself.
 func (k *Keeper) coordinatorLimit() time.Duration {
-	return k.values.LeadTTL + k.values.LeaseTTL
+	return 2 * k.values.RenewEvery
 }
 
 func (k *Keeper) phase() lease.Phase {
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -90,6 +90,8 @@
 	silence     silence
 	// inDoubt says that the server has failed to answer since its last grant: it may have restarted.
 	inDoubt bool
+	// clockKnown says that this lessor has read the server's clock in its present term of the lead.
+	clockKnown bool
 	// inFlight counts the requests that this host has sent, by slice.
 	inFlight map[int]int
 	// asideUntil is until when this lessor leaves the lead to others that reach the server.
@@ -281,6 +283,11 @@
 	k.mu.Lock()
 	k.inDoubt = true
 	k.mu.Unlock()
+	k.kickRenewal()
+}
+
+// kickRenewal lets the next renewal begin at once.
+func (k *Keeper) kickRenewal() {
 	select {
 	case k.kick <- struct{}{}:
 	default:
--- a/internal/keeper/lead.go
+++ b/internal/keeper/lead.go
@@ -62,11 +62,13 @@
 		k.silence.answered(k.deps.Clock())
 		k.term.Add(1)
 		k.leadSince = k.deps.Clock()
+		k.clockKnown = false
 	}
 	k.mu.Unlock()
 	switch {
 	case changed && lead:
 		k.observer.LeadGained(k.values)
+		k.kickRenewal()
 		k.record(timeline.KindLeadGained, "")
 	case changed:
 		k.record(timeline.KindLeadLost, "")
--- a/internal/keeper/renew.go
+++ b/internal/keeper/renew.go
@@ -94,10 +94,16 @@
 	k.mu.Lock()
 	now := k.deps.Clock()
 	k.lessor.OnServerClock(now, reply.ClockMS)
+	first := !k.clockKnown
+	k.clockKnown = true
 	k.silence.answered(now)
 	k.inDoubt = false
 	k.noteHolds(reply)
 	k.mu.Unlock()
+	if first {
+		// The first answer only told the clock; the lease itself is due at once.
+		k.kickRenewal()
+	}
 	k.observer.ServerAnswered(asked, reply)
 }
 
--- a/internal/route/gateway.go
+++ b/internal/route/gateway.go
@@ -80,7 +80,7 @@
 		return Result{Refusal: refused}
 	}
 	result := g.acquireAndSend(ctx, entry, r, pass)
-	pass.End(ending(result))
+	pass.End(ending(ctx, result))
 	return result
 }
 
@@ -95,18 +95,22 @@
 		return Result{Refusal: refusal}
 	}
 	result := g.claimAndSend(ctx, entry, r, permit, pass)
-	permit.Release(result.Answer != nil)
+	if result.Refusal.Reason == outcome.ReasonOverloaded {
+		permit.ReleaseShed()
+	} else {
+		permit.Release(result.Answer != nil)
+	}
 	return result
 }
 
 // ending tells the guard how a request ended.
-func ending(result Result) poison.Ending {
+func ending(ctx context.Context, result Result) poison.Ending {
 	switch {
 	case result.Answer != nil:
 		return poison.Finished
 	case result.Refusal.Outcome != outcome.Unknown:
 		return poison.Refused
-	case result.Refusal.Reason == outcome.ReasonDeadline:
+	case ctx.Err() != nil, result.Refusal.Reason == outcome.ReasonDeadline:
 		return poison.TimedOut
 	}
 	return poison.Broken
--- a/internal/route/keyless.go
+++ b/internal/route/keyless.go
@@ -4,8 +4,11 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/poplarcroft/poplarcroft/internal/backend"
 	"github.com/poplarcroft/poplarcroft/internal/balance"
 	"github.com/poplarcroft/poplarcroft/internal/outcome"
@@ -155,10 +158,12 @@
 	started := k.now()
 	done := send(ctx, k.pool, req)
 	result := serverResult(done, time.Now().After(r.Deadline))
-	pass.End(ending(result))
+	pass.End(ending(ctx, result))
 	now := k.now()
 	set.finished(addr, now, now-started, balanceResult(ctx, result))
-	k.noteIncarnation(set, addr, done, now)
+	if ctx.Err() == nil {
+		k.noteIncarnation(set, addr, done, now)
+	}
 	return result
 }
 
@@ -171,7 +176,7 @@
 		if seen == "" {
 			return
 		}
-	} else if done.maybeSent {
+	} else if !refusedConnection(done.err) {
 		return
 	}
 	former := set.incarnation(addr)
@@ -184,6 +189,11 @@
 	}
 }
 
+// refusedConnection reports whether nobody listens at the server's address.
+func refusedConnection(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 func balanceResult(ctx context.Context, result Result) balance.Result {
 	switch {
 	case result.Answer != nil:
--- a/internal/route/lane.go
+++ b/internal/route/lane.go
@@ -19,10 +19,11 @@
 }
 
 // NewLane returns the lane of a session with the given server, under the
-// settings in force. The guard is told of the server's death.
-func NewLane(values settings.Values, server poison.Server, guard *poison.Guard) *Lane {
+// settings in force. The server's cold start counts from started. The guard is
+// told of the server's death.
+func NewLane(values settings.Values, server poison.Server, started time.Time, guard *poison.Guard) *Lane {
 	return &Lane{
-		gate:   limit.NewGate(limit.ConfigFrom(values), time.Now()),
+		gate:   limit.NewGate(limit.ConfigFrom(values), started),
 		guard:  guard,
 		server: server,
 	}
@@ -40,10 +41,14 @@
 	l.gate.Inherit(values.Slots, time.Now().Add(values.RequestTimeout))
 }
 
-// SessionEnded implements keeper.Observer.
+// SessionEnded implements keeper.Observer. Requests on a server that has not
+// failed finish.
 func (l *Lane) SessionEnded(died bool) {
-	l.gate.Close(notRun(outcome.ReasonNotOwner, "the server's session has ended").Refusal)
-	if died {
-		l.guard.ServerDied(l.server)
+	refusal := notRun(outcome.ReasonNotOwner, "the server's session has ended").Refusal
+	if !died {
+		l.gate.Drain(refusal)
+		return
 	}
+	l.gate.Close(refusal)
+	l.guard.ServerDied(l.server)
 }
