--- a/scenarios/measure_test.go
+++ b/scenarios/measure_test.go
@@ -81,7 +81,7 @@
 
 // measure runs a case with the seeds from 1 on, some at a time, and returns the longest outages in order.
 func measure(t *testing.T, c outageCase, runs int) []time.Duration {
-	const parallelRuns = 2
+	const parallelRuns = 3
 	var (
 		mu      sync.Mutex
 		outages []time.Duration
