Leads are given back only after their requests; metrics, health, marks of hosts

Cause: a request whose claim was half copied when the lead was given back ended as unknown at the next lead; a host marked as leaving kept its leads; a stopping host announced itself as live again; metrics were not published. Change: giving the lead back takes no new request first and waits for those being served; stopping and marked hosts give their leads back; expvar metrics, /healthz, events for suspects and restarts.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -94,6 +94,7 @@
 	h.events.SetIncarnation(h.entry.Incarnation)
 	h.stopSink = h.startSink()
 	h.connect()
+	h.publishMetrics()
 	return h, nil
 }
 
@@ -192,16 +193,17 @@
 	}
 }
 
-// stop ends the host's work without cutting a request.
+// stop ends the host's work without cutting a request: its leads go to other
+// lessors at once, while it still accepts what callers and hosts send it.
 func (h *Host) stop(ctx context.Context, servers []*http.Server) {
 	h.leaving.Store(true)
 	h.logger.Info("leaving", "host", h.config.Name)
 	h.record(timeline.KindHostStopping, "")
 	h.announceLeaving(ctx)
+	h.resignAll(ctx)
 	wait(ctx, h.config.LeaveTime)
 	drain, cancel := context.WithTimeout(ctx, h.config.DrainTime)
 	defer cancel()
-	h.yieldAll(drain)
 	var stopping sync.WaitGroup
 	for _, server := range servers {
 		stopping.Go(func() { server.Shutdown(drain) })
@@ -213,9 +215,7 @@
 func (h *Host) announceLeaving(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	entry := h.entry
-	entry.State = platform.HostLeaving
-	h.platform.Announce(ctx, entry)
+	h.members.Leave(ctx)
 }
 
 func (h *Host) logChanged(up bool) {
--- a/internal/host/keep.go
+++ b/internal/host/keep.go
@@ -139,13 +139,13 @@
 	})
 }
 
-// yieldAll gives every lead back, so that another lessor may lead at once.
-func (h *Host) yieldAll(ctx context.Context) {
+// resignAll gives every lead back for good, so that other lessors may lead at once.
+func (h *Host) resignAll(ctx context.Context) {
 	h.mu.RLock()
 	defer h.mu.RUnlock()
 	var yielding sync.WaitGroup
 	for _, k := range h.keepers {
-		yielding.Go(func() { k.Yield(ctx) })
+		yielding.Go(func() { k.Resign(ctx) })
 	}
 	yielding.Wait()
 }
--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/rpc"
@@ -17,7 +18,7 @@
 // serve starts the host's HTTP servers. Requests in flight outlast the context's end.
 func (h *Host) serve(ctx context.Context) []*http.Server {
 	return []*http.Server{
-		start(h.listeners.caller, h.route.Handler()),
+		start(h.listeners.caller, h.callerHandler()),
 		start(h.listeners.peer, h.peerHandler(ctx)),
 		start(h.adminListener(), h.adminHandler()),
 	}
@@ -47,3 +48,22 @@
 		}
 	})
 }
+
+// PathHealth answers 200 while the host takes callers' requests, and 503 once it leaves.
+const PathHealth = "/healthz"
+
+// callerHandler serves callers, and the balancer's question whether to send any.
+func (h *Host) callerHandler() http.Handler {
+	requests := h.route.Handler()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != PathHealth {
+			requests.ServeHTTP(w, r)
+			return
+		}
+		if h.leaving.Load() {
+			http.Error(w, "leaving", http.StatusServiceUnavailable)
+			return
+		}
+		io.WriteString(w, "ok\n")
+	})
+}
--- a/internal/host/suspects.go
+++ b/internal/host/suspects.go
@@ -7,6 +7,7 @@
 
 	"github.com/poplarcroft/poplarcroft/internal/peer"
 	"github.com/poplarcroft/poplarcroft/internal/poison"
+	"github.com/poplarcroft/poplarcroft/internal/timeline"
 )
 
 const (
@@ -24,12 +25,32 @@
 		records, next := h.guard.Export(since)
 		since = next
 		if len(records) > 0 {
+			h.noteSuspects(records)
 			h.passOn(ctx, records)
 		}
 		h.guard.Expire()
 	})
 }
 
+// noteSuspects records each request against which there is new evidence.
+func (h *Host) noteSuspects(records []poison.Record) {
+	for _, record := range records {
+		if record.Cleared {
+			continue
+		}
+		kind := timeline.KindRequestSuspected
+		if h.guard.Check(record.Fingerprint) == poison.Condemned {
+			kind = timeline.KindRequestPoisoned
+		}
+		h.events.Record(timeline.Event{
+			Kind:   kind,
+			Offset: h.view.Applied(),
+			Server: record.Death.Addr,
+			Detail: record.Fingerprint.String(),
+		})
+	}
+}
+
 func (h *Host) passOn(ctx context.Context, records []poison.Record) {
 	var calls sync.WaitGroup
 	for _, host := range h.members.All() {
--- a/internal/keeper/admit.go
+++ b/internal/keeper/admit.go
@@ -17,16 +17,30 @@
 	Successor record.SessionID
 }
 
-// Admit decides whether this host may send a request for the slice to the
-// server now, and under which epoch.
-func (k *Keeper) Admit(slice int) Admission {
+// Enter decides whether this host may serve a request for the slice now. A
+// request that is allowed counts as being served until Exit.
+func (k *Keeper) Enter(slice int) Admission {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.admit(slice)
+	if k.yielding {
+		return Admission{}
+	}
+	admission := k.admit(slice)
+	if admission.Allowed {
+		k.serving++
+	}
+	return admission
+}
+
+// Exit ends a request that Enter allowed.
+func (k *Keeper) Exit() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.serving--
 }
 
-// Begin is Admit for a request that is sent at once. A request that is allowed
-// counts as in flight until End.
+// Begin decides whether a request that has been entered may be sent now, and
+// under which epoch. A request that is allowed counts as in flight until End.
 func (k *Keeper) Begin(slice int) Admission {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/keeper/admit_test.go
+++ b/internal/keeper/admit_test.go
@@ -69,7 +69,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			k := newLeader(t, test.values)
 			test.state(k)
-			assert.DeepEqual(t, k.Admit(3), test.want)
+			assert.DeepEqual(t, k.Begin(3), test.want)
 		})
 	}
 }
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -94,6 +94,16 @@
 	clockKnown bool
 	// inFlight counts the requests that this host has sent, by slice.
 	inFlight map[int]int
+	// marked says that an operator marked this host: it leads only where nobody else does.
+	marked bool
+	// mustYield says that the lead is to be given back because of a new mark.
+	mustYield bool
+	// serving counts the requests that this host is serving for the session.
+	serving int
+	// yielding says that no new request is taken, since the lead is about to be given back.
+	yielding bool
+	// resigned says that this lessor asks for the lead no more.
+	resigned bool
 	// asideUntil is until when this lessor leaves the lead to others that reach the server.
 	asideUntil time.Duration
 	// leadSince is when this lessor gained the lead last.
@@ -317,6 +327,7 @@
 // request. Another one ends the session at once.
 func (k *Keeper) Answered(incarnation string) {
 	if incarnation != "" && incarnation != k.incarnation {
+		k.record(timeline.KindServerRestarted, "")
 		k.startClose("server restarted", lease.ProofNewIncarnation)
 	}
 }
--- a/internal/keeper/lead.go
+++ b/internal/keeper/lead.go
@@ -21,6 +21,8 @@
 		holder, self := k.Lead()
 		k.noteLead(self)
 		switch {
+		case self && k.takeYield():
+			k.Yield(ctx)
 		case self:
 			vacantSince = now
 			if k.leadAge(now) >= k.values.RenewEvery {
@@ -46,12 +48,21 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	rank := slices.IndexFunc(k.lessors, func(l record.Lessor) bool { return l.Host == k.deps.Host })
-	if k.deps.Clock() < k.asideUntil {
+	if k.marked || k.deps.Clock() < k.asideUntil {
 		rank += len(k.lessors)
 	}
 	return time.Duration(max(rank, 0)) * k.values.RenewEvery
 }
 
+// takeYield reports, once for each mark, that this host shall give the lead back.
+func (k *Keeper) takeYield() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	yield := k.mustYield && len(k.others()) > 0
+	k.mustYield = false
+	return yield
+}
+
 // noteLead reports a change of this lessor's lead.
 func (k *Keeper) noteLead(lead bool) {
 	k.mu.Lock()
@@ -75,8 +86,18 @@
 	}
 }
 
-// askLead asks all other lessors for their consent at once.
+// askLead asks for the lead unless this lessor has resigned.
 func (k *Keeper) askLead(ctx context.Context) {
+	k.mu.Lock()
+	resigned := k.resigned
+	k.mu.Unlock()
+	if !resigned {
+		k.requestLead(ctx)
+	}
+}
+
+// requestLead asks all other lessors for their consent at once.
+func (k *Keeper) requestLead(ctx context.Context) {
 	k.mu.Lock()
 	asked := k.deps.Clock()
 	request, ok := k.lessor.AskLead(asked)
@@ -106,9 +127,37 @@
 	k.lessor.OnLeadReply(k.deps.Clock(), asked, reply.Reply)
 }
 
-// Yield gives the lead back, so that another lessor may lead at once. The
-// caller must have stopped sending.
+// Resign gives the lead back and asks for it no more. A lessor without others
+// goes on: nobody could take its place.
+func (k *Keeper) Resign(ctx context.Context) {
+	k.mu.Lock()
+	k.resigned = len(k.others()) > 0
+	resigned := k.resigned
+	k.mu.Unlock()
+	if resigned {
+		k.Yield(ctx)
+	}
+}
+
+const (
+	// yieldWait bounds the wait for the requests being served before the lead is given back.
+	yieldWait = time.Second
+	// yieldPoll is the time between two looks at them.
+	yieldPoll = 5 * time.Millisecond
+)
+
+// Yield gives the lead back, so that another lessor may lead at once. It takes
+// no new request first and waits for those being served, so that none of them
+// loses its claim half way.
 func (k *Keeper) Yield(ctx context.Context) {
+	k.setYielding(true)
+	defer k.setYielding(false)
+	k.waitServed(ctx)
+	k.giveBack(ctx)
+}
+
+// giveBack ends the lead at once and tells the other lessors.
+func (k *Keeper) giveBack(ctx context.Context) {
 	k.mu.Lock()
 	request, ok := k.lessor.YieldLead(k.deps.Clock())
 	others := k.consenters()
@@ -126,3 +175,31 @@
 	}
 	calls.Wait()
 }
+
+func (k *Keeper) setYielding(yielding bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.yielding = yielding
+}
+
+// waitServed waits until no request is being served, renewing the lead meanwhile.
+func (k *Keeper) waitServed(ctx context.Context) {
+	for waited := time.Duration(0); waited < yieldWait && k.isServing(); waited += yieldPoll {
+		if k.leadAge(k.deps.Clock()) >= k.values.RenewEvery {
+			k.requestLead(ctx)
+		}
+		timer := time.NewTimer(yieldPoll)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+		}
+	}
+}
+
+func (k *Keeper) isServing() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.serving > 0
+}
--- a/internal/keeper/moves.go
+++ b/internal/keeper/moves.go
@@ -45,6 +45,9 @@
 		}
 		k.adoptVersion(session, table)
 		lost = table.Mark(record.SubjectServer, k.addr).State == record.MarkLost
+		marked := table.Mark(record.SubjectHost, k.deps.Host).State != record.MarkActive
+		k.mustYield = k.mustYield || marked && !k.marked
+		k.marked = marked
 	})
 	over = over || k.lessor.Phase() == lease.PhaseRetired
 	k.mu.Unlock()
--- a/internal/keeper/probe.go
+++ b/internal/keeper/probe.go
@@ -44,10 +44,11 @@
 	return err == nil && reply.Reached
 }
 
-// stepAside gives the lead to a lessor that reaches the server.
+// stepAside gives the lead to a lessor that reaches the server. Requests that
+// wait for the server's answer here are not waited for.
 func (k *Keeper) stepAside(ctx context.Context) {
 	k.mu.Lock()
 	k.asideUntil = k.deps.Clock() + asideTime
 	k.mu.Unlock()
-	k.Yield(ctx)
+	k.giveBack(ctx)
 }
--- a/internal/keeper/renew.go
+++ b/internal/keeper/renew.go
@@ -84,6 +84,7 @@
 
 func (k *Keeper) onServerAnswer(asked time.Time, reply backend.GrantReply) {
 	if reply.Incarnation != k.incarnation {
+		k.record(timeline.KindServerRestarted, "")
 		k.startClose("server restarted", lease.ProofNewIncarnation)
 		return
 	}
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -98,11 +98,27 @@
 	}
 	m.merge(list)
 	m.askAll(ctx)
-	if !slices.ContainsFunc(list.Hosts, func(e platform.HostEntry) bool { return e == m.self }) {
-		m.hosts.Announce(ctx, m.self)
+	if own := m.own(); !slices.Contains(list.Hosts, own) {
+		m.hosts.Announce(ctx, own)
 	}
 }
 
+// Leave announces that this host leaves, and goes on saying so.
+func (m *Members) Leave(ctx context.Context) {
+	m.mu.Lock()
+	m.self.State = platform.HostLeaving
+	self := m.self
+	m.mu.Unlock()
+	m.hosts.Announce(ctx, self)
+}
+
+// own returns this host's entry as it should be listed.
+func (m *Members) own() platform.HostEntry {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.self
+}
+
 // askSeeds learns of hosts from other hosts. It is only needed until this host
 // knows any, since a known host stays known as long as it answers.
 func (m *Members) askSeeds() {
--- a/internal/route/gateway.go
+++ b/internal/route/gateway.go
@@ -66,9 +66,10 @@
 	if entry == nil {
 		return notRun(outcome.ReasonNotLead, "this host is no lessor of the session")
 	}
-	if admission := entry.keeper.Admit(r.Slice); !admission.Allowed {
+	if admission := entry.keeper.Enter(r.Slice); !admission.Allowed {
 		return notAdmitted(admission)
 	}
+	defer entry.keeper.Exit()
 	if !r.Idempotent() {
 		verdict := entry.keeper.Lookup(ctx, r.claimID(), r.digest())
 		if verdict.Kind != idempotency.KindNew {
