Experiment counts requests that were not served in the latencies

Cause: policies that lost their slow requests to the deadline showed a low p99 over the rest. Change: a request that is not served counts as its whole deadline.

--- a/internal/experiment/model.go
+++ b/internal/experiment/model.go
@@ -170,16 +170,19 @@
 	}
 }
 
+// finish counts a request. One that was not served counts as if it had taken
+// its whole deadline, so that refusing does not look like speed.
 func (m *model) finish(r *request, served bool) {
 	if r.arrived < m.config.Warmup {
 		return
 	}
 	m.counted++
+	latency := m.now - r.arrived
 	if !served {
 		m.lost++
-		return
+		latency = deadline
 	}
-	us := min((m.now - r.arrived).Microseconds(), histogramMaxUS)
+	us := min(latency.Microseconds(), histogramMaxUS)
 	// The value is within the range, so the histogram takes it.
 	_ = m.latency.RecordValue(us)
 }
