--- a/internal/load/compare.go
+++ b/internal/load/compare.go
@@ -40,7 +40,7 @@
 // RunMetered is Run, with the processor time that the processes took meanwhile
 // in the summary.
 func RunMetered(ctx context.Context, config Config, pids []int, records io.Writer) (Summary, error) {
-	before, err := processorTime(pids)
+	before, err := ProcessorTime(pids)
 	if err != nil {
 		return Summary{}, err
 	}
@@ -48,7 +48,7 @@
 	if err != nil || len(pids) == 0 {
 		return summary, err
 	}
-	after, err := processorTime(pids)
+	after, err := ProcessorTime(pids)
 	if err != nil {
 		return summary, err
 	}
--- a/internal/load/processor.go
+++ b/internal/load/processor.go
@@ -19,9 +19,9 @@
 	systemTimeField = 12
 )
 
-// processorTime returns the user and system time that the processes have taken
+// ProcessorTime returns the user and system time that the processes have taken
 // so far. It needs Linux.
-func processorTime(pids []int) (time.Duration, error) {
+func ProcessorTime(pids []int) (time.Duration, error) {
 	var total time.Duration
 	for _, pid := range pids {
 		stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
--- a/internal/standin/egress.go
+++ b/internal/standin/egress.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -59,6 +60,8 @@
 	tunnels map[*tunnel]struct{}
 	// opened holds the local addresses of the last connections.
 	opened []string
+	// traffic holds the bytes passed both ways by destination.
+	traffic map[string]uint64
 }
 
 // fate is what happens to a connection.
@@ -72,7 +75,12 @@
 
 // NewEgress returns an egress proxy that does not listen yet.
 func NewEgress(cfg EgressConfig) *Egress {
-	return &Egress{cfg: cfg, changed: make(chan struct{}), tunnels: make(map[*tunnel]struct{})}
+	return &Egress{
+		cfg:     cfg,
+		changed: make(chan struct{}),
+		tunnels: make(map[*tunnel]struct{}),
+		traffic: make(map[string]uint64),
+	}
 }
 
 // Start listens and serves until Close. It returns the address in use.
@@ -136,6 +144,20 @@
 	return slices.Contains(e.opened, local)
 }
 
+// Traffic returns the number of bytes passed so far, both ways together, by destination.
+func (e *Egress) Traffic() map[string]uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return maps.Clone(e.traffic)
+}
+
+// count notes bytes passed between a client and addr.
+func (e *Egress) count(addr string, bytes int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.traffic[addr] += uint64(bytes)
+}
+
 // fateOf returns what the rules say of connections to addr. The lock is held.
 func (e *Egress) fateOf(addr string) fate {
 	switch {
--- a/internal/standin/tunnel.go
+++ b/internal/standin/tunnel.go
@@ -49,6 +49,7 @@
 		if !t.pass() {
 			return
 		}
+		t.egress.count(t.addr, n)
 		if _, writeErr := dst.Write(buffer[:n]); writeErr != nil || err != nil {
 			return
 		}
