--- a/internal/host/boot.go
+++ b/internal/host/boot.go
@@ -11,11 +11,11 @@
 
 const (
 	// snapshotEvery is the time between two looks whether another host is far ahead.
-	snapshotEvery = time.Second
+	snapshotEvery = 200 * time.Millisecond
 	// snapshotTimeout bounds the transfer of a snapshot.
 	snapshotTimeout = 2 * time.Second
 	// staleAfter is how long the log may be silent before a host asks others what they know.
-	staleAfter = 3 * time.Second
+	staleAfter = time.Second
 	// checkpointRecords is the number of records after which a checkpoint is due.
 	checkpointRecords = 500
 	// checkpointAge is how long records may go without a checkpoint after them.
--- a/internal/keeper/admit.go
+++ b/internal/keeper/admit.go
@@ -84,12 +84,19 @@
 // acknowledges. One that does not may still run a former lead's requests: the
 // slice stays where it is until their deadlines have passed.
 func (k *Keeper) mayLetGo(handover Handover) bool {
-	if !handover.Moving || !k.lessor.QuorumAt(k.lessor.Version()) {
+	if !handover.Moving || !k.lessor.QuorumAt(k.lessor.Version()) || !k.mayReach(handover.Successor) {
 		return false
 	}
 	return k.values.ChecksEpochs || k.deps.Clock()-k.leadSince >= k.values.RequestTimeout
 }
 
+// mayReach reports whether the successor was known to have a lead a moment ago.
+// A slice is not let go of while nobody can take it over, as in a cut between zones.
+func (k *Keeper) mayReach(successor record.SessionID) bool {
+	seen, ok := k.reachable[successor]
+	return ok && k.deps.Clock()-seen <= reachableTime
+}
+
 // mayHaveRestarted reports whether a server that would run a request under any
 // session may be another incarnation by now. A server that checks epochs refuses by itself.
 func (k *Keeper) mayHaveRestarted() bool {
--- a/internal/keeper/admit_test.go
+++ b/internal/keeper/admit_test.go
@@ -55,11 +55,18 @@
 		}, Admission{Allowed: true, Addr: "10.0.0.1:1", Epoch: 27, Session: 7}},
 		{"about to move", checked, func(k *Keeper) {
 			k.holds[3] = 14
-			k.handovers = map[ownership.SliceKey]Handover{key: {Key: key, Epoch: 14, Moving: true}}
+			k.handovers = map[ownership.SliceKey]Handover{key: {Key: key, Epoch: 14, Successor: 9, Moving: true}}
+			k.reachable[9] = time.Hour
 		}, Admission{}},
+		{"about to move, successor out of reach", checked, func(k *Keeper) {
+			k.holds[3] = 14
+			k.handovers = map[ownership.SliceKey]Handover{key: {Key: key, Epoch: 14, Successor: 9, Moving: true}}
+			k.reachable[9] = time.Hour - time.Second
+		}, Admission{Allowed: true, Addr: "10.0.0.1:1", Epoch: 14, Session: 7}},
 		{"about to move, former lead's requests may run", unchecked, func(k *Keeper) {
 			k.holds[3] = 14
-			k.handovers = map[ownership.SliceKey]Handover{key: {Key: key, Epoch: 14, Moving: true}}
+			k.handovers = map[ownership.SliceKey]Handover{key: {Key: key, Epoch: 14, Successor: 9, Moving: true}}
+			k.reachable[9] = time.Hour
 			k.leadSince = time.Hour - time.Second
 		}, Admission{Allowed: true, Addr: "10.0.0.1:1", Epoch: 14, Session: 7}},
 		{"in doubt, checked", checked, func(k *Keeper) { k.holds[3], k.inDoubt = 14, true },
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -88,6 +88,10 @@
 	// handoversAt is the version that handovers were taken at.
 	handoversAt platform.Offset
 	silence     silence
+	// silenceNoted says that the present silence of the server has been recorded.
+	silenceNoted bool
+	// reachable holds when each successor of a moving slice was last known to have a lead.
+	reachable map[record.SessionID]time.Duration
 	// inDoubt says that the server has failed to answer since its last grant: it may have restarted.
 	inDoubt bool
 	// clockKnown says that this lessor has read the server's clock in its present term of the lead.
@@ -152,6 +156,7 @@
 		gaveUp:      make(map[int]record.Epoch),
 		activated:   make(map[ownership.SliceKey]activation),
 		inFlight:    make(map[int]int),
+		reachable:   make(map[record.SessionID]time.Duration),
 		finished:    make(chan idempotency.Entry, finishedRing),
 	}
 	config := lease.Config{
--- a/internal/keeper/moves.go
+++ b/internal/keeper/moves.go
@@ -105,6 +105,7 @@
 func (k *Keeper) moveDuty(ctx context.Context) {
 	k.every(ctx, k.values.RenewEvery/2, func(ctx context.Context) {
 		if _, lead := k.Lead(); lead {
+			k.lookForSuccessors(ctx)
 			k.activateDropped(ctx)
 			k.reportMoved(ctx)
 		}
@@ -112,6 +113,52 @@
 	})
 }
 
+const (
+	// reachableTime is how long a successor counts as reachable after its lead was found.
+	reachableTime = 400 * time.Millisecond
+	// reachableEvery is the time between two looks for it.
+	reachableEvery = 150 * time.Millisecond
+)
+
+// lookForSuccessors notes which successors of moving slices have a lead.
+func (k *Keeper) lookForSuccessors(ctx context.Context) {
+	for _, successor := range k.successorsToFind() {
+		for _, lessor := range k.lessorsOf(successor) {
+			var reply peer.LeadOfReply
+			args := peer.SessionArgs{Session: successor}
+			err := k.deps.Peers.CallTimeout(ctx, k.values.RenewEvery, lessor.PeerAddr, "Peer.LeadOf", args, &reply)
+			if err == nil && reply.Lead != "" {
+				k.noteReachable(successor)
+				break
+			}
+		}
+	}
+}
+
+// successorsToFind returns the successors of moving slices that were not seen of late.
+func (k *Keeper) successorsToFind() []record.SessionID {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var missing []record.SessionID
+	for key, handover := range k.handovers {
+		if !handover.Moving || k.isActivated(key, handover) || slices.Contains(missing, handover.Successor) {
+			continue
+		}
+		seen, ok := k.reachable[handover.Successor]
+		if !ok || k.deps.Clock()-seen >= reachableEvery {
+			missing = append(missing, handover.Successor)
+		}
+	}
+	return missing
+}
+
+func (k *Keeper) noteReachable(successor record.SessionID) {
+	k.mu.Lock()
+	k.reachable[successor] = k.deps.Clock()
+	k.mu.Unlock()
+	k.kickRenewal()
+}
+
 func (k *Keeper) activateDropped(ctx context.Context) {
 	dropped := k.pending(func(h Handover) bool {
 		return h.Moving && k.gaveUp[h.Key.Slice] >= h.Epoch
--- a/internal/keeper/renew.go
+++ b/internal/keeper/renew.go
@@ -99,6 +99,7 @@
 	k.clockKnown = true
 	k.silence.answered(now)
 	k.inDoubt = false
+	k.silenceNoted = false
 	k.noteHolds(reply)
 	k.mu.Unlock()
 	if first {
@@ -132,7 +133,7 @@
 	if !gone {
 		return
 	}
-	k.record(timeline.KindServerSilent, "")
+	k.noteSilence()
 	if k.reachedByOthers(ctx) {
 		k.stepAside(ctx)
 		return
@@ -141,3 +142,14 @@
 		k.startClose("server silent", lease.ProofNone)
 	}
 }
+
+// noteSilence records that the server counts as silent, once until it answers.
+func (k *Keeper) noteSilence() {
+	k.mu.Lock()
+	noted := k.silenceNoted
+	k.silenceNoted = true
+	k.mu.Unlock()
+	if !noted {
+		k.record(timeline.KindServerSilent, "")
+	}
+}
