A replaced move is activated at its new successor

Cause: a slice that had been activated at a successor whose session then closed counted as activated at the successor named after it; the log then showed a move that had not taken place. The test fails without the change.

--- a/internal/keeper/closing.go
+++ b/internal/keeper/closing.go
@@ -156,10 +156,11 @@
 	return false
 }
 
-// isActivated reports whether the slice has been handed over since the session got it last.
+// isActivated reports whether the slice has been handed over to its present
+// successor since the session got it last.
 func (k *Keeper) isActivated(key ownership.SliceKey, handover Handover) bool {
 	gone, ok := k.activated[key]
-	return ok && gone.epoch >= handover.Epoch
+	return ok && gone.epoch >= handover.Epoch && gone.successor == handover.Successor
 }
 
 func (k *Keeper) markActivated(successor record.SessionID, grants []backend.SliceGrant) {
--- /dev/null
+++ b/internal/keeper/handover_test.go
@@ -0,0 +1,29 @@
+package keeper
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/poplarcroft/poplarcroft/internal/backend"
+	"github.com/poplarcroft/poplarcroft/internal/ownership"
+	"github.com/poplarcroft/poplarcroft/internal/record"
+	"github.com/poplarcroft/poplarcroft/internal/settings"
+)
+
+// TestMoveWhoseSuccessorWasReplacedIsActivatedAnew covers a successor whose
+// session closes after it was activated and before the log shows the move.
+func TestMoveWhoseSuccessorWasReplacedIsActivatedAnew(t *testing.T) {
+	key := ownership.SliceKey{Service: "revize", Slice: 3}
+	k := newLeader(t, settings.Defaults())
+	k.handovers = map[ownership.SliceKey]Handover{
+		key: {Key: key, Epoch: 14, Successor: 9, NextEpoch: 21, Moving: true},
+	}
+	k.markActivated(9, []backend.SliceGrant{{Slice: 3, Epoch: 21}})
+	assert.DeepEqual(t, k.activatedMoves(), []record.SliceMove{{Service: "revize", Slice: 3, To: 9, Epoch: 21}})
+
+	k.handovers[key] = Handover{Key: key, Epoch: 14, Successor: 11, NextEpoch: 33, Moving: true}
+	assert.Equal(t, len(k.activatedMoves()), 0)
+	pending := k.pending(func(Handover) bool { return true })
+	assert.DeepEqual(t, pending, map[record.SessionID][]backend.SliceGrant{11: {{Slice: 3, Epoch: 33}}})
+}
