Load tool waits for the host's own answer at the deadline

Cause: the tool gave up at the very deadline that it stated, so of 9 requests at a frozen server it recorded 8 as its own time-out and 1 as the host's answer. Change: it waits 200 ms longer.

--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -16,6 +16,10 @@
 	"github.com/poplarcroft/poplarcroft/internal/outcome"
 )
 
+// answerGrace is how much longer than the stated timeout a try waits, so that
+// a host's own answer at the deadline arrives and is recorded.
+const answerGrace = 200 * time.Millisecond
+
 // client sends single tries.
 type client struct {
 	config Config
@@ -48,7 +52,7 @@
 func (c *client) try(ctx context.Context, request Request, try int) Record {
 	target := c.config.Targets[(request.Index+try)%len(c.config.Targets)]
 	record := Record{ID: request.ID, Try: try, Key: request.Key, Method: request.Method, Host: target}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.config.Timeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.config.Timeout+answerGrace)
 	defer cancel()
 	record.Start = time.Now()
 	message, err := c.newRequest(ctx, target, request)
