--- a/internal/route/entry.go
+++ b/internal/route/entry.go
@@ -117,7 +117,7 @@
 func (e *Entry) handle(r *http.Request) Result {
 	vars := mux.Vars(r)
 	key, err := url.PathUnescape(vars["key"])
-	if err != nil || strings.ContainsAny(key, "\r\n") {
+	if err != nil || strings.ContainsFunc(key, isControl) {
 		return Result{Refusal: badRequest("the key is malformed")}
 	}
 	service, ok := e.directory.Service(vars["service"])
@@ -147,6 +147,11 @@
 	return e.serveKeyed(ctx, request, budget)
 }
 
+// isControl reports whether a character may not stand in a header, which carries the key.
+func isControl(r rune) bool {
+	return r < ' ' || r == 0x7f
+}
+
 // serveKeyed tries until the request has a final result. It waits while the
 // key has no owner, for as long as a recovery may take.
 func (e *Entry) serveKeyed(ctx context.Context, r *Request, budget *retry.Budget) Result {
--- a/internal/route/forward.go
+++ b/internal/route/forward.go
@@ -95,10 +95,17 @@
 	return forwardedRefusal(done.answer)
 }
 
+// forwardedRefusal reads another host's refusal from its headers, since the
+// answer to a HEAD request has no body. The body adds the detail.
 func forwardedRefusal(answer *Answer) Result {
 	var result Result
-	if err := json.Unmarshal(answer.Body, &result.Refusal); err != nil {
-		return unknown(outcome.ReasonAnswerLost, "another host's refusal is malformed")
+	if len(answer.Body) > 0 && json.Unmarshal(answer.Body, &result.Refusal) != nil {
+		return malformedRefusal()
+	}
+	result.Refusal.Outcome = outcome.Outcome(answer.Header.Get(backend.HeaderOutcome))
+	result.Refusal.Reason = outcome.Reason(answer.Header.Get(backend.HeaderReason))
+	if result.Refusal.Outcome == "" {
+		return malformedRefusal()
 	}
 	retryAfter, _ := strconv.Atoi(answer.Header.Get("Retry-After"))
 	result.Refusal.RetryAfter = time.Duration(retryAfter) * time.Second
@@ -108,6 +115,10 @@
 	return result
 }
 
+func malformedRefusal() Result {
+	return unknown(outcome.ReasonAnswerLost, "another host's refusal is malformed")
+}
+
 // ForwardHandler returns the handler for requests that other hosts forward.
 func (e *Entry) ForwardHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
--- a/internal/route/request.go
+++ b/internal/route/request.go
@@ -170,10 +170,10 @@
 // requestTimeout is the time that the caller left, at most the service's own limit.
 func requestTimeout(header http.Header, limit time.Duration) time.Duration {
 	ms, err := strconv.ParseInt(header.Get(backend.HeaderTimeoutMS), 10, 64)
-	if err != nil || ms <= 0 {
+	if err != nil || ms <= 0 || ms >= limit.Milliseconds() {
 		return limit
 	}
-	return min(time.Duration(ms)*time.Millisecond, limit)
+	return time.Duration(ms) * time.Millisecond
 }
 
 // hopByHop lists the headers that concern one connection only.
