--- a/internal/route/keyless.go
+++ b/internal/route/keyless.go
@@ -96,16 +96,30 @@
 		return result
 	case <-timer.C:
 	}
-	second, ok := set.pick(k.now(), *excluded)
-	if !ok || !budget.Take() {
+	second, ok := k.pickHedge(set, *excluded, budget)
+	if !ok {
 		return <-results
 	}
 	*excluded = append(*excluded, second)
 	go func() { results <- k.try(ctx, set, second, r) }()
-	if result := <-results; result.Answer != nil {
-		return result
+	first := <-results
+	if first.Answer != nil {
+		return first
+	}
+	return truthful(<-results, first.Refusal.Outcome == outcome.Unknown)
+}
+
+// pickHedge chooses the server for a hedge, where the budget allows one.
+func (k *keyless) pickHedge(set *targetSet, excluded []string, budget *retry.Budget) (string, bool) {
+	addr, ok := set.pick(k.now(), excluded)
+	if !ok {
+		return "", false
+	}
+	if !budget.Take() {
+		set.cancelled(addr, k.now())
+		return "", false
 	}
-	return <-results
+	return addr, true
 }
 
 func (k *keyless) now() time.Duration {
