--- a/internal/host/plan.go
+++ b/internal/host/plan.go
@@ -19,6 +19,9 @@
 	planEvery = 50 * time.Millisecond
 	// rankDelay is how much longer a host of the next rank leaves a change to others.
 	rankDelay = 400 * time.Millisecond
+	// replaceDelay is how long a lessor that leaves or is gone keeps its place: one
+	// that leaves gives its lead back in that time, without cutting a request.
+	replaceDelay = 1500 * time.Millisecond
 	// planTimeout bounds an append of the planner and the reading of its verdict.
 	planTimeout = 3 * time.Second
 	// probeTimeout bounds the first contact to a backend server.
@@ -192,6 +195,7 @@
 		name:    "lessors " + session.Addr,
 		subject: session.Addr,
 		zone:    session.Zone,
+		wait:    replaceDelay,
 		act: func(ctx context.Context) {
 			h.append(ctx, record.Record{Kind: record.KindLessors, Lessors: &lessors})
 		},
