Members: contract tests; a leaving host stays leaving in every list

Cause, each with the test that failed first: - A host that had announced that it leaves saw an entry other than its own live one at its next read of the list and announced itself as live again. The state is left out of the comparison, and Members.Leave ends the announcements for good, so that none follows the withdrawal either (TestAnnouncements, TestLeavingHostAnnouncesItselfNoMore). - A lagging list overwrote a host's own word that it leaves: the host counted as live until its next answer, or for two seconds where it gave none (TestLaggingListDoesNotBringALeavingHostBack). The list's own wrong word still ends when the list takes it back.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -213,9 +213,7 @@
 func (h *Host) announceLeaving(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	entry := h.entry
-	entry.State = platform.HostLeaving
-	h.platform.Announce(ctx, entry)
+	h.members.Leave(ctx)
 }
 
 func (h *Host) logChanged(up bool) {
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -35,6 +35,8 @@
 	Rates []peer.SliceRate
 	// Answered is when the host answered last; zero where it never did.
 	Answered time.Time
+	// leaving is the host's own word that it leaves.
+	leaving bool
 }
 
 // Members is this host's list of hosts. It is safe for concurrent use.
@@ -46,9 +48,10 @@
 
 	started time.Time
 
-	mu     sync.RWMutex
-	known  map[string]Host
-	listed bool
+	mu      sync.RWMutex
+	known   map[string]Host
+	listed  bool
+	leaving bool
 }
 
 // New returns a list that knows only this host. Seeds are the peer addresses of
@@ -98,11 +101,32 @@
 	}
 	m.merge(list)
 	m.askAll(ctx)
-	if !slices.ContainsFunc(list.Hosts, func(e platform.HostEntry) bool { return e == m.self }) {
+	if m.mustAnnounce(list) {
 		m.hosts.Announce(ctx, m.self)
 	}
 }
 
+// mustAnnounce reports whether the list lacks this host. Its state there may be
+// another: a host that is listed as leaving does not come back by itself.
+func (m *Members) mustAnnounce(list platform.HostList) bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return !m.leaving && !slices.ContainsFunc(list.Hosts, func(entry platform.HostEntry) bool {
+		entry.State = m.self.State
+		return entry == m.self
+	})
+}
+
+// Leave announces that this host is leaving. It announces itself no more after that.
+func (m *Members) Leave(ctx context.Context) error {
+	m.mu.Lock()
+	m.leaving = true
+	m.mu.Unlock()
+	entry := m.self
+	entry.State = platform.HostLeaving
+	return m.hosts.Announce(ctx, entry)
+}
+
 // askSeeds learns of hosts from other hosts. It is only needed until this host
 // knows any, since a known host stays known as long as it answers.
 func (m *Members) askSeeds() {
@@ -130,6 +154,8 @@
 	}
 }
 
+// merge takes over the list. A host that has told that it leaves does not come
+// back under the same incarnation, whatever a lagging list shows.
 func (m *Members) merge(list platform.HostList) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -144,6 +170,9 @@
 		if known.Incarnation != entry.Incarnation {
 			known = Host{}
 		}
+		if known.leaving {
+			entry.State = platform.HostLeaving
+		}
 		known.HostEntry = entry
 		m.known[entry.Name] = known
 	}
@@ -180,7 +209,8 @@
 	known.Answered = time.Now()
 	known.Applied = reply.Applied
 	known.Rates = reply.Rates
-	if reply.Leaving {
+	known.leaving = reply.Leaving
+	if known.leaving {
 		known.State = platform.HostLeaving
 	}
 	m.known[host.Name] = known
--- /dev/null
+++ b/internal/members/members_test.go
@@ -0,0 +1,294 @@
+package members
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/rpc"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/poplarcroft/poplarcroft/internal/peer"
+	"github.com/poplarcroft/poplarcroft/internal/platform"
+)
+
+// fakeList is the platform's list of hosts.
+type fakeList struct {
+	mu        sync.Mutex
+	down      bool
+	entries   []platform.HostEntry
+	announced []platform.HostEntry
+}
+
+func (l *fakeList) List(context.Context) (platform.HostList, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return platform.HostList{}, errors.New("list is down")
+	}
+	return platform.HostList{Hosts: slices.Clone(l.entries)}, nil
+}
+
+func (l *fakeList) Announce(_ context.Context, entry platform.HostEntry) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.announced = append(l.announced, entry)
+	return nil
+}
+
+func (l *fakeList) Withdraw(context.Context, string) error { return nil }
+
+func (l *fakeList) set(down bool, entries ...platform.HostEntry) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = down
+	l.entries = entries
+}
+
+// fakeHost answers status calls.
+type fakeHost struct {
+	mu     sync.Mutex
+	status peer.StatusReply
+	hosts  []platform.HostEntry
+}
+
+// Status answers a status call.
+func (h *fakeHost) Status(_ peer.Empty, reply *peer.StatusReply) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	*reply = h.status
+	return nil
+}
+
+// Hosts answers with the hosts that the host knows.
+func (h *fakeHost) Hosts(_ peer.Empty, reply *peer.HostsReply) error {
+	reply.Hosts = h.hosts
+	return nil
+}
+
+func (h *fakeHost) set(status peer.StatusReply) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.status = status
+}
+
+// serveHost starts a host that answers under the name and incarnation. Stop ends it.
+func serveHost(t *testing.T, name, incarnation string) (host *fakeHost, entry platform.HostEntry, stop func()) {
+	t.Helper()
+	host = &fakeHost{status: peer.StatusReply{Host: name, Incarnation: incarnation, Applied: 5}}
+	service := rpc.NewServer()
+	assert.NilError(t, service.RegisterName("Peer", host))
+	ctx, cancel := context.WithCancel(context.Background())
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		peer.ServeRPC(ctx, service, w)
+	}))
+	stop = sync.OnceFunc(func() {
+		cancel()
+		server.Close()
+	})
+	t.Cleanup(stop)
+	entry = platform.HostEntry{
+		Name: name, Zone: "zlin", PeerAddr: server.Listener.Addr().String(),
+		Incarnation: incarnation, State: platform.HostLive,
+	}
+	return host, entry, stop
+}
+
+var self = platform.HostEntry{Name: "h1", Zone: "zlin", PeerAddr: "127.0.0.1:1", Incarnation: "i1", State: platform.HostLive}
+
+func newMembers(t *testing.T, list platform.Hosts, seeds ...string) *Members {
+	t.Helper()
+	pool := peer.NewPool((&net.Dialer{}).DialContext)
+	t.Cleanup(pool.Close)
+	return New(self, list, pool, seeds)
+}
+
+func names(hosts []Host) []string {
+	var all []string
+	for _, host := range hosts {
+		all = append(all, host.Name)
+	}
+	return all
+}
+
+// silentSince makes a host's last answer older than the limit of silence.
+func silentSince(m *Members, name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	host := m.known[name]
+	host.Answered = time.Now().Add(-silentAfter - time.Second)
+	m.known[name] = host
+}
+
+func TestLiveHosts(t *testing.T) {
+	ctx := context.Background()
+	for name, test := range map[string]struct {
+		// after changes what is there once h2 has been seen live.
+		after     func(m *Members, list *fakeList, entry platform.HostEntry, host *fakeHost, stop func())
+		all, live []string
+	}{
+		"nothing changes": {func(*Members, *fakeList, platform.HostEntry, *fakeHost, func()) {},
+			[]string{"h1", "h2"}, []string{"h1", "h2"}},
+		"absence is no death": {func(_ *Members, list *fakeList, _ platform.HostEntry, _ *fakeHost, _ func()) {
+			list.set(false, self)
+		}, []string{"h1", "h2"}, []string{"h1", "h2"}},
+		"the list is down": {func(m *Members, list *fakeList, _ platform.HostEntry, _ *fakeHost, _ func()) {
+			list.set(true)
+		}, []string{"h1", "h2"}, []string{"h1", "h2"}},
+		"presence is no life": {func(m *Members, _ *fakeList, _ platform.HostEntry, _ *fakeHost, stop func()) {
+			stop()
+			silentSince(m, "h2")
+		}, []string{"h1", "h2"}, []string{"h1"}},
+		"absent and silent": {func(m *Members, list *fakeList, _ platform.HostEntry, _ *fakeHost, stop func()) {
+			stop()
+			silentSince(m, "h2")
+			list.set(false, self)
+		}, []string{"h1"}, []string{"h1"}},
+		"silent while the list is down": {func(m *Members, list *fakeList, _ platform.HostEntry, _ *fakeHost, stop func()) {
+			stop()
+			silentSince(m, "h2")
+			list.set(true)
+		}, []string{"h1", "h2"}, []string{"h1"}},
+		"leaving by the list": {func(_ *Members, list *fakeList, entry platform.HostEntry, _ *fakeHost, _ func()) {
+			entry.State = platform.HostLeaving
+			list.set(false, self, entry)
+		}, []string{"h1", "h2"}, []string{"h1"}},
+		"listed as leaving and back": {func(m *Members, list *fakeList, entry platform.HostEntry, _ *fakeHost, _ func()) {
+			leaving := entry
+			leaving.State = platform.HostLeaving
+			list.set(false, self, leaving)
+			m.refresh(ctx)
+			list.set(false, self, entry)
+		}, []string{"h1", "h2"}, []string{"h1", "h2"}},
+		"leaving by its own word": {func(_ *Members, _ *fakeList, _ platform.HostEntry, host *fakeHost, _ func()) {
+			host.set(peer.StatusReply{Host: "h2", Incarnation: "i2", Leaving: true})
+		}, []string{"h1", "h2"}, []string{"h1"}},
+		"another host at its address": {func(m *Members, _ *fakeList, _ platform.HostEntry, host *fakeHost, _ func()) {
+			host.set(peer.StatusReply{Host: "h3", Incarnation: "i2"})
+			silentSince(m, "h2")
+		}, []string{"h1", "h2"}, []string{"h1"}},
+		"restarted, the list lags": {func(m *Members, _ *fakeList, _ platform.HostEntry, host *fakeHost, _ func()) {
+			host.set(peer.StatusReply{Host: "h2", Incarnation: "i3"})
+			silentSince(m, "h2")
+		}, []string{"h1", "h2"}, []string{"h1"}},
+		"restarted, its answer is the former one's": {func(_ *Members, list *fakeList, entry platform.HostEntry, _ *fakeHost, _ func()) {
+			entry.Incarnation = "i3"
+			list.set(false, self, entry)
+		}, []string{"h1", "h2"}, []string{"h1"}},
+		"restarted": {func(_ *Members, list *fakeList, entry platform.HostEntry, host *fakeHost, _ func()) {
+			entry.Incarnation = "i3"
+			list.set(false, self, entry)
+			host.set(peer.StatusReply{Host: "h2", Incarnation: "i3"})
+		}, []string{"h1", "h2"}, []string{"h1", "h2"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			list := &fakeList{}
+			host, entry, stop := serveHost(t, "h2", "i2")
+			list.set(false, self, entry)
+			m := newMembers(t, list)
+			m.refresh(ctx)
+			assert.DeepEqual(t, names(m.Live()), []string{"h1", "h2"})
+			assert.Equal(t, m.All()[1].Applied, platform.Offset(5))
+			test.after(m, list, entry, host, stop)
+			m.refresh(ctx)
+			m.askAll(ctx)
+			assert.DeepEqual(t, names(m.All()), test.all)
+			assert.DeepEqual(t, names(m.Live()), test.live)
+		})
+	}
+}
+
+// TestLaggingListDoesNotBringALeavingHostBack states that a host's own word that
+// it leaves outlasts a list which does not show it yet.
+func TestLaggingListDoesNotBringALeavingHostBack(t *testing.T) {
+	list := &fakeList{}
+	host, entry, stop := serveHost(t, "h2", "i2")
+	list.set(false, self, entry)
+	m := newMembers(t, list)
+	host.set(peer.StatusReply{Host: "h2", Incarnation: "i2", Leaving: true})
+	m.refresh(context.Background())
+	assert.DeepEqual(t, names(m.Live()), []string{"h1"})
+	stop()
+	m.refresh(context.Background())
+	assert.DeepEqual(t, names(m.Live()), []string{"h1"})
+	entry.Incarnation = "i3"
+	_, restarted, _ := serveHost(t, "h2", "i3")
+	list.set(false, self, restarted)
+	m.refresh(context.Background())
+	assert.DeepEqual(t, names(m.Live()), []string{"h1", "h2"})
+}
+
+func TestAnnouncements(t *testing.T) {
+	leaving, former, marked := self, self, self
+	leaving.State = platform.HostLeaving
+	former.Incarnation = "i0"
+	marked.PeerAddr = "127.0.0.1:2"
+	for name, test := range map[string]struct {
+		listed []platform.HostEntry
+		want   []platform.HostEntry
+	}{
+		"missing":                         {nil, []platform.HostEntry{self}},
+		"listed":                          {[]platform.HostEntry{self}, nil},
+		"its former incarnation":          {[]platform.HostEntry{former}, []platform.HostEntry{self}},
+		"another address":                 {[]platform.HostEntry{marked}, []platform.HostEntry{self}},
+		"it has announced that it leaves": {[]platform.HostEntry{leaving}, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			list := &fakeList{}
+			list.set(false, test.listed...)
+			newMembers(t, list).refresh(context.Background())
+			assert.DeepEqual(t, list.announced, test.want)
+		})
+	}
+}
+
+func TestLeavingHostAnnouncesItselfNoMore(t *testing.T) {
+	ctx := context.Background()
+	list := &fakeList{}
+	m := newMembers(t, list)
+	m.refresh(ctx)
+	assert.NilError(t, m.Leave(ctx))
+	m.refresh(ctx)
+	leaving := self
+	leaving.State = platform.HostLeaving
+	assert.DeepEqual(t, list.announced, []platform.HostEntry{self, leaving})
+}
+
+func TestSeedsAreAskedWhileTheListIsDown(t *testing.T) {
+	list := &fakeList{}
+	list.set(true)
+	seed, entry, _ := serveHost(t, "h2", "i2")
+	seed.hosts = []platform.HostEntry{entry, self}
+	m := newMembers(t, list, "127.0.0.1:1", entry.PeerAddr)
+	assert.Assert(t, !m.Settled())
+	m.refresh(context.Background())
+	m.askAll(context.Background())
+	assert.DeepEqual(t, names(m.Live()), []string{"h1", "h2"})
+	assert.Equal(t, m.PeerAddr("h2"), entry.PeerAddr)
+	assert.Equal(t, m.PeerAddr("h9"), "")
+	m.started = time.Now().Add(-silentAfter - time.Second)
+	assert.Assert(t, m.Settled())
+}
+
+func TestRankMovesOnlyWhatTheLostHostWasFirstFor(t *testing.T) {
+	var hosts []Host
+	for i := range 9 {
+		hosts = append(hosts, Host{HostEntry: platform.HostEntry{Name: "h" + strconv.Itoa(i)}})
+	}
+	for i := range 100 {
+		subject := strconv.Itoa(i)
+		before := Rank(subject, hosts)
+		left := slices.DeleteFunc(slices.Clone(before), func(h Host) bool { return h.Name == "h4" })
+		rest := slices.DeleteFunc(slices.Clone(hosts), func(h Host) bool { return h.Name == "h4" })
+		assert.DeepEqual(t, names(Rank(subject, rest)), names(left))
+		assert.Equal(t, RankOf(subject, before[3].Name, hosts), 3)
+	}
+	assert.Equal(t, RankOf("s", "h10", hosts), len(hosts))
+}
