Route: a HEAD answer keeps the length that the server told

Cause: the answer's length was always set to that of the body held, which a HEAD answer has not; its caller was told 0. Only an answer with a body, or without a told length, gets it set now. The test that failed first: TestAnswersWithoutABodyKeepTheirHeaders.

--- a/internal/route/keyed_test.go
+++ b/internal/route/keyed_test.go
@@ -273,3 +273,25 @@
 	}
 	assert.Assert(t, server.received.Load() <= requests*11/10, "%d sent", server.received.Load())
 }
+
+// TestAnswersWithoutABodyKeepTheirHeaders states that the length told to a HEAD
+// request is the server's, through one host or two.
+func TestAnswersWithoutABodyKeepTheirHeaders(t *testing.T) {
+	host, _ := leading(t, func(w http.ResponseWriter, r *http.Request) {
+		switch r.Method {
+		case http.MethodHead:
+			w.Header().Set("Content-Length", "123")
+		case http.MethodDelete:
+			w.WriteHeader(http.StatusNoContent)
+		}
+	})
+	far := newTestHost(t, "h2", host.directory)
+	host.directory.owner.Lessors[0].PeerAddr = host.peerAddr()
+	for _, entry := range []*testHost{host, far} {
+		for method, want := range map[string]string{http.MethodHead: "123", http.MethodPost: "0", http.MethodDelete: ""} {
+			got := entry.call(t, method, "/v1/revize/k", "")
+			assert.Equal(t, got.outcome, outcome.Done, got.body)
+			assert.Equal(t, got.header.Get("Content-Length"), want, method)
+		}
+	}
+}
--- a/internal/route/write.go
+++ b/internal/route/write.go
@@ -18,7 +18,10 @@
 		header[name] = values
 	}
 	header.Set(backend.HeaderOutcome, string(outcome.Done))
-	header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	// The answer to a HEAD request tells the length of a body that it has not.
+	if len(answer.Body) > 0 || header.Get("Content-Length") == "" {
+		header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	}
 	w.WriteHeader(answer.Status)
 	w.Write(answer.Body)
 }
