Duty: one package for waiting and repeating until a context ends

Cause: wait, every and sleep stood in route, members, host, keeper, view and publish, one of them with a comment on kicks that it no longer took. The keeper's pause stays: it also ends at a kick.

--- /dev/null
+++ b/internal/duty/duty_test.go
@@ -0,0 +1,34 @@
+package duty
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		Wait(t.Context(), time.Minute)
+		assert.Equal(t, time.Since(start), time.Minute)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		Wait(ctx, time.Minute)
+		assert.Equal(t, time.Since(start), time.Minute+time.Second)
+	})
+}
+
+func TestEvery(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 3500*time.Millisecond)
+		defer cancel()
+		start := time.Now()
+		var calls []time.Duration
+		Every(ctx, time.Second, func(context.Context) { calls = append(calls, time.Since(start)) })
+		assert.DeepEqual(t, calls, []time.Duration{0, time.Second, 2 * time.Second, 3 * time.Second})
+		assert.Equal(t, time.Since(start), 3500*time.Millisecond)
+	})
+}
--- a/internal/host/boot.go
+++ b/internal/host/boot.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/poplarcroft/poplarcroft/internal/duty"
 	"github.com/poplarcroft/poplarcroft/internal/peer"
 	"github.com/poplarcroft/poplarcroft/internal/platform"
 	"github.com/poplarcroft/poplarcroft/internal/timeline"
@@ -27,7 +28,7 @@
 // bootDuty takes another host's snapshot while the log does not answer. A host
 // that starts during an outage of the log gets its state that way.
 func (h *Host) bootDuty(ctx context.Context) {
-	every(ctx, snapshotEvery, func(ctx context.Context) {
+	duty.Every(ctx, snapshotEvery, func(ctx context.Context) {
 		if time.Since(h.view.ConfirmedAt()) < staleAfter {
 			return
 		}
@@ -63,7 +64,7 @@
 func (h *Host) checkpointDuty(ctx context.Context) {
 	covered := h.view.LastCheckpoint()
 	coveredAt := time.Now()
-	every(ctx, checkpointEvery, func(ctx context.Context) {
+	duty.Every(ctx, checkpointEvery, func(ctx context.Context) {
 		if last := h.view.LastCheckpoint(); last != covered {
 			covered, coveredAt = last, time.Now()
 		}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -14,6 +14,7 @@
 
 	"github.com/poplarcroft/poplarcroft/internal/backend"
 	"github.com/poplarcroft/poplarcroft/internal/clock"
+	"github.com/poplarcroft/poplarcroft/internal/duty"
 	"github.com/poplarcroft/poplarcroft/internal/keeper"
 	"github.com/poplarcroft/poplarcroft/internal/members"
 	"github.com/poplarcroft/poplarcroft/internal/peer"
@@ -198,7 +199,7 @@
 	h.logger.Info("leaving", "host", h.config.Name)
 	h.record(timeline.KindHostStopping, "")
 	h.announceLeaving(ctx)
-	wait(ctx, h.config.LeaveTime)
+	duty.Wait(ctx, h.config.LeaveTime)
 	drain, cancel := context.WithTimeout(ctx, h.config.DrainTime)
 	defer cancel()
 	h.yieldAll(drain)
@@ -234,26 +235,3 @@
 func (h *Host) clock() time.Duration {
 	return clock.Monotonic()
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
-// every calls f at the interval until the context ends.
-func every(ctx context.Context, interval time.Duration, f func(context.Context)) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		f(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
--- a/internal/host/keep.go
+++ b/internal/host/keep.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/poplarcroft/poplarcroft/internal/duty"
 	"github.com/poplarcroft/poplarcroft/internal/keeper"
 	"github.com/poplarcroft/poplarcroft/internal/ownership"
 	"github.com/poplarcroft/poplarcroft/internal/poison"
@@ -131,7 +132,7 @@
 	running.Go(func() {
 		k.Run(ctx)
 		lane.SessionEnded(false)
-		wait(ctx, lingerTime)
+		duty.Wait(ctx, lingerTime)
 		h.gateway.Remove(k.ID())
 		h.mu.Lock()
 		delete(h.keepers, k.ID())
--- a/internal/host/plan.go
+++ b/internal/host/plan.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/poplarcroft/poplarcroft/internal/backend"
+	"github.com/poplarcroft/poplarcroft/internal/duty"
 	"github.com/poplarcroft/poplarcroft/internal/keeper"
 	"github.com/poplarcroft/poplarcroft/internal/members"
 	"github.com/poplarcroft/poplarcroft/internal/ownership"
@@ -77,7 +78,7 @@
 
 // planDuty looks for what the table lacks and appends it to the log.
 func (h *Host) planDuty(ctx context.Context) {
-	every(ctx, planEvery, h.plan)
+	duty.Every(ctx, planEvery, h.plan)
 }
 
 // staying returns the hosts without an operator's mark: the others shall keep no duties.
@@ -216,7 +217,7 @@
 	reply, err := h.servers.Grant(probe, server.Addr, backend.GrantRequest{})
 	lessors := planner.ChooseLessors(server.Addr, server.Zone, live, nil)
 	if err != nil || reply.Draining || len(lessors) == 0 {
-		wait(ctx, probeTimeout)
+		duty.Wait(ctx, probeTimeout)
 		return
 	}
 	h.append(ctx, record.Record{Kind: record.KindOpen, Open: &record.Open{
--- a/internal/host/rates.go
+++ b/internal/host/rates.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/poplarcroft/poplarcroft/internal/duty"
 	"github.com/poplarcroft/poplarcroft/internal/hotkey"
 	"github.com/poplarcroft/poplarcroft/internal/ownership"
 	"github.com/poplarcroft/poplarcroft/internal/peer"
@@ -91,7 +92,7 @@
 
 // rateDuty reads the load of the slices whose servers this host leads.
 func (h *Host) rateDuty(ctx context.Context) {
-	every(ctx, rateEvery, func(context.Context) {
+	duty.Every(ctx, rateEvery, func(context.Context) {
 		var services []settings.Service
 		h.view.Read(func(state *settings.State, _ *ownership.Table) {
 			services = state.Services()
--- a/internal/host/recover.go
+++ b/internal/host/recover.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/poplarcroft/poplarcroft/internal/backend"
+	"github.com/poplarcroft/poplarcroft/internal/duty"
 	"github.com/poplarcroft/poplarcroft/internal/ownership"
 	"github.com/poplarcroft/poplarcroft/internal/planner"
 	"github.com/poplarcroft/poplarcroft/internal/record"
@@ -41,12 +42,12 @@
 // none serves the slices after it has answered.
 func (h *Host) recoverSession(ctx context.Context, recovery planner.Recovery) {
 	if !h.endAtServer(ctx, recovery.Session) {
-		wait(ctx, probeTimeout)
+		duty.Wait(ctx, probeTimeout)
 		return
 	}
 	for _, succession := range recovery.Successors {
 		if !h.dropAtSuccessor(ctx, succession) {
-			wait(ctx, probeTimeout)
+			duty.Wait(ctx, probeTimeout)
 			return
 		}
 	}
--- a/internal/host/suspects.go
+++ b/internal/host/suspects.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/poplarcroft/poplarcroft/internal/duty"
 	"github.com/poplarcroft/poplarcroft/internal/peer"
 	"github.com/poplarcroft/poplarcroft/internal/poison"
 )
@@ -20,7 +21,7 @@
 // that a request that crashes servers is refused wherever its caller repeats it.
 func (h *Host) suspectDuty(ctx context.Context) {
 	var since uint64
-	every(ctx, suspectEvery, func(ctx context.Context) {
+	duty.Every(ctx, suspectEvery, func(ctx context.Context) {
 		records, next := h.guard.Export(since)
 		since = next
 		if len(records) > 0 {
--- a/internal/keeper/closing.go
+++ b/internal/keeper/closing.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/poplarcroft/poplarcroft/internal/backend"
+	"github.com/poplarcroft/poplarcroft/internal/duty"
 	"github.com/poplarcroft/poplarcroft/internal/lease"
 	"github.com/poplarcroft/poplarcroft/internal/ownership"
 	"github.com/poplarcroft/poplarcroft/internal/peer"
@@ -42,7 +43,7 @@
 func (k *Keeper) closeDuty(ctx context.Context) {
 	var joinedAt time.Duration
 	reported := time.Duration(0)
-	k.every(ctx, k.values.RenewEvery/4, func(ctx context.Context) {
+	duty.Every(ctx, k.values.RenewEvery/4, func(ctx context.Context) {
 		now := k.deps.Clock()
 		switch k.phase() {
 		case lease.PhaseProposing:
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -190,20 +190,6 @@
 	duties.Wait()
 }
 
-// every calls f at the interval, and at once after a kick, until the context ends.
-func (k *Keeper) every(ctx context.Context, interval time.Duration, f func(context.Context)) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		f(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
 // ID returns the session's ID.
 func (k *Keeper) ID() record.SessionID { return k.id }
 
--- a/internal/keeper/lead.go
+++ b/internal/keeper/lead.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/poplarcroft/poplarcroft/internal/duty"
 	"github.com/poplarcroft/poplarcroft/internal/lease"
 	"github.com/poplarcroft/poplarcroft/internal/peer"
 	"github.com/poplarcroft/poplarcroft/internal/record"
@@ -16,7 +17,7 @@
 // for a time that grows with its rank, so that the lessors do not block each other.
 func (k *Keeper) leadDuty(ctx context.Context) {
 	vacantSince := k.deps.Clock()
-	k.every(ctx, k.values.RenewEvery/2, func(ctx context.Context) {
+	duty.Every(ctx, k.values.RenewEvery/2, func(ctx context.Context) {
 		now := k.deps.Clock()
 		holder, self := k.Lead()
 		k.noteLead(self)
--- a/internal/keeper/moves.go
+++ b/internal/keeper/moves.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/poplarcroft/poplarcroft/internal/backend"
+	"github.com/poplarcroft/poplarcroft/internal/duty"
 	"github.com/poplarcroft/poplarcroft/internal/idempotency"
 	"github.com/poplarcroft/poplarcroft/internal/lease"
 	"github.com/poplarcroft/poplarcroft/internal/ownership"
@@ -100,7 +101,7 @@
 // dropped at their successors and reports them to the log. It also looks for
 // the quorum that seals a replacement of the lessors.
 func (k *Keeper) moveDuty(ctx context.Context) {
-	k.every(ctx, k.values.RenewEvery/2, func(ctx context.Context) {
+	duty.Every(ctx, k.values.RenewEvery/2, func(ctx context.Context) {
 		if _, lead := k.Lead(); lead {
 			k.activateDropped(ctx)
 			k.reportMoved(ctx)
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -11,6 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/poplarcroft/poplarcroft/internal/duty"
 	"github.com/poplarcroft/poplarcroft/internal/peer"
 	"github.com/poplarcroft/poplarcroft/internal/platform"
 )
@@ -71,24 +72,11 @@
 // Run announces this host and keeps the list up to date until the context ends.
 func (m *Members) Run(ctx context.Context) {
 	var duties sync.WaitGroup
-	duties.Go(func() { every(ctx, listEvery, m.refresh) })
-	duties.Go(func() { every(ctx, statusEvery, m.askAll) })
+	duties.Go(func() { duty.Every(ctx, listEvery, m.refresh) })
+	duties.Go(func() { duty.Every(ctx, statusEvery, m.askAll) })
 	duties.Wait()
 }
 
-func every(ctx context.Context, interval time.Duration, f func(context.Context)) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		f(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
 // refresh reads the platform's list. Hosts that are missing there are kept as
 // long as they answer: absence from the list is no proof that a host is gone.
 func (m *Members) refresh(ctx context.Context) {
--- a/internal/publish/publish.go
+++ b/internal/publish/publish.go
@@ -11,6 +11,7 @@
 	"context"
 	"time"
 
+	"github.com/poplarcroft/poplarcroft/internal/duty"
 	"github.com/poplarcroft/poplarcroft/internal/platform"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 	"github.com/poplarcroft/poplarcroft/internal/view"
@@ -138,7 +139,7 @@
 			return err
 		}
 		answered = err == nil
-		wait(ctx, pause)
+		duty.Wait(ctx, pause)
 	}
 }
 
@@ -183,12 +184,3 @@
 	}
 	return result
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/route/entry.go
+++ b/internal/route/entry.go
@@ -9,6 +9,7 @@
 
 	"github.com/gorilla/mux"
 
+	"github.com/poplarcroft/poplarcroft/internal/duty"
 	"github.com/poplarcroft/poplarcroft/internal/outcome"
 	"github.com/poplarcroft/poplarcroft/internal/ownership"
 	"github.com/poplarcroft/poplarcroft/internal/poison"
@@ -169,7 +170,7 @@
 			return result
 		}
 		e.counters.Retries.Add(1)
-		wait(ctx, pause)
+		duty.Wait(ctx, pause)
 		pause = min(2*pause, maxRetryPause)
 	}
 }
@@ -258,12 +259,3 @@
 	e.counters.Forwarded.Add(1)
 	return e.forwarder.forward(ctx, lessor, others(lessors, lessor), r)
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/route/forward.go
+++ b/internal/route/forward.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/poplarcroft/poplarcroft/internal/backend"
+	"github.com/poplarcroft/poplarcroft/internal/duty"
 	"github.com/poplarcroft/poplarcroft/internal/outcome"
 	"github.com/poplarcroft/poplarcroft/internal/peer"
 	"github.com/poplarcroft/poplarcroft/internal/record"
@@ -42,7 +43,7 @@
 func (f *forwarder) watch(ctx context.Context, cancel context.CancelFunc, host string, others []record.Lessor, id record.SessionID) {
 	pause := forwardPatience
 	for len(others) > 0 {
-		wait(ctx, pause)
+		duty.Wait(ctx, pause)
 		pause = watchEvery
 		if ctx.Err() != nil {
 			return
--- a/internal/view/follower.go
+++ b/internal/view/follower.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/poplarcroft/poplarcroft/internal/duty"
 	"github.com/poplarcroft/poplarcroft/internal/platform"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 )
@@ -51,7 +52,7 @@
 			backoff = backoffMin
 			continue
 		}
-		sleep(ctx, backoff/2+rand.N(backoff))
+		duty.Wait(ctx, backoff/2+rand.N(backoff))
 		backoff = min(2*backoff, backoffMax)
 	}
 }
@@ -109,12 +110,3 @@
 	}
 	return r.Checkpoint
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
