--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -11,6 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/poplarcroft/poplarcroft/internal/duty"
 	"github.com/poplarcroft/poplarcroft/internal/peer"
 	"github.com/poplarcroft/poplarcroft/internal/platform"
 )
@@ -35,6 +36,8 @@
 	Rates []peer.SliceRate
 	// Answered is when the host answered last; zero where it never did.
 	Answered time.Time
+	// leaving is the host's own word that it leaves.
+	leaving bool
 }
 
 // Members is this host's list of hosts. It is safe for concurrent use.
@@ -46,9 +49,10 @@
 
 	started time.Time
 
-	mu     sync.RWMutex
-	known  map[string]Host
-	listed bool
+	mu      sync.RWMutex
+	known   map[string]Host
+	listed  bool
+	leaving bool
 }
 
 // New returns a list that knows only this host. Seeds are the peer addresses of
@@ -68,24 +72,11 @@
 // Run announces this host and keeps the list up to date until the context ends.
 func (m *Members) Run(ctx context.Context) {
 	var duties sync.WaitGroup
-	duties.Go(func() { every(ctx, listEvery, m.refresh) })
-	duties.Go(func() { every(ctx, statusEvery, m.askAll) })
+	duties.Go(func() { duty.Every(ctx, listEvery, m.refresh) })
+	duties.Go(func() { duty.Every(ctx, statusEvery, m.askAll) })
 	duties.Wait()
 }
 
-func every(ctx context.Context, interval time.Duration, f func(context.Context)) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		f(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
 // refresh reads the platform's list. Hosts that are missing there are kept as
 // long as they answer: absence from the list is no proof that a host is gone.
 func (m *Members) refresh(ctx context.Context) {
@@ -98,25 +89,30 @@
 	}
 	m.merge(list)
 	m.askAll(ctx)
-	if own := m.own(); !slices.Contains(list.Hosts, own) {
-		m.hosts.Announce(ctx, own)
+	if m.mustAnnounce(list) {
+		m.hosts.Announce(ctx, m.self)
 	}
 }
 
-// Leave announces that this host leaves, and goes on saying so.
-func (m *Members) Leave(ctx context.Context) {
-	m.mu.Lock()
-	m.self.State = platform.HostLeaving
-	self := m.self
-	m.mu.Unlock()
-	m.hosts.Announce(ctx, self)
-}
-
-// own returns this host's entry as it should be listed.
-func (m *Members) own() platform.HostEntry {
+// mustAnnounce reports whether the list lacks this host. Its state there may be
+// another: a host that is listed as leaving does not come back by itself.
+func (m *Members) mustAnnounce(list platform.HostList) bool {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	return m.self
+	return !m.leaving && !slices.ContainsFunc(list.Hosts, func(entry platform.HostEntry) bool {
+		entry.State = m.self.State
+		return entry == m.self
+	})
+}
+
+// Leave announces that this host is leaving. It announces itself no more after that.
+func (m *Members) Leave(ctx context.Context) error {
+	m.mu.Lock()
+	m.leaving = true
+	m.mu.Unlock()
+	entry := m.self
+	entry.State = platform.HostLeaving
+	return m.hosts.Announce(ctx, entry)
 }
 
 // askSeeds learns of hosts from other hosts. It is only needed until this host
@@ -146,6 +142,8 @@
 	}
 }
 
+// merge takes over the list. A host that has told that it leaves does not come
+// back under the same incarnation, whatever a lagging list shows.
 func (m *Members) merge(list platform.HostList) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -160,6 +158,9 @@
 		if known.Incarnation != entry.Incarnation {
 			known = Host{}
 		}
+		if known.leaving {
+			entry.State = platform.HostLeaving
+		}
 		known.HostEntry = entry
 		m.known[entry.Name] = known
 	}
@@ -196,7 +197,8 @@
 	known.Answered = time.Now()
 	known.Applied = reply.Applied
 	known.Rates = reply.Rates
-	if reply.Leaving {
+	known.leaving = reply.Leaving
+	if known.leaving {
 		known.State = platform.HostLeaving
 	}
 	m.known[host.Name] = known
