--- a/internal/capacity/fold_test.go
+++ b/internal/capacity/fold_test.go
@@ -23,7 +23,7 @@
 )
 
 // serverCounts are the numbers of backend servers, each with one session.
-var serverCounts = []int{300, 1000, 3000, 10_000}
+var serverCounts = []int{100, 300, 1000, 3000, 10_000}
 
 // folded is the state that a host folds from the log.
 type folded struct {
@@ -153,7 +153,7 @@
 
 // BenchmarkPlanHosts does the same for 300 servers and a growing number of live hosts.
 func BenchmarkPlanHosts(b *testing.B) {
-	f := fold(b, serverCounts[0])
+	f := fold(b, 300)
 	for _, hosts := range []int{20, 100, 500} {
 		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
 			live := benchHosts(hosts)
