--- a/internal/backend/protocol.go
+++ b/internal/backend/protocol.go
@@ -81,8 +81,11 @@
 	Ended bool `json:"ended"`
 	// ClockMS is the server's monotonic clock in milliseconds, read before
 	// the reply was sent.
-	ClockMS int64        `json:"clock_ms"`
-	Holds   []SliceGrant `json:"holds"`
+	ClockMS int64 `json:"clock_ms"`
+	// ValidUntilMS is the end of the session's lease on the same clock.
+	ValidUntilMS int64 `json:"valid_until_ms"`
+	// Holds lists the slices that the server holds.
+	Holds []SliceGrant `json:"holds"`
 	// GaveUp lists the highest epoch under which each slice was dropped in this session.
 	GaveUp   []SliceGrant `json:"gave_up"`
 	InFlight int          `json:"in_flight"`
@@ -98,6 +101,12 @@
 	return r.Session == session && r.Ended
 }
 
+// Leased reports whether the server holds a lease of the session that has not
+// ended: somebody has renewed it of late.
+func (r GrantReply) Leased(session uint64, incarnation string) bool {
+	return !r.Over(session, incarnation) && r.Session == session && r.ClockMS < r.ValidUntilMS
+}
+
 // LoadReport is a server's own word on its load. It lags and may mislead.
 type LoadReport struct {
 	Incarnation string  `json:"incarnation"`
--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -71,8 +71,8 @@
 }
 
 // LiveHosts implements route.Directory.
-func (d directory) LiveHosts() int {
-	return len(d.host.members.Live())
+func (d directory) LiveHosts() []string {
+	return d.host.members.LiveNames()
 }
 
 // Serving reports whether every slice of every keyed service has an owner, and
--- a/internal/host/plan.go
+++ b/internal/host/plan.go
@@ -167,7 +167,7 @@
 			if lessors, ok := planner.ReplaceLessors(session, live); ok {
 				needs = append(needs, h.lessorsNeed(session, lessors))
 			}
-			if recovery, ok := planner.ToRecover(session, table, all); ok && h.checksEpochs(state, session.Service) {
+			if recovery, ok := planner.ToRecover(session, table, all); ok {
 				needs = append(needs, h.recoverNeed(recovery))
 			}
 		}
--- a/internal/host/recover.go
+++ b/internal/host/recover.go
@@ -16,15 +16,6 @@
 // before its server is asked to end it.
 const recoverDelay = time.Second
 
-func (h *Host) checksEpochs(state *settings.State, service string) bool {
-	for _, s := range state.Services() {
-		if s.Name == service {
-			return s.Values.ChecksEpochs
-		}
-	}
-	return false
-}
-
 func (h *Host) recoverNeed(recovery planner.Recovery) need {
 	return need{
 		name:    "recover " + recovery.Session.Addr,
@@ -37,11 +28,11 @@
 	}
 }
 
-// recoverSession closes a session on the word of its server and of every server
-// that its lost lessors may have activated. All of them check epochs, so that
-// none serves the slices after it has answered.
+// recoverSession closes a session on the word of its server, or an operator's
+// word that the server is lost, and on that of every server that the lost lessors may
+// have activated. None of them serves the slices after it has answered.
 func (h *Host) recoverSession(ctx context.Context, recovery planner.Recovery) {
-	if !h.endAtServer(ctx, recovery.Session) {
+	if !h.declaredLost(recovery.Session.Addr) && !h.endAtServer(ctx, recovery.Session) {
 		duty.Wait(ctx, probeTimeout)
 		return
 	}
@@ -59,19 +50,39 @@
 	}})
 }
 
-// endAtServer ends the session at its server. Another incarnation is as good as its word.
+func (h *Host) declaredLost(addr string) bool {
+	lost := false
+	h.view.Read(func(_ *settings.State, table *ownership.Table) {
+		lost = table.Mark(record.SubjectServer, addr).State == record.MarkLost
+	})
+	return lost
+}
+
+// endAtServer ends the session at its server. Another incarnation is as good as
+// its word. A server whose lease is valid is left alone: its lessors are well, and
+// it is this host that is cut off from them. A server that does not check epochs
+// proves only by another incarnation that it serves nothing under the session.
 func (h *Host) endAtServer(ctx context.Context, session ownership.Session) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	reply, err := h.servers.Grant(ctx, session.Addr, backend.GrantRequest{
+	reply, err := h.servers.Grant(ctx, session.Addr, backend.GrantRequest{})
+	if err != nil || reply.Leased(uint64(session.ID), session.Incarnation) {
+		return false
+	}
+	if !h.checksEpochs(session.Service) {
+		return reply.Incarnation != session.Incarnation
+	}
+	reply, err = h.servers.Grant(ctx, session.Addr, backend.GrantRequest{
 		Session:     uint64(session.ID),
 		Incarnation: session.Incarnation,
 		End:         true,
 	})
-	if err != nil {
-		return false
-	}
-	return reply.Over(uint64(session.ID), session.Incarnation)
+	return err == nil && reply.Over(uint64(session.ID), session.Incarnation)
+}
+
+func (h *Host) checksEpochs(service string) bool {
+	found, ok := directory{h}.Service(service)
+	return ok && found.Values.ChecksEpochs
 }
 
 // dropAtSuccessor makes a possible successor give up what it may have taken over.
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -7,6 +7,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -17,10 +18,9 @@
 )
 
 const (
-	// listEvery is the time between two reads of the platform's list.
-	listEvery = 500 * time.Millisecond
-	// statusEvery is the time between two status calls to one host.
-	statusEvery = 500 * time.Millisecond
+	// refreshEvery is the time between two reads of the platform's list, each
+	// followed by a status call to every host.
+	refreshEvery = 500 * time.Millisecond
 	// callTimeout bounds a read of the list and a status call.
 	callTimeout = 400 * time.Millisecond
 	// silentAfter is how long a host may leave status calls unanswered and still count as live.
@@ -49,6 +49,8 @@
 
 	started time.Time
 
+	liveNames atomic.Pointer[[]string]
+
 	mu      sync.RWMutex
 	known   map[string]Host
 	listed  bool
@@ -58,7 +60,7 @@
 // New returns a list that knows only this host. Seeds are the peer addresses of
 // hosts that are asked while the platform's list does not answer.
 func New(self platform.HostEntry, hosts platform.Hosts, peers *peer.Pool, seeds []string) *Members {
-	return &Members{
+	m := &Members{
 		self:  self,
 		hosts: hosts,
 		peers: peers,
@@ -67,14 +69,13 @@
 		started: time.Now(),
 		known:   map[string]Host{self.Name: {HostEntry: self, Answered: time.Now()}},
 	}
+	m.noteLive()
+	return m
 }
 
 // Run announces this host and keeps the list up to date until the context ends.
 func (m *Members) Run(ctx context.Context) {
-	var duties sync.WaitGroup
-	duties.Go(func() { duty.Every(ctx, listEvery, m.refresh) })
-	duties.Go(func() { duty.Every(ctx, statusEvery, m.askAll) })
-	duties.Wait()
+	duty.Every(ctx, refreshEvery, m.refresh)
 }
 
 // refresh reads the platform's list. Hosts that are missing there are kept as
@@ -85,6 +86,7 @@
 	list, err := m.hosts.List(ctx)
 	if err != nil {
 		m.askSeeds()
+		m.askAll(context.WithoutCancel(ctx))
 		return
 	}
 	m.merge(list)
@@ -180,6 +182,7 @@
 		}
 	}
 	calls.Wait()
+	m.noteLive()
 }
 
 func (m *Members) ask(ctx context.Context, host Host) {
@@ -235,6 +238,22 @@
 	})
 }
 
+// LiveNames returns the names of the live hosts as of the last status calls.
+// The caller must not change the list.
+func (m *Members) LiveNames() []string {
+	return *m.liveNames.Load()
+}
+
+// noteLive renews what LiveNames returns.
+func (m *Members) noteLive() {
+	live := m.Live()
+	names := make([]string, 0, len(live))
+	for _, host := range live {
+		names = append(names, host.Name)
+	}
+	m.liveNames.Store(&names)
+}
+
 // PeerAddr returns the peer address of the named host, "" where it is unknown.
 func (m *Members) PeerAddr(name string) string {
 	m.mu.RLock()
--- a/internal/route/entry.go
+++ b/internal/route/entry.go
@@ -37,8 +37,9 @@
 	Lessors(id record.SessionID) []record.Lessor
 	// MayTakeWork reports whether requests may go to the backend server at addr in the zone.
 	MayTakeWork(zone, addr string) bool
-	// LiveHosts returns the number of hosts that share the backend servers' connections.
-	LiveHosts() int
+	// LiveHosts returns the names of the hosts that share the backend servers. The
+	// caller must not change the list.
+	LiveHosts() []string
 }
 
 const (
--- a/internal/route/fixture_test.go
+++ b/internal/route/fixture_test.go
@@ -148,7 +148,7 @@
 	d.refused[subject] = true
 }
 
-func (d *fakeDirectory) LiveHosts() int { return d.hosts }
+func (d *fakeDirectory) LiveHosts() []string { return make([]string, d.hosts) }
 
 func testValues() settings.Values {
 	values := settings.Defaults()
--- a/internal/route/keyless.go
+++ b/internal/route/keyless.go
@@ -21,6 +21,7 @@
 // keyless serves requests of services that are not divided by key: any
 // backend server may take them.
 type keyless struct {
+	host      string
 	zone      string
 	directory Directory
 	pool      *transport.Pool
@@ -34,6 +35,7 @@
 
 func newKeyless(config EntryConfig, budgets *retry.Budgets) *keyless {
 	return &keyless{
+		host:      config.Host,
 		zone:      config.Zone,
 		directory: config.Directory,
 		pool:      config.Servers,
@@ -54,7 +56,7 @@
 	for sends := 1; ; sends++ {
 		addr, ok := set.pick(k.now(), excluded)
 		if !ok {
-			return truthful(notRun(outcome.ReasonOverloaded, "no backend server takes the request"), mayRun)
+			return truthful(notRun(outcome.ReasonWarming, "no backend server that this host may use takes the request"), mayRun)
 		}
 		excluded = append(excluded, addr)
 		result := k.hedged(ctx, service, set, addr, &excluded, r, budget)
@@ -131,7 +133,7 @@
 	defer k.mu.Unlock()
 	set := k.services[service.Name]
 	if set == nil {
-		set = newTargetSet(k.zone, service.Values, k.pool)
+		set = newTargetSet(k.host, k.zone, service.Values, k.pool)
 		k.services[service.Name] = set
 	}
 	return set
--- a/internal/route/targets.go
+++ b/internal/route/targets.go
@@ -26,12 +26,16 @@
 	mu           sync.Mutex
 	policy       balance.Policy
 	targets      []keylessTarget
-	hosts        int
+	hosts        []string
 	incarnations map[string]string
 }
 
-func newTargetSet(zone string, values settings.Values, pool *transport.Pool) *targetSet {
+func newTargetSet(host, zone string, values settings.Values, pool *transport.Pool) *targetSet {
+	set := &targetSet{pool: pool, incarnations: make(map[string]string)}
 	policy, err := balance.New(balance.Adaptive, balance.Options{
+		MayWarm: func(addr string) bool {
+			return balance.WarmingHost(addr, set.hosts) == host
+		},
 		Zone:           zone,
 		Rand:           rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		ColdStart:      values.ColdStartTime,
@@ -40,14 +44,15 @@
 	if err != nil {
 		panic(err)
 	}
-	return &targetSet{pool: pool, policy: policy, incarnations: make(map[string]string)}
+	set.policy = policy
+	return set
 }
 
 // update takes over the targets and this host's share of their connections.
-func (s *targetSet) update(now time.Duration, targets []keylessTarget, hosts int) {
+func (s *targetSet) update(now time.Duration, targets []keylessTarget, hosts []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.hosts == hosts && slices.Equal(s.targets, targets) {
+	if slices.Equal(s.hosts, hosts) && slices.Equal(s.targets, targets) {
 		return
 	}
 	s.targets = targets
@@ -55,7 +60,7 @@
 	list := make([]balance.Target, 0, len(targets))
 	for _, target := range targets {
 		list = append(list, target.Target)
-		share := max(1, target.connections/max(1, hosts))
+		share := max(1, target.connections/max(1, len(hosts)))
 		s.pool.Target(target.Addr).SetConnections(share)
 	}
 	s.policy.SetTargets(now, list)
--- a/internal/standin/lease.go
+++ b/internal/standin/lease.go
@@ -251,10 +251,12 @@
 		Session:     l.session,
 		Ended:       l.ended,
 		ClockMS:     l.clock(time.Now()).Milliseconds(),
-		Holds:       sliceGrants(l.holds),
-		GaveUp:      sliceGrants(l.gaveUp),
-		InFlight:    len(l.running),
-		Draining:    l.draining,
+
+		ValidUntilMS: l.validUntil.Milliseconds(),
+		Holds:        sliceGrants(l.holds),
+		GaveUp:       sliceGrants(l.gaveUp),
+		InFlight:     len(l.running),
+		Draining:     l.draining,
 	}
 }
 
