--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -95,6 +95,7 @@
 	h.events.SetIncarnation(h.entry.Incarnation)
 	h.stopSink = h.startSink()
 	h.connect()
+	h.publishMetrics()
 	return h, nil
 }
 
@@ -193,22 +194,23 @@
 	}
 }
 
-// stop ends the host's work without cutting a request.
+// stop ends the host's work without cutting a request: its leads go to other
+// lessors at once, while it still accepts what callers and hosts send it.
 func (h *Host) stop(ctx context.Context, servers []*http.Server) {
 	h.leaving.Store(true)
 	h.logger.Info("leaving", "host", h.config.Name)
 	h.record(timeline.KindHostStopping, "")
 	h.announceLeaving(ctx)
+	h.resignAll(ctx)
 	duty.Wait(ctx, h.config.LeaveTime)
 	drain, cancel := context.WithTimeout(ctx, h.config.DrainTime)
 	defer cancel()
-	h.yieldAll(drain)
 	var stopping sync.WaitGroup
 	for _, server := range servers {
 		stopping.Go(func() { server.Shutdown(drain) })
 	}
 	stopping.Wait()
-	h.platform.Withdraw(drain, h.config.Name)
+	h.members.Withdraw(drain)
 }
 
 func (h *Host) announceLeaving(ctx context.Context) {
--- a/internal/keeper/admit.go
+++ b/internal/keeper/admit.go
@@ -17,16 +17,30 @@
 	Successor record.SessionID
 }
 
-// Admit decides whether this host may send a request for the slice to the
-// server now, and under which epoch.
-func (k *Keeper) Admit(slice int) Admission {
+// Enter decides whether this host may serve a request for the slice now. A
+// request that is allowed counts as being served until Exit.
+func (k *Keeper) Enter(slice int) Admission {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.admit(slice)
+	if k.yielding {
+		return Admission{}
+	}
+	admission := k.admit(slice)
+	if admission.Allowed {
+		k.serving++
+	}
+	return admission
 }
 
-// Begin is Admit for a request that is sent at once. A request that is allowed
-// counts as in flight until End.
+// Exit ends a request that Enter allowed.
+func (k *Keeper) Exit() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.serving--
+}
+
+// Begin decides whether a request that has been entered may be sent now, and
+// under which epoch. A request that is allowed counts as in flight until End.
 func (k *Keeper) Begin(slice int) Admission {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -70,12 +84,19 @@
 // acknowledges. One that does not may still run a former lead's requests: the
 // slice stays where it is until their deadlines have passed.
 func (k *Keeper) mayLetGo(handover Handover) bool {
-	if !handover.Moving || !k.lessor.QuorumAt(k.lessor.Version()) {
+	if !handover.Moving || !k.lessor.QuorumAt(k.lessor.Version()) || !k.mayReach(handover.Successor) {
 		return false
 	}
 	return k.values.ChecksEpochs || k.deps.Clock()-k.leadSince >= k.values.RequestTimeout
 }
 
+// mayReach reports whether the successor was known to have a lead a moment ago.
+// A slice is not let go of while nobody can take it over, as in a cut between zones.
+func (k *Keeper) mayReach(successor record.SessionID) bool {
+	seen, ok := k.reachable[successor]
+	return ok && k.deps.Clock()-seen <= reachableTime
+}
+
 // mayHaveRestarted reports whether a server that would run a request under any
 // session may be another incarnation by now. A server that checks epochs refuses by itself.
 func (k *Keeper) mayHaveRestarted() bool {
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -88,12 +88,26 @@
 	// handoversAt is the version that handovers were taken at.
 	handoversAt platform.Offset
 	silence     silence
+	// silenceNoted says that the present silence of the server has been recorded.
+	silenceNoted bool
+	// reachable holds when each successor of a moving slice was last known to have a lead.
+	reachable map[record.SessionID]time.Duration
 	// inDoubt says that the server has failed to answer since its last grant: it may have restarted.
 	inDoubt bool
 	// clockKnown says that this lessor has read the server's clock in its present term of the lead.
 	clockKnown bool
 	// inFlight counts the requests that this host has sent, by slice.
 	inFlight map[int]int
+	// marked says that an operator marked this host: it leads only where nobody else does.
+	marked bool
+	// mustYield says that the lead is to be given back because of a new mark.
+	mustYield bool
+	// serving counts the requests that this host is serving for the session.
+	serving int
+	// yielding says that no new request is taken, since the lead is about to be given back.
+	yielding bool
+	// resigned says that this lessor asks for the lead no more.
+	resigned bool
 	// asideUntil is until when this lessor leaves the lead to others that reach the server.
 	asideUntil time.Duration
 	// leadSince is when this lessor gained the lead last.
@@ -142,6 +156,7 @@
 		gaveUp:      make(map[int]record.Epoch),
 		activated:   make(map[ownership.SliceKey]activation),
 		inFlight:    make(map[int]int),
+		reachable:   make(map[record.SessionID]time.Duration),
 		finished:    make(chan idempotency.Entry, finishedRing),
 	}
 	config := lease.Config{
@@ -303,6 +318,7 @@
 // request. Another one ends the session at once.
 func (k *Keeper) Answered(incarnation string) {
 	if incarnation != "" && incarnation != k.incarnation {
+		k.record(timeline.KindServerRestarted, "")
 		k.startClose("server restarted", lease.ProofNewIncarnation)
 	}
 }
