--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -210,7 +210,7 @@
 		stopping.Go(func() { server.Shutdown(drain) })
 	}
 	stopping.Wait()
-	h.platform.Withdraw(drain, h.config.Name)
+	h.members.Withdraw(drain)
 }
 
 func (h *Host) announceLeaving(ctx context.Context) {
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -51,10 +51,10 @@
 
 	liveNames atomic.Pointer[[]string]
 
-	mu      sync.RWMutex
-	known   map[string]Host
-	listed  bool
-	leaving bool
+	mu        sync.RWMutex
+	known     map[string]Host
+	listed    bool
+	withdrawn bool
 }
 
 // New returns a list that knows only this host. Seeds are the peer addresses of
@@ -92,29 +92,39 @@
 	m.merge(list)
 	m.askAll(ctx)
 	if m.mustAnnounce(list) {
-		m.hosts.Announce(ctx, m.self)
+		m.hosts.Announce(ctx, m.own())
 	}
 }
 
-// mustAnnounce reports whether the list lacks this host. Its state there may be
-// another: a host that is listed as leaving does not come back by itself.
+// mustAnnounce reports whether the list lacks this host's entry as it should be.
 func (m *Members) mustAnnounce(list platform.HostList) bool {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	return !m.leaving && !slices.ContainsFunc(list.Hosts, func(entry platform.HostEntry) bool {
-		entry.State = m.self.State
-		return entry == m.self
-	})
+	return !m.withdrawn && !slices.Contains(list.Hosts, m.self)
+}
+
+// Leave announces that this host leaves, and goes on saying so.
+func (m *Members) Leave(ctx context.Context) {
+	m.mu.Lock()
+	m.self.State = platform.HostLeaving
+	self := m.self
+	m.mu.Unlock()
+	m.hosts.Announce(ctx, self)
 }
 
-// Leave announces that this host is leaving. It announces itself no more after that.
-func (m *Members) Leave(ctx context.Context) error {
+// Withdraw takes this host off the list. It announces itself no more after that.
+func (m *Members) Withdraw(ctx context.Context) {
 	m.mu.Lock()
-	m.leaving = true
+	m.withdrawn = true
 	m.mu.Unlock()
-	entry := m.self
-	entry.State = platform.HostLeaving
-	return m.hosts.Announce(ctx, entry)
+	m.hosts.Withdraw(ctx, m.self.Name)
+}
+
+// own returns this host's entry as it should be listed.
+func (m *Members) own() platform.HostEntry {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.self
 }
 
 // askSeeds learns of hosts from other hosts. It is only needed until this host
