--- a/internal/host/keep.go
+++ b/internal/host/keep.go
@@ -36,6 +36,15 @@
 	}
 }
 
+// peerAddrs returns the peer addresses of all known hosts, this one included.
+func (h *Host) peerAddrs() []string {
+	var addrs []string
+	for _, host := range h.members.All() {
+		addrs = append(addrs, host.PeerAddr)
+	}
+	return addrs
+}
+
 // noteSessions remembers when this host first saw each open session: the
 // cold start of its server counts from then.
 func (h *Host) noteSessions() {
@@ -122,6 +131,7 @@
 		Peers:       h.peers,
 		Servers:     h.servers,
 		Events:      h.events,
+		Hosts:       h.peerAddrs,
 		Clock:       h.clock,
 	}
 	k := keeper.New(deps, &wanted.session, wanted.values, lane)
--- a/internal/host/rpc.go
+++ b/internal/host/rpc.go
@@ -121,6 +121,17 @@
 	return nil
 }
 
+// Remembered returns the request IDs that this host remembers of slices, also
+// those of sessions that have ended a moment ago.
+func (s *peerService) Remembered(args peer.RememberedArgs, reply *peer.RememberedReply) error {
+	s.host.mu.RLock()
+	defer s.host.mu.RUnlock()
+	for _, k := range s.host.keepers {
+		reply.Entries = append(reply.Entries, k.Remembered(args)...)
+	}
+	return nil
+}
+
 // Snapshot returns the host's folded state of the log.
 func (s *peerService) Snapshot(_ peer.Empty, reply *peer.SnapshotReply) error {
 	data, offset, err := s.host.view.Snapshot()
--- a/internal/keeper/admit_test.go
+++ b/internal/keeper/admit_test.go
@@ -21,6 +21,7 @@
 		Incarnation: "i",
 		View:        view.New(),
 		Events:      timeline.NewRecorder("h1", 16, time.Now),
+		Hosts:       func() []string { return nil },
 		Clock:       func() time.Duration { return time.Hour },
 	}
 	session := &ownership.Session{
--- a/internal/keeper/claims.go
+++ b/internal/keeper/claims.go
@@ -23,7 +23,9 @@
 // Lookup returns what is remembered of a request without claiming it. It waits
 // while the request runs on this host.
 func (k *Keeper) Lookup(ctx context.Context, id idempotency.ID, digest idempotency.Digest) idempotency.Verdict {
-	k.readMemory(ctx)
+	if k.readMemory(ctx) {
+		k.recall(ctx)
+	}
 	return k.memory.Lookup(ctx, id, digest)
 }
 
@@ -31,7 +33,7 @@
 // tells whether a quorum of the session's lessors, this one included,
 // remembers the claim: only then may the request be sent.
 func (k *Keeper) Claim(ctx context.Context, id idempotency.ID, digest idempotency.Digest) (verdict idempotency.Verdict, copied bool) {
-	ready := k.readMemory(ctx)
+	ready := k.readMemory(ctx) && k.recall(ctx)
 	verdict = k.memory.Claim(ctx, id, digest)
 	if verdict.Kind != idempotency.KindNew || !ready {
 		return verdict, false
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -35,6 +35,8 @@
 	Peers       *peer.Pool
 	Servers     *backend.Client
 	Events      *timeline.Recorder
+	// Hosts returns the peer addresses of all hosts that are known, this one included.
+	Hosts func() []string
 	// Clock is the host's monotonic clock.
 	Clock func() time.Duration
 }
@@ -118,8 +120,11 @@
 	wasLead     bool
 
 	// term counts the times that this lessor gained the lead.
-	term        atomic.Uint64
-	memory      *idempotency.Table
+	term   atomic.Uint64
+	memory *idempotency.Table
+	// recalled holds the epoch for which the request IDs of each slice are complete.
+	recalled    map[int]uint64
+	recalling   sync.Mutex
 	memoryState memoryState
 	finished    chan idempotency.Entry
 	done        atomic.Bool
@@ -157,6 +162,7 @@
 		activated:   make(map[ownership.SliceKey]activation),
 		inFlight:    make(map[int]int),
 		reachable:   make(map[record.SessionID]time.Duration),
+		recalled:    make(map[int]uint64),
 		finished:    make(chan idempotency.Entry, finishedRing),
 	}
 	config := lease.Config{
--- a/internal/keeper/moves.go
+++ b/internal/keeper/moves.go
@@ -106,6 +106,9 @@
 func (k *Keeper) moveDuty(ctx context.Context) {
 	duty.Every(ctx, k.values.RenewEvery/2, func(ctx context.Context) {
 		if _, lead := k.Lead(); lead {
+			if k.readMemory(ctx) {
+				k.recall(ctx)
+			}
 			k.lookForSuccessors(ctx)
 			k.activateDropped(ctx)
 			k.reportMoved(ctx)
@@ -254,6 +257,7 @@
 	k.mu.Lock()
 	for _, grant := range grants {
 		k.adopted[grant.Slice] = max(k.adopted[grant.Slice], record.Epoch(grant.Epoch))
+		k.recalled[grant.Slice] = max(k.recalled[grant.Slice], grant.Epoch)
 	}
 	k.mu.Unlock()
 	k.renew(ctx)
--- a/internal/peer/protocol.go
+++ b/internal/peer/protocol.go
@@ -128,6 +128,19 @@
 	Kept bool
 }
 
+// RememberedArgs asks a host for the request IDs that it remembers of slices,
+// whatever the session. Count is the number of slices of the service.
+type RememberedArgs struct {
+	Service string
+	Slices  []int
+	Count   int
+}
+
+// RememberedReply answers RememberedArgs.
+type RememberedReply struct {
+	Entries []idempotency.Entry
+}
+
 // MemoryArgs asks a lessor for the request IDs that it remembers of a session.
 // From is the asking lead's name; the lessor's consent must belong to it.
 type MemoryArgs struct {
--- a/internal/route/fixture_test.go
+++ b/internal/route/fixture_test.go
@@ -216,6 +216,7 @@
 		Peers:   peer.NewPool((&net.Dialer{}).DialContext),
 		Servers: backend.NewClient(&http.Client{Transport: &http.Transport{}}),
 		Events:  timeline.NewRecorder(name, 16, time.Now),
+		Hosts:   func() []string { return nil },
 		Clock:   clock.Monotonic,
 	}
 	values := h.directory.service.Values
