--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -15,6 +15,7 @@
 	"github.com/poplarcroft/poplarcroft/internal/backend"
 	"github.com/poplarcroft/poplarcroft/internal/clock"
 	"github.com/poplarcroft/poplarcroft/internal/duty"
+	"github.com/poplarcroft/poplarcroft/internal/idempotency"
 	"github.com/poplarcroft/poplarcroft/internal/keeper"
 	"github.com/poplarcroft/poplarcroft/internal/members"
 	"github.com/poplarcroft/poplarcroft/internal/peer"
@@ -22,6 +23,7 @@
 	"github.com/poplarcroft/poplarcroft/internal/poison"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 	"github.com/poplarcroft/poplarcroft/internal/route"
+	"github.com/poplarcroft/poplarcroft/internal/settings"
 	"github.com/poplarcroft/poplarcroft/internal/timeline"
 	"github.com/poplarcroft/poplarcroft/internal/transport"
 	"github.com/poplarcroft/poplarcroft/internal/view"
@@ -46,6 +48,8 @@
 	servers  *backend.Client
 	events   *timeline.Recorder
 	guard    *poison.Guard
+	// witness remembers request IDs of sessions that this host is no lessor of.
+	witness  *idempotency.Table
 	gateway  *route.Gateway
 	route    *route.Entry
 	counters *route.Counters
@@ -109,6 +113,9 @@
 	h.members = members.New(h.entry, h.platform, h.peers, h.config.Peers)
 	h.servers = backend.NewClient(newHTTPClient(dial, controlConns))
 	h.guard = poison.NewGuard(poison.Bounds{})
+	h.witness = idempotency.NewTable(h.entry.Name+"/"+h.entry.Incarnation, idempotency.Bounds{
+		Retention: settings.Defaults().IDRetention,
+	})
 	servers := newPool(dial, serverConns)
 	h.gateway = route.NewGateway(servers, h.guard)
 	h.route = route.NewEntry(route.EntryConfig{
--- a/internal/host/keep.go
+++ b/internal/host/keep.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/poplarcroft/poplarcroft/internal/duty"
 	"github.com/poplarcroft/poplarcroft/internal/keeper"
+	"github.com/poplarcroft/poplarcroft/internal/members"
 	"github.com/poplarcroft/poplarcroft/internal/ownership"
 	"github.com/poplarcroft/poplarcroft/internal/poison"
 	"github.com/poplarcroft/poplarcroft/internal/record"
@@ -45,6 +47,22 @@
 	return addrs
 }
 
+// witnessFor returns the peer address of the live host that comes first for the
+// subject among those not excepted, hosts of other zones before those of the zone.
+func (h *Host) witnessFor(subject, zone string, except []string) string {
+	near := ""
+	for _, host := range members.Rank(subject, h.members.Live()) {
+		switch {
+		case slices.Contains(except, host.Name):
+		case host.Zone != zone:
+			return host.PeerAddr
+		case near == "":
+			near = host.PeerAddr
+		}
+	}
+	return near
+}
+
 // noteSessions remembers when this host first saw each open session: the
 // cold start of its server counts from then.
 func (h *Host) noteSessions() {
@@ -132,6 +150,7 @@
 		Servers:     h.servers,
 		Events:      h.events,
 		Hosts:       h.peerAddrs,
+		Witness:     h.witnessFor,
 		Clock:       h.clock,
 	}
 	k := keeper.New(deps, &wanted.session, wanted.values, lane)
--- a/internal/host/rpc.go
+++ b/internal/host/rpc.go
@@ -129,6 +129,13 @@
 	for _, k := range s.host.keepers {
 		reply.Entries = append(reply.Entries, k.Remembered(args)...)
 	}
+	reply.Entries = append(reply.Entries, s.host.witness.Snapshot(args.Matches)...)
+	return nil
+}
+
+// Witness keeps request IDs of a session that this host is no lessor of.
+func (s *peerService) Witness(args peer.WitnessArgs, _ *peer.Empty) error {
+	s.host.witness.Merge(args.Entries)
 	return nil
 }
 
--- a/internal/keeper/admit_test.go
+++ b/internal/keeper/admit_test.go
@@ -22,6 +22,7 @@
 		View:        view.New(),
 		Events:      timeline.NewRecorder("h1", 16, time.Now),
 		Hosts:       func() []string { return nil },
+		Witness:     func(string, string, []string) string { return "" },
 		Clock:       func() time.Duration { return time.Hour },
 	}
 	session := &ownership.Session{
--- a/internal/keeper/claims.go
+++ b/internal/keeper/claims.go
@@ -39,6 +39,7 @@
 		return verdict, false
 	}
 	entry, own := k.memory.Claimed(id, verdict.Attempt)
+	k.tellWitness(entry)
 	if !own || !k.hold(ctx, entry) {
 		return verdict, false
 	}
@@ -64,6 +65,7 @@
 	if !ok {
 		return
 	}
+	k.tellWitness(entry)
 	select {
 	case k.finished <- entry:
 	default:
@@ -78,16 +80,17 @@
 		case <-ctx.Done():
 			return
 		case entry := <-k.finished:
-			k.copyEntries(ctx, k.gather(entry))
+			k.copyEntries(ctx, gather(entry, k.finished))
 		}
 	}
 }
 
-func (k *Keeper) gather(first idempotency.Entry) []idempotency.Entry {
+// gather returns the entry and those that wait behind it in the ring, up to a batch.
+func gather(first idempotency.Entry, ring <-chan idempotency.Entry) []idempotency.Entry {
 	batch := []idempotency.Entry{first}
 	for len(batch) < copyBatch {
 		select {
-		case entry := <-k.finished:
+		case entry := <-ring:
 			batch = append(batch, entry)
 		default:
 			return batch
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -37,6 +37,9 @@
 	Events      *timeline.Recorder
 	// Hosts returns the peer addresses of all hosts that are known, this one included.
 	Hosts func() []string
+	// Witness returns the peer address of a live host that is none of the given ones, by
+	// preference in another zone; it is the same for a subject as long as the hosts are. "" is none.
+	Witness func(subject, zone string, except []string) string
 	// Clock is the host's monotonic clock.
 	Clock func() time.Duration
 }
@@ -127,6 +130,7 @@
 	recalling   sync.Mutex
 	memoryState memoryState
 	finished    chan idempotency.Entry
+	witnessed   chan idempotency.Entry
 	done        atomic.Bool
 }
 
@@ -164,6 +168,7 @@
 		reachable:   make(map[record.SessionID]time.Duration),
 		recalled:    make(map[int]uint64),
 		finished:    make(chan idempotency.Entry, finishedRing),
+		witnessed:   make(chan idempotency.Entry, finishedRing),
 	}
 	config := lease.Config{
 		LeadTTL:       k.values.LeadTTL,
@@ -203,7 +208,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var duties sync.WaitGroup
-	for _, duty := range []func(context.Context){k.leadDuty, k.renewDuty, k.closeDuty, k.moveDuty, k.copyDuty} {
+	for _, duty := range []func(context.Context){k.leadDuty, k.renewDuty, k.closeDuty, k.moveDuty, k.copyDuty, k.witnessDuty} {
 		duties.Go(func() { duty(ctx) })
 	}
 	k.syncDuty(ctx)
--- a/internal/keeper/remember.go
+++ b/internal/keeper/remember.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/poplarcroft/poplarcroft/internal/idempotency"
-	"github.com/poplarcroft/poplarcroft/internal/ownership"
 	"github.com/poplarcroft/poplarcroft/internal/peer"
 )
 
@@ -15,16 +14,7 @@
 
 // Remembered returns the request IDs that this keeper remembers of the slices.
 func (k *Keeper) Remembered(args peer.RememberedArgs) []idempotency.Entry {
-	if args.Service != k.service || args.Count <= 0 {
-		return nil
-	}
-	wanted := make(map[int]bool, len(args.Slices))
-	for _, slice := range args.Slices {
-		wanted[slice] = true
-	}
-	return k.memory.Snapshot(func(id idempotency.ID) bool {
-		return id.Service == k.service && wanted[ownership.SliceOf(id.Key, args.Count)]
-	})
+	return k.memory.Snapshot(args.Matches)
 }
 
 // recall asks all hosts for the request IDs of the slices that came to the session by
@@ -88,3 +78,43 @@
 	calls.Wait()
 	return entries
 }
+
+// tellWitness passes an entry on to the witness. Where it cannot keep up, the
+// entry stays with the lessors alone.
+func (k *Keeper) tellWitness(entry idempotency.Entry) {
+	select {
+	case k.witnessed <- entry:
+	default:
+	}
+}
+
+// witnessDuty copies claims and their ends to a host that is no lessor of the
+// session, in another zone where there is one. It remembers them when all
+// lessors are lost. Nothing waits for it: what is lost within its delay stays lost.
+func (k *Keeper) witnessDuty(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case entry := <-k.witnessed:
+			batch := gather(entry, k.witnessed)
+			addr := k.deps.Witness(k.addr, k.zone, k.lessorHosts())
+			if addr == "" {
+				continue
+			}
+			args := peer.WitnessArgs{Entries: batch}
+			k.deps.Peers.CallTimeout(ctx, rememberTimeout, addr, "Peer.Witness", args, &peer.Empty{})
+		}
+	}
+}
+
+// lessorHosts returns the names of the hosts of the session's lessors.
+func (k *Keeper) lessorHosts() []string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	hosts := make([]string, 0, len(k.lessors))
+	for _, lessor := range k.lessors {
+		hosts = append(hosts, lessor.Host)
+	}
+	return hosts
+}
--- a/internal/peer/protocol.go
+++ b/internal/peer/protocol.go
@@ -6,9 +6,12 @@
 package peer
 
 import (
+	"slices"
+
 	"github.com/poplarcroft/poplarcroft/internal/backend"
 	"github.com/poplarcroft/poplarcroft/internal/idempotency"
 	"github.com/poplarcroft/poplarcroft/internal/lease"
+	"github.com/poplarcroft/poplarcroft/internal/ownership"
 	"github.com/poplarcroft/poplarcroft/internal/platform"
 	"github.com/poplarcroft/poplarcroft/internal/poison"
 	"github.com/poplarcroft/poplarcroft/internal/record"
@@ -136,11 +139,23 @@
 	Count   int
 }
 
+// Matches reports whether the ID belongs to one of the slices.
+func (a RememberedArgs) Matches(id idempotency.ID) bool {
+	return id.Service == a.Service && a.Count > 0 &&
+		slices.Contains(a.Slices, ownership.SliceOf(id.Key, a.Count))
+}
+
 // RememberedReply answers RememberedArgs.
 type RememberedReply struct {
 	Entries []idempotency.Entry
 }
 
+// WitnessArgs copies remembered request IDs to a host that is no lessor of the
+// session, for the case that all lessors are lost.
+type WitnessArgs struct {
+	Entries []idempotency.Entry
+}
+
 // MemoryArgs asks a lessor for the request IDs that it remembers of a session.
 // From is the asking lead's name; the lessor's consent must belong to it.
 type MemoryArgs struct {
--- a/internal/route/fixture_test.go
+++ b/internal/route/fixture_test.go
@@ -217,6 +217,7 @@
 		Servers: backend.NewClient(&http.Client{Transport: &http.Transport{}}),
 		Events:  timeline.NewRecorder(name, 16, time.Now),
 		Hosts:   func() []string { return nil },
+		Witness: func(string, string, []string) string { return "" },
 		Clock:   clock.Monotonic,
 	}
 	values := h.directory.service.Values
