--- a/internal/route/cache.go
+++ b/internal/route/cache.go
@@ -7,6 +7,9 @@
 	"github.com/poplarcroft/poplarcroft/internal/record"
 )
 
+// maxCached bounds each kind of hint. A full cache starts anew.
+const maxCached = 100_000
+
 // routeCache remembers which host leads a session, and slices that have moved
 // although the log does not show it yet. What it holds is only a hint: the lead
 // and the server check every request themselves.
@@ -47,6 +50,9 @@
 func (c *routeCache) moved(key ownership.SliceKey, version uint64, to record.SessionID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if len(c.moves) >= maxCached {
+		clear(c.moves)
+	}
 	c.moves[key] = movedSlice{version: version, to: to}
 }
 
@@ -70,6 +76,9 @@
 func (c *routeCache) learn(session record.SessionID, host string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if len(c.leads) >= maxCached {
+		clear(c.leads)
+	}
 	c.leads[session] = host
 }
 
