--- a/internal/keeper/claims.go
+++ b/internal/keeper/claims.go
@@ -132,8 +132,12 @@
 
 // memoryState tells for which term of the own lead the memory is complete.
 type memoryState struct {
-	mu    sync.Mutex
-	ready atomic.Uint64
+	mu    *sync.Mutex
+	ready *atomic.Uint64
+}
+
+func newMemoryState() memoryState {
+	return memoryState{mu: new(sync.Mutex), ready: new(atomic.Uint64)}
 }
 
 // readMemory merges what a quorum of the lessors remembers, once in each term
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -54,13 +54,6 @@
 	Moving    bool
 }
 
-// activation is the end of a slice's ownership by the session: the epoch under
-// which the session owned it, and the session that took it over.
-type activation struct {
-	epoch     record.Epoch
-	successor record.SessionID
-}
-
 // Keeper is one host's part in one session.
 type Keeper struct {
 	deps    Deps
@@ -75,63 +68,16 @@
 	kick        chan struct{}
 	observer    Observer
 
-	mu      sync.Mutex
-	lessor  *lease.Lessor
-	lessors []record.Lessor
-	// former are the lessors before the last replacement. sealing says that it is not sealed yet.
-	former       []record.Lessor
-	sealing      bool
-	lessorsSince platform.Offset
-	// handovers are the session's slices at the lessor's version.
-	handovers map[ownership.SliceKey]Handover
-	// holds are the slices that the server has confirmed, with their epochs.
-	holds map[int]record.Epoch
-	// adopted are slices that came from a closed session and are not in the log yet.
-	adopted map[int]record.Epoch
-	// gaveUp are the highest epochs under which the server dropped slices.
-	gaveUp map[int]record.Epoch
-	// handoversAt is the version that handovers were taken at.
-	handoversAt platform.Offset
-	silence     silence
-	// silenceNoted says that the present silence of the server has been recorded.
-	silenceNoted bool
-	// reachable holds when each successor of a moving slice was last known to have a lead.
-	reachable map[record.SessionID]time.Duration
-	// inDoubt says that the server has failed to answer since its last grant: it may have restarted.
-	inDoubt bool
-	// clockKnown says that this lessor has read the server's clock in its present term of the lead.
-	clockKnown bool
-	// inFlight counts the requests that this host has sent, by slice.
-	inFlight map[int]int
-	// marked says that an operator marked this host: it leads only where nobody else does.
-	marked bool
-	// mustYield says that the lead is to be given back because of a new mark.
-	mustYield bool
-	// serving counts the requests that this host is serving for the session.
-	serving int
-	// yielding says that no new request is taken, since the lead is about to be given back.
-	yielding bool
-	// resigned says that this lessor asks for the lead no more.
-	resigned bool
-	// asideUntil is until when this lessor leaves the lead to others that reach the server.
-	asideUntil time.Duration
-	// leadSince is when this lessor gained the lead last.
-	leadSince time.Duration
-	// activated are the slices that were handed over, the last time of each.
-	activated   map[ownership.SliceKey]activation
-	closeReason string
-	wasLead     bool
+	// mu guards the lessor and the states below, but for what says otherwise.
+	mu     sync.Mutex
+	lessor *lease.Lessor
+	lessorState
+	leadState
+	serverState
+	sliceState
+	idState
 
-	// term counts the times that this lessor gained the lead.
-	term   atomic.Uint64
-	memory *idempotency.Table
-	// recalled holds the epoch for which the request IDs of each slice are complete.
-	recalled    map[int]uint64
-	recalling   sync.Mutex
-	memoryState memoryState
-	finished    chan idempotency.Entry
-	witnessed   chan idempotency.Entry
-	done        atomic.Bool
+	done atomic.Bool
 }
 
 // Observer is told what the keeper learns of its server. Its methods must not
@@ -158,17 +104,8 @@
 		values:      withTerms(values, session.Terms),
 		kick:        make(chan struct{}, 1),
 		observer:    observer,
-		lessors:     session.Lessors,
-		former:      session.Former,
-		holds:       make(map[int]record.Epoch),
-		adopted:     make(map[int]record.Epoch),
-		gaveUp:      make(map[int]record.Epoch),
-		activated:   make(map[ownership.SliceKey]activation),
-		inFlight:    make(map[int]int),
-		reachable:   make(map[record.SessionID]time.Duration),
-		recalled:    make(map[int]uint64),
-		finished:    make(chan idempotency.Entry, finishedRing),
-		witnessed:   make(chan idempotency.Entry, finishedRing),
+		lessorState: lessorState{lessors: session.Lessors, former: session.Former},
+		sliceState:  newSliceState(),
 	}
 	config := lease.Config{
 		LeadTTL:       k.values.LeadTTL,
@@ -177,7 +114,7 @@
 	}
 	k.self = lease.Name(record.Lessor{Host: deps.Host, Incarnation: deps.Incarnation})
 	k.lessor = lease.New(config, k.self, session.ID, session.Version, lessorSet(session))
-	k.memory = idempotency.NewTable(k.self, idempotency.Bounds{Retention: values.IDRetention})
+	k.idState = newIDState(k.self, values.IDRetention)
 	return k
 }
 
--- a/internal/keeper/renew.go
+++ b/internal/keeper/renew.go
@@ -153,3 +153,14 @@
 		k.record(timeline.KindServerSilent, "")
 	}
 }
+
+// pause waits for the duration or a kick.
+func (k *Keeper) pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-k.kick:
+	}
+}
--- /dev/null
+++ b/internal/keeper/seal.go
@@ -0,0 +1,49 @@
+package keeper
+
+import (
+	"context"
+
+	"github.com/poplarcroft/poplarcroft/internal/lease"
+	"github.com/poplarcroft/poplarcroft/internal/peer"
+	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/record"
+)
+
+// seal looks for a quorum of the former lessors that has retired the versions
+// before a replacement. It passes on the request IDs that they remember and then
+// reports the quorum to the log.
+func (k *Keeper) seal(ctx context.Context) {
+	k.mu.Lock()
+	former := k.former
+	version := k.lessorsSince
+	sealing := k.sealing
+	k.mu.Unlock()
+	if !sealing {
+		return
+	}
+	retired := 0
+	for _, lessor := range former {
+		if k.hasRetired(ctx, lessor, version) {
+			retired++
+		}
+	}
+	if retired < lease.Quorum(len(former)) || !k.copyEntries(ctx, k.memory.Snapshot(nil)) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	sealed := record.Sealed{Session: k.id, Version: version}
+	k.deps.Writer.Append(ctx, record.Record{Kind: record.KindSealed, Sealed: &sealed})
+}
+
+// hasRetired asks one former lessor, possibly this one, and merges what it remembers.
+func (k *Keeper) hasRetired(ctx context.Context, lessor record.Lessor, version platform.Offset) bool {
+	if lease.Name(lessor) == k.self {
+		retired, _ := k.Retired(version)
+		return retired
+	}
+	args := peer.RetiredArgs{Incarnation: lessor.Incarnation, Session: k.id, Version: version}
+	var reply peer.RetiredReply
+	err := k.deps.Peers.CallTimeout(ctx, k.values.RenewEvery, lessor.PeerAddr, "Peer.Retired", args, &reply)
+	return err == nil && reply.Retired && k.memory.Merge(reply.Entries) == 0
+}
