A slice that is assigned again is not redirected to its former successor

Cause: between a slice's new assignment to a session that had handed it over before and the server's confirmation, the keeper redirected requests to the former successor, whose session was closed; the entry remembered that under the slice's newest version and followed it until the version changed. So a key stayed without service after a zone was declared lost. Ruled out: trials of suspects, slots reserved for a former lead. Change: a handover under an older epoch than the assignment's does not redirect; a hint to a session without lessors is dropped. Both tests fail without.

--- a/internal/keeper/admit.go
+++ b/internal/keeper/admit.go
@@ -65,7 +65,7 @@
 	now := k.deps.Clock()
 	key := ownership.SliceKey{Service: k.service, Slice: slice}
 	epoch, held := k.holds[slice]
-	if gone, ok := k.activated[key]; ok && epoch <= gone.epoch {
+	if gone, ok := k.activated[key]; ok && max(epoch, k.handovers[key].Epoch) <= gone.epoch {
 		return Admission{Successor: gone.successor}
 	}
 	if !k.lessor.IsLead(now) {
--- a/internal/keeper/admit_test.go
+++ b/internal/keeper/admit_test.go
@@ -55,6 +55,10 @@
 			k.activated[key] = activation{epoch: 14, successor: 9}
 			k.holds[3] = 27
 		}, Admission{Allowed: true, Addr: "10.0.0.1:1", Epoch: 27, Session: 7}},
+		{"handed over and assigned again, not confirmed yet", checked, func(k *Keeper) {
+			k.activated[key] = activation{epoch: 14, successor: 9}
+			k.handovers = map[ownership.SliceKey]Handover{key: {Key: key, Epoch: 36}}
+		}, Admission{}},
 		{"about to move", checked, func(k *Keeper) {
 			k.holds[3] = 14
 			k.handovers = map[ownership.SliceKey]Handover{key: {Key: key, Epoch: 14, Successor: 9, Moving: true}}
--- a/internal/route/cache.go
+++ b/internal/route/cache.go
@@ -40,11 +40,12 @@
 	if !ok {
 		return listed
 	}
-	if move.version != listed.Version {
+	lessors := directory.Lessors(move.to)
+	if move.version != listed.Version || len(lessors) == 0 {
 		delete(c.moves, key)
 		return listed
 	}
-	return Owner{Session: move.to, Version: listed.Version, Lessors: directory.Lessors(move.to)}
+	return Owner{Session: move.to, Version: listed.Version, Lessors: lessors}
 }
 
 func (c *routeCache) moved(key ownership.SliceKey, version uint64, to record.SessionID) {
