--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -32,6 +32,17 @@
 	Run     func(ctx context.Context, args []string, stdout, stderr io.Writer) int
 }
 
+// Group returns a command of the program that consists of subcommands.
+func Group(program, name, summary string, commands []Command) Command {
+	return Command{
+		Name:    name,
+		Summary: summary,
+		Run: func(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+			return Dispatch(ctx, program+" "+name, commands, args, stdout, stderr)
+		},
+	}
+}
+
 // Main runs the subcommand that the process's arguments name and returns its exit code.
 func Main(program string, commands []Command) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
--- a/internal/cmd/ctlcmd/experiment.go
+++ b/internal/cmd/ctlcmd/experiment.go
@@ -18,13 +18,7 @@
 )
 
 func experimentCommand() cli.Command {
-	return cli.Command{
-		Name:    "experiment",
-		Summary: "compare policies in a queueing model",
-		Run: func(ctx context.Context, args []string, stdout, stderr io.Writer) int {
-			return cli.Dispatch(ctx, "poplarctl experiment", experimentCommands(), args, stdout, stderr)
-		},
-	}
+	return cli.Group("poplarctl", "experiment", "compare policies in a queueing model", experimentCommands())
 }
 
 func experimentCommands() []cli.Command {
--- a/internal/cmd/ctlcmd/settings.go
+++ b/internal/cmd/ctlcmd/settings.go
@@ -24,13 +24,7 @@
 		{Name: "status", Summary: "show which hosts have the settings in force", Run: settingsStatus},
 		{Name: "timing", Summary: "show how long changes took to be in force", Run: settingsTiming},
 	}
-	return cli.Command{
-		Name:    "settings",
-		Summary: "check, publish and show the settings tree",
-		Run: func(ctx context.Context, args []string, stdout, stderr io.Writer) int {
-			return cli.Dispatch(ctx, "poplarctl settings", commands, args, stdout, stderr)
-		},
-	}
+	return cli.Group("poplarctl", "settings", "check, publish and show the settings tree", commands)
 }
 
 func checkSettings(_ context.Context, args []string, stdout, stderr io.Writer) int {
--- a/internal/cmd/ctlcmd/show.go
+++ b/internal/cmd/ctlcmd/show.go
@@ -24,13 +24,7 @@
 		{Name: "hosts", Summary: "show all hosts", Run: showHosts},
 		{Name: "marks", Summary: "show the marks in force", Run: showMarks},
 	}
-	return cli.Command{
-		Name:    "show",
-		Summary: "show owners, sessions, load, hosts and marks",
-		Run: func(ctx context.Context, args []string, stdout, stderr io.Writer) int {
-			return cli.Dispatch(ctx, "poplarctl show", commands, args, stdout, stderr)
-		},
-	}
+	return cli.Group("poplarctl", "show", "show owners, sessions, load, hosts and marks", commands)
 }
 
 // display is one run of a show command.
--- a/internal/cmd/ctlcmd/standin.go
+++ b/internal/cmd/ctlcmd/standin.go
@@ -23,13 +23,7 @@
 
 // standinCommand returns the command that runs one stand-in as a process.
 func standinCommand() cli.Command {
-	return cli.Command{
-		Name:    "standin",
-		Summary: "run a stand-in of the platform, a backend server or the network",
-		Run: func(ctx context.Context, args []string, stdout, stderr io.Writer) int {
-			return cli.Dispatch(ctx, "poplarctl standin", standinCommands(), args, stdout, stderr)
-		},
-	}
+	return cli.Group("poplarctl", "standin", "run a stand-in of the platform, a backend server or the network", standinCommands())
 }
 
 func standinCommands() []cli.Command {
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -156,9 +156,6 @@
 // ID returns the session's ID.
 func (k *Keeper) ID() record.SessionID { return k.id }
 
-// Addr returns the backend server's address.
-func (k *Keeper) Addr() string { return k.addr }
-
 // Done reports whether the log shows the session closed, or that the host is no lessor any more.
 func (k *Keeper) Done() bool { return k.done.Load() }
 
