--- a/internal/admin/api.go
+++ b/internal/admin/api.go
@@ -34,7 +34,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 	"github.com/poplarcroft/poplarcroft/internal/publish"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 	"github.com/poplarcroft/poplarcroft/internal/settings"
@@ -56,7 +56,7 @@
 	// Settings returns the settings in force on this host. The caller only reads them.
 	Settings() *settings.State
 	// Applied returns the offset of the last record that this host has applied.
-	Applied() platform.Offset
+	Applied() logservice.Offset
 	// LogSilence returns how long ago the log last confirmed that this host is up to date.
 	LogSilence() time.Duration
 	// Publish appends the record and returns what became of it. It keeps the
@@ -87,11 +87,11 @@
 
 // Mark is the state that an operator gave a zone, host or backend server.
 type Mark struct {
-	Subject record.Subject   `json:"subject"`
-	Name    string           `json:"name"`
-	State   record.MarkState `json:"state"`
-	Version platform.Offset  `json:"version"`
-	Comment string           `json:"comment,omitempty"`
+	Subject record.Subject    `json:"subject"`
+	Name    string            `json:"name"`
+	State   record.MarkState  `json:"state"`
+	Version logservice.Offset `json:"version"`
+	Comment string            `json:"comment,omitempty"`
 }
 
 // Owner tells who owns a key. Session, Server and Zone are zero where the slice has no owner.
@@ -112,15 +112,15 @@
 
 // Session is an open session of a backend server.
 type Session struct {
-	ID          record.SessionID `json:"id"`
-	Service     string           `json:"service"`
-	Zone        string           `json:"zone"`
-	Server      string           `json:"server"`
-	Incarnation string           `json:"incarnation"`
-	Lessors     []string         `json:"lessors"`
-	Lead        string           `json:"lead,omitempty"`
-	Slices      int              `json:"slices"`
-	Version     platform.Offset  `json:"version"`
+	ID          record.SessionID  `json:"id"`
+	Service     string            `json:"service"`
+	Zone        string            `json:"zone"`
+	Server      string            `json:"server"`
+	Incarnation string            `json:"incarnation"`
+	Lessors     []string          `json:"lessors"`
+	Lead        string            `json:"lead,omitempty"`
+	Slices      int               `json:"slices"`
+	Version     logservice.Offset `json:"version"`
 }
 
 // ServerLoad is what a host knows of one backend server's load.
@@ -147,22 +147,22 @@
 	// Reachable says that the host answers the host that was asked.
 	Reachable bool `json:"reachable"`
 	// Applied is the log offset that the host told last, AnsweredMS ago.
-	Applied    platform.Offset `json:"applied"`
-	AnsweredMS int64           `json:"answered_ms"`
+	Applied    logservice.Offset `json:"applied"`
+	AnsweredMS int64             `json:"answered_ms"`
 }
 
 // SettingsReply is the tree of settings with its version.
 type SettingsReply struct {
-	Version platform.Offset `json:"version"`
-	Applied platform.Offset `json:"applied"`
-	TOML    string          `json:"toml"`
+	Version logservice.Offset `json:"version"`
+	Applied logservice.Offset `json:"applied"`
+	TOML    string            `json:"toml"`
 }
 
 // EffectiveReply holds the values in force at a node, in TOML.
 type EffectiveReply struct {
-	Path    string          `json:"path"`
-	Version platform.Offset `json:"version"`
-	TOML    string          `json:"toml"`
+	Path    string            `json:"path"`
+	Version logservice.Offset `json:"version"`
+	TOML    string            `json:"toml"`
 }
 
 // CheckReply lists what is wrong with a settings file.
@@ -172,7 +172,7 @@
 
 // DiffReply lists the differences from the settings in force to a file.
 type DiffReply struct {
-	Version platform.Offset     `json:"version"`
+	Version logservice.Offset   `json:"version"`
 	Diffs   []settings.NodeDiff `json:"diffs"`
 }
 
@@ -206,8 +206,8 @@
 // StatusReply tells how far each host is. InForce says that every host of the
 // list has applied the settings version, the latest that the host asked knows.
 type StatusReply struct {
-	SettingsVersion platform.Offset `json:"settings_version"`
-	InForce         bool            `json:"in_force"`
+	SettingsVersion logservice.Offset `json:"settings_version"`
+	InForce         bool              `json:"in_force"`
 	// LogSilenceMS is how long ago the log last confirmed the version to the host that was asked.
 	LogSilenceMS int64        `json:"log_silence_ms"`
 	Hosts        []HostStatus `json:"hosts"`
--- a/internal/admin/client.go
+++ b/internal/admin/client.go
@@ -12,7 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 	"github.com/poplarcroft/poplarcroft/internal/publish"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 	"github.com/poplarcroft/poplarcroft/internal/settings"
@@ -102,7 +102,7 @@
 
 // PublishSettings publishes a settings file that is based on a version, zero
 // for the one that the file names.
-func (c *Client) PublishSettings(ctx context.Context, id record.ID, base platform.Offset, comment string, text []byte) PublishReply {
+func (c *Client) PublishSettings(ctx context.Context, id record.ID, base logservice.Offset, comment string, text []byte) PublishReply {
 	query := url.Values{}
 	query.Set("id", string(id))
 	query.Set("comment", comment)
--- a/internal/admin/fake_test.go
+++ b/internal/admin/fake_test.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 	"github.com/poplarcroft/poplarcroft/internal/publish"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 	"github.com/poplarcroft/poplarcroft/internal/settings"
@@ -15,7 +15,7 @@
 type fakeSystem struct {
 	state     *settings.State
 	marks     map[record.Subject]map[string]Mark
-	applied   platform.Offset
+	applied   logservice.Offset
 	seen      map[record.ID]publish.Result
 	authors   []string
 	lostAfter bool  // the result of publications stays unknown though they take effect
@@ -35,7 +35,7 @@
 
 func (f *fakeSystem) Settings() *settings.State { return f.state }
 
-func (f *fakeSystem) Applied() platform.Offset { return f.applied }
+func (f *fakeSystem) Applied() logservice.Offset { return f.applied }
 
 func (f *fakeSystem) LogSilence() time.Duration { return time.Second }
 
@@ -83,7 +83,7 @@
 }
 
 func (f *fakeSystem) History(context.Context) ([]publish.HistoryEntry, error) {
-	return nil, platform.ErrUnavailable
+	return nil, logservice.ErrUnavailable
 }
 
 func (f *fakeSystem) Owner(service, key string) (Owner, error) {
--- a/internal/admin/overview/overview.go
+++ b/internal/admin/overview/overview.go
@@ -11,9 +11,9 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/poplarcroft/poplarcroft/internal/admin"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 	"github.com/poplarcroft/poplarcroft/internal/members"
 	"github.com/poplarcroft/poplarcroft/internal/ownership"
-	"github.com/poplarcroft/poplarcroft/internal/platform"
 	"github.com/poplarcroft/poplarcroft/internal/publish"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 	"github.com/poplarcroft/poplarcroft/internal/settings"
@@ -29,7 +29,7 @@
 	// Host is the name of this host.
 	Host      string
 	View      *view.View
-	Log       platform.Log
+	Log       logservice.Log
 	Publisher *publish.Publisher
 	Events    *timeline.Recorder
 	// Members returns the known hosts by name.
@@ -62,7 +62,7 @@
 }
 
 // Applied implements admin.System.
-func (o *Overview) Applied() platform.Offset {
+func (o *Overview) Applied() logservice.Offset {
 	return o.sources.View.Applied()
 }
 
--- a/internal/admin/overview/overview_test.go
+++ b/internal/admin/overview/overview_test.go
@@ -10,9 +10,9 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/poplarcroft/poplarcroft/internal/admin"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 	"github.com/poplarcroft/poplarcroft/internal/members"
 	"github.com/poplarcroft/poplarcroft/internal/ownership"
-	"github.com/poplarcroft/poplarcroft/internal/platform"
 	"github.com/poplarcroft/poplarcroft/internal/publish"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 	"github.com/poplarcroft/poplarcroft/internal/standin"
@@ -26,12 +26,12 @@
 )
 
 // startHost serves the API on a view that follows a stand-in of the log.
-func startHost(t *testing.T) (*admin.Client, platform.Log, *[]members.Host) {
+func startHost(t *testing.T) (*admin.Client, logservice.Log, *[]members.Host) {
 	t.Helper()
 	standinLog := standin.NewLog(standin.LogConfig{Listen: "127.0.0.1:0"})
 	address, err := standinLog.Start()
 	assert.NilError(t, err)
-	log := platform.NewClient("http://"+address, "", &http.Client{})
+	log := logservice.NewClient("http://"+address, "", &http.Client{})
 	followed := view.New()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -62,7 +62,7 @@
 }
 
 // appendRecord appends a record and waits until the host has applied it.
-func appendRecord(t *testing.T, client *admin.Client, log platform.Log, r record.Record) platform.Offset {
+func appendRecord(t *testing.T, client *admin.Client, log logservice.Log, r record.Record) logservice.Offset {
 	t.Helper()
 	data, err := record.Encode(r)
 	assert.NilError(t, err)
@@ -86,7 +86,7 @@
 	reply := client.PublishSettings(ctx, "a", 0, "first", []byte(tree))
 	assert.Equal(t, reply.Status, publish.Accepted, reply.Reason)
 	reply = client.PublishSettings(ctx, "a", 0, "first", []byte(tree))
-	assert.Equal(t, reply.Offset, platform.Offset(1))
+	assert.Equal(t, reply.Offset, logservice.Offset(1))
 
 	owner, err := client.Owner(ctx, "revize", "k")
 	assert.NilError(t, err)
@@ -127,8 +127,8 @@
 	ctx := context.Background()
 	client, _, hosts := startHost(t)
 	client.PublishSettings(ctx, "a", 0, "", []byte(tree))
-	self := members.Host{HostEntry: platform.HostEntry{Name: "h1"}}
-	other := members.Host{HostEntry: platform.HostEntry{Name: "h2"}, Applied: 1, Answered: time.Now()}
+	self := members.Host{HostEntry: logservice.HostEntry{Name: "h1"}}
+	other := members.Host{HostEntry: logservice.HostEntry{Name: "h2"}, Applied: 1, Answered: time.Now()}
 	behind, silent := other, other
 	behind.Applied = 0
 	silent.Answered = time.Now().Add(-time.Minute)
--- a/internal/admin/settings.go
+++ b/internal/admin/settings.go
@@ -6,7 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 	"github.com/poplarcroft/poplarcroft/internal/publish"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 	"github.com/poplarcroft/poplarcroft/internal/settings"
@@ -89,7 +89,7 @@
 		return
 	}
 	state := s.system.Settings()
-	change, verdict := publish.SettingsRecord(id, state, tree, platform.Offset(base), r.URL.Query().Get("comment"))
+	change, verdict := publish.SettingsRecord(id, state, tree, logservice.Offset(base), r.URL.Query().Get("comment"))
 	switch {
 	case !verdict.Accepted():
 		writeRefusal(w, id, verdict)
@@ -158,7 +158,7 @@
 
 // inForce reports whether every host has applied the version. It does not
 // where there is no host to say so.
-func inForce(version platform.Offset, hosts []HostStatus) bool {
+func inForce(version logservice.Offset, hosts []HostStatus) bool {
 	for _, host := range hosts {
 		if !host.Reachable || host.Applied < version {
 			return false
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -12,8 +12,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/poplarcroft/poplarcroft/internal/load"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 	"github.com/poplarcroft/poplarcroft/internal/outcome"
-	"github.com/poplarcroft/poplarcroft/internal/platform"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 )
 
@@ -88,7 +88,7 @@
 }
 
 // change returns a settings record that sets the keyless service's slots.
-func change(base platform.Offset) record.Record {
+func change(base logservice.Offset) record.Record {
 	node := record.SettingsNode{Path: "archiv", Base: base, TOML: "cold_start_time = \"0s\"\nslots = 5\n"}
 	return record.Record{
 		ID:       record.NewID(),
@@ -98,7 +98,7 @@
 }
 
 // changeSettings appends changes at a rate until stop closes. It returns the last one's offset.
-func (c *cluster) changeSettings(t *testing.T, base platform.Offset, rate int, stop <-chan struct{}) platform.Offset {
+func (c *cluster) changeSettings(t *testing.T, base logservice.Offset, rate int, stop <-chan struct{}) logservice.Offset {
 	if rate == 0 {
 		return base
 	}
--- a/internal/capacity/cluster_test.go
+++ b/internal/capacity/cluster_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/poplarcroft/poplarcroft/internal/host"
 	"github.com/poplarcroft/poplarcroft/internal/load"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 	"github.com/poplarcroft/poplarcroft/internal/ownership"
-	"github.com/poplarcroft/poplarcroft/internal/platform"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 	"github.com/poplarcroft/poplarcroft/internal/settings"
 	"github.com/poplarcroft/poplarcroft/internal/standin"
@@ -44,7 +44,7 @@
 	log      *standin.Log
 	list     *standin.Hosts
 	egress   *standin.Egress
-	client   *platform.Client
+	client   *logservice.Client
 	logURL   string
 	listURL  string
 	egressAt string
@@ -65,7 +65,7 @@
 	c.logURL = "http://" + startStandin(t, c.log)
 	c.listURL = "http://" + startStandin(t, c.list)
 	c.egressAt = startStandin(t, c.egress)
-	c.client = platform.NewClient(c.logURL, c.listURL, host.NewPlatformClient(""))
+	c.client = logservice.NewClient(c.logURL, c.listURL, host.NewPlatformClient(""))
 	c.keyed = startServers(t, config.keyed, true)
 	c.keyless = startServers(t, config.keyless, false)
 	c.publish(t)
@@ -137,7 +137,7 @@
 	return text + "servers = [\"" + strings.Join(servers, "\", \"") + "\"]\n"
 }
 
-func (c *cluster) append(t *testing.T, r record.Record) platform.Offset {
+func (c *cluster) append(t *testing.T, r record.Record) logservice.Offset {
 	t.Helper()
 	data, err := record.Encode(r)
 	assert.NilError(t, err)
--- a/internal/capacity/fold_test.go
+++ b/internal/capacity/fold_test.go
@@ -8,10 +8,10 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 	"github.com/poplarcroft/poplarcroft/internal/members"
 	"github.com/poplarcroft/poplarcroft/internal/ownership"
 	"github.com/poplarcroft/poplarcroft/internal/planner"
-	"github.com/poplarcroft/poplarcroft/internal/platform"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 	"github.com/poplarcroft/poplarcroft/internal/settings"
 )
@@ -29,7 +29,7 @@
 type folded struct {
 	state *settings.State
 	table *ownership.Table
-	next  platform.Offset
+	next  logservice.Offset
 }
 
 // fold returns the state of a system with the number of keyed backend servers.
@@ -85,12 +85,12 @@
 }
 
 func benchHost(number int) members.Host {
-	return members.Host{HostEntry: platform.HostEntry{
+	return members.Host{HostEntry: logservice.HostEntry{
 		Name:        fmt.Sprintf("region-zone-host-%d", number),
 		Zone:        "z",
 		PeerAddr:    fmt.Sprintf("10.9.%d.%d:8082", number/250, number%250),
 		Incarnation: fmt.Sprintf("4b3e6a52-0c1d-4f0e-9d6c-%012d", number),
-		State:       platform.HostLive,
+		State:       logservice.HostLive,
 	}}
 }
 
@@ -213,7 +213,7 @@
 func BenchmarkSettings(b *testing.B) {
 	forServers(b, func(b *testing.B, servers int) {
 		state := foldSettings(b, servers)
-		base := platform.Offset(1)
+		base := logservice.Offset(1)
 		for b.Loop() {
 			node := record.SettingsNode{Path: "s0", Base: base, TOML: fmt.Sprintf("keyed = true\nslices = %d\nslots = 5\n", slicesPerService)}
 			verdict := state.Apply(base+1, record.Settings{Nodes: []record.SettingsNode{node}})
--- a/internal/capacity/members_test.go
+++ b/internal/capacity/members_test.go
@@ -10,21 +10,21 @@
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 	"github.com/poplarcroft/poplarcroft/internal/members"
 	"github.com/poplarcroft/poplarcroft/internal/peer"
-	"github.com/poplarcroft/poplarcroft/internal/platform"
 )
 
 // hostList is a list of hosts none of which can be reached.
 type hostList struct {
-	entries []platform.HostEntry
+	entries []logservice.HostEntry
 }
 
-func (l hostList) List(context.Context) (platform.HostList, error) {
-	return platform.HostList{Hosts: l.entries}, nil
+func (l hostList) List(context.Context) (logservice.HostList, error) {
+	return logservice.HostList{Hosts: l.entries}, nil
 }
 
-func (hostList) Announce(context.Context, platform.HostEntry) error { return nil }
+func (hostList) Announce(context.Context, logservice.HostEntry) error { return nil }
 
 func (hostList) Withdraw(context.Context, string) error { return nil }
 
--- a/internal/cmd/ctlcmd/settings.go
+++ b/internal/cmd/ctlcmd/settings.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/poplarcroft/poplarcroft/internal/cli"
-	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 	"github.com/poplarcroft/poplarcroft/internal/settings"
 )
 
@@ -67,7 +67,7 @@
 }
 
 // current returns the tree in force and its version.
-func (t *target) current(ctx context.Context) (*settings.Tree, platform.Offset, error) {
+func (t *target) current(ctx context.Context) (*settings.Tree, logservice.Offset, error) {
 	if t.direct() {
 		publisher, err := t.publisher(ctx)
 		if err != nil {
--- a/internal/cmd/ctlcmd/settings_flags.go
+++ b/internal/cmd/ctlcmd/settings_flags.go
@@ -16,7 +16,7 @@
 
 	"github.com/poplarcroft/poplarcroft/internal/admin"
 	"github.com/poplarcroft/poplarcroft/internal/cli"
-	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 	"github.com/poplarcroft/poplarcroft/internal/publish"
 )
 
@@ -134,8 +134,8 @@
 }
 
 // platformLog returns the log.
-func (t *target) platformLog() platform.Log {
-	return platform.NewClient(strings.TrimRight(t.log, "/"), "", &http.Client{})
+func (t *target) platformLog() logservice.Log {
+	return logservice.NewClient(strings.TrimRight(t.log, "/"), "", &http.Client{})
 }
 
 // publisher reads the log and returns a publisher on it.
--- a/internal/cmd/ctlcmd/settings_publish.go
+++ b/internal/cmd/ctlcmd/settings_publish.go
@@ -11,8 +11,8 @@
 
 	"github.com/poplarcroft/poplarcroft/internal/admin"
 	"github.com/poplarcroft/poplarcroft/internal/cli"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 	"github.com/poplarcroft/poplarcroft/internal/ownership"
-	"github.com/poplarcroft/poplarcroft/internal/platform"
 	"github.com/poplarcroft/poplarcroft/internal/publish"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 	"github.com/poplarcroft/poplarcroft/internal/settings"
@@ -25,7 +25,7 @@
 	text    []byte
 	tree    *settings.Tree
 	id      record.ID
-	base    platform.Offset
+	base    logservice.Offset
 	latest  bool // base is the latest version, whatever it is
 	comment string
 }
@@ -89,7 +89,7 @@
 	if err != nil {
 		return errors.Newf("-base wants a version or %q, not %q", latestBase, text)
 	}
-	p.base = platform.Offset(version)
+	p.base = logservice.Offset(version)
 	return nil
 }
 
--- a/internal/cmd/ctlcmd/settings_status.go
+++ b/internal/cmd/ctlcmd/settings_status.go
@@ -10,7 +10,7 @@
 
 	"github.com/poplarcroft/poplarcroft/internal/admin"
 	"github.com/poplarcroft/poplarcroft/internal/cli"
-	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 	"github.com/poplarcroft/poplarcroft/internal/publish"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 	"github.com/poplarcroft/poplarcroft/internal/settings"
@@ -47,7 +47,7 @@
 		return cli.ExitOK
 	}
 	for _, entry := range entries {
-		if entry.Offset == platform.Offset(*at) {
+		if entry.Offset == logservice.Offset(*at) {
 			printEntry(stdout, entry)
 			return cli.ExitOK
 		}
@@ -174,7 +174,7 @@
 	_ = table.Flush() // a failure of w shows at the process's own output
 }
 
-func inForceText(host admin.HostStatus, version platform.Offset) string {
+func inForceText(host admin.HostStatus, version logservice.Offset) string {
 	switch {
 	case !host.Reachable:
 		return "unreachable"
--- a/internal/cmd/ctlcmd/settings_timing.go
+++ b/internal/cmd/ctlcmd/settings_timing.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/poplarcroft/poplarcroft/internal/cli"
-	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 	"github.com/poplarcroft/poplarcroft/internal/publish"
 	"github.com/poplarcroft/poplarcroft/internal/timeline"
 )
@@ -62,7 +62,7 @@
 
 // timing is the time that one version took.
 type timing struct {
-	version   platform.Offset
+	version   logservice.Offset
 	published int64 // Unix milliseconds
 	inForce   int64 // Unix milliseconds, on the last of the hosts
 	missing   int   // hosts that do not tell
@@ -95,7 +95,7 @@
 	}
 }
 
-func firstInForce(events []timeline.Event, version platform.Offset) (at int64, told bool) {
+func firstInForce(events []timeline.Event, version logservice.Offset) (at int64, told bool) {
 	for _, event := range events {
 		if event.Kind == timeline.KindSettingsInForce && event.Offset >= version {
 			return event.TimeMS, true
--- a/internal/cmd/ctlcmd/show_test.go
+++ b/internal/cmd/ctlcmd/show_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/poplarcroft/poplarcroft/internal/admin"
 	"github.com/poplarcroft/poplarcroft/internal/cli"
-	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 	"github.com/poplarcroft/poplarcroft/internal/publish"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 	"github.com/poplarcroft/poplarcroft/internal/timeline"
@@ -100,7 +100,7 @@
 		{Offset: 5, Accepted: true, Record: record.Record{TimeMS: 2_000, Settings: &record.Settings{}}},
 		{Offset: 6, Accepted: true, Record: record.Record{TimeMS: 3_000, Settings: &record.Settings{}}},
 	})
-	inForce := func(offset platform.Offset, timeMS int64) timeline.Event {
+	inForce := func(offset logservice.Offset, timeMS int64) timeline.Event {
 		return timeline.Event{Kind: timeline.KindSettingsInForce, Offset: offset, TimeMS: timeMS}
 	}
 	all.addHost([]timeline.Event{inForce(3, 1_004), inForce(5, 2_003), inForce(6, 3_010)})
--- a/internal/cmd/hostcmd/dev.go
+++ b/internal/cmd/hostcmd/dev.go
@@ -16,7 +16,7 @@
 
 	"github.com/poplarcroft/poplarcroft/internal/cli"
 	"github.com/poplarcroft/poplarcroft/internal/host"
-	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 	"github.com/poplarcroft/poplarcroft/internal/publish"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 	"github.com/poplarcroft/poplarcroft/internal/settings"
@@ -159,7 +159,7 @@
 	if err != nil {
 		return errors.Wrap(err, "sample settings")
 	}
-	client := platform.NewClient(s.logURL, s.listURL, host.NewPlatformClient(""))
+	client := logservice.NewClient(s.logURL, s.listURL, host.NewPlatformClient(""))
 	publisher, err := publish.Open(ctx, client, "dev", time.Now)
 	if err != nil {
 		return err
--- a/internal/host/boot.go
+++ b/internal/host/boot.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/poplarcroft/poplarcroft/internal/duty"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 	"github.com/poplarcroft/poplarcroft/internal/peer"
-	"github.com/poplarcroft/poplarcroft/internal/platform"
 	"github.com/poplarcroft/poplarcroft/internal/timeline"
 )
 
@@ -81,10 +81,10 @@
 
 // checkpointDue reports whether this host shall append a checkpoint. Hosts of a
 // higher rank wait longer.
-func (h *Host) checkpointDue(covered platform.Offset, coveredAt time.Time) bool {
+func (h *Host) checkpointDue(covered logservice.Offset, coveredAt time.Time) bool {
 	rank := h.checkpointRank()
 	records := h.view.Applied() - covered
-	if records >= checkpointRecords+platform.Offset(rank*checkpointRecords/10) {
+	if records >= checkpointRecords+logservice.Offset(rank*checkpointRecords/10) {
 		return true
 	}
 	return records > 1 && time.Since(coveredAt) >= checkpointAge+time.Duration(rank)*checkpointEvery*5
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -17,9 +17,9 @@
 	"github.com/poplarcroft/poplarcroft/internal/duty"
 	"github.com/poplarcroft/poplarcroft/internal/idempotency"
 	"github.com/poplarcroft/poplarcroft/internal/keeper"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 	"github.com/poplarcroft/poplarcroft/internal/members"
 	"github.com/poplarcroft/poplarcroft/internal/peer"
-	"github.com/poplarcroft/poplarcroft/internal/platform"
 	"github.com/poplarcroft/poplarcroft/internal/poison"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 	"github.com/poplarcroft/poplarcroft/internal/route"
@@ -35,14 +35,14 @@
 // Host is one host of the router.
 type Host struct {
 	config  Config
-	entry   platform.HostEntry
+	entry   logservice.HostEntry
 	logger  *log.Logger
 	leaving atomic.Bool
 
 	view     *view.View
 	writer   *view.Writer
 	follower *view.Follower
-	platform *platform.Client
+	platform *logservice.Client
 	peers    *peer.Pool
 	members  *members.Members
 	servers  *backend.Client
@@ -88,13 +88,13 @@
 		listeners: listeners,
 		attempts:  newAttempts(),
 	}
-	h.entry = platform.HostEntry{
+	h.entry = logservice.HostEntry{
 		Name:        config.Name,
 		Zone:        config.Zone,
 		PeerAddr:    listeners.peer.Addr().String(),
 		AdminAddr:   listeners.admin.Addr().String(),
 		Incarnation: uuid.NewString(),
-		State:       platform.HostLive,
+		State:       logservice.HostLive,
 	}
 	h.events.SetIncarnation(h.entry.Incarnation)
 	h.stopSink = h.startSink()
@@ -106,7 +106,7 @@
 // connect builds the clients and what depends on them.
 func (h *Host) connect() {
 	dial := transport.Dialer(h.config.EgressAddr)
-	h.platform = platform.NewClient(h.config.LogURL, h.config.HostsURL, newHTTPClient(dial, platformConns))
+	h.platform = logservice.NewClient(h.config.LogURL, h.config.HostsURL, newHTTPClient(dial, platformConns))
 	h.writer = view.NewWriter(h.view, h.platform, h.config.Name)
 	h.follower = view.NewFollower(h.view, h.platform, h.logChanged)
 	h.peers = peer.NewPool(peer.DialFunc(dial))
--- a/internal/host/operators.go
+++ b/internal/host/operators.go
@@ -10,8 +10,8 @@
 
 	"github.com/poplarcroft/poplarcroft/internal/admin"
 	"github.com/poplarcroft/poplarcroft/internal/admin/overview"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 	"github.com/poplarcroft/poplarcroft/internal/ownership"
-	"github.com/poplarcroft/poplarcroft/internal/platform"
 	"github.com/poplarcroft/poplarcroft/internal/publish"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 	"github.com/poplarcroft/poplarcroft/internal/settings"
@@ -81,8 +81,8 @@
 
 // noteOperators records an event for the settings and for each mark above the
 // offset, and returns the offset applied.
-func (h *Host) noteOperators(after platform.Offset) platform.Offset {
-	var applied platform.Offset
+func (h *Host) noteOperators(after logservice.Offset) logservice.Offset {
+	var applied logservice.Offset
 	var events []timeline.Event
 	h.view.Read(func(state *settings.State, table *ownership.Table) {
 		applied = table.Applied()
@@ -108,7 +108,7 @@
 }
 
 // markEvent is the event of a mark that has come into force, filed under what it is put on.
-func markEvent(key ownership.MarkKey, mark ownership.Mark, applied platform.Offset) timeline.Event {
+func markEvent(key ownership.MarkKey, mark ownership.Mark, applied logservice.Offset) timeline.Event {
 	event := timeline.Event{
 		Kind:   timeline.KindMarkInForce,
 		Offset: applied,
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -17,9 +17,9 @@
 	"github.com/poplarcroft/poplarcroft/internal/backend"
 	"github.com/poplarcroft/poplarcroft/internal/idempotency"
 	"github.com/poplarcroft/poplarcroft/internal/lease"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 	"github.com/poplarcroft/poplarcroft/internal/ownership"
 	"github.com/poplarcroft/poplarcroft/internal/peer"
-	"github.com/poplarcroft/poplarcroft/internal/platform"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 	"github.com/poplarcroft/poplarcroft/internal/settings"
 	"github.com/poplarcroft/poplarcroft/internal/timeline"
@@ -189,7 +189,7 @@
 
 // Retired reports whether this lessor acts under no version before the given
 // one, and if so returns the request IDs that it remembers.
-func (k *Keeper) Retired(version platform.Offset) (bool, []idempotency.Entry) {
+func (k *Keeper) Retired(version logservice.Offset) (bool, []idempotency.Entry) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.lessor.Version() < version {
--- a/internal/keeper/seal.go
+++ b/internal/keeper/seal.go
@@ -4,8 +4,8 @@
 	"context"
 
 	"github.com/poplarcroft/poplarcroft/internal/lease"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 	"github.com/poplarcroft/poplarcroft/internal/peer"
-	"github.com/poplarcroft/poplarcroft/internal/platform"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 )
 
@@ -37,7 +37,7 @@
 }
 
 // hasRetired asks one former lessor, possibly this one, and merges what it remembers.
-func (k *Keeper) hasRetired(ctx context.Context, lessor record.Lessor, version platform.Offset) bool {
+func (k *Keeper) hasRetired(ctx context.Context, lessor record.Lessor, version logservice.Offset) bool {
 	if lease.Name(lessor) == k.self {
 		retired, _ := k.Retired(version)
 		return retired
--- a/internal/keeper/state.go
+++ b/internal/keeper/state.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/poplarcroft/poplarcroft/internal/idempotency"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 	"github.com/poplarcroft/poplarcroft/internal/ownership"
-	"github.com/poplarcroft/poplarcroft/internal/platform"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 )
 
@@ -17,7 +17,7 @@
 	// former are the lessors before the last replacement. sealing says that it is not sealed yet.
 	former       []record.Lessor
 	sealing      bool
-	lessorsSince platform.Offset
+	lessorsSince logservice.Offset
 	closeReason  string
 }
 
@@ -63,7 +63,7 @@
 type sliceState struct {
 	// handovers are the session's slices as the log has them at the version handoversAt.
 	handovers   map[ownership.SliceKey]Handover
-	handoversAt platform.Offset
+	handoversAt logservice.Offset
 	// holds are the slices that the server has confirmed, with their epochs.
 	holds map[int]record.Epoch
 	// adopted are slices that came from a closed session and are not in the log yet.
--- a/internal/lease/model/system_test.go
+++ b/internal/lease/model/system_test.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"github.com/poplarcroft/poplarcroft/internal/lease"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 	"github.com/poplarcroft/poplarcroft/internal/ownership"
-	"github.com/poplarcroft/poplarcroft/internal/platform"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 	"github.com/poplarcroft/poplarcroft/internal/settings"
 )
@@ -134,7 +134,7 @@
 	lessor      *lease.Lessor
 	incarnation string
 	addr        string
-	version     platform.Offset
+	version     logservice.Offset
 	handovers   map[int]ownership.Slice
 	adopted     map[int]record.Epoch
 	gaveUp      map[int]record.Epoch
@@ -290,7 +290,7 @@
 	for range 1 + s.rng.IntN(len(s.log)-h.read) {
 		h.read++
 		r := s.log[h.read-1]
-		if h.table.Apply(platform.Offset(h.read), r).Accepted {
+		if h.table.Apply(logservice.Offset(h.read), r).Accepted {
 			s.counts["accepted "+string(r.Kind)]++
 		}
 	}
--- a/internal/lease/types.go
+++ b/internal/lease/types.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 )
 
@@ -27,7 +27,7 @@
 }
 
 // Version orders the contents of a session: the offset of the last record that changed it.
-type Version = platform.Offset
+type Version = logservice.Offset
 
 // Name returns the name under which a lessor takes part in the protocol. It
 // contains the incarnation: a restarted host has forgotten its promises, so
--- a/internal/platform/client.go
+++ b/internal/logservice/client.go
@@ -1,4 +1,4 @@
-package platform
+package logservice
 
 import (
 	"bytes"
@@ -108,22 +108,22 @@
 func (c *Client) call(ctx context.Context, method, target string, body []byte, out any) (int, error) {
 	req, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
 	if err != nil {
-		return 0, errors.Wrap(err, "platform: build request")
+		return 0, errors.Wrap(err, "logservice: build request")
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return 0, errors.Wrap(err, "platform: call")
+		return 0, errors.Wrap(err, "logservice: call")
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
 	if err != nil {
-		return 0, errors.Wrap(err, "platform: read reply")
+		return 0, errors.Wrap(err, "logservice: read reply")
 	}
 	if out == nil || len(data) == 0 || resp.StatusCode >= http.StatusInternalServerError {
 		return resp.StatusCode, nil
 	}
 	if err := json.Unmarshal(data, out); err != nil {
-		return 0, errors.Wrap(err, "platform: decode reply")
+		return 0, errors.Wrap(err, "logservice: decode reply")
 	}
 	return resp.StatusCode, nil
 }
--- a/internal/platform/platform.go
+++ b/internal/logservice/logservice.go
@@ -1,4 +1,4 @@
-// Package platform describes the two services that the platform gives: an
+// Package logservice describes two outside services of a deployment: an
 // append-only log and a lagging list of hosts. It holds the interfaces, the
 // shapes of their HTTP protocol and a client. Small stand-ins live in package
 // standin.
@@ -17,7 +17,7 @@
 //	GET    /v1/hosts                           -> 200 HostList
 //	PUT    /v1/hosts/{name}   body: HostEntry  -> 204
 //	DELETE /v1/hosts/{name}                    -> 204
-package platform
+package logservice
 
 import (
 	"context"
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -13,8 +13,8 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/poplarcroft/poplarcroft/internal/duty"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 	"github.com/poplarcroft/poplarcroft/internal/peer"
-	"github.com/poplarcroft/poplarcroft/internal/platform"
 )
 
 const (
@@ -29,9 +29,9 @@
 
 // Host is one host of the system as seen from this one.
 type Host struct {
-	platform.HostEntry
+	logservice.HostEntry
 	// Applied is the log offset that the host told last.
-	Applied platform.Offset
+	Applied logservice.Offset
 	// Rates are the loads of the slices whose servers the host leads.
 	Rates []peer.SliceRate
 	// Answered is when the host answered last; zero where it never did.
@@ -42,12 +42,15 @@
 
 // Members is this host's list of hosts. It is safe for concurrent use.
 type Members struct {
-	self  platform.HostEntry
-	hosts platform.Hosts
+	self  logservice.HostEntry
+	hosts logservice.Hosts
 	peers *peer.Pool
 	seeds []string
 
-	started time.Time
+	// now and callTimeout are replaced by tests.
+	now         func() time.Time
+	callTimeout time.Duration
+	started     time.Time
 
 	liveNames atomic.Pointer[[]string]
 
@@ -59,16 +62,18 @@
 
 // New returns a list that knows only this host. Seeds are the peer addresses of
 // hosts that are asked while the platform's list does not answer.
-func New(self platform.HostEntry, hosts platform.Hosts, peers *peer.Pool, seeds []string) *Members {
+func New(self logservice.HostEntry, hosts logservice.Hosts, peers *peer.Pool, seeds []string) *Members {
 	m := &Members{
 		self:  self,
 		hosts: hosts,
 		peers: peers,
 		seeds: seeds,
 
-		started: time.Now(),
-		known:   map[string]Host{self.Name: {HostEntry: self, Answered: time.Now()}},
+		now:         time.Now,
+		callTimeout: callTimeout,
 	}
+	m.started = m.now()
+	m.known = map[string]Host{self.Name: {HostEntry: self, Answered: m.started}}
 	m.noteLive()
 	return m
 }
@@ -81,7 +86,7 @@
 // refresh reads the platform's list. Hosts that are missing there are kept as
 // long as they answer: absence from the list is no proof that a host is gone.
 func (m *Members) refresh(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, m.callTimeout)
 	defer cancel()
 	list, err := m.hosts.List(ctx)
 	if err != nil {
@@ -97,7 +102,7 @@
 }
 
 // mustAnnounce reports whether the list lacks this host's entry as it should be.
-func (m *Members) mustAnnounce(list platform.HostList) bool {
+func (m *Members) mustAnnounce(list logservice.HostList) bool {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	return !m.withdrawn && !slices.Contains(list.Hosts, m.self)
@@ -106,7 +111,7 @@
 // Leave announces that this host leaves, and goes on saying so.
 func (m *Members) Leave(ctx context.Context) {
 	m.mu.Lock()
-	m.self.State = platform.HostLeaving
+	m.self.State = logservice.HostLeaving
 	self := m.self
 	m.mu.Unlock()
 	m.hosts.Announce(ctx, self)
@@ -121,7 +126,7 @@
 }
 
 // own returns this host's entry as it should be listed.
-func (m *Members) own() platform.HostEntry {
+func (m *Members) own() logservice.HostEntry {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	return m.self
@@ -135,7 +140,7 @@
 	}
 	for _, addr := range m.seeds {
 		var reply peer.HostsReply
-		err := m.peers.CallTimeout(context.Background(), callTimeout, addr, "Peer.Hosts", peer.Empty{}, &reply)
+		err := m.peers.CallTimeout(context.Background(), m.callTimeout, addr, "Peer.Hosts", peer.Empty{}, &reply)
 		if err == nil {
 			m.add(reply.Hosts)
 		}
@@ -143,7 +148,7 @@
 }
 
 // add takes in hosts without forgetting any.
-func (m *Members) add(entries []platform.HostEntry) {
+func (m *Members) add(entries []logservice.HostEntry) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.listed = true
@@ -156,7 +161,7 @@
 
 // merge takes over the list. A host that has told that it leaves does not come
 // back under the same incarnation, whatever a lagging list shows.
-func (m *Members) merge(list platform.HostList) {
+func (m *Members) merge(list logservice.HostList) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.listed = true
@@ -171,13 +176,13 @@
 			known = Host{}
 		}
 		if known.leaving {
-			entry.State = platform.HostLeaving
+			entry.State = logservice.HostLeaving
 		}
 		known.HostEntry = entry
 		m.known[entry.Name] = known
 	}
 	for name, host := range m.known {
-		if !present[name] && name != m.self.Name && time.Since(host.Answered) > silentAfter {
+		if !present[name] && name != m.self.Name && m.now().Sub(host.Answered) > silentAfter {
 			delete(m.known, name)
 		}
 	}
@@ -197,7 +202,7 @@
 
 func (m *Members) ask(ctx context.Context, host Host) {
 	var reply peer.StatusReply
-	err := m.peers.CallTimeout(ctx, callTimeout, host.PeerAddr, "Peer.Status", peer.Empty{}, &reply)
+	err := m.peers.CallTimeout(ctx, m.callTimeout, host.PeerAddr, "Peer.Status", peer.Empty{}, &reply)
 	if err != nil || reply.Host != host.Name {
 		return
 	}
@@ -207,12 +212,12 @@
 	if !ok || known.Incarnation != reply.Incarnation {
 		return
 	}
-	known.Answered = time.Now()
+	known.Answered = m.now()
 	known.Applied = reply.Applied
 	known.Rates = reply.Rates
 	known.leaving = reply.Leaving
 	if known.leaving {
-		known.State = platform.HostLeaving
+		known.State = logservice.HostLeaving
 	}
 	m.known[host.Name] = known
 }
@@ -222,7 +227,7 @@
 func (m *Members) Settled() bool {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	return m.listed && time.Since(m.started) > silentAfter
+	return m.listed && m.now().Sub(m.started) > silentAfter
 }
 
 // All returns every known host, this one included, ordered by name.
@@ -239,12 +244,12 @@
 
 // Live returns the hosts that answer and are not leaving, ordered by name.
 func (m *Members) Live() []Host {
-	now := time.Now()
+	now := m.now()
 	return slices.DeleteFunc(m.All(), func(h Host) bool {
 		if h.Name == m.self.Name {
 			return false
 		}
-		return h.State == platform.HostLeaving || now.Sub(h.Answered) > silentAfter
+		return h.State == logservice.HostLeaving || now.Sub(h.Answered) > silentAfter
 	})
 }
 
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -15,28 +15,28 @@
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 	"github.com/poplarcroft/poplarcroft/internal/peer"
-	"github.com/poplarcroft/poplarcroft/internal/platform"
 )
 
 // fakeList is the platform's list of hosts.
 type fakeList struct {
 	mu        sync.Mutex
 	down      bool
-	entries   []platform.HostEntry
-	announced []platform.HostEntry
+	entries   []logservice.HostEntry
+	announced []logservice.HostEntry
 }
 
-func (l *fakeList) List(context.Context) (platform.HostList, error) {
+func (l *fakeList) List(context.Context) (logservice.HostList, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
-		return platform.HostList{}, errors.New("list is down")
+		return logservice.HostList{}, errors.New("list is down")
 	}
-	return platform.HostList{Hosts: slices.Clone(l.entries)}, nil
+	return logservice.HostList{Hosts: slices.Clone(l.entries)}, nil
 }
 
-func (l *fakeList) Announce(_ context.Context, entry platform.HostEntry) error {
+func (l *fakeList) Announce(_ context.Context, entry logservice.HostEntry) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.announced = append(l.announced, entry)
@@ -45,7 +45,7 @@
 
 func (l *fakeList) Withdraw(context.Context, string) error { return nil }
 
-func (l *fakeList) set(down bool, entries ...platform.HostEntry) {
+func (l *fakeList) set(down bool, entries ...logservice.HostEntry) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.down = down
@@ -56,7 +56,7 @@
 type fakeHost struct {
 	mu     sync.Mutex
 	status peer.StatusReply
-	hosts  []platform.HostEntry
+	hosts  []logservice.HostEntry
 }
 
 // Status answers a status call.
@@ -80,7 +80,7 @@
 }
 
 // serveHost starts a host that answers under the name and incarnation. Stop ends it.
-func serveHost(t *testing.T, name, incarnation string) (host *fakeHost, entry platform.HostEntry, stop func()) {
+func serveHost(t *testing.T, name, incarnation string) (host *fakeHost, entry logservice.HostEntry, stop func()) {
 	t.Helper()
 	host = &fakeHost{status: peer.StatusReply{Host: name, Incarnation: incarnation, Applied: 5}}
 	service := rpc.NewServer()
@@ -94,20 +94,25 @@
 		server.Close()
 	})
 	t.Cleanup(stop)
-	entry = platform.HostEntry{
+	entry = logservice.HostEntry{
 		Name: name, Zone: "zlin", PeerAddr: server.Listener.Addr().String(),
-		Incarnation: incarnation, State: platform.HostLive,
+		Incarnation: incarnation, State: logservice.HostLive,
 	}
 	return host, entry, stop
 }
 
-var self = platform.HostEntry{Name: "h1", Zone: "zlin", PeerAddr: "127.0.0.1:1", Incarnation: "i1", State: platform.HostLive}
+var self = logservice.HostEntry{Name: "h1", Zone: "zlin", PeerAddr: "127.0.0.1:1", Incarnation: "i1", State: logservice.HostLive}
 
-func newMembers(t *testing.T, list platform.Hosts, seeds ...string) *Members {
+func newMembers(t *testing.T, list logservice.Hosts, seeds ...string) *Members {
 	t.Helper()
 	pool := peer.NewPool((&net.Dialer{}).DialContext)
 	t.Cleanup(pool.Close)
-	return New(self, list, pool, seeds)
+	m := New(self, list, pool, seeds)
+	// The verdict of a test does not depend on how fast the machine is.
+	m.callTimeout = time.Minute
+	started := time.Now()
+	m.now = func() time.Time { return started }
+	return m
 }
 
 func names(hosts []Host) []string {
@@ -123,7 +128,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	host := m.known[name]
-	host.Answered = time.Now().Add(-silentAfter - time.Second)
+	host.Answered = m.now().Add(-silentAfter - time.Second)
 	m.known[name] = host
 }
 
@@ -131,58 +136,58 @@
 	ctx := context.Background()
 	for name, test := range map[string]struct {
 		// after changes what is there once h2 has been seen live.
-		after     func(m *Members, list *fakeList, entry platform.HostEntry, host *fakeHost, stop func())
+		after     func(m *Members, list *fakeList, entry logservice.HostEntry, host *fakeHost, stop func())
 		all, live []string
 	}{
-		"nothing changes": {func(*Members, *fakeList, platform.HostEntry, *fakeHost, func()) {},
+		"nothing changes": {func(*Members, *fakeList, logservice.HostEntry, *fakeHost, func()) {},
 			[]string{"h1", "h2"}, []string{"h1", "h2"}},
-		"absence is no death": {func(_ *Members, list *fakeList, _ platform.HostEntry, _ *fakeHost, _ func()) {
+		"absence is no death": {func(_ *Members, list *fakeList, _ logservice.HostEntry, _ *fakeHost, _ func()) {
 			list.set(false, self)
 		}, []string{"h1", "h2"}, []string{"h1", "h2"}},
-		"the list is down": {func(m *Members, list *fakeList, _ platform.HostEntry, _ *fakeHost, _ func()) {
+		"the list is down": {func(m *Members, list *fakeList, _ logservice.HostEntry, _ *fakeHost, _ func()) {
 			list.set(true)
 		}, []string{"h1", "h2"}, []string{"h1", "h2"}},
-		"presence is no life": {func(m *Members, _ *fakeList, _ platform.HostEntry, _ *fakeHost, stop func()) {
+		"presence is no life": {func(m *Members, _ *fakeList, _ logservice.HostEntry, _ *fakeHost, stop func()) {
 			stop()
 			silentSince(m, "h2")
 		}, []string{"h1", "h2"}, []string{"h1"}},
-		"absent and silent": {func(m *Members, list *fakeList, _ platform.HostEntry, _ *fakeHost, stop func()) {
+		"absent and silent": {func(m *Members, list *fakeList, _ logservice.HostEntry, _ *fakeHost, stop func()) {
 			stop()
 			silentSince(m, "h2")
 			list.set(false, self)
 		}, []string{"h1"}, []string{"h1"}},
-		"silent while the list is down": {func(m *Members, list *fakeList, _ platform.HostEntry, _ *fakeHost, stop func()) {
+		"silent while the list is down": {func(m *Members, list *fakeList, _ logservice.HostEntry, _ *fakeHost, stop func()) {
 			stop()
 			silentSince(m, "h2")
 			list.set(true)
 		}, []string{"h1", "h2"}, []string{"h1"}},
-		"leaving by the list": {func(_ *Members, list *fakeList, entry platform.HostEntry, _ *fakeHost, _ func()) {
-			entry.State = platform.HostLeaving
+		"leaving by the list": {func(_ *Members, list *fakeList, entry logservice.HostEntry, _ *fakeHost, _ func()) {
+			entry.State = logservice.HostLeaving
 			list.set(false, self, entry)
 		}, []string{"h1", "h2"}, []string{"h1"}},
-		"listed as leaving and back": {func(m *Members, list *fakeList, entry platform.HostEntry, _ *fakeHost, _ func()) {
+		"listed as leaving and back": {func(m *Members, list *fakeList, entry logservice.HostEntry, _ *fakeHost, _ func()) {
 			leaving := entry
-			leaving.State = platform.HostLeaving
+			leaving.State = logservice.HostLeaving
 			list.set(false, self, leaving)
 			m.refresh(ctx)
 			list.set(false, self, entry)
 		}, []string{"h1", "h2"}, []string{"h1", "h2"}},
-		"leaving by its own word": {func(_ *Members, _ *fakeList, _ platform.HostEntry, host *fakeHost, _ func()) {
+		"leaving by its own word": {func(_ *Members, _ *fakeList, _ logservice.HostEntry, host *fakeHost, _ func()) {
 			host.set(peer.StatusReply{Host: "h2", Incarnation: "i2", Leaving: true})
 		}, []string{"h1", "h2"}, []string{"h1"}},
-		"another host at its address": {func(m *Members, _ *fakeList, _ platform.HostEntry, host *fakeHost, _ func()) {
+		"another host at its address": {func(m *Members, _ *fakeList, _ logservice.HostEntry, host *fakeHost, _ func()) {
 			host.set(peer.StatusReply{Host: "h3", Incarnation: "i2"})
 			silentSince(m, "h2")
 		}, []string{"h1", "h2"}, []string{"h1"}},
-		"restarted, the list lags": {func(m *Members, _ *fakeList, _ platform.HostEntry, host *fakeHost, _ func()) {
+		"restarted, the list lags": {func(m *Members, _ *fakeList, _ logservice.HostEntry, host *fakeHost, _ func()) {
 			host.set(peer.StatusReply{Host: "h2", Incarnation: "i3"})
 			silentSince(m, "h2")
 		}, []string{"h1", "h2"}, []string{"h1"}},
-		"restarted, its answer is the former one's": {func(_ *Members, list *fakeList, entry platform.HostEntry, _ *fakeHost, _ func()) {
+		"restarted, its answer is the former one's": {func(_ *Members, list *fakeList, entry logservice.HostEntry, _ *fakeHost, _ func()) {
 			entry.Incarnation = "i3"
 			list.set(false, self, entry)
 		}, []string{"h1", "h2"}, []string{"h1"}},
-		"restarted": {func(_ *Members, list *fakeList, entry platform.HostEntry, host *fakeHost, _ func()) {
+		"restarted": {func(_ *Members, list *fakeList, entry logservice.HostEntry, host *fakeHost, _ func()) {
 			entry.Incarnation = "i3"
 			list.set(false, self, entry)
 			host.set(peer.StatusReply{Host: "h2", Incarnation: "i3"})
@@ -195,7 +200,7 @@
 			m := newMembers(t, list)
 			m.refresh(ctx)
 			assert.DeepEqual(t, names(m.Live()), []string{"h1", "h2"})
-			assert.Equal(t, m.All()[1].Applied, platform.Offset(5))
+			assert.Equal(t, m.All()[1].Applied, logservice.Offset(5))
 			test.after(m, list, entry, host, stop)
 			m.refresh(ctx)
 			m.askAll(ctx)
@@ -227,7 +232,7 @@
 
 func TestAnnouncements(t *testing.T) {
 	leaving, former, moved := self, self, self
-	leaving.State = platform.HostLeaving
+	leaving.State = logservice.HostLeaving
 	former.Incarnation = "i0"
 	moved.PeerAddr = "127.0.0.1:2"
 	leave := func(m *Members) { m.Leave(context.Background()) }
@@ -237,18 +242,18 @@
 	}
 	for name, test := range map[string]struct {
 		before func(*Members)
-		listed []platform.HostEntry
-		want   []platform.HostEntry
+		listed []logservice.HostEntry
+		want   []logservice.HostEntry
 	}{
-		"missing":                  {nil, nil, []platform.HostEntry{self}},
-		"listed":                   {nil, []platform.HostEntry{self}, nil},
-		"its former incarnation":   {nil, []platform.HostEntry{former}, []platform.HostEntry{self}},
-		"another address":          {nil, []platform.HostEntry{moved}, []platform.HostEntry{self}},
-		"leaving, listed so":       {leave, []platform.HostEntry{leaving}, nil},
-		"leaving, the list lags":   {leave, []platform.HostEntry{self}, []platform.HostEntry{leaving}},
-		"leaving, missing":         {leave, nil, []platform.HostEntry{leaving}},
+		"missing":                  {nil, nil, []logservice.HostEntry{self}},
+		"listed":                   {nil, []logservice.HostEntry{self}, nil},
+		"its former incarnation":   {nil, []logservice.HostEntry{former}, []logservice.HostEntry{self}},
+		"another address":          {nil, []logservice.HostEntry{moved}, []logservice.HostEntry{self}},
+		"leaving, listed so":       {leave, []logservice.HostEntry{leaving}, nil},
+		"leaving, the list lags":   {leave, []logservice.HostEntry{self}, []logservice.HostEntry{leaving}},
+		"leaving, missing":         {leave, nil, []logservice.HostEntry{leaving}},
 		"withdrawn":                {withdraw, nil, nil},
-		"withdrawn, the list lags": {withdraw, []platform.HostEntry{self}, nil},
+		"withdrawn, the list lags": {withdraw, []logservice.HostEntry{self}, nil},
 	} {
 		t.Run(name, func(t *testing.T) {
 			list := &fakeList{}
@@ -268,7 +273,7 @@
 	list := &fakeList{}
 	list.set(true)
 	seed, entry, _ := serveHost(t, "h2", "i2")
-	seed.hosts = []platform.HostEntry{entry, self}
+	seed.hosts = []logservice.HostEntry{entry, self}
 	m := newMembers(t, list, "127.0.0.1:1", entry.PeerAddr)
 	assert.Assert(t, !m.Settled())
 	m.refresh(context.Background())
@@ -276,14 +281,14 @@
 	assert.DeepEqual(t, names(m.Live()), []string{"h1", "h2"})
 	assert.Equal(t, m.PeerAddr("h2"), entry.PeerAddr)
 	assert.Equal(t, m.PeerAddr("h9"), "")
-	m.started = time.Now().Add(-silentAfter - time.Second)
+	m.started = m.now().Add(-silentAfter - time.Second)
 	assert.Assert(t, m.Settled())
 }
 
 func TestRankMovesOnlyWhatTheLostHostWasFirstFor(t *testing.T) {
 	var hosts []Host
 	for i := range 9 {
-		hosts = append(hosts, Host{HostEntry: platform.HostEntry{Name: "h" + strconv.Itoa(i)}})
+		hosts = append(hosts, Host{HostEntry: logservice.HostEntry{Name: "h" + strconv.Itoa(i)}})
 	}
 	for i := range 100 {
 		subject := strconv.Itoa(i)
--- a/internal/ownership/apply.go
+++ b/internal/ownership/apply.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 )
 
@@ -25,19 +25,19 @@
 }
 
 // OwnerEpoch is the epoch of an owner that the record at the offset assigns.
-func OwnerEpoch(offset platform.Offset) record.Epoch {
+func OwnerEpoch(offset logservice.Offset) record.Epoch {
 	return record.Epoch(2 * offset)
 }
 
 // SuccessorEpoch is the epoch of a successor that the record at the offset names.
-func SuccessorEpoch(offset platform.Offset) record.Epoch {
+func SuccessorEpoch(offset logservice.Offset) record.Epoch {
 	return record.Epoch(2*offset + 1)
 }
 
 // Apply folds the record at the offset. Offsets must increase; a record at or
 // below the applied offset is refused and changes nothing. A refused record
 // changes only the applied offset.
-func (t *Table) Apply(offset platform.Offset, r record.Record) Verdict {
+func (t *Table) Apply(offset logservice.Offset, r record.Record) Verdict {
 	if offset <= t.applied {
 		return refused("offset %d is already applied", offset)
 	}
@@ -62,11 +62,11 @@
 }
 
 // Skip notes that the record at the offset does not concern ownership.
-func (t *Table) Skip(offset platform.Offset) {
+func (t *Table) Skip(offset logservice.Offset) {
 	t.applied = max(t.applied, offset)
 }
 
-func (t *Table) applyMark(offset platform.Offset, m record.Mark) Verdict {
+func (t *Table) applyMark(offset logservice.Offset, m record.Mark) Verdict {
 	if m.Name == "" {
 		return refused("mark without a name")
 	}
@@ -95,7 +95,7 @@
 // lost. A slice with a successor outside the zone goes to it: the zone's lessors
 // may have closed the session and activated the successor before they were
 // lost. Every other slice is left without an owner.
-func (t *Table) closeZone(offset platform.Offset, zone string) {
+func (t *Table) closeZone(offset logservice.Offset, zone string) {
 	for _, session := range t.Sessions() {
 		if session.Zone != zone {
 			continue
@@ -114,7 +114,7 @@
 	}
 }
 
-func (t *Table) applyOpen(offset platform.Offset, o record.Open) Verdict {
+func (t *Table) applyOpen(offset logservice.Offset, o record.Open) Verdict {
 	if o.Addr == "" || o.Service == "" || o.Incarnation == "" {
 		return refused("open without address, service or incarnation")
 	}
@@ -167,7 +167,7 @@
 	return accepted()
 }
 
-func (t *Table) applyClose(offset platform.Offset, c record.Close) Verdict {
+func (t *Table) applyClose(offset logservice.Offset, c record.Close) Verdict {
 	session := t.sessions[c.Session]
 	if session == nil || session.Closed {
 		return refused("session %d is not open", c.Session)
@@ -200,7 +200,7 @@
 
 // handOver makes the successor the slice's owner. A successor whose own session is
 // closed has stopped serving as well; the slice then has no owner.
-func (t *Table) handOver(offset platform.Offset, key SliceKey, to record.SessionID, epoch record.Epoch) {
+func (t *Table) handOver(offset logservice.Offset, key SliceKey, to record.SessionID, epoch record.Epoch) {
 	slice := t.slot(key)
 	t.setOwner(key, slice, to, epoch)
 	t.orphan(offset, slice)
@@ -210,14 +210,14 @@
 }
 
 // orphan clears a slice's succession after its owner has changed or closed.
-func (t *Table) orphan(offset platform.Offset, slice *Slice) {
+func (t *Table) orphan(offset logservice.Offset, slice *Slice) {
 	slice.Version = offset
 	slice.Successor = 0
 	slice.NextEpoch = 0
 	slice.Moving = false
 }
 
-func (t *Table) applyPlan(offset platform.Offset, p record.Plan) Verdict {
+func (t *Table) applyPlan(offset logservice.Offset, p record.Plan) Verdict {
 	if p.Service == "" || len(p.Slices) == 0 {
 		return refused("plan without service or slices")
 	}
@@ -272,7 +272,7 @@
 	return t.isOpen(id) && t.sessions[id].Service == service
 }
 
-func (t *Table) plan(offset platform.Offset, key SliceKey, change record.SlicePlan) {
+func (t *Table) plan(offset logservice.Offset, key SliceKey, change record.SlicePlan) {
 	slice := t.slot(key)
 	former := slice.Owner
 	if change.Owner != 0 {
@@ -298,7 +298,7 @@
 	}
 }
 
-func (t *Table) applyMoved(offset platform.Offset, m record.Moved) Verdict {
+func (t *Table) applyMoved(offset logservice.Offset, m record.Moved) Verdict {
 	if len(m.Moves) == 0 {
 		return refused("no moves")
 	}
@@ -318,7 +318,7 @@
 	return accepted()
 }
 
-func (t *Table) applyLessors(offset platform.Offset, l record.Lessors) Verdict {
+func (t *Table) applyLessors(offset logservice.Offset, l record.Lessors) Verdict {
 	session := t.sessions[l.Session]
 	if session == nil || session.Closed {
 		return refused("session %d is not open", l.Session)
--- a/internal/ownership/fold_test.go
+++ b/internal/ownership/fold_test.go
@@ -9,7 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 )
 
@@ -24,7 +24,7 @@
 
 // logRecord is a record at its offset.
 type logRecord struct {
-	offset platform.Offset
+	offset logservice.Offset
 	record record.Record
 }
 
@@ -85,7 +85,7 @@
 }
 
 // base returns a version that holds, or an older one.
-func (g *generator) base(version platform.Offset) platform.Offset {
+func (g *generator) base(version logservice.Offset) logservice.Offset {
 	if version > 0 && g.oneIn(8) {
 		return version - 1
 	}
@@ -231,9 +231,9 @@
 // drawLog folds a random log, calling check before and after every record.
 func drawLog(seed uint64, check func(before Snapshot, r logRecord, verdict Verdict, table *Table)) {
 	g := &generator{rng: rand.New(rand.NewPCG(seed, 3)), table: NewTable()}
-	offset := platform.Offset(0)
+	offset := logservice.Offset(0)
 	for range foldRecords {
-		offset += platform.Offset(g.between(1, 2))
+		offset += logservice.Offset(g.between(1, 2))
 		r := logRecord{offset, g.draw()}
 		before := g.table.Snapshot()
 		verdict := g.table.Apply(r.offset, r.record)
@@ -364,7 +364,7 @@
 }
 
 // checkSession checks one session after a record.
-func checkSession(t *testing.T, before Snapshot, session Session, offset platform.Offset) {
+func checkSession(t *testing.T, before Snapshot, session Session, offset logservice.Offset) {
 	assert.Assert(t, session.Version <= offset)
 	assert.Assert(t, session.LessorsSince <= session.Version)
 	assert.Assert(t, session.FormerSince < session.LessorsSince)
--- a/internal/ownership/lost_test.go
+++ b/internal/ownership/lost_test.go
@@ -5,7 +5,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 )
 
@@ -16,7 +16,7 @@
 }
 
 // add folds a record that must be accepted and returns its offset.
-func (s scriptedTable) add(r record.Record) platform.Offset {
+func (s scriptedTable) add(r record.Record) logservice.Offset {
 	s.t.Helper()
 	offset := s.Applied() + 1
 	verdict := s.Apply(offset, r)
--- a/internal/ownership/snapshot.go
+++ b/internal/ownership/snapshot.go
@@ -6,13 +6,13 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 )
 
 // Snapshot is a table at an offset in a form for the wire, in a fixed order.
 type Snapshot struct {
-	Applied  platform.Offset   `json:"applied"`
+	Applied  logservice.Offset `json:"applied"`
 	Sessions []Session         `json:"sessions"`
 	Services []ServiceSnapshot `json:"services"`
 	Marks    []MarkSnapshot    `json:"marks"`
--- a/internal/ownership/table.go
+++ b/internal/ownership/table.go
@@ -11,7 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 )
 
@@ -23,9 +23,9 @@
 // open; an owner whose session is closed leaves the slice without an owner.
 type Slice struct {
 	// Version is the offset of the record that last changed the slice.
-	Version platform.Offset  `json:"version"`
-	Owner   record.SessionID `json:"owner"`
-	Epoch   record.Epoch     `json:"epoch"`
+	Version logservice.Offset `json:"version"`
+	Owner   record.SessionID  `json:"owner"`
+	Epoch   record.Epoch      `json:"epoch"`
 	// Successor takes the slice over under NextEpoch; zero where none is named.
 	Successor record.SessionID `json:"successor"`
 	NextEpoch record.Epoch     `json:"next_epoch"`
@@ -44,16 +44,16 @@
 	// Terms are those of the open record; zero for the default settings.
 	Terms record.LeaseTerms `json:"terms,omitzero"`
 	// Version is the offset of the last record that changed the session's slices, their successors or its lessors.
-	Version platform.Offset `json:"version"`
+	Version logservice.Offset `json:"version"`
 	// LessorsSince is the offset of the record that named the lessors.
-	LessorsSince platform.Offset `json:"lessors_since"`
+	LessorsSince logservice.Offset `json:"lessors_since"`
 	// Former holds the lessors before a replacement that is not sealed yet; nil
 	// otherwise. FormerSince is the offset of the record that named them.
-	Former      []record.Lessor  `json:"former,omitempty"`
-	FormerSince platform.Offset  `json:"former_since,omitempty"`
-	Closed      bool             `json:"closed"`
-	CloseReason string           `json:"close_reason,omitempty"`
-	Previous    record.SessionID `json:"previous"`
+	Former      []record.Lessor   `json:"former,omitempty"`
+	FormerSince logservice.Offset `json:"former_since,omitempty"`
+	Closed      bool              `json:"closed"`
+	CloseReason string            `json:"close_reason,omitempty"`
+	Previous    record.SessionID  `json:"previous"`
 }
 
 // Sealed reports whether the session's lessors may act.
@@ -63,9 +63,9 @@
 
 // Mark is the state that an operator gave a subject.
 type Mark struct {
-	State   record.MarkState `json:"state"`
-	Version platform.Offset  `json:"version"`
-	Comment string           `json:"comment,omitempty"`
+	State   record.MarkState  `json:"state"`
+	Version logservice.Offset `json:"version"`
+	Comment string            `json:"comment,omitempty"`
 }
 
 // MarkKey identifies what a mark is put on.
@@ -76,7 +76,7 @@
 
 // Table is the state of ownership at an offset of the log.
 type Table struct {
-	applied  platform.Offset
+	applied  logservice.Offset
 	sessions map[record.SessionID]*Session
 	latest   map[string]record.SessionID // by server address
 	services map[string][]Slice
@@ -110,7 +110,7 @@
 }
 
 // Applied returns the offset of the last record applied.
-func (t *Table) Applied() platform.Offset {
+func (t *Table) Applied() logservice.Offset {
 	return t.applied
 }
 
--- a/internal/peer/protocol.go
+++ b/internal/peer/protocol.go
@@ -11,8 +11,8 @@
 	"github.com/poplarcroft/poplarcroft/internal/backend"
 	"github.com/poplarcroft/poplarcroft/internal/idempotency"
 	"github.com/poplarcroft/poplarcroft/internal/lease"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 	"github.com/poplarcroft/poplarcroft/internal/ownership"
-	"github.com/poplarcroft/poplarcroft/internal/platform"
 	"github.com/poplarcroft/poplarcroft/internal/poison"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 )
@@ -100,7 +100,7 @@
 type RetiredArgs struct {
 	Incarnation string
 	Session     record.SessionID
-	Version     platform.Offset
+	Version     logservice.Offset
 }
 
 // RetiredReply answers RetiredArgs. Entries are all request IDs that the lessor
@@ -176,7 +176,7 @@
 
 // SnapshotReply is a host's folded state of the log.
 type SnapshotReply struct {
-	Offset platform.Offset
+	Offset logservice.Offset
 	Data   []byte
 }
 
@@ -192,13 +192,13 @@
 	Rates       []SliceRate
 	Host        string
 	Incarnation string
-	Applied     platform.Offset
+	Applied     logservice.Offset
 	Leaving     bool
 }
 
 // HostsReply lists the hosts that a host knows, itself included.
 type HostsReply struct {
-	Hosts []platform.HostEntry
+	Hosts []logservice.HostEntry
 }
 
 // Empty carries nothing.
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -6,9 +6,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 	"github.com/poplarcroft/poplarcroft/internal/members"
 	"github.com/poplarcroft/poplarcroft/internal/ownership"
-	"github.com/poplarcroft/poplarcroft/internal/platform"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 	"github.com/poplarcroft/poplarcroft/internal/settings"
 )
@@ -18,7 +18,7 @@
 	t       *testing.T
 	table   *ownership.Table
 	service settings.Service
-	next    platform.Offset
+	next    logservice.Offset
 }
 
 func newWorld(t *testing.T, zones map[string][]string) *world {
@@ -35,7 +35,7 @@
 	return w
 }
 
-func (w *world) apply(r record.Record) platform.Offset {
+func (w *world) apply(r record.Record) logservice.Offset {
 	w.t.Helper()
 	r.ID = record.NewID()
 	offset := w.next
@@ -194,7 +194,7 @@
 	}
 	change, needed := ReplaceLessors(session, left)
 	assert.Assert(t, needed)
-	assert.Equal(t, change.Base, platform.Offset(7))
+	assert.Equal(t, change.Base, logservice.Offset(7))
 	assert.Equal(t, len(change.Lessors), 3)
 	assert.DeepEqual(t, change.Lessors[1:], session.Lessors[1:])
 
--- a/internal/publish/build.go
+++ b/internal/publish/build.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"slices"
 
-	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 	"github.com/poplarcroft/poplarcroft/internal/settings"
 )
@@ -15,7 +15,7 @@
 // a file that names none was made from nothing. Nodes that have changed since
 // are conflicts. The record is to be published only where the verdict accepts
 // it. It has no nodes where the trees are equal.
-func SettingsRecord(id record.ID, state *settings.State, tree *settings.Tree, base platform.Offset, comment string) (record.Record, settings.Verdict) {
+func SettingsRecord(id record.ID, state *settings.State, tree *settings.Tree, base logservice.Offset, comment string) (record.Record, settings.Verdict) {
 	if base == 0 {
 		base = tree.BasedOn
 	}
@@ -33,13 +33,13 @@
 	return r, state.Clone().Apply(state.Version()+1, change)
 }
 
-func aheadOfState(base, version platform.Offset) settings.Verdict {
+func aheadOfState(base, version logservice.Offset) settings.Verdict {
 	message := fmt.Sprintf("based on version %d, but the latest known version is %d", base, version)
 	return settings.Verdict{Kind: settings.Invalid, Faults: settings.Faults{{Message: message}}}
 }
 
 // MarkRecord returns the record that sets a mark, based on the version of the subject's present one.
-func MarkRecord(id record.ID, mark record.Mark, base platform.Offset) record.Record {
+func MarkRecord(id record.ID, mark record.Mark, base logservice.Offset) record.Record {
 	mark.Base = base
 	return record.Record{ID: id, Kind: record.KindMark, Mark: &mark}
 }
--- a/internal/publish/publish.go
+++ b/internal/publish/publish.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"github.com/poplarcroft/poplarcroft/internal/duty"
-	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 	"github.com/poplarcroft/poplarcroft/internal/view"
 )
@@ -46,21 +46,21 @@
 // Result says what became of a record. Offset is zero and Reason tells the
 // last error where the status is Unknown.
 type Result struct {
-	ID     record.ID       `json:"id"`
-	Status Status          `json:"status"`
-	Offset platform.Offset `json:"offset,omitempty"`
-	Reason string          `json:"reason,omitempty"`
+	ID     record.ID         `json:"id"`
+	Status Status            `json:"status"`
+	Offset logservice.Offset `json:"offset,omitempty"`
+	Reason string            `json:"reason,omitempty"`
 }
 
 // NothingToChange returns the result of a publication that changes nothing,
 // because what it asks for is in force since the given version.
-func NothingToChange(id record.ID, version platform.Offset) Result {
+func NothingToChange(id record.ID, version logservice.Offset) Result {
 	return Result{ID: id, Status: Accepted, Offset: version, Reason: "nothing to change"}
 }
 
 // Publisher publishes operators' records. It is safe for concurrent use.
 type Publisher struct {
-	log    platform.Log
+	log    logservice.Log
 	view   *view.View
 	author string
 	now    func() time.Time
@@ -71,13 +71,13 @@
 
 // Open reads the log to its end and returns a publisher for a process that
 // does not follow the log. Records without an author get the given one.
-func Open(ctx context.Context, log platform.Log, author string, now func() time.Time) (*Publisher, error) {
+func Open(ctx context.Context, log logservice.Log, author string, now func() time.Time) (*Publisher, error) {
 	p := &Publisher{log: log, view: view.New(), author: author, now: now, read: catchUp}
 	return p, catchUp(ctx, p, "")
 }
 
 // Following returns a publisher for a process that keeps the view up to date itself.
-func Following(followed *view.View, log platform.Log, author string, now func() time.Time) *Publisher {
+func Following(followed *view.View, log logservice.Log, author string, now func() time.Time) *Publisher {
 	return &Publisher{log: log, view: followed, author: author, now: now, read: await}
 }
 
--- a/internal/publish/publish_test.go
+++ b/internal/publish/publish_test.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
-	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 	"github.com/poplarcroft/poplarcroft/internal/settings"
 	"github.com/poplarcroft/poplarcroft/internal/view"
@@ -17,7 +17,7 @@
 
 // memoryLog is a log in memory whose appends fail as a script says.
 type memoryLog struct {
-	entries []platform.Entry
+	entries []logservice.Entry
 	script  []fault
 	down    bool
 }
@@ -31,30 +31,30 @@
 	lostAfter
 )
 
-func (l *memoryLog) Append(_ context.Context, data []byte) (platform.Offset, error) {
+func (l *memoryLog) Append(_ context.Context, data []byte) (logservice.Offset, error) {
 	if l.down {
-		return 0, platform.ErrUnavailable
+		return 0, logservice.ErrUnavailable
 	}
 	todo := none
 	if len(l.script) > 0 {
 		todo, l.script = l.script[0], l.script[1:]
 	}
 	if todo == lostBefore {
-		return 0, platform.ErrUnavailable
+		return 0, logservice.ErrUnavailable
 	}
-	offset := platform.Offset(len(l.entries) + 1)
-	l.entries = append(l.entries, platform.Entry{Offset: offset, Data: data})
+	offset := logservice.Offset(len(l.entries) + 1)
+	l.entries = append(l.entries, logservice.Entry{Offset: offset, Data: data})
 	if todo == lostAfter {
-		return 0, platform.ErrUnavailable
+		return 0, logservice.ErrUnavailable
 	}
 	return offset, nil
 }
 
-func (l *memoryLog) Read(_ context.Context, from platform.Offset, max int, _ time.Duration) (platform.ReadReply, error) {
+func (l *memoryLog) Read(_ context.Context, from logservice.Offset, max int, _ time.Duration) (logservice.ReadReply, error) {
 	if l.down {
-		return platform.ReadReply{}, platform.ErrUnavailable
+		return logservice.ReadReply{}, logservice.ErrUnavailable
 	}
-	reply := platform.ReadReply{First: 1, Next: platform.Offset(len(l.entries) + 1)}
+	reply := logservice.ReadReply{First: 1, Next: logservice.Offset(len(l.entries) + 1)}
 	for _, entry := range l.entries {
 		if entry.Offset >= from && len(reply.Entries) < max {
 			reply.Entries = append(reply.Entries, entry)
@@ -63,14 +63,14 @@
 	return reply, nil
 }
 
-func open(t *testing.T, log platform.Log) *Publisher {
+func open(t *testing.T, log logservice.Log) *Publisher {
 	t.Helper()
 	p, err := Open(context.Background(), log, "op", time.Now)
 	assert.NilError(t, err)
 	return p
 }
 
-func change(id record.ID, base platform.Offset) record.Record {
+func change(id record.ID, base logservice.Offset) record.Record {
 	return record.Record{ID: id, Kind: record.KindSettings, Settings: &record.Settings{
 		Nodes: []record.SettingsNode{{Path: settings.Root, Base: base, TOML: "slots = 3\n"}},
 	}}
@@ -142,7 +142,7 @@
 	assert.Equal(t, result.Status, Unknown)
 	assert.Equal(t, result.ID, record.ID("a"))
 	_, err := Open(context.Background(), log, "op", time.Now)
-	assert.Assert(t, errors.Is(err, platform.ErrUnavailable))
+	assert.Assert(t, errors.Is(err, logservice.ErrUnavailable))
 }
 
 func TestAFollowedViewShowsTheResult(t *testing.T) {
@@ -156,7 +156,7 @@
 	}()
 	p := Following(followed, log, "h1", time.Now)
 	for base, id := range []record.ID{"a", "b", "c"} {
-		r := change(id, platform.Offset(base))
+		r := change(id, logservice.Offset(base))
 		r.Author = "anna"
 		assert.Equal(t, publish(t, p, r).Status, Accepted)
 	}
@@ -174,13 +174,13 @@
 	log memoryLog
 }
 
-func (l *lockedLog) Append(ctx context.Context, data []byte) (platform.Offset, error) {
+func (l *lockedLog) Append(ctx context.Context, data []byte) (logservice.Offset, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.log.Append(ctx, data)
 }
 
-func (l *lockedLog) Read(ctx context.Context, from platform.Offset, max int, wait time.Duration) (platform.ReadReply, error) {
+func (l *lockedLog) Read(ctx context.Context, from logservice.Offset, max int, wait time.Duration) (logservice.ReadReply, error) {
 	time.Sleep(min(wait, time.Millisecond))
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -13,7 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
-	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 )
 
 // Kind names the type of a record's body.
@@ -33,7 +33,7 @@
 )
 
 // SessionID identifies a backend server's session: the offset of its open record.
-type SessionID = platform.Offset
+type SessionID = logservice.Offset
 
 // Epoch orders the owners of a slice. It is derived from the offset of the
 // record that named the owner.
@@ -71,8 +71,8 @@
 // Checkpoint holds the folded state at an offset, so that a reader can start
 // there after the log has trimmed the records before it.
 type Checkpoint struct {
-	Offset platform.Offset `json:"offset"`
-	State  json.RawMessage `json:"state"`
+	Offset logservice.Offset `json:"offset"`
+	State  json.RawMessage   `json:"state"`
 }
 
 // Settings replaces nodes of the settings tree. It is accepted only if the
@@ -86,10 +86,10 @@
 // children. Base is the version of the node that the change is based on, zero
 // where the node does not exist. TOML holds the node's own values.
 type SettingsNode struct {
-	Path    string          `json:"path"`
-	Base    platform.Offset `json:"base"`
-	TOML    string          `json:"toml"`
-	Removed bool            `json:"removed,omitempty"`
+	Path    string            `json:"path"`
+	Base    logservice.Offset `json:"base"`
+	TOML    string            `json:"toml"`
+	Removed bool              `json:"removed,omitempty"`
 }
 
 // Subject is what a mark is put on.
@@ -118,11 +118,11 @@
 // Mark sets the state of a zone, host or backend server. It is accepted only
 // if Base is the offset of the subject's latest mark, zero where it has none.
 type Mark struct {
-	Subject Subject         `json:"subject"`
-	Name    string          `json:"name"`
-	State   MarkState       `json:"state"`
-	Base    platform.Offset `json:"base"`
-	Comment string          `json:"comment,omitempty"`
+	Subject Subject           `json:"subject"`
+	Name    string            `json:"name"`
+	State   MarkState         `json:"state"`
+	Base    logservice.Offset `json:"base"`
+	Comment string            `json:"comment,omitempty"`
 }
 
 // Lessor is a host that may renew and close a session, named together with the
@@ -167,7 +167,7 @@
 	// Base is set where the record rests on the word of the servers that may own
 	// the slices, instead of a quorum of lessors: it is then accepted only if Base
 	// is the session's version, since a later one may name further servers.
-	Base platform.Offset `json:"base,omitempty"`
+	Base logservice.Offset `json:"base,omitempty"`
 }
 
 // SliceMove says that a slice went from one session to another under an epoch.
@@ -186,8 +186,8 @@
 
 // SlicePlan changes one slice. It is accepted only if Base is the slice's version.
 type SlicePlan struct {
-	Slice int             `json:"slice"`
-	Base  platform.Offset `json:"base"`
+	Slice int               `json:"slice"`
+	Base  logservice.Offset `json:"base"`
 	// Owner is set only where the slice has no owner, or its owner's session is closed.
 	Owner SessionID `json:"owner,omitempty"`
 	// Successor is the session that takes the slice over when the owner lets go of it.
@@ -204,16 +204,16 @@
 // Lessors replaces a session's lessors. It is accepted only if Base is the
 // session's version and the previous replacement was sealed.
 type Lessors struct {
-	Session SessionID       `json:"session"`
-	Base    platform.Offset `json:"base"`
-	Lessors []Lessor        `json:"lessors"`
+	Session SessionID         `json:"session"`
+	Base    logservice.Offset `json:"base"`
+	Lessors []Lessor          `json:"lessors"`
 }
 
 // Sealed reports that a quorum of a session's former lessors has stopped
 // acting under versions before Version, the offset of the record that replaced them.
 type Sealed struct {
-	Session SessionID       `json:"session"`
-	Version platform.Offset `json:"version"`
+	Session SessionID         `json:"session"`
+	Version logservice.Offset `json:"version"`
 }
 
 // ErrMalformed reports a record that cannot be decoded or lacks its body.
--- a/internal/route/fixture_test.go
+++ b/internal/route/fixture_test.go
@@ -18,10 +18,10 @@
 	"github.com/poplarcroft/poplarcroft/internal/backend"
 	"github.com/poplarcroft/poplarcroft/internal/clock"
 	"github.com/poplarcroft/poplarcroft/internal/keeper"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 	"github.com/poplarcroft/poplarcroft/internal/outcome"
 	"github.com/poplarcroft/poplarcroft/internal/ownership"
 	"github.com/poplarcroft/poplarcroft/internal/peer"
-	"github.com/poplarcroft/poplarcroft/internal/platform"
 	"github.com/poplarcroft/poplarcroft/internal/poison"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 	"github.com/poplarcroft/poplarcroft/internal/settings"
@@ -101,12 +101,12 @@
 // downLog is a log that never answers.
 type downLog struct{}
 
-func (downLog) Append(context.Context, []byte) (platform.Offset, error) {
-	return 0, platform.ErrUnavailable
+func (downLog) Append(context.Context, []byte) (logservice.Offset, error) {
+	return 0, logservice.ErrUnavailable
 }
 
-func (downLog) Read(context.Context, platform.Offset, int, time.Duration) (platform.ReadReply, error) {
-	return platform.ReadReply{}, platform.ErrUnavailable
+func (downLog) Read(context.Context, logservice.Offset, int, time.Duration) (logservice.ReadReply, error) {
+	return logservice.ReadReply{}, logservice.ErrUnavailable
 }
 
 // fakeDirectory knows one service.
--- a/internal/settings/diff.go
+++ b/internal/settings/diff.go
@@ -3,7 +3,7 @@
 import (
 	"strings"
 
-	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 )
 
@@ -86,7 +86,7 @@
 
 // ChangedSince returns those nodes of a change that the log has changed after
 // the given version.
-func ChangedSince(version platform.Offset, change record.Settings) []Conflict {
+func ChangedSince(version logservice.Offset, change record.Settings) []Conflict {
 	var conflicts []Conflict
 	for _, node := range change.Nodes {
 		if node.Base > version {
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -10,7 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/pelletier/go-toml/v2/unstable"
 
-	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 )
 
 // Limits of one text of settings.
@@ -57,7 +57,7 @@
 	nodes   map[string]overrides
 	lines   map[string]int // line of each node's table and of each of its fields
 	faults  Faults
-	basedOn platform.Offset
+	basedOn logservice.Offset
 }
 
 func newParser(text []byte, node string) *parser {
@@ -247,7 +247,7 @@
 		p.fault(line, name, "wants a version")
 		return
 	}
-	p.basedOn = platform.Offset(version)
+	p.basedOn = logservice.Offset(version)
 }
 
 // fault adds a fault of the present node.
--- a/internal/settings/state.go
+++ b/internal/settings/state.go
@@ -8,7 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 )
 
@@ -17,9 +17,9 @@
 // reads. A Clone costs nothing and may be shared read-only.
 type State struct {
 	tree     *Tree
-	versions map[string]platform.Offset // by path, of the nodes that the log has set
-	fixed    map[string]fixedValues     // by service, also of removed ones
-	version  platform.Offset
+	versions map[string]logservice.Offset // by path, of the nodes that the log has set
+	fixed    map[string]fixedValues       // by service, also of removed ones
+	version  logservice.Offset
 }
 
 // fixedValues are the values of a service that cannot change once it exists.
@@ -32,7 +32,7 @@
 func NewState() *State {
 	return &State{
 		tree:     emptyTree(),
-		versions: map[string]platform.Offset{},
+		versions: map[string]logservice.Offset{},
 		fixed:    map[string]fixedValues{},
 	}
 }
@@ -44,13 +44,13 @@
 }
 
 // Version returns the offset of the latest accepted record, zero before the first.
-func (s *State) Version() platform.Offset {
+func (s *State) Version() logservice.Offset {
 	return s.version
 }
 
 // NodeVersion returns the offset of the record that last set the node, zero
 // where none has, and the offset that removed it where one did.
-func (s *State) NodeVersion(path string) platform.Offset {
+func (s *State) NodeVersion(path string) logservice.Offset {
 	return s.versions[path]
 }
 
@@ -72,7 +72,7 @@
 
 // Apply folds the settings record at an offset. The record is accepted as a
 // whole or changes nothing.
-func (s *State) Apply(offset platform.Offset, change record.Settings) Verdict {
+func (s *State) Apply(offset logservice.Offset, change record.Settings) Verdict {
 	if conflicts := s.conflicts(change); len(conflicts) > 0 {
 		return Verdict{Kind: Conflicting, Conflicts: conflicts}
 	}
@@ -199,7 +199,7 @@
 
 // snapshot is the form of a State in a checkpoint.
 type snapshot struct {
-	Version platform.Offset        `json:"version"`
+	Version logservice.Offset      `json:"version"`
 	Nodes   []snapshotNode         `json:"nodes"`
 	Fixed   map[string]fixedValues `json:"fixed"`
 }
@@ -207,10 +207,10 @@
 // snapshotNode is one node's version and own values. A node removed is kept
 // for its version.
 type snapshotNode struct {
-	Path    string          `json:"path"`
-	Version platform.Offset `json:"version"`
-	TOML    string          `json:"toml,omitempty"`
-	Removed bool            `json:"removed,omitempty"`
+	Path    string            `json:"path"`
+	Version logservice.Offset `json:"version"`
+	TOML    string            `json:"toml,omitempty"`
+	Removed bool              `json:"removed,omitempty"`
 }
 
 // ErrBadSnapshot reports a snapshot that cannot be restored.
--- a/internal/settings/state_test.go
+++ b/internal/settings/state_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 )
 
@@ -22,7 +22,7 @@
 	return state
 }
 
-func set(path string, base platform.Offset, text string) record.Settings {
+func set(path string, base logservice.Offset, text string) record.Settings {
 	return record.Settings{Nodes: []record.SettingsNode{{Path: path, Base: base, TOML: text}}}
 }
 
@@ -152,7 +152,7 @@
 		state := sampleState(t)
 		other := sampleState(t)
 		change := record.Settings{Nodes: []record.SettingsNode{
-			{Path: path, Base: platform.Offset(base), TOML: text, Removed: removed},
+			{Path: path, Base: logservice.Offset(base), TOML: text, Removed: removed},
 			{Path: path2, TOML: text2},
 		}}
 		verdict := state.Apply(2, change)
@@ -180,7 +180,7 @@
 			assert.NilError(b, err)
 			state := NewState()
 			assert.Assert(b, state.Apply(1, state.Change(parsed, "")).Accepted())
-			base := platform.Offset(1)
+			base := logservice.Offset(1)
 			for b.Loop() {
 				verdict := state.Apply(base+1, set("s", base, "keyed = true\nslots = 5\n"))
 				assert.Assert(b, verdict.Accepted())
--- a/internal/settings/tree.go
+++ b/internal/settings/tree.go
@@ -8,7 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 )
 
 // ErrNoNode reports a path that names no node of the tree.
@@ -44,7 +44,7 @@
 // that it may be shared; what it returns is only to be read.
 type Tree struct {
 	// BasedOn is the version that the tree's file says it is based on, zero where it says none.
-	BasedOn platform.Offset
+	BasedOn logservice.Offset
 
 	nodes     map[string]overrides
 	effective map[string]Values
@@ -167,7 +167,7 @@
 
 // Text returns the tree in TOML as Parse reads it, headed by the version that
 // it is based on.
-func (t *Tree) Text(basedOn platform.Offset) string {
+func (t *Tree) Text(basedOn logservice.Offset) string {
 	var b strings.Builder
 	b.WriteString(basedOnKey + " = " + strconv.FormatUint(uint64(basedOn), 10) + "\n")
 	for _, path := range t.Paths() {
--- a/internal/settings/verdict.go
+++ b/internal/settings/verdict.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"strings"
 
-	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 )
 
 // VerdictKind names what the fold made of a record.
@@ -24,9 +24,9 @@
 type Conflict struct {
 	Path string `json:"path"`
 	// Base is the version that the record names.
-	Base platform.Offset `json:"base"`
+	Base logservice.Offset `json:"base"`
 	// Version is the version that the node has.
-	Version platform.Offset `json:"version"`
+	Version logservice.Offset `json:"version"`
 }
 
 // String returns the conflict in words.
--- a/internal/standin/hosts.go
+++ b/internal/standin/hosts.go
@@ -9,7 +9,7 @@
 
 	"github.com/gorilla/mux"
 
-	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 )
 
 // HostsFaults are the faults of a host list.
@@ -38,7 +38,7 @@
 	faults   *faultBox[HostsFaults]
 
 	mu      sync.Mutex
-	visible map[string]platform.HostEntry
+	visible map[string]logservice.HostEntry
 	pending []hostChange
 }
 
@@ -46,7 +46,7 @@
 type hostChange struct {
 	at    time.Time
 	name  string
-	entry *platform.HostEntry
+	entry *logservice.HostEntry
 }
 
 // NewHosts returns a host list that does not listen yet.
@@ -54,7 +54,7 @@
 	return &Hosts{
 		cfg:     cfg,
 		faults:  newFaultBox(cfg.Faults),
-		visible: make(map[string]platform.HostEntry),
+		visible: make(map[string]logservice.HostEntry),
 	}
 }
 
@@ -93,7 +93,7 @@
 		abortConnection()
 	}
 	body, err := readBody(w, r)
-	var entry platform.HostEntry
+	var entry logservice.HostEntry
 	if err == nil {
 		err = json.Unmarshal(body, &entry)
 	}
@@ -114,20 +114,20 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-func (h *Hosts) change(name string, entry *platform.HostEntry) {
+func (h *Hosts) change(name string, entry *logservice.HostEntry) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.pending = append(h.pending, hostChange{at: time.Now(), name: name, entry: entry})
 }
 
 // list makes the changes visible that are old enough and returns the list.
-func (h *Hosts) list(faults HostsFaults, now time.Time) platform.HostList {
+func (h *Hosts) list(faults HostsFaults, now time.Time) logservice.HostList {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !faults.Frozen {
 		h.applyBefore(now.Add(-time.Duration(faults.LagMS) * time.Millisecond))
 	}
-	list := platform.HostList{Hosts: []platform.HostEntry{}}
+	list := logservice.HostList{Hosts: []logservice.HostEntry{}}
 	for _, entry := range h.visible {
 		list.Hosts = append(list.Hosts, entry)
 	}
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -8,7 +8,7 @@
 	"github.com/gorilla/mux"
 	"golang.org/x/time/rate"
 
-	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 )
 
 const (
@@ -162,7 +162,7 @@
 	if faults.LoseEvery > 0 && count%uint64(faults.LoseEvery) == 0 {
 		abortConnection()
 	}
-	writeJSON(w, http.StatusCreated, platform.AppendReply{Offset: offset})
+	writeJSON(w, http.StatusCreated, logservice.AppendReply{Offset: offset})
 }
 
 func (l *Log) serveRead(w http.ResponseWriter, r *http.Request) {
@@ -191,7 +191,7 @@
 
 // waitRead reads, and waits for an entry where there is none. It reports false
 // when the reader has gone.
-func (l *Log) waitRead(r *http.Request, query readQuery) (platform.ReadReply, bool) {
+func (l *Log) waitRead(r *http.Request, query readQuery) (logservice.ReadReply, bool) {
 	timer := time.NewTimer(query.wait)
 	defer timer.Stop()
 	for {
@@ -211,7 +211,7 @@
 
 // readQuery is the query of a read.
 type readQuery struct {
-	from platform.Offset
+	from logservice.Offset
 	max  int
 	wait time.Duration
 }
@@ -222,7 +222,7 @@
 	if err != nil {
 		return readQuery{}, err
 	}
-	query := readQuery{from: platform.Offset(from), max: maxReadEntries}
+	query := readQuery{from: logservice.Offset(from), max: maxReadEntries}
 	if text := values.Get("max"); text != "" {
 		n, err := strconv.Atoi(text)
 		if err != nil {
--- a/internal/standin/platform_test.go
+++ b/internal/standin/platform_test.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
-	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 )
 
 const testTimeout = 5 * time.Second
@@ -34,13 +34,13 @@
 	return ctx
 }
 
-func startLog(t *testing.T, faults LogFaults) (*Log, *platform.Client) {
+func startLog(t *testing.T, faults LogFaults) (*Log, *logservice.Client) {
 	l := NewLog(LogConfig{Listen: "127.0.0.1:0", Faults: faults})
 	addr := start(t, l)
-	return l, platform.NewClient("http://"+addr, "", &http.Client{Transport: &http.Transport{}})
+	return l, logservice.NewClient("http://"+addr, "", &http.Client{Transport: &http.Transport{}})
 }
 
-func appendAll(t *testing.T, client *platform.Client, texts ...string) {
+func appendAll(t *testing.T, client *logservice.Client, texts ...string) {
 	t.Helper()
 	for _, text := range texts {
 		_, err := client.Append(testContext(t), []byte(text))
@@ -53,13 +53,13 @@
 	appendAll(t, client, "a", "b", "c")
 	reply, err := client.Read(testContext(t), 2, 1, 0)
 	assert.NilError(t, err)
-	want := platform.ReadReply{Entries: []platform.Entry{{Offset: 2, Data: []byte("b")}}, First: 1, Next: 4}
+	want := logservice.ReadReply{Entries: []logservice.Entry{{Offset: 2, Data: []byte("b")}}, First: 1, Next: 4}
 	assert.DeepEqual(t, reply, want)
 }
 
 func TestLogReadWaitsForAnAppend(t *testing.T) {
 	l, client := startLog(t, LogFaults{})
-	time.AfterFunc(50*time.Millisecond, func() { l.store.append(platform.Stream, []byte("late"), 0) })
+	time.AfterFunc(50*time.Millisecond, func() { l.store.append(logservice.Stream, []byte("late"), 0) })
 	reply, err := client.Read(testContext(t), 1, 10, testTimeout)
 	assert.NilError(t, err)
 	assert.Equal(t, len(reply.Entries), 1)
@@ -69,8 +69,8 @@
 	_, client := startLog(t, LogFaults{Retain: 2})
 	appendAll(t, client, "a", "b", "c")
 	reply, err := client.Read(testContext(t), 1, 10, 0)
-	assert.Assert(t, errors.Is(err, platform.ErrTrimmed), "got %v", err)
-	assert.Equal(t, reply.First, platform.Offset(2))
+	assert.Assert(t, errors.Is(err, logservice.ErrTrimmed), "got %v", err)
+	assert.Equal(t, reply.First, logservice.Offset(2))
 	reply, err = client.Read(testContext(t), reply.First, 10, 0)
 	assert.NilError(t, err)
 	assert.Equal(t, len(reply.Entries), 2)
@@ -90,7 +90,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
 			defer cancel()
 			_, err := client.Append(ctx, []byte("a"))
-			assert.Assert(t, errors.Is(err, platform.ErrUnavailable), "got %v", err)
+			assert.Assert(t, errors.Is(err, logservice.ErrUnavailable), "got %v", err)
 			l.SetFaults(LogFaults{})
 			reply, err := client.Read(testContext(t), 1, 10, 0)
 			assert.NilError(t, err)
@@ -103,13 +103,13 @@
 	_, client := startLog(t, LogFaults{AppendsPerSecond: 1})
 	appendAll(t, client, "a")
 	_, err := client.Append(testContext(t), []byte("b"))
-	assert.Assert(t, errors.Is(err, platform.ErrUnavailable), "got %v", err)
+	assert.Assert(t, errors.Is(err, logservice.ErrUnavailable), "got %v", err)
 }
 
 func TestHostListLags(t *testing.T) {
 	h := NewHosts(HostsConfig{Listen: "127.0.0.1:0", Faults: HostsFaults{LagMS: 200}})
-	client := platform.NewClient("", "http://"+start(t, h), http.DefaultClient)
-	entry := platform.HostEntry{Name: "h1", Zone: "zlin", State: platform.HostLive}
+	client := logservice.NewClient("", "http://"+start(t, h), http.DefaultClient)
+	entry := logservice.HostEntry{Name: "h1", Zone: "zlin", State: logservice.HostLive}
 	assert.NilError(t, client.Announce(testContext(t), entry))
 	list, err := client.List(testContext(t))
 	assert.NilError(t, err)
@@ -117,5 +117,5 @@
 	time.Sleep(250 * time.Millisecond)
 	list, err = client.List(testContext(t))
 	assert.NilError(t, err)
-	assert.DeepEqual(t, list.Hosts, []platform.HostEntry{entry})
+	assert.DeepEqual(t, list.Hosts, []logservice.HostEntry{entry})
 }
--- a/internal/standin/stream.go
+++ b/internal/standin/stream.go
@@ -3,7 +3,7 @@
 import (
 	"sync"
 
-	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 )
 
 // streamStore keeps the records of all streams in memory.
@@ -15,7 +15,7 @@
 
 // stream is one sequence of records. The first record kept has offset first.
 type stream struct {
-	first   platform.Offset
+	first   logservice.Offset
 	records [][]byte
 	changed chan struct{}
 }
@@ -36,7 +36,7 @@
 
 // append adds a record, keeps the last retain ones (all where retain is zero)
 // and returns the record's offset and the number of appends so far.
-func (s *streamStore) append(name string, data []byte, retain int) (platform.Offset, uint64) {
+func (s *streamStore) append(name string, data []byte, retain int) (logservice.Offset, uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	target := s.get(name)
@@ -50,17 +50,17 @@
 }
 
 // read returns entries from the offset on, and a channel that closes at the next append.
-func (s *streamStore) read(name string, from platform.Offset, limit int) (platform.ReadReply, <-chan struct{}) {
+func (s *streamStore) read(name string, from logservice.Offset, limit int) (logservice.ReadReply, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	source := s.get(name)
-	reply := platform.ReadReply{Entries: []platform.Entry{}, First: source.first, Next: source.next()}
+	reply := logservice.ReadReply{Entries: []logservice.Entry{}, First: source.first, Next: source.next()}
 	if from < source.first {
 		return reply, source.changed
 	}
 	for offset := from; offset < reply.Next && len(reply.Entries) < limit; offset++ {
 		data := source.records[offset-source.first]
-		reply.Entries = append(reply.Entries, platform.Entry{Offset: offset, Data: data})
+		reply.Entries = append(reply.Entries, logservice.Entry{Offset: offset, Data: data})
 	}
 	return reply, source.changed
 }
@@ -75,8 +75,8 @@
 }
 
 // next returns the offset of the next append.
-func (s *stream) next() platform.Offset {
-	return s.first + platform.Offset(len(s.records))
+func (s *stream) next() logservice.Offset {
+	return s.first + logservice.Offset(len(s.records))
 }
 
 // trim keeps the last retain records, or all where retain is zero.
@@ -87,5 +87,5 @@
 	}
 	clear(s.records[:excess])
 	s.records = s.records[excess:]
-	s.first += platform.Offset(excess)
+	s.first += logservice.Offset(excess)
 }
--- a/internal/timeline/event.go
+++ b/internal/timeline/event.go
@@ -3,7 +3,7 @@
 package timeline
 
 import (
-	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 )
 
@@ -57,9 +57,9 @@
 	// Kind names what the event reports.
 	Kind Kind `json:"kind"`
 	// Offset is the highest log offset that the process had applied.
-	Offset  platform.Offset  `json:"offset"`
-	Session record.SessionID `json:"session,omitempty"`
-	Service string           `json:"service,omitempty"`
+	Offset  logservice.Offset `json:"offset"`
+	Session record.SessionID  `json:"session,omitempty"`
+	Service string            `json:"service,omitempty"`
 	// Slice is the slice number, nil where the event is about none.
 	Slice  *int         `json:"slice,omitempty"`
 	Epoch  record.Epoch `json:"epoch,omitempty"`
--- a/internal/timeline/merge_test.go
+++ b/internal/timeline/merge_test.go
@@ -8,10 +8,10 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 )
 
-func event(host string, seq uint64, offset platform.Offset, timeMS int64) Event {
+func event(host string, seq uint64, offset logservice.Offset, timeMS int64) Event {
 	return Event{Host: host, Seq: seq, Offset: offset, TimeMS: timeMS, Kind: KindLogDown}
 }
 
@@ -44,9 +44,9 @@
 	rapid.Check(t, func(t *rapid.T) {
 		var events []Event
 		for _, host := range []string{"a", "b", "c"} {
-			offset := platform.Offset(0)
+			offset := logservice.Offset(0)
 			for seq := range rapid.IntRange(0, 8).Draw(t, "events") {
-				offset += platform.Offset(rapid.IntRange(0, 2).Draw(t, "step"))
+				offset += logservice.Offset(rapid.IntRange(0, 2).Draw(t, "step"))
 				events = append(events, event(host, uint64(seq+1), offset, rapid.Int64Range(0, 9).Draw(t, "time")))
 			}
 		}
--- a/internal/view/catchup.go
+++ b/internal/view/catchup.go
@@ -5,7 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 )
 
@@ -15,10 +15,10 @@
 // CatchUp folds the log into the view up to its present end. Where the log has
 // trimmed what comes next, it goes on from the newest checkpoint; the observer
 // is not told of the records that the checkpoint covers.
-func CatchUp(ctx context.Context, view *View, log platform.Log, observer Observer) error {
+func CatchUp(ctx context.Context, view *View, log logservice.Log, observer Observer) error {
 	for {
 		reply, err := log.Read(ctx, view.Applied()+1, readBatch, 0)
-		if errors.Is(err, platform.ErrTrimmed) {
+		if errors.Is(err, logservice.ErrTrimmed) {
 			err = NewFollower(view, log, nil).recover(ctx, reply.First)
 			if err != nil {
 				return err
@@ -36,7 +36,7 @@
 }
 
 // observe folds entries and tells the observer of each one's verdict.
-func (v *View) observe(entries []platform.Entry, observer Observer) {
+func (v *View) observe(entries []logservice.Entry, observer Observer) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for _, entry := range entries {
--- a/internal/view/follower.go
+++ b/internal/view/follower.go
@@ -8,7 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/poplarcroft/poplarcroft/internal/duty"
-	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 )
 
@@ -28,13 +28,13 @@
 // Follower keeps a view up to date with the log.
 type Follower struct {
 	view *View
-	log  platform.Log
+	log  logservice.Log
 	up   func(bool)
 }
 
 // NewFollower returns a follower of the log. up is told each change between a
 // log that answers and one that does not.
-func NewFollower(view *View, log platform.Log, up func(bool)) *Follower {
+func NewFollower(view *View, log logservice.Log, up func(bool)) *Follower {
 	return &Follower{view: view, log: log, up: up}
 }
 
@@ -63,7 +63,7 @@
 	defer cancel()
 	started := time.Now()
 	reply, err := f.log.Read(ctx, f.view.Applied()+1, readBatch, readWait)
-	if errors.Is(err, platform.ErrTrimmed) {
+	if errors.Is(err, logservice.ErrTrimmed) {
 		return f.recover(ctx, reply.First)
 	}
 	if err != nil {
@@ -79,7 +79,7 @@
 
 // recover restores the newest checkpoint in the retained part of the log that
 // leaves no gap. Records after it are then read as usual.
-func (f *Follower) recover(ctx context.Context, first platform.Offset) error {
+func (f *Follower) recover(ctx context.Context, first logservice.Offset) error {
 	var newest *record.Checkpoint
 	for from := first; ; {
 		reply, err := f.log.Read(ctx, from, readBatch, 0)
@@ -100,7 +100,7 @@
 	return f.view.Restore(newest.State)
 }
 
-func newerCheckpoint(newest *record.Checkpoint, entry platform.Entry, first platform.Offset) *record.Checkpoint {
+func newerCheckpoint(newest *record.Checkpoint, entry logservice.Entry, first logservice.Offset) *record.Checkpoint {
 	r, err := record.Decode(entry.Data)
 	if err != nil || r.Kind != record.KindCheckpoint || r.Checkpoint.Offset+1 < first {
 		return newest
--- a/internal/view/snapshot.go
+++ b/internal/view/snapshot.go
@@ -5,8 +5,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 	"github.com/poplarcroft/poplarcroft/internal/ownership"
-	"github.com/poplarcroft/poplarcroft/internal/platform"
 	"github.com/poplarcroft/poplarcroft/internal/settings"
 )
 
@@ -17,7 +17,7 @@
 }
 
 // Snapshot returns a copy of the view as JSON, with its offset.
-func (v *View) Snapshot() (data []byte, offset platform.Offset, err error) {
+func (v *View) Snapshot() (data []byte, offset logservice.Offset, err error) {
 	v.mu.RLock()
 	snapshot := Snapshot{Table: v.table.Snapshot(), Settings: v.settings.Clone()}
 	v.mu.RUnlock()
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -9,15 +9,15 @@
 	"sync"
 	"time"
 
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 	"github.com/poplarcroft/poplarcroft/internal/ownership"
-	"github.com/poplarcroft/poplarcroft/internal/platform"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 	"github.com/poplarcroft/poplarcroft/internal/settings"
 )
 
 // Verdict is the fold's decision on a record, with its offset.
 type Verdict struct {
-	Offset   platform.Offset
+	Offset   logservice.Offset
 	Accepted bool
 	Reason   string
 }
@@ -27,7 +27,7 @@
 	mu         sync.RWMutex
 	settings   *settings.State
 	table      *ownership.Table
-	checkpoint platform.Offset
+	checkpoint logservice.Offset
 	changed    chan struct{}
 	waiting    map[record.ID]chan Verdict
 	results    results
@@ -54,7 +54,7 @@
 }
 
 // Applied returns the offset of the last record applied.
-func (v *View) Applied() platform.Offset {
+func (v *View) Applied() logservice.Offset {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	return v.table.Applied()
@@ -68,7 +68,7 @@
 }
 
 // LastCheckpoint returns the offset that the newest checkpoint seen covers.
-func (v *View) LastCheckpoint() platform.Offset {
+func (v *View) LastCheckpoint() logservice.Offset {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	return v.checkpoint
@@ -96,7 +96,7 @@
 }
 
 // apply folds entries in offset order. Entries at or below the applied offset are passed over.
-func (v *View) apply(entries []platform.Entry) {
+func (v *View) apply(entries []logservice.Entry) {
 	if len(entries) == 0 {
 		return
 	}
@@ -115,7 +115,7 @@
 	v.changed = make(chan struct{})
 }
 
-func (v *View) applyEntry(entry platform.Entry) {
+func (v *View) applyEntry(entry logservice.Entry) {
 	r, err := record.Decode(entry.Data)
 	if err != nil {
 		v.malformed++
@@ -130,7 +130,7 @@
 	}
 }
 
-func (v *View) applyRecord(offset platform.Offset, r record.Record) Verdict {
+func (v *View) applyRecord(offset logservice.Offset, r record.Record) Verdict {
 	switch r.Kind {
 	case record.KindSettings:
 		v.table.Skip(offset)
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -9,8 +9,8 @@
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 	"github.com/poplarcroft/poplarcroft/internal/ownership"
-	"github.com/poplarcroft/poplarcroft/internal/platform"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 	"github.com/poplarcroft/poplarcroft/internal/settings"
 )
@@ -18,41 +18,41 @@
 // fakeLog is a log in memory. It can forget its head and lose answers.
 type fakeLog struct {
 	mu         sync.Mutex
-	entries    []platform.Entry
-	next       platform.Offset
+	entries    []logservice.Entry
+	next       logservice.Offset
 	loseAnswer bool
 	down       bool
 }
 
 func newFakeLog() *fakeLog { return &fakeLog{next: 1} }
 
-func (l *fakeLog) Append(_ context.Context, data []byte) (platform.Offset, error) {
+func (l *fakeLog) Append(_ context.Context, data []byte) (logservice.Offset, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
-		return 0, platform.ErrUnavailable
+		return 0, logservice.ErrUnavailable
 	}
 	offset := l.next
 	l.next++
-	l.entries = append(l.entries, platform.Entry{Offset: offset, Data: data})
+	l.entries = append(l.entries, logservice.Entry{Offset: offset, Data: data})
 	if l.loseAnswer {
-		return 0, platform.ErrUnavailable
+		return 0, logservice.ErrUnavailable
 	}
 	return offset, nil
 }
 
-func (l *fakeLog) Read(_ context.Context, from platform.Offset, max int, _ time.Duration) (platform.ReadReply, error) {
+func (l *fakeLog) Read(_ context.Context, from logservice.Offset, max int, _ time.Duration) (logservice.ReadReply, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	reply := platform.ReadReply{First: l.next, Next: l.next}
+	reply := logservice.ReadReply{First: l.next, Next: l.next}
 	if len(l.entries) > 0 {
 		reply.First = l.entries[0].Offset
 	}
 	if l.down {
-		return reply, platform.ErrUnavailable
+		return reply, logservice.ErrUnavailable
 	}
 	if from < reply.First {
-		return reply, platform.ErrTrimmed
+		return reply, logservice.ErrTrimmed
 	}
 	for _, entry := range l.entries {
 		if entry.Offset >= from && len(reply.Entries) < max {
@@ -68,7 +68,7 @@
 	l.entries = l.entries[len(l.entries)-keep:]
 }
 
-func markRecord(zone string, state record.MarkState, base platform.Offset) record.Record {
+func markRecord(zone string, state record.MarkState, base logservice.Offset) record.Record {
 	return record.Record{
 		ID:   record.NewID(),
 		Kind: record.KindMark,
@@ -105,7 +105,7 @@
 	v := New()
 	assert.NilError(t, follow(t, v, log))
 	assert.Equal(t, v.Malformed(), uint64(1))
-	assert.Equal(t, v.Applied(), platform.Offset(2))
+	assert.Equal(t, v.Applied(), logservice.Offset(2))
 	assert.Equal(t, zoneMark(v, "zlin").State, record.MarkLeaving)
 }
 
@@ -123,10 +123,10 @@
 	verdict, err := NewWriter(v, log, "h1").Append(ctx, markRecord("zlin", record.MarkLeaving, 0))
 	assert.NilError(t, err)
 	assert.Assert(t, verdict.Accepted)
-	assert.Equal(t, log.next, platform.Offset(2), "the record was appended once")
+	assert.Equal(t, log.next, logservice.Offset(2), "the record was appended once")
 }
 
-func read(log *fakeLog, from platform.Offset) []platform.Entry {
+func read(log *fakeLog, from logservice.Offset) []logservice.Entry {
 	reply, _ := log.Read(context.Background(), from, readBatch, 0)
 	return reply.Entries
 }
@@ -157,7 +157,7 @@
 
 	fresh := New()
 	assert.NilError(t, follow(t, fresh, log))
-	assert.Equal(t, fresh.Applied(), platform.Offset(2))
+	assert.Equal(t, fresh.Applied(), logservice.Offset(2))
 	assert.NilError(t, follow(t, fresh, log))
 	assert.NilError(t, follow(t, old, log))
 	assert.Equal(t, fresh.Applied(), old.Applied())
@@ -200,7 +200,7 @@
 	mustAppend(t, log, markRecord("zlin", record.MarkActive, 1))
 	assert.NilError(t, follow(t, v, log))
 	assert.NilError(t, v.Restore(earlier))
-	assert.Equal(t, v.Applied(), platform.Offset(2))
+	assert.Equal(t, v.Applied(), logservice.Offset(2))
 	assert.Equal(t, zoneMark(v, "zlin").State, record.MarkActive)
 	assert.Assert(t, v.Restore([]byte(`{"table":`)) != nil)
 }
--- a/internal/view/writer.go
+++ b/internal/view/writer.go
@@ -6,7 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/poplarcroft/poplarcroft/internal/platform"
+	"github.com/poplarcroft/poplarcroft/internal/logservice"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 )
 
@@ -16,12 +16,12 @@
 // Writer appends records and waits until the view shows their verdict.
 type Writer struct {
 	view   *View
-	log    platform.Log
+	log    logservice.Log
 	author string
 }
 
 // NewWriter returns a writer that signs its records with the author's name.
-func NewWriter(view *View, log platform.Log, author string) *Writer {
+func NewWriter(view *View, log logservice.Log, author string) *Writer {
 	return &Writer{view: view, log: log, author: author}
 }
 
@@ -59,7 +59,7 @@
 	}
 	_, err = w.Append(ctx, record.Record{
 		Kind:       record.KindCheckpoint,
-		Checkpoint: &record.Checkpoint{Offset: platform.Offset(offset), State: state},
+		Checkpoint: &record.Checkpoint{Offset: logservice.Offset(offset), State: state},
 	})
 	return err
 }
