Leader renews only zones without hosts; zone-near choice; entries that may come back

Change: renewals stay in the zone, lost contact is reported; servers of other zones cost more; removals count as an outage's only right after it, and such servers are used last.

--- a/internal/assign/plan.go
+++ b/internal/assign/plan.go
@@ -147,6 +147,20 @@
 	return renewers
 }
 
+// Covers reports whether the host renews the assignment under this plan: those of its own
+// zone and, for the leader, those of zones that have no host which may renew them.
+func (p Plan) Covers(host Host, a Assignment) bool {
+	if a.Phase != Held || !p.MayRenew(host, a.Fence) {
+		return false
+	}
+	if a.Server.Zone == host.Zone {
+		return true
+	}
+	return p.Leader.Same(host) && !slices.ContainsFunc(p.Hosts, func(h Host) bool {
+		return h.Zone == a.Server.Zone && !h.Retired && h.Since <= a.Fence
+	})
+}
+
 // Valid reports whether each service's assignments cover all keys once, in order.
 func (p Plan) Valid() bool {
 	for _, assignments := range p.Services {
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -49,8 +49,8 @@
 
 const (
 	// serversEvery and serversEveryLeader are the times between two reads of the service discovery.
-	serversEvery       = 700 * time.Millisecond
-	serversEveryLeader = 300 * time.Millisecond
+	serversEvery       = time.Second
+	serversEveryLeader = 400 * time.Millisecond
 	// retryPause and maxRetryPause bound the pause after a failed read; it doubles.
 	retryPause    = 100 * time.Millisecond
 	maxRetryPause = 500 * time.Millisecond
@@ -68,7 +68,7 @@
 	// silentAfter bounds the silence on an idle connection before a request that must not run twice.
 	silentAfter = 100 * time.Millisecond
 	// idleTimeout is how long an idle connection to a server is kept.
-	idleTimeout = 4 * time.Second
+	idleTimeout = 8 * time.Second
 	// headerTimeout bounds the reading of a request's header where no limit is known.
 	headerTimeout = 10 * time.Second
 )
@@ -117,7 +117,7 @@
 	h.leader = leader.New(leader.Config{
 		Self: h.self, Current: h.current, Store: h.state, Elector: platform.Elector(), Peers: h.peers,
 		Granter: platform.Granter(), Timing: config.Timing, Fleet: h.fleet,
-		Table: h.orders.Table, Hosts: h.state.list, Closed: h.orders.Closed, Lost: h.renewer.Lost,
+		Table: h.orders.Table, Hosts: h.state.list, Closed: h.orders.Closed,
 		Settled: h.seenServers.Load, Clock: clock.Monotonic, Log: log,
 	})
 	h.door = front.New(front.Config{
@@ -348,9 +348,10 @@
 func (h *Host) reportLoad(ctx context.Context) {
 	duty.Every(ctx, reportEvery, func(ctx context.Context) {
 		counts := h.door.TakeKeyCounts()
+		lost := h.renewer.Lost()
 		to := h.current.Plan().Leader
 		if h.leader.Leads() {
-			h.leader.Report(h.self.Name, counts)
+			h.leader.Report(h.self.Name, counts, lost)
 			return
 		}
 		if to.Addr == "" {
@@ -358,7 +359,7 @@
 		}
 		ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 		defer cancel()
-		if err := h.peers.report(ctx, to, ReportArgs{Host: h.self.Name, Counts: counts}); err != nil {
+		if err := h.peers.report(ctx, to, ReportArgs{Host: h.self.Name, Counts: counts, Lost: lost}); err != nil {
 			h.log.Routine("report", "leader", to.Name, "outcome", "failed", "err", err.Error())
 		}
 	})
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -32,6 +32,7 @@
 type ReportArgs struct {
 	Host   string
 	Counts map[string]map[keyrange.Key]int
+	Lost   []renew.Lost
 }
 
 // Empty is an answer without content.
@@ -62,7 +63,7 @@
 
 // Report takes what a host has seen.
 func (s *service) Report(args ReportArgs, _ *Empty) error {
-	s.leader.Report(args.Host, args.Counts)
+	s.leader.Report(args.Host, args.Counts, args.Lost)
 	return nil
 }
 
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -13,6 +13,10 @@
 // taken for a server that is gone: entries that lapsed meanwhile come back.
 const returnGrace = 2200 * time.Millisecond
 
+// lapseWindow is how long after an outage a removed entry may be one that lapsed in the
+// outage. Later ones are removed because their servers have gone.
+const lapseWindow = 250 * time.Millisecond
+
 // servers follows the service discovery. It belongs to one goroutine.
 type servers struct {
 	platform Platform
@@ -77,7 +81,8 @@
 	}
 	s.drop(now)
 	entries := make([]fleet.Entry, 0, len(s.entries))
-	for _, entry := range s.entries {
+	for key, entry := range s.entries {
+		_, entry.Missing = s.missing[key]
 		entries = append(entries, entry)
 	}
 	s.fleet.Set(entries, now)
@@ -107,8 +112,12 @@
 	if _, known := s.entries[key]; !known {
 		return
 	}
-	if _, noted := s.missing[key]; !noted {
-		s.missing[key] = max(now, s.regained+returnGrace)
+	if _, noted := s.missing[key]; noted {
+		return
+	}
+	s.missing[key] = now
+	if now-s.regained <= lapseWindow {
+		s.missing[key] = s.regained + returnGrace
 	}
 }
 
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -18,6 +18,8 @@
 	Slots int
 	// Draining servers are about to leave and get nothing new.
 	Draining bool
+	// Missing servers have no entry at the moment, which may come back.
+	Missing bool
 	// ColdFor is how much longer the server is cold, as of the entry's writing.
 	ColdFor time.Duration
 	// Born is the start of this life of the server by its own clock, in Unix milliseconds.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -15,7 +15,7 @@
 	// choices is the number of servers of which the best is taken.
 	choices = 3
 	// otherZoneCost is added to the cost of a server in another zone.
-	otherZoneCost = 0.35
+	otherZoneCost = 1.5
 )
 
 // Options of a fleet.
@@ -70,7 +70,7 @@
 		switch {
 		case !ok || !server.Entry().SameLife(entry):
 			server = newServer(entry, f.options.Target(entry.Addr), now)
-		case server.Entry().Sequence != entry.Sequence || server.Entry().Draining != entry.Draining:
+		case server.Entry() != entry:
 			server.update(entry, now)
 		}
 		next.byID[entry.ID] = server
@@ -128,7 +128,7 @@
 			continue
 		}
 		switch {
-		case server.Paused(now):
+		case server.Paused(now), server.Entry().Missing:
 			paused = append(paused, server)
 		case server.Cold(now):
 			cold = append(cold, server)
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -65,17 +65,17 @@
 }
 
 func newServer(entry Entry, target *transport.Target, now time.Duration) *Server {
-	s := &Server{Target: target, slowness: 1, judged: now}
-	s.update(entry, now)
-	return s
+	return &Server{Target: target, slowness: 1, judged: now, entry: entry, coldUntil: now + entry.ColdFor}
 }
 
 // update takes a newer entry of the same life.
 func (s *Server) update(entry Entry, now time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if entry.Sequence != s.entry.Sequence {
+		s.coldUntil = now + entry.ColdFor
+	}
 	s.entry = entry
-	s.coldUntil = now + entry.ColdFor
 }
 
 // Entry returns the newest entry.
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -21,6 +21,7 @@
 	"github.com/poplarcroft/poplarcroft/internal/fleet"
 	"github.com/poplarcroft/poplarcroft/internal/grants"
 	"github.com/poplarcroft/poplarcroft/internal/keyrange"
+	"github.com/poplarcroft/poplarcroft/internal/renew"
 	"github.com/poplarcroft/poplarcroft/internal/routetable"
 )
 
@@ -64,8 +65,6 @@
 	Hosts func() []assign.Host
 	// Closed reports whether a zone's servers get nothing.
 	Closed func(zone string) bool
-	// Lost reports whether this host has lost contact with the holder of a range.
-	Lost func(service string, a assign.Assignment) bool
 	// Settled reports whether the list of servers can be relied on.
 	Settled func() bool
 	Clock   func() time.Duration
@@ -106,6 +105,8 @@
 	decayed, moved time.Duration
 	// regranted is when a range got a new fence because its server did not answer.
 	regranted time.Duration
+	// lost holds the grants that some host renews no longer because their servers do not answer.
+	lost map[renew.Lost]bool
 	// heard is when each host last reported; retired is when this leader first saw it retired.
 	heard, retired map[string]time.Duration
 	since          time.Duration
@@ -117,6 +118,7 @@
 		Config:  config,
 		wake:    make(chan struct{}, 1),
 		proofs:  make(map[string]map[keyrange.Key]assign.Proof),
+		lost:    make(map[renew.Lost]bool),
 		jobs:    make(map[jobID]context.CancelFunc),
 		loads:   make(map[string]*keyrange.Load),
 		heard:   make(map[string]time.Duration),
@@ -176,6 +178,7 @@
 	clear(l.retired)
 	clear(l.loads)
 	clear(l.proofs)
+	clear(l.lost)
 }
 
 // Run leads whenever this host should, until the context ends.
@@ -310,9 +313,13 @@
 		}
 	}
 	retry := now-l.regranted >= regrantEvery
+	if retry {
+		// What is still lost is reported again.
+		defer clear(l.lost)
+	}
 	keys := make(map[keyrange.Key]bool)
 	for _, a := range plan.Services[service] {
-		lost := retry && a.Phase == assign.Held && l.Lost(service, a)
+		lost := retry && a.Phase == assign.Held && l.lost[renew.Lost{Service: service, First: a.First, Fence: a.Fence}]
 		if lost {
 			l.regranted = now
 		}
@@ -383,11 +390,15 @@
 	}
 }
 
-// Report takes the requests for keys that a host has seen since its last report.
-func (l *Leader) Report(host string, counts map[string]map[keyrange.Key]int) {
+// Report takes the requests for keys that a host has seen since its last report, and the
+// grants whose servers do not answer it.
+func (l *Leader) Report(host string, counts map[string]map[keyrange.Key]int, lost []renew.Lost) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.heard[host] = l.Clock()
+	for _, id := range lost {
+		l.lost[id] = true
+	}
 	for service, keys := range counts {
 		load := l.loads[service]
 		if load == nil {
--- a/internal/renew/renew.go
+++ b/internal/renew/renew.go
@@ -25,6 +25,13 @@
 	parallelCalls = 32
 )
 
+// Lost names a grant that a host renews no longer because its server does not answer.
+type Lost struct {
+	Service string
+	First   keyrange.Key
+	Fence   assign.Fence
+}
+
 // Renewer is the duty of one host. It is safe for concurrent use.
 type Renewer struct {
 	self    assign.Host
@@ -91,12 +98,17 @@
 	return ok && s.confirmed && r.clock()-s.answered < r.timing.Hold
 }
 
-// Lost reports whether this host has lost contact with the server and renews the grant no longer.
-func (r *Renewer) Lost(service string, a assign.Assignment) bool {
+// Lost returns the grants that this host renews no longer because their servers do not answer.
+func (r *Renewer) Lost() []Lost {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s, ok := r.held[grantID{service, a.Range, a.Fence}]
-	return ok && s.lost
+	var lost []Lost
+	for id, s := range r.held {
+		if s.lost {
+			lost = append(lost, Lost{Service: id.service, First: id.keys.First, Fence: id.fence})
+		}
+	}
+	return lost
 }
 
 // renewAll starts the grants that are due and returns the time to the next one.
@@ -108,7 +120,7 @@
 	due := make(map[grantID]*state, len(r.held))
 	for service, assignments := range plan.Services {
 		for _, a := range assignments {
-			if !r.mine(plan, a) {
+			if !plan.Covers(r.self, a) {
 				continue
 			}
 			id := grantID{service, a.Range, a.Fence}
@@ -135,14 +147,6 @@
 	return max(next, time.Millisecond)
 }
 
-// mine reports whether this host renews the assignment under the plan.
-func (r *Renewer) mine(plan assign.Plan, a assign.Assignment) bool {
-	if a.Phase != assign.Held || !plan.MayRenew(r.self, a.Fence) {
-		return false
-	}
-	return a.Server.Zone == r.self.Zone || plan.Leader.Same(r.self)
-}
-
 // checkContact gives a grant up when its server has not answered for too long, counted
 // from the first try where it never has.
 func (r *Renewer) checkContact(id grantID, s *state, a assign.Assignment, now time.Duration) {
@@ -214,7 +218,7 @@
 func (r *Renewer) send(ctx context.Context, id grantID, a assign.Assignment) error {
 	plan := r.current.Plan()
 	now, found := plan.Lookup(id.service, id.keys.First)
-	if !found || now.Fence != id.fence || !r.mine(plan, now) {
+	if !found || now.Fence != id.fence || !plan.Covers(r.self, now) {
 		return errNotMine
 	}
 	if r.clock()-r.current.Verified() > r.timing.StaleAfter {
