Releases fence by themselves; no grant is sent to take keys back

Ruled out: renewals (all of the plan's fence). Change: release only, and only while the plan is confirmed.

--- a/internal/assign/plan.go
+++ b/internal/assign/plan.go
@@ -19,14 +19,9 @@
 // Fence orders the grants of a key. A server refuses a grant below one that it has seen.
 type Fence uint64
 
-// FenceStep is the distance between the fences of two versions of the plan. The tries of
-// one release use the fences between, each its own, so that a server which has
-// answered one refuses the former ones should they still arrive.
-const FenceStep Fence = 1024
-
 // FenceAt returns the fence of the plan at a place in the store.
 func FenceAt(offset uint64) Fence {
-	return Fence(offset+1) * FenceStep
+	return Fence(offset + 1)
 }
 
 // Host is a host that may renew grants.
--- a/internal/assign/step.go
+++ b/internal/assign/step.go
@@ -16,8 +16,8 @@
 }
 
 // Proof tells that the former holder of a range holds it no longer. It is made where
-//   - the server answered a release, after it had taken a grant with the present
-//     fence, which makes it refuse all grants that are still on their way; or
+//   - the server answered a release with the present fence, from which on it refuses
+//     all grants that are still on their way; or
 //   - a newer life of the server, or another server at its address, has been seen; or
 //   - every host that may have renewed has stopped, and the last grant has run out.
 type Proof struct {
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -144,7 +144,7 @@
 	if err != nil {
 		return assign.Plan{}, errors.NewAssertionErrorWithWrappedErrf(err, "plan")
 	}
-	at := uint64(next/assign.FenceStep) - 1
+	at := uint64(next) - 1
 	offset, err := s.platform.AppendState(ctx, planKey, value, &at)
 	if errors.Is(err, ErrConflict) {
 		return assign.Plan{}, errors.Mark(err, leader.ErrConflict)
--- a/internal/leader/release.go
+++ b/internal/leader/release.go
@@ -6,16 +6,17 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/poplarcroft/poplarcroft/internal/assign"
-	"github.com/poplarcroft/poplarcroft/internal/grants"
 	"github.com/poplarcroft/poplarcroft/internal/keyrange"
 )
 
 const (
-	// fenceHold is the hold of the grant that only makes a server refuse older grants.
-	fenceHold = 50 * time.Millisecond
 	// releaseTimeout bounds a release, which is answered when the work on the keys has ended.
 	releaseTimeout = 4 * time.Second
+	// releaseConfirmed is the age of the confirmation of the plan up to which releases are asked for.
+	releaseConfirmed = 5 * time.Second
 	// releaseRetry is the time between two tries of a release.
 	releaseRetry = 200 * time.Millisecond
 )
@@ -76,18 +77,14 @@
 func (l *Leader) releaseRange(ctx context.Context, id jobID, a assign.Assignment, plan assign.Plan) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	asking, stopAsking := context.WithCancel(ctx)
-	defer stopAsking()
 	go func() {
-		if l.awaitLapse(ctx, id, a, plan, stopAsking) {
+		if l.awaitLapse(ctx, id, a, plan) {
 			l.prove(id, a, assign.Proof{Fence: a.Fence}, "lapsed")
 			cancel()
 		}
 	}()
-	fence := a.Fence
-	for asking.Err() == nil {
-		fence = min(fence+1, a.Fence+assign.FenceStep-1)
-		handover, err := l.askRelease(asking, a, fence)
+	for ctx.Err() == nil {
+		handover, err := l.askRelease(ctx, a)
 		if err == nil {
 			l.prove(id, a, assign.Proof{Fence: a.Fence, Handover: handover}, "released")
 			return
@@ -97,24 +94,26 @@
 				"fence", uint64(a.Fence), "outcome", "failed", "err", err.Error())
 		}
 		select {
-		case <-asking.Done():
+		case <-ctx.Done():
 		case <-time.After(releaseRetry):
 		}
 	}
-	<-ctx.Done()
 }
 
-// askRelease makes the server refuse older grants of the range, then takes it back.
-func (l *Leader) askRelease(ctx context.Context, a assign.Assignment, fence assign.Fence) (handover string, err error) {
-	fenceCtx, cancel := context.WithTimeout(ctx, l.Timing.CallTimeout)
-	defer cancel()
-	err = l.Granter.Grant(fenceCtx, a.Server, grants.Grant{Range: a.Range, Fence: fence, Hold: fenceHold})
-	if err != nil {
-		return "", err
+// errStale reports that this host may not lead any longer.
+var errStale = errors.New("leader: the plan is not confirmed")
+
+// askRelease takes the range back from its server. The fence is above that of all
+// grants of the range so far, and the server refuses those from then on. A release
+// that comes late could take keys that the server has got anew, so only a host that
+// has confirmed the plan of late asks.
+func (l *Leader) askRelease(ctx context.Context, a assign.Assignment) (handover string, err error) {
+	if l.Clock()-l.Current.Verified() > releaseConfirmed {
+		return "", errStale
 	}
-	releaseCtx, cancelRelease := context.WithTimeout(ctx, releaseTimeout)
-	defer cancelRelease()
-	return l.Granter.Release(releaseCtx, a.Server, a.Range, fence)
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	return l.Granter.Release(ctx, a.Server, a.Range, a.Fence)
 }
 
 func (l *Leader) prove(id jobID, a assign.Assignment, proof assign.Proof, how string) {
@@ -132,7 +131,7 @@
 // awaitLapse returns true once every host that may have renewed the range has
 // stopped and the last grant has run out at its latest possible end. It returns
 // false where the context ends before.
-func (l *Leader) awaitLapse(ctx context.Context, id jobID, a assign.Assignment, plan assign.Plan, stopAsking func()) bool {
+func (l *Leader) awaitLapse(ctx context.Context, id jobID, a assign.Assignment, plan assign.Plan) bool {
 	stopped := l.stopRenewers(ctx, a, plan)
 	if ctx.Err() != nil {
 		return false
@@ -140,12 +139,6 @@
 	lapsed := stopped + l.Timing.Outlives()
 	l.Log.Event("release", "service", id.service, "keys", a.Range.String(), "server", a.Server.ID,
 		"fence", uint64(a.Fence), "outcome", "renewals stopped", "lapses_in_ms", (lapsed - l.Clock()).Milliseconds())
-	// No grant may be on its way when the range is free, not even one that only fences.
-	quiet := l.Timing.CallTimeout + 2*fenceHold
-	if !l.sleepUntil(ctx, lapsed-quiet) {
-		return false
-	}
-	stopAsking()
 	return l.sleepUntil(ctx, lapsed)
 }
 
