--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -63,6 +63,8 @@
 	leaveReserve = 400 * time.Millisecond
 	// defaultConnections is the share of a server's connections before a configuration is known.
 	defaultConnections = 8
+	// hostConnections bounds the connections to another host.
+	hostConnections = 64
 	// minConnections is the least share of a server's connections.
 	minConnections = 2
 	// silentAfter bounds the silence on an idle connection before a request that must not run twice.
@@ -121,6 +123,10 @@
 		Settled: h.seenServers.Load, Clock: clock.Monotonic, Log: log,
 	})
 	h.door = front.New(front.Config{
+		Self: config.Name,
+		Hosts: transport.NewPool(transport.Options{
+			Dial: h.dial, Connections: hostConnections, IdleTimeout: idleTimeout, RequestIDHeader: config.Headers.RequestID,
+		}),
 		Headers: config.Headers, Fleet: h.fleet, Current: h.current, Table: h.orders.Table,
 		ColdTotal: h.coldTotal,
 		Budget: front.BudgetConfig{
@@ -236,7 +242,11 @@
 	if err != nil {
 		panic(errors.NewAssertionErrorWithWrappedErrf(err, "register calls"))
 	}
-	go http.Serve(l.peers, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	go http.Serve(l.peers, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(front.HeaderHop) != "" {
+			h.door.ServeHop(w, r)
+			return
+		}
 		peer.ServeRPC(ctx, calls, w)
 	}))
 	if l.metrics != nil {
--- a/internal/front/door.go
+++ b/internal/front/door.go
@@ -14,6 +14,7 @@
 	"github.com/poplarcroft/poplarcroft/internal/fleet"
 	"github.com/poplarcroft/poplarcroft/internal/keyrange"
 	"github.com/poplarcroft/poplarcroft/internal/routetable"
+	"github.com/poplarcroft/poplarcroft/internal/transport"
 )
 
 // Config is what a door needs of its host.
@@ -21,6 +22,9 @@
 	Headers Headers
 	Fleet   *fleet.Fleet
 	Current *assign.Current
+	// Self is the name of this host. Hosts holds the connections to the others.
+	Self  string
+	Hosts *transport.Pool
 	// Table returns the configuration in force, or nil where none is known yet.
 	Table func() *routetable.Table
 	// ColdTotal returns what a cold server of the service takes in any second from all hosts.
@@ -42,6 +46,8 @@
 	budgets budgets
 	keys    keyCounts
 	suspect suspects
+	leads   *leads
+	gates   gates
 	// Counters are published on the metrics address.
 	Counters Counters
 
@@ -58,6 +64,8 @@
 		clock:   config.Clock,
 		log:     config.Log,
 		budgets: budgets{config: config.Budget},
+		leads:   newLeads(config.Self, config.Clock),
+		gates:   gates{clock: config.Clock},
 	}
 }
 
@@ -167,7 +175,6 @@
 }
 
 func (d *Door) handle(ctx context.Context, r *Request) Result {
-	d.budgets.request(r.Service.Name, d.clock())
 	if d.suspect.condemned(r) {
 		return unknown(reasonCrashes)
 	}
@@ -175,6 +182,7 @@
 		d.keys.add(r.Service.Name, r.Key)
 		return d.serveKeyed(ctx, r)
 	}
+	d.budgets.request(r.Service.Name, d.clock())
 	return d.serveAny(ctx, r)
 }
 
--- a/internal/front/keyed.go
+++ b/internal/front/keyed.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/poplarcroft/poplarcroft/internal/assign"
+	"github.com/poplarcroft/poplarcroft/internal/dispatch"
 	"github.com/poplarcroft/poplarcroft/internal/fleet"
 )
 
@@ -13,6 +14,8 @@
 	settleTime = 15 * time.Millisecond
 	// holderPause is the time between two tries at a holder that does not hold the key yet.
 	holderPause = 40 * time.Millisecond
+	// maxHops bounds the leads that are asked in turn.
+	maxHops = 2
 	// maxNotHeld bounds these tries.
 	maxNotHeld = 6
 	// fullPause is the time after which a holder that was full is tried again.
@@ -31,9 +34,33 @@
 	notHeld    int
 }
 
-// serveKeyed sends a request to the server that holds its key. While the key is on
-// its way to another server the request waits.
+// serveKeyed passes a request on to the lead of the server that holds its key. Where
+// this host is the lead, or the lead cannot be asked, it sends the request itself.
 func (d *Door) serveKeyed(ctx context.Context, r *Request) Result {
+	mayHaveRun := false
+	for range maxHops {
+		plan := d.config.Current.Plan()
+		a, found := plan.Lookup(r.Service.Name, r.Key)
+		if !found || a.Phase != assign.Held {
+			break
+		}
+		lead, ok := d.leads.of(plan, a.Server)
+		if !ok || lead.Name == d.config.Self {
+			break
+		}
+		result, final := d.forward(ctx, r, lead)
+		if final {
+			return withRun(result, mayHaveRun)
+		}
+		mayHaveRun = mayHaveRun || result.Kind == Unknown
+	}
+	return withRun(d.sendKeyed(ctx, r), mayHaveRun)
+}
+
+// sendKeyed sends a request to the server that holds its key. While the key is on
+// its way to another server the request waits.
+func (d *Door) sendKeyed(ctx context.Context, r *Request) Result {
+	d.budgets.request(r.Service.Name, d.clock())
 	t := &keyedTry{door: d, r: r}
 	for ctx.Err() == nil {
 		result, again := t.round(ctx)
@@ -61,15 +88,46 @@
 	if !ok || !t.door.fleet.Open(server) {
 		return t.wait(ctx, changed, t.waitUntil(), reasonNoHolder)
 	}
-	now := t.door.clock()
-	if t.sends > 0 && !t.door.budgets.take(t.r.Service.Name, now) {
-		return notRun(reasonBudget, comeBack), false
+	return t.try(ctx, server, changed)
+}
+
+// try waits for a place at the server and sends the request.
+func (t *keyedTry) try(ctx context.Context, server *fleet.Server, changed <-chan struct{}) (Result, bool) {
+	gate := t.door.gates.of(server.Entry())
+	retryAfter, ok := gate.Acquire(ctx, dispatch.Item{
+		Priority: t.r.Route.Priority,
+		Goal:     t.r.Arrived + t.r.Route.Goal,
+		Deadline: t.r.Deadline,
+		Work:     t.door.usual.of(t.r.Route.Name),
+	})
+	if !ok {
+		return notRun(reasonFull, retryAfter), false
+	}
+	a, refusal, sent := t.send(ctx, server)
+	gate.Release(a.took)
+	if !sent {
+		return refusal, refusal.Kind == 0
+	}
+	return t.after(ctx, a, changed)
+}
+
+// send makes one try at a server where a place has been given. It returns false where it did
+// not, with the refusal, or an empty result where the key has left the server.
+func (t *keyedTry) send(ctx context.Context, server *fleet.Server) (attempt, Result, bool) {
+	began := t.door.clock()
+	// The key may have left the server meanwhile.
+	now, found := t.door.config.Current.Plan().Lookup(t.r.Service.Name, t.r.Key)
+	if !found || now.Phase != assign.Held || now.Server.ID != string(server.Entry().ID) {
+		return attempt{}, Result{}, false
+	}
+	if t.sends > 0 && !t.door.budgets.take(t.r.Service.Name, began) {
+		return attempt{}, notRun(reasonBudget, comeBack), false
 	}
-	if !server.Begin(t.door.allowance(t.r), now) {
-		return notRun(reasonCold, comeBack), false
+	if !server.Begin(t.door.allowance(t.r), began) {
+		return attempt{}, notRun(reasonCold, comeBack), false
 	}
 	t.sends++
-	return t.after(ctx, t.door.send(ctx, t.r, server), changed)
+	return t.door.send(ctx, t.r, server), Result{}, true
 }
 
 // after decides what follows from a try.
--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -47,6 +47,8 @@
 	outcome tryOutcome
 	answer  *Answer
 	detail  string
+	// took is how long the server worked, zero where that is not known.
+	took time.Duration
 }
 
 // send makes one try at a server and notes what it tells of the server.
@@ -71,6 +73,9 @@
 	})
 	a := d.judge(r, result)
 	now := d.clock()
+	if a.outcome == tryAnswered || a.outcome == tryFailed {
+		a.took = now - started
+	}
 	if a.answer != nil {
 		d.noteLoad(server, a.answer.Header.Get(d.headers.Load), now)
 	}
@@ -90,14 +95,25 @@
 	if result.Sent != transport.Answered {
 		return attempt{outcome: tryLost, detail: errorText(result.Err)}
 	}
+	answer, err := wholeAnswer(result)
+	if err != nil {
+		return attempt{outcome: tryLost, detail: errorText(err)}
+	}
+	return d.classify(r, answer)
+}
+
+// wholeAnswer reads an answer to its end.
+func wholeAnswer(result transport.Result) (*Answer, error) {
+	if result.Sent != transport.Answered {
+		return nil, result.Err
+	}
 	response := result.Response
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	response.Body.Close()
 	if err != nil {
-		return attempt{outcome: tryLost, detail: errorText(err)}
+		return nil, err
 	}
-	answer := &Answer{Status: response.StatusCode, Header: response.Header, Body: body}
-	return d.classify(r, answer)
+	return &Answer{Status: response.StatusCode, Header: response.Header, Body: body}, nil
 }
 
 // classify says what a whole answer means.
