--- a/internal/assign/step.go
+++ b/internal/assign/step.go
@@ -46,10 +46,13 @@
 const (
 	// rangesPerServer bounds the ranges of a service, and so the grants that are renewed.
 	rangesPerServer = 5
-	// overload is the load of a server, in relation to its fair share, from which keys leave it.
-	overload = 1.25
+	// overload is the load of a server, in relation to its fair share, from which keys leave it,
+	// beyond what chance makes of a second's requests.
+	overload = 1.35
+	// chance is the number of standard deviations of a second's requests that are left to chance.
+	chance = 1.5
 	// movesPerStep bounds the ranges that start to move at a time to spread load.
-	movesPerStep = 4
+	movesPerStep = 8
 	// minLoad is the load in requests per second below which nothing is spread.
 	minLoad = 5.0
 )
@@ -198,7 +201,7 @@
 func (s *stepper) spreadOnce(loads map[string]float64) bool {
 	from, most := s.busiest(loads)
 	fair := s.fairLoad()
-	if most < overload*fair {
+	if most < overload*fair+chance*math.Sqrt(most*from.Capacity)/from.Capacity {
 		return false
 	}
 	to := s.least(loads, 0)
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -54,8 +54,10 @@
 	// retryPause and maxRetryPause bound the pause after a failed read; it doubles.
 	retryPause    = 100 * time.Millisecond
 	maxRetryPause = 500 * time.Millisecond
-	// reportEvery is the time between two reports to the leader.
-	reportEvery   = 500 * time.Millisecond
+	// reportEvery is the time between two reports to the leader, reportPressed that while
+	// requests wait for a server.
+	reportEvery   = 2 * time.Second
+	reportPressed = 300 * time.Millisecond
 	reportTimeout = 400 * time.Millisecond
 	// leaveAfter is how long a host that stops still accepts connections, until the balancer has noticed.
 	leaveAfter = 2800 * time.Millisecond
@@ -354,23 +356,32 @@
 	})
 }
 
-// reportLoad tells the leader the requests for keys that this host has seen.
+// reportLoad tells the leader the load on the keys whose servers this host sends to.
 func (h *Host) reportLoad(ctx context.Context) {
-	duty.Every(ctx, reportEvery, func(ctx context.Context) {
-		counts := h.door.TakeKeyCounts()
-		lost := h.renewer.Lost()
-		to := h.current.Plan().Leader
-		if h.leader.Leads() {
-			h.leader.Report(h.self.Name, counts, lost)
-			return
-		}
-		if to.Addr == "" {
+	var reported time.Duration
+	duty.Every(ctx, reportPressed, func(ctx context.Context) {
+		now := clock.Monotonic()
+		if now-reported < reportEvery && !h.door.Pressed() {
 			return
 		}
-		ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-		defer cancel()
-		if err := h.peers.report(ctx, to, ReportArgs{Host: h.self.Name, Counts: counts, Lost: lost}); err != nil {
-			h.log.Routine("report", "leader", to.Name, "outcome", "failed", "err", err.Error())
-		}
+		reported = now
+		h.report(ctx)
 	})
 }
+
+func (h *Host) report(ctx context.Context) {
+	args := ReportArgs{Host: h.self.Name, Rates: h.door.KeyRates(), Lost: h.renewer.Lost()}
+	if h.leader.Leads() {
+		h.leader.Report(args.Host, args.Rates, args.Lost)
+		return
+	}
+	to := h.current.Plan().Leader
+	if to.Addr == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	if err := h.peers.report(ctx, to, args); err != nil {
+		h.log.Routine("report", "leader", to.Name, "outcome", "failed", "err", err.Error())
+	}
+}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -28,11 +28,12 @@
 	Plan        assign.Plan
 }
 
-// ReportArgs tells the leader what a host has seen since its last report.
+// ReportArgs tells the leader what a host sees.
 type ReportArgs struct {
-	Host   string
-	Counts map[string]map[keyrange.Key]int
-	Lost   []renew.Lost
+	Host string
+	// Rates holds the request rates of the keys whose servers the host sends to.
+	Rates map[string]map[keyrange.Key]keyrange.CentiRate
+	Lost  []renew.Lost
 }
 
 // Empty is an answer without content.
@@ -63,7 +64,7 @@
 
 // Report takes what a host has seen.
 func (s *service) Report(args ReportArgs, _ *Empty) error {
-	s.leader.Report(args.Host, args.Counts, args.Lost)
+	s.leader.Report(args.Host, args.Rates, args.Lost)
 	return nil
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -13,7 +13,7 @@
 
 const (
 	// choices is the number of servers of which the best is taken.
-	choices = 3
+	choices = 8
 	// otherZoneCost is added to the cost of a server in another zone.
 	otherZoneCost = 1.5
 )
--- a/internal/front/door.go
+++ b/internal/front/door.go
@@ -44,7 +44,7 @@
 	log     *eventlog.Log
 	usual   usualLatency
 	budgets budgets
-	keys    keyCounts
+	keys    keyRates
 	suspect suspects
 	leads   *leads
 	gates   gates
@@ -82,9 +82,14 @@
 	return d.leaving
 }
 
-// TakeKeyCounts returns the requests seen for each key of each service since the last call.
-func (d *Door) TakeKeyCounts() map[string]map[keyrange.Key]int {
-	return d.keys.take()
+// KeyRates returns the request rates of the keys whose servers this host sends to.
+func (d *Door) KeyRates() map[string]map[keyrange.Key]keyrange.CentiRate {
+	return d.keys.take(d.clock())
+}
+
+// Pressed reports whether requests wait for a place at a server that owns keys.
+func (d *Door) Pressed() bool {
+	return d.gates.queued()
 }
 
 // ServeHTTP takes one request.
@@ -179,7 +184,6 @@
 		return unknown(reasonCrashes)
 	}
 	if r.Service.Keyed {
-		d.keys.add(r.Service.Name, r.Key)
 		return d.serveKeyed(ctx, r)
 	}
 	d.budgets.request(r.Service.Name, d.clock())
--- a/internal/front/gates.go
+++ b/internal/front/gates.go
@@ -29,6 +29,18 @@
 	born int64
 }
 
+// queued reports whether requests wait at any gate.
+func (g *gates) queued() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, gate := range g.lives {
+		if _, queued := gate.Len(); queued > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func (g *gates) of(entry fleet.Entry) *dispatch.Gate {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -78,12 +78,14 @@
 	joinEvery = time.Second
 	// rebalanceEvery is the time between two moves that spread load.
 	rebalanceEvery = 600 * time.Millisecond
-	// loadInterval is the time over which loads are averaged.
-	loadInterval = time.Second
+	// reportLapses is how long a report on loads is believed.
+	reportLapses = 4 * time.Second
+	// coalesce is the time for which the leader waits for more news before it looks at the world.
+	coalesce = 20 * time.Millisecond
 	// firstGrantAfter is how long a new leader waits for servers to appear before it gives keys out for the first time.
 	firstGrantAfter = 1500 * time.Millisecond
 	// retireAfter is how long a host may be silent before it may renew no longer.
-	retireAfter = 4 * time.Second
+	retireAfter = 5 * time.Second
 	// regrantEvery is the time between two new fences for servers that do not answer.
 	regrantEvery = time.Second
 	// writeTimeout bounds one write of the plan.
@@ -100,9 +102,10 @@
 	// proofs holds what is known to be released, by service and first key.
 	proofs map[string]map[keyrange.Key]assign.Proof
 	jobs   map[jobID]context.CancelFunc
-	loads  map[string]*keyrange.Load
-	// decayed is when the loads were last decayed, moved when load was last spread.
-	decayed, moved time.Duration
+	// reports holds the last report on loads of each host.
+	reports map[string]report
+	// moved is when load was last spread.
+	moved time.Duration
 	// regranted is when a range got a new fence because its server did not answer.
 	regranted time.Duration
 	// lost holds the grants that some host renews no longer because their servers do not answer.
@@ -120,7 +123,7 @@
 		proofs:  make(map[string]map[keyrange.Key]assign.Proof),
 		lost:    make(map[renew.Lost]bool),
 		jobs:    make(map[jobID]context.CancelFunc),
-		loads:   make(map[string]*keyrange.Load),
+		reports: make(map[string]report),
 		heard:   make(map[string]time.Duration),
 		retired: make(map[string]time.Duration),
 	}
@@ -176,7 +179,7 @@
 	l.since = l.Clock()
 	clear(l.heard)
 	clear(l.retired)
-	clear(l.loads)
+	clear(l.reports)
 	clear(l.proofs)
 	clear(l.lost)
 }
@@ -192,6 +195,7 @@
 		select {
 		case <-ctx.Done():
 		case <-l.wake:
+			time.Sleep(coalesce)
 		case <-time.After(stepEvery):
 		}
 	}
@@ -227,7 +231,6 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.Clock()
-	l.decay(now)
 	next := plan.Clone()
 	changed := !plan.Leader.Same(l.Self)
 	next.Leader = l.Self
@@ -265,7 +268,7 @@
 		Lives:  make(map[string]assign.Server),
 		AtAddr: l.atAddr(),
 		Proofs: l.proofs[service],
-		Load:   l.loads[service],
+		Load:   l.load(service, now),
 	}
 	var cold []assign.Candidate
 	for _, server := range l.Fleet.Servers(service) {
@@ -390,38 +393,36 @@
 	}
 }
 
-// Report takes the requests for keys that a host has seen since its last report, and the
-// grants whose servers do not answer it.
-func (l *Leader) Report(host string, counts map[string]map[keyrange.Key]int, lost []renew.Lost) {
+// report is what a host told of loads, and when.
+type report struct {
+	rates map[string]map[keyrange.Key]keyrange.CentiRate
+	at    time.Duration
+}
+
+// Report takes the load on the keys whose servers a host sends to, and the grants whose
+// servers do not answer it.
+func (l *Leader) Report(host string, rates map[string]map[keyrange.Key]keyrange.CentiRate, lost []renew.Lost) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.heard[host] = l.Clock()
 	for _, id := range lost {
 		l.lost[id] = true
 	}
-	for service, keys := range counts {
-		load := l.loads[service]
-		if load == nil {
-			load = keyrange.NewLoad()
-			l.loads[service] = load
-		}
-		for key, n := range keys {
-			load.Add(key, float64(n)/loadInterval.Seconds())
-		}
-	}
+	l.reports[host] = report{rates: rates, at: l.Clock()}
 }
 
-// decay lets the loads fade with the time since the last call.
-func (l *Leader) decay(now time.Duration) {
-	const step = 200 * time.Millisecond
-	if now-l.decayed < step {
-		return
+// load returns the load on the keys of a service, nil where nothing is known.
+func (l *Leader) load(service string, now time.Duration) *keyrange.Load {
+	var rates []map[keyrange.Key]keyrange.CentiRate
+	for _, told := range l.reports {
+		if now-told.at <= reportLapses && told.rates[service] != nil {
+			rates = append(rates, told.rates[service])
+		}
 	}
-	elapsed := min(now-l.decayed, 2*loadInterval)
-	l.decayed = now
-	for _, load := range l.loads {
-		load.Decay(fadeOver(elapsed))
+	if len(rates) == 0 {
+		return nil
 	}
+	return keyrange.NewLoad(rates)
 }
 
 func (l *Leader) logChanges(before, after assign.Plan) {
--- a/internal/leader/release.go
+++ b/internal/leader/release.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"sync"
 	"time"
 
@@ -28,11 +27,6 @@
 	fence   assign.Fence
 }
 
-// fadeOver is the factor by which a load fades in the given time.
-func fadeOver(elapsed time.Duration) float64 {
-	return math.Exp(-elapsed.Seconds() / loadInterval.Seconds())
-}
-
 // startJobs starts the release of each range that is to be released, and ends others.
 func (l *Leader) startJobs(plan assign.Plan) {
 	l.mu.Lock()
--- a/internal/transport/target.go
+++ b/internal/transport/target.go
@@ -90,6 +90,9 @@
 	dial     DialFunc
 	limiter  *limiter
 	http     *http.Transport
+	// fresh carries the requests that are not idempotent. These close the connections that
+	// have been silent for too long, which would be lost for others.
+	fresh *http.Transport
 
 	requestIDHeader string
 	undelimited     bool
@@ -116,7 +119,13 @@
 		requestIDHeader: cmp.Or(options.RequestIDHeader, backend.HeaderRequestID),
 		undelimited:     options.Undelimited,
 	}
-	t.http = &http.Transport{
+	t.http = t.newTransport(options)
+	t.fresh = t.newTransport(options)
+	return t
+}
+
+func (t *Target) newTransport(options Options) *http.Transport {
+	transport := &http.Transport{
 		DialContext:            t.dialTracked,
 		DisableCompression:     true,
 		IdleConnTimeout:        options.IdleTimeout,
@@ -126,8 +135,8 @@
 		WriteBufferSize:        bufferBytes,
 		Protocols:              new(http.Protocols),
 	}
-	t.http.Protocols.SetHTTP1(true)
-	return t
+	transport.Protocols.SetHTTP1(true)
+	return transport
 }
 
 // Request is a request to send. Its header is not changed.
@@ -172,7 +181,7 @@
 // SetConnections changes the largest number of open connections.
 func (t *Target) SetConnections(limit int) {
 	t.limiter.setLimit(limit)
-	t.http.CloseIdleConnections()
+	t.Close()
 }
 
 // Connections returns the number of open connections.
@@ -183,6 +192,7 @@
 // Close closes the idle connections. Requests in progress finish.
 func (t *Target) Close() {
 	t.http.CloseIdleConnections()
+	t.fresh.CloseIdleConnections()
 }
 
 // sendOnce makes one round trip and reports whether it was on an idle connection.
@@ -203,7 +213,11 @@
 	if len(req.Body) > 0 {
 		out.Body = io.NopCloser(bytes.NewReader(req.Body))
 	}
-	resp, err := t.http.RoundTrip(out.WithContext(traced))
+	carrier := t.http
+	if !req.Idempotent {
+		carrier = t.fresh
+	}
+	resp, err := carrier.RoundTrip(out.WithContext(traced))
 	if err == nil {
 		err = t.checkHeader(req, resp)
 	}
@@ -228,7 +242,7 @@
 		sent = MaybeSent
 	}
 	if a.reused && sent == MaybeSent && !errors.Is(err, context.Canceled) {
-		t.http.CloseIdleConnections()
+		t.Close()
 	}
 	return Result{Sent: sent, Err: err}
 }
@@ -238,7 +252,7 @@
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	if t.limiter.full() {
-		t.http.CloseIdleConnections()
+		t.Close()
 	}
 	if err := t.limiter.acquire(ctx); err != nil {
 		return nil, err
