Shares by speed; a server's own failure goes before this host's; no refusal after a run

Cause: servers differ in speed by more than two; a retry after a server's 504 could end as a 503 that says not run.

--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -370,9 +370,9 @@
 }
 
 func (h *Host) report(ctx context.Context) {
-	args := ReportArgs{Host: h.self.Name, Rates: h.door.KeyRates(), Lost: h.renewer.Lost()}
+	args := ReportArgs{Host: h.self.Name, Rates: h.door.KeyRates(), Lost: h.renewer.Lost(), Slowness: h.fleet.Slowness(clock.Monotonic())}
 	if h.leader.Leads() {
-		h.leader.Report(args.Host, args.Rates, args.Lost)
+		h.leader.Report(args.Host, leader.Report{Rates: args.Rates, Slowness: args.Slowness}, args.Lost)
 		return
 	}
 	to := h.current.Plan().Leader
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -34,6 +34,8 @@
 	// Rates holds the request rates of the keys whose servers the host sends to.
 	Rates map[string]map[keyrange.Key]keyrange.CentiRate
 	Lost  []renew.Lost
+	// Slowness holds the servers that the host has judged of late, in hundredths.
+	Slowness map[string]int
 }
 
 // Empty is an answer without content.
@@ -64,7 +66,7 @@
 
 // Report takes what a host has seen.
 func (s *service) Report(args ReportArgs, _ *Empty) error {
-	s.leader.Report(args.Host, args.Rates, args.Lost)
+	s.leader.Report(args.Host, leader.Report{Rates: args.Rates, Slowness: args.Slowness}, args.Lost)
 	return nil
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -119,6 +119,17 @@
 	return names
 }
 
+// Slowness returns the slowness in hundredths of the servers that this host has judged of late.
+func (f *Fleet) Slowness(now time.Duration) map[string]int {
+	slowness := make(map[string]int)
+	for id, server := range f.view.Load().byID {
+		if value, judged := server.judgement(now); judged {
+			slowness[string(id)] = int(value * 100)
+		}
+	}
+	return slowness
+}
+
 // Choose returns the best of a few servers of a service, and false where none may be used.
 // Cold servers are chosen only where no other is left.
 func (f *Fleet) Choose(service string, excluded []ID, now time.Duration) (*Server, bool) {
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -59,13 +59,15 @@
 	slowness float64
 	failures float64
 	judged   time.Duration
+	// sampled is when a try last told of the slowness.
+	sampled time.Duration
 	// pauseUntil leaves the server out for a while; misses counts failed connections in a row.
 	pauseUntil time.Duration
 	misses     int
 }
 
 func newServer(entry Entry, target *transport.Target, now time.Duration) *Server {
-	return &Server{Target: target, slowness: 1, judged: now, entry: entry, coldUntil: now + entry.ColdFor}
+	return &Server{Target: target, slowness: 1, judged: now, sampled: now - 2*forgetAfter, entry: entry, coldUntil: now + entry.ColdFor}
 }
 
 // update takes a newer entry of the same life.
@@ -111,7 +113,8 @@
 	return true
 }
 
-// End notes how a try ended. Ratio is its latency in relation to the usual one of its route.
+// End notes how a try ended. Ratio is its latency in relation to the usual one of its
+// route, zero where it tells nothing.
 func (s *Server) End(ending Ending, ratio float64, now time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -122,7 +125,10 @@
 	s.fade(now)
 	switch ending {
 	case Answered:
-		s.slowness += sampleWeight * (min(ratio, maxRatio) - s.slowness)
+		if ratio > 0 {
+			s.sampled = now
+			s.slowness += sampleWeight * (min(ratio, maxRatio) - s.slowness)
+		}
 		s.failures -= sampleWeight * s.failures
 		s.misses = 0
 	case Failed:
@@ -179,6 +185,16 @@
 	return s.slowness
 }
 
+// judgement returns the slowness, and false where no try has told of it of late.
+func (s *Server) judgement(now time.Duration) (float64, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now-s.sampled > forgetAfter {
+		return 1, false
+	}
+	return s.slowness, true
+}
+
 // cost is the expected time of a request at the server in relation to the usual time.
 func (s *Server) cost(now time.Duration) float64 {
 	s.mu.Lock()
--- a/internal/front/keyed.go
+++ b/internal/front/keyed.go
@@ -29,9 +29,11 @@
 	door       *Door
 	r          *Request
 	mayHaveRun bool
-	runs       int
-	sends      int
-	notHeld    int
+	// failure is the last failure that a server has answered.
+	failure *Answer
+	runs    int
+	sends   int
+	notHeld int
 }
 
 // serveKeyed passes a request on to the lead of the server that holds its key. Where
@@ -66,10 +68,13 @@
 	for ctx.Err() == nil {
 		result, again := t.round(ctx)
 		if !again {
-			return withRun(result, t.mayHaveRun)
+			if result.Kind == Done {
+				return result
+			}
+			return t.lastEnd(result)
 		}
 	}
-	return d.overdue(t.mayHaveRun)
+	return t.lastEnd(d.overdue(t.mayHaveRun))
 }
 
 // waitUntil is the reading of the clock until which the request waits for a holder.
@@ -99,7 +104,7 @@
 		Priority: t.r.Route.Priority,
 		Goal:     t.r.Arrived + t.r.Route.Goal,
 		Deadline: t.r.Deadline,
-		Work:     t.door.usual.of(t.r.Route.Name),
+		Work:     t.expectedWork(server),
 	})
 	if !ok {
 		return notRun(reasonFull, retryAfter), false
@@ -112,6 +117,12 @@
 	return t.after(ctx, a, changed)
 }
 
+// expectedWork is how long the server is thought to work on the request.
+func (t *keyedTry) expectedWork(server *fleet.Server) time.Duration {
+	usual := t.door.usual.of(t.r.Route.Name)
+	return time.Duration(float64(usual) * server.Slowness(t.door.clock()))
+}
+
 // send makes one try at a server where a place has been given. It returns false where it did
 // not, with the refusal, or an empty result where the key has left the server.
 func (t *keyedTry) send(ctx context.Context, server *fleet.Server) (attempt, Result, bool) {
@@ -148,12 +159,22 @@
 		return t.pause(ctx, fullPause, reasonUnreachable)
 	}
 	t.runs++
-	result := Result{Kind: Done, Answer: a.answer}
-	if a.outcome == tryLost {
-		t.mayHaveRun = true
-		result = unknown(reasonAnswerLost)
+	t.mayHaveRun = true
+	if a.outcome == tryFailed {
+		t.failure = a.answer
 	}
-	return result, t.r.Route.Idempotent && t.runs < t.r.Route.Attempts
+	again := t.r.Route.Idempotent && t.runs < t.r.Route.Attempts && t.timeLeft()
+	return t.lastEnd(unknown(reasonAnswerLost)), again
+}
+
+// timeLeft reports whether another run could be answered in time.
+func (t *keyedTry) timeLeft() bool {
+	return t.door.clock()+t.door.usual.of(t.r.Route.Name) < t.r.Deadline
+}
+
+// lastEnd is the end of the request where there is no success.
+func (t *keyedTry) lastEnd(own Result) Result {
+	return end(own, t.failure, t.mayHaveRun)
 }
 
 // pause lets time pass before another try, unless the goal has nearly passed.
--- a/internal/front/keyless.go
+++ b/internal/front/keyless.go
@@ -16,18 +16,19 @@
 	var excluded []fleet.ID
 	mayHaveRun := false
 	runs := 0
+	var failure *Answer
 	last := notRun(reasonNoServer, comeBack)
 	for tries := 0; ; tries++ {
 		if ctx.Err() != nil {
-			return d.overdue(mayHaveRun)
+			return end(d.overdue(mayHaveRun), failure, mayHaveRun)
 		}
 		if tries > 0 && !d.budgets.take(r.Service.Name, d.clock()) {
-			return withRun(last, mayHaveRun)
+			return end(last, failure, mayHaveRun)
 		}
 		now := d.clock()
 		server, ok := d.fleet.Choose(r.Service.Name, excluded, now)
 		if !ok {
-			return withRun(last, mayHaveRun)
+			return end(last, failure, mayHaveRun)
 		}
 		excluded = append(excluded, server.Entry().ID)
 		if !server.Begin(d.allowance(r), now) {
@@ -40,7 +41,8 @@
 			return Result{Kind: Done, Answer: a.answer}
 		case tryFailed:
 			runs++
-			last = Result{Kind: Done, Answer: a.answer}
+			mayHaveRun = true
+			failure = a.answer
 		case tryLost:
 			runs++
 			mayHaveRun = true
@@ -54,11 +56,20 @@
 		}
 		ran := a.outcome == tryLost || a.outcome == tryFailed
 		if ran && (!r.Route.Idempotent || runs >= r.Route.Attempts) {
-			return withRun(last, mayHaveRun)
+			return end(last, failure, mayHaveRun)
 		}
 	}
 }
 
+// end is the end of a request without a success: a failure that a server has answered
+// goes before this host's own.
+func end(own Result, failure *Answer, mayHaveRun bool) Result {
+	if failure != nil {
+		return Result{Kind: Done, Answer: failure}
+	}
+	return withRun(own, mayHaveRun)
+}
+
 // overdue is the result of a request whose time is over.
 func (d *Door) overdue(mayHaveRun bool) Result {
 	if mayHaveRun {
--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -60,6 +60,8 @@
 		return attempt{outcome: tryNotSent, detail: reasonDeadline}
 	}
 	entry := server.Entry()
+	// Behind others in the server's queue a request takes longer without the server being slow.
+	alone := server.Occupancy(started) <= 1
 	header := r.Header.Clone()
 	header.Set(d.headers.DeadlineMS, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
 	header.Set(d.headers.ExpectInstance, string(entry.ID))
@@ -79,7 +81,11 @@
 	if a.answer != nil {
 		d.noteLoad(server, a.answer.Header.Get(d.headers.Load), now)
 	}
-	server.End(a.ending(ctx), d.usual.ratio(r.Route.Name, a, now-started), now)
+	ratio := 0.0
+	if alone {
+		ratio = d.usual.ratio(r.Route.Name, a, now-started)
+	}
+	server.End(a.ending(ctx), ratio, now)
 	if a.outcome != tryAnswered {
 		d.log.Event("try", "id", r.ID, "route", r.Route.Name, "server", entry.ID, "addr", entry.Addr,
 			"outcome", a.outcome.String(), "detail", a.detail, "ms", (now - started).Milliseconds())
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -80,6 +80,9 @@
 	rebalanceEvery = 600 * time.Millisecond
 	// reportLapses is how long a report on loads is believed.
 	reportLapses = 4 * time.Second
+	// minSlowness and maxSlowness bound what a server's speed changes of its share.
+	minSlowness = 0.5
+	maxSlowness = 4
 	// coalesce is the time for which the leader waits for more news before it looks at the world.
 	coalesce = 20 * time.Millisecond
 	// firstGrantAfter is how long a new leader waits for servers to appear before it gives keys out for the first time.
@@ -103,7 +106,7 @@
 	proofs map[string]map[keyrange.Key]assign.Proof
 	jobs   map[jobID]context.CancelFunc
 	// reports holds the last report on loads of each host.
-	reports map[string]report
+	reports map[string]timedReport
 	// moved is when load was last spread.
 	moved time.Duration
 	// regranted is when a range got a new fence because its server did not answer.
@@ -123,7 +126,7 @@
 		proofs:  make(map[string]map[keyrange.Key]assign.Proof),
 		lost:    make(map[renew.Lost]bool),
 		jobs:    make(map[jobID]context.CancelFunc),
-		reports: make(map[string]report),
+		reports: make(map[string]timedReport),
 		heard:   make(map[string]time.Duration),
 		retired: make(map[string]time.Duration),
 	}
@@ -278,7 +281,7 @@
 		if entry.Draining || l.Closed(entry.Zone) {
 			continue
 		}
-		candidate := assign.Candidate{Server: life, Capacity: float64(max(entry.Slots, 1))}
+		candidate := assign.Candidate{Server: life, Capacity: float64(max(entry.Slots, 1)) / l.slowness(life.ID, now)}
 		if server.Cold(now) {
 			cold = append(cold, candidate)
 		} else {
@@ -393,30 +396,53 @@
 	}
 }
 
-// report is what a host told of loads, and when.
-type report struct {
-	rates map[string]map[keyrange.Key]keyrange.CentiRate
-	at    time.Duration
+// Report is what a host tells of the servers that it sends to.
+type Report struct {
+	// Rates holds the load on the keys of each service.
+	Rates map[string]map[keyrange.Key]keyrange.CentiRate
+	// Slowness holds the time that servers take in relation to the usual, in hundredths.
+	Slowness map[string]int
 }
 
-// Report takes the load on the keys whose servers a host sends to, and the grants whose
-// servers do not answer it.
-func (l *Leader) Report(host string, rates map[string]map[keyrange.Key]keyrange.CentiRate, lost []renew.Lost) {
+// timedReport is a report and when it came.
+type timedReport struct {
+	Report
+	at time.Duration
+}
+
+// Report takes a host's report, and the grants whose servers do not answer it.
+func (l *Leader) Report(host string, report Report, lost []renew.Lost) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.heard[host] = l.Clock()
 	for _, id := range lost {
 		l.lost[id] = true
 	}
-	l.reports[host] = report{rates: rates, at: l.Clock()}
+	l.reports[host] = timedReport{Report: report, at: l.Clock()}
+}
+
+// slowness returns how long a server takes in relation to the usual, as hosts see it,
+// within bounds that keep a passing judgement from moving all its keys.
+func (l *Leader) slowness(id string, now time.Duration) float64 {
+	sum, n := 0, 0
+	for _, told := range l.reports {
+		if value, ok := told.Slowness[id]; ok && now-told.at <= reportLapses {
+			sum += value
+			n++
+		}
+	}
+	if n == 0 {
+		return 1
+	}
+	return min(max(float64(sum)/float64(n)/100, minSlowness), maxSlowness)
 }
 
 // load returns the load on the keys of a service, nil where nothing is known.
 func (l *Leader) load(service string, now time.Duration) *keyrange.Load {
 	var rates []map[keyrange.Key]keyrange.CentiRate
 	for _, told := range l.reports {
-		if now-told.at <= reportLapses && told.rates[service] != nil {
-			rates = append(rates, told.rates[service])
+		if now-told.at <= reportLapses && told.Rates[service] != nil {
+			rates = append(rates, told.Rates[service])
 		}
 	}
 	if len(rates) == 0 {
