--- a/internal/assign/current.go
+++ b/internal/assign/current.go
@@ -11,7 +11,11 @@
 	mu       sync.Mutex
 	plan     Plan
 	verified time.Duration
-	changed  chan struct{}
+	// interrupted says that reading has failed since the plan was verified.
+	interrupted bool
+	// learned is a reading of the clock at which the plan did not exist yet, or only just.
+	learned time.Duration
+	changed chan struct{}
 }
 
 // NewCurrent returns the empty plan.
@@ -33,14 +37,41 @@
 	return c.plan, c.changed
 }
 
-// Adopt takes a plan if it is newer than the one known. The plan must not be changed afterwards.
-func (c *Current) Adopt(plan Plan) bool {
+// Learned returns a reading of the host's clock at which the plan did not exist yet, or
+// only just.
+func (c *Current) Learned() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.learned
+}
+
+// Interrupt notes that the plan could not be read for a while, so that the next one may be
+// as old as the last verification.
+func (c *Current) Interrupt() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.interrupted = true
+}
+
+// AdoptOld takes a plan of unknown age if it is newer than the one known.
+func (c *Current) AdoptOld(plan Plan) bool {
+	c.Interrupt()
+	return c.Adopt(plan, 0)
+}
+
+// Adopt takes a plan that has been read now if it is newer than the one known. The plan must
+// not be changed afterwards.
+func (c *Current) Adopt(plan Plan, now time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if plan.Version <= c.plan.Version {
 		return false
 	}
 	c.plan = plan
+	c.learned = now
+	if c.interrupted {
+		c.learned = c.verified
+	}
 	close(c.changed)
 	c.changed = make(chan struct{})
 	return true
@@ -51,6 +82,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.verified = max(c.verified, at)
+	c.interrupted = false
 }
 
 // Verified returns the reading of the host's clock at which the plan was known to be the newest.
--- a/internal/assign/step.go
+++ b/internal/assign/step.go
@@ -18,7 +18,7 @@
 // Proof tells that the former holder of a range holds it no longer. It is made where
 //   - the server answered a release with the present fence, from which on it refuses
 //     all grants that are still on their way; or
-//   - a newer life of the server, or another server at its address, has been seen; or
+//   - the server's address belongs to a server of another service; or
 //   - every host that may have renewed has stopped, and the last grant has run out.
 type Proof struct {
 	Fence    Fence
@@ -31,8 +31,10 @@
 	Ready []Candidate
 	// Lives holds the newest known life of each server that is known at all.
 	Lives map[string]Server
-	// AtAddr holds the newest known life at each address, of whatever service.
+	// AtAddr holds the newest known life of the service's servers at each address.
 	AtAddr map[string]Server
+	// Reused holds the addresses that now belong to servers of other services.
+	Reused map[string]bool
 	// Regrant holds the first keys of ranges that need a new fence although they stay.
 	Regrant map[keyrange.Key]bool
 	// Proofs holds the proofs for releasing ranges, by their first key.
@@ -107,10 +109,19 @@
 }
 
 func (s *stepper) settleHeld(a *Assignment) {
+	life, reborn := s.newerLife(a.Server)
 	switch {
-	case s.ended(a.Server):
+	case s.world.Reused[a.Server.Addr]:
 		s.free(a, "")
-	case !s.ready(a.Server.ID):
+	case reborn && s.ready(life.ID):
+		a.Server = life
+		a.Handover = ""
+		a.Fence = s.fence
+	case reborn:
+		// The new life may have got a grant that was meant for the former one.
+		a.Server = life
+		s.release(a, "")
+	case !s.ready(a.Server.ID), !s.world.Lives[a.Server.ID].SameLife(a.Server):
 		s.release(a, "")
 	case s.world.Regrant[a.First]:
 		a.Fence = s.fence
@@ -118,7 +129,7 @@
 }
 
 func (s *stepper) settleReleasing(a *Assignment) {
-	if s.ended(a.Server) {
+	if s.world.Reused[a.Server.Addr] {
 		s.free(a, "")
 		return
 	}
@@ -127,14 +138,14 @@
 	}
 }
 
-// ended reports whether a life of a server is over: a newer one has been seen under
-// its ID or at its address.
-func (s *stepper) ended(server Server) bool {
-	if life, known := s.world.Lives[server.ID]; known && life.Born > server.Born {
-		return true
+// newerLife returns the life that has followed a server's life, under its ID or at its address.
+func (s *stepper) newerLife(server Server) (Server, bool) {
+	for _, life := range []Server{s.world.Lives[server.ID], s.world.AtAddr[server.Addr]} {
+		if life.Addr == server.Addr && life.Born > server.Born {
+			return life, true
+		}
 	}
-	life, known := s.world.AtAddr[server.Addr]
-	return known && life.ID != server.ID && life.Born > server.Born
+	return Server{}, false
 }
 
 // free marks a range as held by nobody. Its former server stays named as the one preferred.
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -55,7 +55,7 @@
 		// A newer life of the host does nothing that the older one was asked to stop.
 		return nil
 	}
-	s.current.Adopt(args.Plan)
+	s.current.AdoptOld(args.Plan)
 	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 	defer cancel()
 	if !s.renewer.Settle(ctx) {
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -45,6 +45,7 @@
 	started := s.clock()
 	change, err := follower.Read(ctx, wait)
 	if err != nil {
+		s.current.Interrupt()
 		return err
 	}
 	for _, record := range change.Records {
@@ -77,7 +78,7 @@
 		s.log.Event("plan", "offset", record.Offset, "outcome", "rejected", "err", err.Error())
 		return
 	}
-	if s.current.Adopt(plan) {
+	if s.current.Adopt(plan, s.clock()) {
 		s.log.Event("plan", "version", uint64(plan.Version), "leader", plan.Leader.Name, "hosts", len(plan.Hosts), "outcome", "adopted")
 	}
 }
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -223,7 +223,7 @@
 			return
 		}
 		l.logChanges(plan, written)
-		l.Current.Adopt(written)
+		l.Current.Adopt(written, l.Clock())
 		plan = written
 	}
 	l.startJobs(plan)
@@ -269,19 +269,19 @@
 func (l *Leader) world(service string, now time.Duration) assign.World {
 	world := assign.World{
 		Lives:  make(map[string]assign.Server),
-		AtAddr: l.atAddr(),
 		Proofs: l.proofs[service],
 		Load:   l.load(service, now),
 	}
+	world.AtAddr, world.Reused = l.atAddr(service)
 	var cold []assign.Candidate
 	for _, server := range l.Fleet.Servers(service) {
 		entry := server.Entry()
-		life := assign.Server{ID: string(entry.ID), Addr: entry.Addr, Zone: entry.Zone, Born: entry.Born}
-		world.Lives[life.ID] = life
+		known := life(entry)
+		world.Lives[known.ID] = known
 		if entry.Draining || l.Closed(entry.Zone) {
 			continue
 		}
-		candidate := assign.Candidate{Server: life, Capacity: float64(max(entry.Slots, 1)) / l.slowness(life.ID, now)}
+		candidate := assign.Candidate{Server: known, Capacity: float64(max(entry.Slots, 1)) / l.slowness(known.ID, now)}
 		if server.Cold(now) {
 			cold = append(cold, candidate)
 		} else {
@@ -294,18 +294,33 @@
 	return world
 }
 
-// atAddr returns the newest life at each address.
-func (l *Leader) atAddr() map[string]assign.Server {
-	lives := make(map[string]assign.Server)
-	for _, service := range l.Fleet.Services() {
-		for _, server := range l.Fleet.Servers(service) {
+// atAddr returns the newest life of the service's servers at each address, and the addresses
+// at which a server of another service began later.
+func (l *Leader) atAddr(service string) (lives map[string]assign.Server, reused map[string]bool) {
+	lives = make(map[string]assign.Server)
+	newest := make(map[string]fleet.Entry)
+	for _, name := range l.Fleet.Services() {
+		for _, server := range l.Fleet.Servers(name) {
 			entry := server.Entry()
-			if known, ok := lives[entry.Addr]; !ok || known.Born < entry.Born {
-				lives[entry.Addr] = assign.Server{ID: string(entry.ID), Addr: entry.Addr, Zone: entry.Zone, Born: entry.Born}
+			if known, ok := newest[entry.Addr]; !ok || known.Born < entry.Born {
+				newest[entry.Addr] = entry
 			}
 		}
 	}
-	return lives
+	reused = make(map[string]bool)
+	for addr, entry := range newest {
+		if entry.Service == service {
+			lives[addr] = life(entry)
+		} else {
+			reused[addr] = true
+		}
+	}
+	return lives, reused
+}
+
+// life is the server of an entry.
+func life(entry fleet.Entry) assign.Server {
+	return assign.Server{ID: string(entry.ID), Addr: entry.Addr, Zone: entry.Zone, Born: entry.Born}
 }
 
 // regrants returns the first keys of the ranges that need a new fence: all where the
--- a/internal/renew/renew.go
+++ b/internal/renew/renew.go
@@ -57,7 +57,7 @@
 // state is what this host knows of one grant.
 type state struct {
 	calling bool
-	// first, sent and answered are when the grant was first due, last sent and last answered.
+	// first is when the grant did not exist yet, or only just; sent and answered when it last was.
 	first, sent, answered time.Duration
 	confirmed, fenced     bool
 	// lost says that the server has not answered for too long to be renewed under this fence.
@@ -79,7 +79,7 @@
 	defer timer.Stop()
 	for {
 		plan, changed := r.current.Watch()
-		next := r.renewAll(ctx, plan)
+		next := r.renewAll(ctx, plan, r.current.Learned())
 		timer.Reset(next)
 		select {
 		case <-ctx.Done():
@@ -111,8 +111,9 @@
 	return lost
 }
 
-// renewAll starts the grants that are due and returns the time to the next one.
-func (r *Renewer) renewAll(ctx context.Context, plan assign.Plan) time.Duration {
+// renewAll starts the grants that are due and returns the time to the next one. Grants that
+// are new in the plan are no older than learned.
+func (r *Renewer) renewAll(ctx context.Context, plan assign.Plan, learned time.Duration) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock()
@@ -120,15 +121,18 @@
 	due := make(map[grantID]*state, len(r.held))
 	for service, assignments := range plan.Services {
 		for _, a := range assignments {
-			if !plan.Covers(r.self, a) {
+			if a.Phase != assign.Held {
 				continue
 			}
 			id := grantID{service, a.Range, a.Fence}
 			s := r.held[id]
 			if s == nil {
-				s = &state{}
+				s = &state{first: learned}
 			}
 			due[id] = s
+			if !plan.Covers(r.self, a) {
+				continue
+			}
 			r.checkContact(id, s, a, now)
 			wait := r.wait(s, now)
 			if wait > 0 {
@@ -147,12 +151,9 @@
 	return max(next, time.Millisecond)
 }
 
-// checkContact gives a grant up when its server has not answered for too long, counted
-// from the first try where it never has.
+// checkContact gives a grant up when its server has not answered this host for too long, counted
+// from when the grant came to be known where it never has.
 func (r *Renewer) checkContact(id grantID, s *state, a assign.Assignment, now time.Duration) {
-	if s.first == 0 {
-		s.first = now
-	}
 	if s.lost || now-max(s.answered, s.first) <= r.timing.ContactLost {
 		return
 	}
