--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -53,7 +53,7 @@
 		Hold:        4 * time.Second,
 		RenewEvery:  800 * time.Millisecond,
 		CallTimeout: 400 * time.Millisecond,
-		ContactLost: 1800 * time.Millisecond,
+		ContactLost: 1500 * time.Millisecond,
 		StaleAfter:  12 * time.Second,
 	}
 }
