Hot ranges are cut in parts that carry what is wanted; a single hot key keeps its server

Change: the part of any range whose load is nearest to the wanted one moves; parts without load never.

--- a/internal/assign/step.go
+++ b/internal/assign/step.go
@@ -55,6 +55,9 @@
 	chance = 1.5
 	// movesPerStep bounds the ranges that start to move at a time to spread load.
 	movesPerStep = 8
+	// minPiece and maxPiece bound the load of a part that is moved, in relation to what is wanted.
+	minPiece = 0.25
+	maxPiece = 1.3
 	// minLoad is the load in requests per second below which nothing is spread.
 	minLoad = 5.0
 )
@@ -208,48 +211,89 @@
 	}
 }
 
-// spreadOnce moves part of the busiest range of the busiest server.
+// spreadOnce moves keys from the busiest server that can give some away.
 func (s *stepper) spreadOnce(loads map[string]float64) bool {
-	from, most := s.busiest(loads)
 	fair := s.fairLoad()
-	if most < overload*fair+chance*math.Sqrt(most*from.Capacity)/from.Capacity {
-		return false
-	}
 	to := s.least(loads, 0)
-	gap := (most - loads[to.ID]) / 2
-	wanted := min(gap*from.Capacity, (most-fair)*from.Capacity)
-	i := s.busiestRange(from.ID)
-	if i < 0 || wanted <= 0 {
-		return false
+	for _, from := range s.byLoad(loads) {
+		most := loads[from.ID]
+		if most < overload*fair+chance*math.Sqrt(most*from.Capacity)/from.Capacity {
+			return false
+		}
+		wanted := min((most-loads[to.ID])/2, most-fair) * min(from.Capacity, to.Capacity)
+		if piece, ok := s.bestPiece(from.ID, wanted); ok {
+			s.cutOut(piece.at, piece.keys, to.ID)
+			return true
+		}
 	}
-	return s.moveOut(i, to.ID, wanted)
+	return false
 }
 
-// moveOut releases a part of a range with nearly the wanted load to another server.
-func (s *stepper) moveOut(i int, to string, wanted float64) bool {
-	a := s.next[i]
-	load := s.loadOf(a.Range)
-	if load <= 1.2*wanted {
-		s.release(&s.next[i], to)
-		return true
+// piece is a part of a range that may be moved.
+type piece struct {
+	at   int
+	keys keyrange.Range
+	load float64
+}
+
+// bestPiece returns the part of a server's ranges whose load is nearest to the wanted one. A
+// single key cannot be cut: where it carries the load, what lies beside it is moved.
+func (s *stepper) bestPiece(id string, wanted float64) (piece, bool) {
+	best, found := piece{}, false
+	for i, a := range s.next {
+		if a.Phase != Held || a.Server.ID != id {
+			continue
+		}
+		for _, keys := range s.parts(a.Range, wanted) {
+			load := s.loadOf(keys)
+			if load < minPiece*wanted || load > maxPiece*wanted {
+				continue
+			}
+			if !found || math.Abs(load-wanted) < math.Abs(best.load-wanted) {
+				best, found = piece{at: i, keys: keys, load: load}, true
+			}
+		}
 	}
+	return best, found
+}
+
+// parts returns a range as a whole, and where more ranges are allowed the parts at its
+// ends that carry nearly the wanted load.
+func (s *stepper) parts(r keyrange.Range, wanted float64) []keyrange.Range {
+	parts := []keyrange.Range{r}
 	if len(s.next) >= rangesPerServer*max(len(s.world.Ready), 1) {
-		return false
+		return parts
 	}
-	key, ok := s.world.Load.Cut(a.Range, wanted)
-	if !ok {
-		return false
+	if key, ok := s.world.Load.Cut(r, wanted); ok {
+		left, _ := r.SplitAfter(key)
+		parts = append(parts, left)
 	}
-	leftRange, rightRange := a.Range.SplitAfter(key)
-	left, right := a, a
-	left.Range, right.Range = leftRange, rightRange
-	if math.Abs(s.loadOf(leftRange)-wanted) <= math.Abs(s.loadOf(rightRange)-wanted) {
-		s.release(&left, to)
-	} else {
-		s.release(&right, to)
+	if key, ok := s.world.Load.Cut(r, s.loadOf(r)-wanted); ok {
+		_, right := r.SplitAfter(key)
+		parts = append(parts, right)
 	}
-	s.next = slices.Replace(s.next, i, i+1, left, right)
-	return true
+	return parts
+}
+
+// cutOut releases a part of a range to another server.
+func (s *stepper) cutOut(i int, keys keyrange.Range, to string) {
+	whole := s.next[i]
+	var parts []Assignment
+	if keys.First > whole.First {
+		left := whole
+		left.Last = keys.First - 1
+		parts = append(parts, left)
+	}
+	moved := whole
+	moved.Range = keys
+	s.release(&moved, to)
+	parts = append(parts, moved)
+	if keys.Last < whole.Last {
+		right := whole
+		right.First = keys.Last + 1
+		parts = append(parts, right)
+	}
+	s.next = slices.Replace(s.next, i, i+1, parts...)
 }
 
 // merge joins neighbours that one server holds under one fence.
@@ -337,23 +381,11 @@
 	})
 }
 
-func (s *stepper) busiest(loads map[string]float64) (Candidate, float64) {
-	busiest := slices.MaxFunc(s.world.Ready, func(a, b Candidate) int {
-		return cmp.Or(cmp.Compare(loads[a.ID], loads[b.ID]), cmp.Compare(a.ID, b.ID))
+// byLoad returns the ready servers, the busiest first.
+func (s *stepper) byLoad(loads map[string]float64) []Candidate {
+	servers := slices.Clone(s.world.Ready)
+	slices.SortFunc(servers, func(a, b Candidate) int {
+		return cmp.Or(cmp.Compare(loads[b.ID], loads[a.ID]), cmp.Compare(a.ID, b.ID))
 	})
-	return busiest, loads[busiest.ID]
-}
-
-// busiestRange returns the held range of the server that has most load, or -1.
-func (s *stepper) busiestRange(id string) int {
-	found, most := -1, 0.0
-	for i, a := range s.next {
-		if a.Phase != Held || a.Server.ID != id {
-			continue
-		}
-		if load := s.loadOf(a.Range); load > most {
-			found, most = i, load
-		}
-	}
-	return found
+	return servers
 }
--- a/internal/front/keyed.go
+++ b/internal/front/keyed.go
@@ -163,15 +163,10 @@
 	if a.outcome == tryFailed {
 		t.failure = a.answer
 	}
-	again := t.r.Route.Idempotent && t.runs < t.r.Route.Attempts && t.timeLeft()
+	again := t.r.Route.Idempotent && t.runs < t.r.Route.Attempts && t.door.timeLeft(t.r)
 	return t.lastEnd(unknown(reasonAnswerLost)), again
 }
 
-// timeLeft reports whether another run could be answered in time.
-func (t *keyedTry) timeLeft() bool {
-	return t.door.clock()+t.door.usual.of(t.r.Route.Name) < t.r.Deadline
-}
-
 // lastEnd is the end of the request where there is no success.
 func (t *keyedTry) lastEnd(own Result) Result {
 	return end(own, t.failure, t.mayHaveRun)
--- a/internal/front/keyless.go
+++ b/internal/front/keyless.go
@@ -55,12 +55,17 @@
 			last = notRun(reasonNotHeld, comeBack)
 		}
 		ran := a.outcome == tryLost || a.outcome == tryFailed
-		if ran && (!r.Route.Idempotent || runs >= r.Route.Attempts) {
+		if ran && (!r.Route.Idempotent || runs >= r.Route.Attempts || !d.timeLeft(r)) {
 			return end(last, failure, mayHaveRun)
 		}
 	}
 }
 
+// timeLeft reports whether another run could be answered in time.
+func (d *Door) timeLeft(r *Request) bool {
+	return d.clock()+d.usual.of(r.Route.Name) < r.Deadline
+}
+
 // end is the end of a request without a success: a failure that a server has answered
 // goes before this host's own.
 func end(own Result, failure *Answer, mayHaveRun bool) Result {
