--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -23,6 +23,7 @@
 	"github.com/poplarcroft/poplarcroft/internal/grants"
 	"github.com/poplarcroft/poplarcroft/internal/leader"
 	"github.com/poplarcroft/poplarcroft/internal/peer"
+	"github.com/poplarcroft/poplarcroft/internal/poison"
 	"github.com/poplarcroft/poplarcroft/internal/renew"
 	"github.com/poplarcroft/poplarcroft/internal/routetable"
 	"github.com/poplarcroft/poplarcroft/internal/transport"
@@ -59,6 +60,12 @@
 	reportEvery   = 2 * time.Second
 	reportPressed = 300 * time.Millisecond
 	reportTimeout = 400 * time.Millisecond
+	// crashesToRefuse is the number of servers that a request may crash before it is refused, and
+	// crashRetention is how long a crash is remembered.
+	crashesToRefuse = 3
+	crashRetention  = 2 * time.Minute
+	// suspectsEvery is the time between two messages about requests that crash servers.
+	suspectsEvery = time.Second
 	// leaveAfter is how long a host that stops still accepts connections, until the balancer has noticed.
 	leaveAfter = 2800 * time.Millisecond
 	// leaveReserve is kept of the grace for the end of the process.
@@ -93,6 +100,7 @@
 	leader  *leader.Leader
 	door    *front.Door
 	peers   *peers
+	guard   *poison.Guard
 	dial    transport.DialFunc
 
 	leaving atomic.Bool
@@ -112,7 +120,9 @@
 		platform: platform, current: h.current, clock: clock.Monotonic, log: log, changed: wake,
 		hosts: make(map[string]assign.Host),
 	}
+	h.guard = poison.NewGuard(poison.Bounds{Deaths: crashesToRefuse, Retention: crashRetention})
 	h.servers = newServers(platform, h.fleet, clock.Monotonic, log, wake)
+	h.servers.ended = func(entry fleet.Entry) { h.guard.ServerDied(front.GuardLife(entry)) }
 	h.orders = newOrders(platform, log, func() {
 		h.fleet.CloseZones(*h.orders.closed.Load())
 		wake()
@@ -129,7 +139,7 @@
 		Hosts: transport.NewPool(transport.Options{
 			Dial: h.dial, Connections: hostConnections, IdleTimeout: idleTimeout, RequestIDHeader: config.Headers.RequestID,
 		}),
-		Headers: config.Headers, Fleet: h.fleet, Current: h.current, Table: h.orders.Table,
+		Headers: config.Headers, Fleet: h.fleet, Guard: h.guard, Current: h.current, Table: h.orders.Table,
 		ColdTotal: h.coldTotal,
 		Budget: front.BudgetConfig{
 			Ratio: config.RetryRatio, Extra: config.RetryExtra, Window: config.RetryWindow, Hosts: h.hostCount,
@@ -190,7 +200,7 @@
 	var duties sync.WaitGroup
 	for _, run := range []func(context.Context){
 		h.followOrders, h.followState, h.followServers, h.renewer.Run,
-		h.leader.RunElection, h.leader.Run, h.reportLoad,
+		h.leader.RunElection, h.leader.Run, h.reportLoad, h.shareSuspects,
 	} {
 		duties.Go(func() { run(running) })
 	}
@@ -240,7 +250,9 @@
 	ready.HandleFunc(h.config.ReadyPath, h.answerReady)
 	go http.Serve(l.ready, ready)
 	calls := rpc.NewServer()
-	err := calls.RegisterName(rpcName, &service{self: h.self, current: h.current, renewer: h.renewer, leader: h.leader})
+	err := calls.RegisterName(rpcName, &service{
+		self: h.self, current: h.current, renewer: h.renewer, leader: h.leader, guard: h.guard,
+	})
 	if err != nil {
 		panic(errors.NewAssertionErrorWithWrappedErrf(err, "register calls"))
 	}
@@ -385,3 +397,30 @@
 		h.log.Routine("report", "leader", to.Name, "outcome", "failed", "err", err.Error())
 	}
 }
+
+// shareSuspects tells all hosts of requests in whose course servers ended.
+func (h *Host) shareSuspects(ctx context.Context) {
+	var told uint64
+	duty.Every(ctx, suspectsEvery, func(ctx context.Context) {
+		h.guard.Expire()
+		records, next := h.guard.Export(told)
+		told = next
+		if len(records) == 0 {
+			return
+		}
+		h.log.Event("suspects", "records", len(records), "first", records[0].Fingerprint.String(), "server", records[0].Death.Addr)
+		for _, host := range h.current.Plan().Hosts {
+			if !host.Same(h.self) && !host.Retired {
+				go h.tellSuspects(ctx, host, records)
+			}
+		}
+	})
+}
+
+func (h *Host) tellSuspects(ctx context.Context, host assign.Host, records []poison.Record) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	if err := h.peers.suspects(ctx, host, SuspectsArgs{Records: records}); err != nil {
+		h.log.Routine("suspects", "host", host.Name, "outcome", "failed", "err", err.Error())
+	}
+}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -10,6 +10,7 @@
 	"github.com/poplarcroft/poplarcroft/internal/keyrange"
 	"github.com/poplarcroft/poplarcroft/internal/leader"
 	"github.com/poplarcroft/poplarcroft/internal/peer"
+	"github.com/poplarcroft/poplarcroft/internal/poison"
 	"github.com/poplarcroft/poplarcroft/internal/renew"
 )
 
@@ -38,6 +39,11 @@
 	Slowness map[string]int
 }
 
+// SuspectsArgs carries evidence against requests.
+type SuspectsArgs struct {
+	Records []poison.Record
+}
+
 // Empty is an answer without content.
 type Empty struct{}
 
@@ -47,6 +53,7 @@
 	current *assign.Current
 	renewer *renew.Renewer
 	leader  *leader.Leader
+	guard   *poison.Guard
 }
 
 // Adopt takes a plan and returns when no grant under an older one is under way.
@@ -70,6 +77,12 @@
 	return nil
 }
 
+// Suspects takes evidence against requests.
+func (s *service) Suspects(args SuspectsArgs, _ *Empty) error {
+	s.guard.Import(args.Records)
+	return nil
+}
+
 // peers calls other hosts.
 type peers struct {
 	pool *peer.Pool
@@ -83,3 +96,7 @@
 func (p *peers) report(ctx context.Context, host assign.Host, args ReportArgs) error {
 	return p.pool.Call(ctx, host.Addr, rpcName+".Report", args, &Empty{})
 }
+
+func (p *peers) suspects(ctx context.Context, host assign.Host, args SuspectsArgs) error {
+	return p.pool.Call(ctx, host.Addr, rpcName+".Suspects", args, &Empty{})
+}
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -24,6 +24,8 @@
 	clock    func() time.Duration
 	log      *eventlog.Log
 	changed  func()
+	// ended is told of lives of servers that are over.
+	ended func(entry fleet.Entry)
 
 	entries map[string]fleet.Entry
 	// missing holds the entries that may come back, with the time at which they count as gone.
@@ -36,6 +38,7 @@
 func newServers(platform Platform, f *fleet.Fleet, clock func() time.Duration, log *eventlog.Log, changed func()) *servers {
 	return &servers{
 		platform: platform, fleet: f, clock: clock, log: log, changed: changed,
+		ended:    func(fleet.Entry) {},
 		entries:  make(map[string]fleet.Entry),
 		missing:  make(map[string]time.Duration),
 		regained: -returnGrace,
@@ -103,10 +106,24 @@
 		s.log.Event("server", "id", record.Key, "service", entry.Service, "zone", entry.Zone, "addr", entry.Addr,
 			"draining", entry.Draining, "cold_ms", entry.ColdFor.Milliseconds(), "born", entry.Born, "offset", record.Offset)
 	}
+	s.noteEnded(record.Key, entry)
 	s.entries[record.Key] = entry
 	delete(s.missing, record.Key)
 }
 
+// noteEnded tells of the lives that a new entry shows to be over: the former one under its
+// key, and any that began earlier at its address.
+func (s *servers) noteEnded(key string, entry fleet.Entry) {
+	if known, ok := s.entries[key]; ok && known.SameLife(entry) {
+		return
+	}
+	for _, known := range s.entries {
+		if (known.ID == entry.ID || known.Addr == entry.Addr) && known.Born < entry.Born {
+			s.ended(known)
+		}
+	}
+}
+
 // miss notes that an entry is gone.
 func (s *servers) miss(key string, now time.Duration) {
 	if _, known := s.entries[key]; !known {
@@ -126,6 +143,7 @@
 	for key, at := range s.missing {
 		if now >= at {
 			s.log.Event("server", "id", key, "outcome", "gone")
+			s.ended(s.entries[key])
 			delete(s.missing, key)
 			delete(s.entries, key)
 		}
--- a/internal/front/door.go
+++ b/internal/front/door.go
@@ -13,6 +13,7 @@
 	"github.com/poplarcroft/poplarcroft/internal/eventlog"
 	"github.com/poplarcroft/poplarcroft/internal/fleet"
 	"github.com/poplarcroft/poplarcroft/internal/keyrange"
+	"github.com/poplarcroft/poplarcroft/internal/poison"
 	"github.com/poplarcroft/poplarcroft/internal/routetable"
 	"github.com/poplarcroft/poplarcroft/internal/transport"
 )
@@ -25,6 +26,8 @@
 	// Self is the name of this host. Hosts holds the connections to the others.
 	Self  string
 	Hosts *transport.Pool
+	// Guard finds requests that crash servers.
+	Guard *poison.Guard
 	// Table returns the configuration in force, or nil where none is known yet.
 	Table func() *routetable.Table
 	// ColdTotal returns what a cold server of the service takes in any second from all hosts.
@@ -45,7 +48,6 @@
 	usual   usualLatency
 	budgets budgets
 	keys    keyRates
-	suspect suspects
 	leads   *leads
 	gates   gates
 	// Counters are published on the metrics address.
@@ -165,6 +167,7 @@
 		// An empty value keeps the HTTP library from adding its own.
 		r.Header["User-Agent"] = []string{""}
 	}
+	r.Print = fingerprint(r, hr.RemoteAddr, hr.Header.Get(d.headers.Key))
 	r.Deadline = arrived + patience(hr.Header, d.headers.DeadlineMS, route.Timeout)
 	return r, 0, nil
 }
@@ -180,7 +183,7 @@
 }
 
 func (d *Door) handle(ctx context.Context, r *Request) Result {
-	if d.suspect.condemned(r) {
+	if d.config.Guard.Check(r.Print) == poison.Condemned {
 		return unknown(reasonCrashes)
 	}
 	if r.Service.Keyed {
--- a/internal/front/hop.go
+++ b/internal/front/hop.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/poplarcroft/poplarcroft/internal/assign"
+	"github.com/poplarcroft/poplarcroft/internal/poison"
 	"github.com/poplarcroft/poplarcroft/internal/routetable"
 	"github.com/poplarcroft/poplarcroft/internal/transport"
 )
@@ -69,6 +70,7 @@
 	values := url.Values{
 		"route":    {r.Route.Name},
 		"service":  {r.Service.Name},
+		"print":    {r.Print.String()},
 		"goal":     {(r.Arrived + r.Route.Goal - now).String()},
 		"attempts": {strconv.Itoa(r.Route.Attempts)},
 		"priority": {strconv.Itoa(r.Route.Priority)},
@@ -97,7 +99,12 @@
 	if err != nil {
 		return nil, err
 	}
+	var print poison.Fingerprint
+	if err := print.UnmarshalText([]byte(values.Get("print"))); err != nil {
+		return nil, err
+	}
 	return &Request{
+		Print: print,
 		Route: &routetable.Route{
 			Name: values.Get("route"), Idempotent: values.Get("idempotent") != "",
 			Goal: goal, Attempts: attempts, Priority: priority,
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -8,6 +8,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -16,6 +17,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/poplarcroft/poplarcroft/internal/keyrange"
+	"github.com/poplarcroft/poplarcroft/internal/poison"
 	"github.com/poplarcroft/poplarcroft/internal/routetable"
 )
 
@@ -36,10 +38,23 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Print identifies the request over all times that its caller sends it.
+	Print poison.Fingerprint
 	// Arrived is when the request was read; Deadline ends the caller's wait, or the route's timeout.
 	Arrived, Deadline time.Duration
 }
 
+// fingerprint identifies the request by its caller and contents. Each time that a
+// caller sends it, it has another ID.
+func fingerprint(r *Request, caller, key string) poison.Fingerprint {
+	if host, _, err := net.SplitHostPort(caller); err == nil {
+		caller = host
+	}
+	return poison.FingerprintOf(poison.Request{
+		Service: r.Service.Name, Key: key + "\x00" + caller, Method: r.Method, Path: r.Path, Body: r.Body,
+	})
+}
+
 // maxDeadline bounds what a caller may ask for.
 const maxDeadline = 10 * time.Minute
 
--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/poplarcroft/poplarcroft/internal/fleet"
+	"github.com/poplarcroft/poplarcroft/internal/poison"
 	"github.com/poplarcroft/poplarcroft/internal/transport"
 )
 
@@ -62,6 +63,11 @@
 	entry := server.Entry()
 	// Behind others in the server's queue a request takes longer without the server being slow.
 	alone := server.Occupancy(started) <= 1
+	pass, ok := d.begin(ctx, r, entry)
+	if !ok {
+		server.End(fleet.Cancelled, 0, started)
+		return attempt{outcome: tryNotSent, detail: reasonCrashes}
+	}
 	header := r.Header.Clone()
 	header.Set(d.headers.DeadlineMS, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
 	header.Set(d.headers.ExpectInstance, string(entry.ID))
@@ -74,6 +80,7 @@
 		Idempotent: r.Route.Idempotent,
 	})
 	a := d.judge(r, result)
+	pass.End(a.guardEnding(ctx))
 	now := d.clock()
 	if a.outcome == tryAnswered || a.outcome == tryFailed {
 		a.took = now - started
@@ -93,6 +100,33 @@
 	return a
 }
 
+// begin asks the guard whether the request may be sent to the server.
+func (d *Door) begin(ctx context.Context, r *Request, entry fleet.Entry) (*poison.Pass, bool) {
+	pass, _, ok := d.config.Guard.Begin(ctx, GuardLife(entry), r.Print)
+	if ok {
+		pass.SentInCompany()
+	}
+	return pass, ok
+}
+
+// GuardLife names a server's life as the guard knows it.
+func GuardLife(entry fleet.Entry) poison.Server {
+	return poison.Server{Addr: entry.Addr, Incarnation: string(entry.ID) + "/" + strconv.FormatInt(entry.Born, 10)}
+}
+
+// guardEnding tells the guard how the try ended.
+func (a attempt) guardEnding(ctx context.Context) poison.Ending {
+	switch {
+	case a.outcome == tryAnswered, a.outcome == tryFailed:
+		return poison.Finished
+	case a.outcome != tryLost:
+		return poison.Refused
+	case ctx.Err() != nil:
+		return poison.TimedOut
+	}
+	return poison.Broken
+}
+
 // judge reads the whole answer and says what it means.
 func (d *Door) judge(r *Request, result transport.Result) attempt {
 	if result.Sent == transport.NotSent {
