A read of the operators' words that hangs is given up when others have read further

Change: the plan tells how far the leader has read; a host that is behind reads anew. The model cuts a host and a server off together and so notices that a leader does not wait for such hosts.

--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -117,7 +117,11 @@
 	h.peers = &peers{pool: peer.NewPool(peer.DialFunc(h.dial))}
 	wake := func() { h.leader.Wake() }
 	h.state = &state{
-		platform: platform, current: h.current, clock: clock.Monotonic, log: log, changed: wake,
+		platform: platform, current: h.current, clock: clock.Monotonic, log: log,
+		changed: func() {
+			h.orders.checkProgress(h.current.Plan().Orders)
+			wake()
+		},
 		hosts: make(map[string]assign.Host),
 	}
 	h.guard = poison.NewGuard(poison.Bounds{Deaths: crashesToRefuse, Retention: crashRetention})
@@ -131,7 +135,7 @@
 	h.leader = leader.New(leader.Config{
 		Self: h.self, Current: h.current, Store: h.state, Elector: platform.Elector(), Peers: h.peers,
 		Granter: platform.Granter(), Timing: config.Timing, Fleet: h.fleet,
-		Table: h.orders.Table, Hosts: h.state.list, Closed: h.orders.Closed,
+		Table: h.orders.Table, Hosts: h.state.list, Orders: h.orders.Next, Closed: h.orders.Closed,
 		Settled: h.seenServers.Load, Clock: clock.Monotonic, Log: log,
 	})
 	h.door = front.New(front.Config{
--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -22,12 +22,15 @@
 
 	table  atomic.Pointer[routetable.Table]
 	closed atomic.Pointer[map[string]bool]
+	// next is how far the words have been read; behind asks for a new read.
+	next   atomic.Uint64
+	behind chan struct{}
 	// zones holds the closed zone of each key.
 	zones map[string]string
 }
 
 func newOrders(platform Platform, log *eventlog.Log, changed func()) *orders {
-	o := &orders{platform: platform, log: log, changed: changed, zones: make(map[string]string)}
+	o := &orders{platform: platform, log: log, changed: changed, zones: make(map[string]string), behind: make(chan struct{}, 1)}
 	o.closed.Store(&map[string]bool{})
 	return o
 }
@@ -42,12 +45,40 @@
 	return (*o.closed.Load())[zone]
 }
 
+// Next returns how far the words have been read.
+func (o *orders) Next() uint64 {
+	return o.next.Load()
+}
+
+// checkProgress gives up the read under way where another host has read further: its
+// answer is lost.
+func (o *orders) checkProgress(others uint64) {
+	if o.next.Load() >= others {
+		return
+	}
+	select {
+	case o.behind <- struct{}{}:
+	default:
+	}
+}
+
 // read takes over what has changed.
 func (o *orders) read(ctx context.Context, follower *follow.Follower) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-o.behind:
+			o.log.Event("order", "next", o.next.Load(), "outcome", "behind, read anew")
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	change, err := follower.Read(ctx, ordersWait)
 	if err != nil {
 		return err
 	}
+	o.next.Store(follower.Next())
 	o.apply(change)
 	return nil
 }
--- /dev/null
+++ b/internal/edge/servers_test.go
@@ -0,0 +1,78 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/poplarcroft/poplarcroft/internal/eventlog"
+	"github.com/poplarcroft/poplarcroft/internal/fleet"
+	"github.com/poplarcroft/poplarcroft/internal/follow"
+	"github.com/poplarcroft/poplarcroft/internal/transport"
+)
+
+func newTestServers() (*servers, *fleet.Fleet) {
+	f := fleet.New(fleet.Options{Zone: "zlin", Target: func(string) *transport.Target { return nil }})
+	return newServers(fakePlatform{}, f, func() time.Duration { return 0 }, eventlog.Discard(), func() {}), f
+}
+
+func ids(f *fleet.Fleet) (present, missing []string) {
+	for _, server := range f.Servers("revize") {
+		if entry := server.Entry(); entry.Missing {
+			missing = append(missing, string(entry.ID))
+		} else {
+			present = append(present, string(entry.ID))
+		}
+	}
+	return present, missing
+}
+
+func TestRemovedEntryIsGoneAtOnce(t *testing.T) {
+	s, f := newTestServers()
+	s.apply(follow.Change{Records: []follow.Record{record("a", "1"), record("b", "1")}, Whole: true}, 10*time.Second)
+	s.apply(follow.Change{Records: []follow.Record{record("a", "")}}, 11*time.Second)
+	present, missing := ids(f)
+	assert.DeepEqual(t, present, []string{"b"})
+	assert.Equal(t, len(missing), 0)
+}
+
+// TestEntriesThatLapsedInAnOutageMayComeBack states that what is missing right after an
+// outage is used last for two seconds and gone then, and that what is removed later is gone at once
+// (trouble-1 of Riga: a server that had left was used 2.3 s later).
+func TestEntriesThatLapsedInAnOutageMayComeBack(t *testing.T) {
+	s, f := newTestServers()
+	all := []follow.Record{record("a", "1"), record("b", "1"), record("c", "1")}
+	s.apply(follow.Change{Records: all, Whole: true}, 10*time.Second)
+	s.regained = 20 * time.Second
+	s.apply(follow.Change{Records: []follow.Record{record("c", "1")}, Whole: true}, 20*time.Second+50*time.Millisecond)
+	present, missing := ids(f)
+	assert.DeepEqual(t, present, []string{"c"})
+	assert.DeepEqual(t, missing, []string{"a", "b"})
+	s.apply(follow.Change{Records: []follow.Record{record("c", "")}}, 20*time.Second+400*time.Millisecond)
+	s.apply(follow.Change{Records: []follow.Record{record("a", "1")}}, 21*time.Second)
+	present, missing = ids(f)
+	assert.DeepEqual(t, present, []string{"a"})
+	assert.DeepEqual(t, missing, []string{"b"})
+	s.apply(follow.Change{}, 22300*time.Millisecond)
+	present, missing = ids(f)
+	assert.DeepEqual(t, present, []string{"a"})
+	assert.Equal(t, len(missing), 0)
+}
+
+func TestMalformedEntryNamesNoServer(t *testing.T) {
+	s, f := newTestServers()
+	s.apply(follow.Change{Records: []follow.Record{record("a", "1"), record("b", "1")}, Whole: true}, time.Second)
+	s.apply(follow.Change{Records: []follow.Record{record("a", "!")}}, 2*time.Second)
+	present, _ := ids(f)
+	assert.DeepEqual(t, present, []string{"b"})
+}
+
+func TestNewLifeEndsTheFormerOne(t *testing.T) {
+	s, _ := newTestServers()
+	var ended []fleet.ID
+	s.ended = func(entry fleet.Entry) { ended = append(ended, entry.ID) }
+	s.apply(follow.Change{Records: []follow.Record{record("a", "1")}, Whole: true}, time.Second)
+	s.apply(follow.Change{Records: []follow.Record{record("a", "2")}}, 2*time.Second)
+	assert.DeepEqual(t, ended, []fleet.ID{"a"})
+}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -63,6 +63,8 @@
 	Table func() *routetable.Table
 	// Hosts returns the hosts that have registered.
 	Hosts func() []assign.Host
+	// Orders returns how far this host has read the operators' words.
+	Orders func() uint64
 	// Closed reports whether a zone's servers get nothing.
 	Closed func(zone string) bool
 	// Settled reports whether the list of servers can be relied on.
@@ -240,6 +242,10 @@
 	next.Leader.Led = true
 	next.Hosts = l.hosts(plan.Hosts, version, now)
 	regrantAll := changed
+	if orders := l.Orders(); orders > plan.Orders {
+		next.Orders = orders
+		changed = true
+	}
 	changed = changed || !slices.Equal(next.Hosts, plan.Hosts)
 	rebalance := now-l.moved >= rebalanceEvery
 	for name, service := range table.Services {
--- a/internal/leader/model_test.go
+++ b/internal/leader/model_test.go
@@ -352,6 +352,7 @@
 	h.leader = New(Config{
 		Self: h.self, Current: h.current, Store: h, Elector: h, Peers: h, Granter: h, Timing: h.w.believed, Fleet: h.fleet,
 		Table: func() *routetable.Table { return table }, Hosts: h.w.registered,
+		Orders: func() uint64 { return 0 },
 		Closed: func(string) bool { return false }, Settled: func() bool { return true }, Clock: h.w.now, Log: log,
 	})
 	h.stop = cancel
@@ -379,7 +380,7 @@
 	server := w.servers[w.rng.IntN(len(w.servers))]
 	length := time.Duration(1+w.rng.IntN(8)) * time.Second
 	until := w.now() + length
-	kind := w.rng.IntN(7)
+	kind := w.rng.IntN(8)
 	w.faults = append(w.faults, fmt.Sprintf("%v kind %d host %s server %s for %v", w.now(), kind, host.self.Name, server.ID, length))
 	switch kind {
 	case 0:
@@ -411,6 +412,8 @@
 			defer w.mu.Unlock()
 			server.draining = false
 		})
+	case 7:
+		w.cutOff(host, server, until)
 	case 6:
 		for _, h := range w.hosts {
 			w.cuts[[2]string{h.self.Name, "store"}] = until
@@ -418,6 +421,26 @@
 	}
 }
 
+// cutOff leaves a host and a server only each other. The server's entry lapses.
+func (w *world) cutOff(host *modelHost, server *modelServer, until time.Duration) {
+	w.cuts[[2]string{host.self.Name, "store"}] = until
+	for _, other := range w.hosts {
+		if other != host {
+			w.cuts[[2]string{host.self.Name, other.self.Name}] = until
+			w.cuts[[2]string{other.self.Name, server.ID}] = until
+		}
+	}
+	if !server.up {
+		return
+	}
+	server.listed = false
+	time.AfterFunc(until-w.now(), func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		server.listed = server.up
+	})
+}
+
 // crash ends a life of a server. It comes back after a while and knows nothing.
 func (w *world) crash(s *modelServer, length time.Duration) {
 	if !s.up {
