--- /dev/null
+++ b/internal/front/front_test.go
@@ -0,0 +1,245 @@
+package front
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/poplarcroft/poplarcroft/internal/assign"
+	"github.com/poplarcroft/poplarcroft/internal/fleet"
+)
+
+func TestAnswerIsPassedOnWhole(t *testing.T) {
+	server := startServer(t, answerOK)
+	s := newSystem(t, server)
+	response, body, err := s.call(t, "POST", "/unsafe/x?y=1", "signed")
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, 200)
+	assert.Equal(t, body, "done")
+	assert.Equal(t, response.Header.Get("X-Digest"), "d")
+	request := server.seen()[0]
+	assert.Equal(t, request.RequestURI, "/unsafe/x?y=1")
+	assert.Equal(t, request.Host, "a.example")
+	assert.Equal(t, request.Header.Get("X-Expect"), "revize-0")
+	left, err := strconv.Atoi(request.Header.Get("X-Left"))
+	assert.NilError(t, err)
+	assert.Assert(t, left <= 1500 && left > 500, "%d", left)
+}
+
+// TestFaultyAnswers states what a caller gets where a server answers wrongly, and how often
+// the request is sent: a request that may run once only is never sent again after it may have run.
+func TestFaultyAnswers(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nX-Id: {id}\r\nX-Digest: d\r\n"
+	for name, answer := range map[string]string{
+		"connection closed without an answer": "",
+		"body cut short":                      head + "Content-Length: 10\r\nConnection: close\r\n\r\nabc",
+		"another request's answer":            strings.ReplaceAll(answerOK, "{id}", "other"),
+		"no ID":                               strings.ReplaceAll(answerOK, "X-Id: {id}\r\n", ""),
+		"no digest":                           strings.ReplaceAll(answerOK, "X-Digest: d\r\n", ""),
+		"encoded body":                        rawAnswer(200, "done", "Content-Encoding: gzip\r\n"),
+		"bytes that are no answer":            "garbage garbage\r\n\r\nConnection: close",
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, path := range []string{"/unsafe/x", "/post/x"} {
+				server := startServer(t, answer, answerOK)
+				response, _, err := newSystem(t, server).call(t, "POST", path, "signed")
+				assert.NilError(t, err)
+				assert.Equal(t, response.StatusCode, http.StatusBadGateway, path)
+				assert.Equal(t, len(server.seen()), 1, path)
+			}
+			for _, path := range []string{"/keyed/x", "/any/x"} {
+				faulty, good := startServer(t, answer, answerOK), startServer(t, answerOK)
+				response, body, err := newSystem(t, faulty, good).call(t, "GET", path, "")
+				assert.NilError(t, err)
+				assert.Equal(t, response.StatusCode, 200, path)
+				assert.Equal(t, body, "done", path)
+			}
+		})
+	}
+}
+
+func TestAnswerThatEndsWithItsConnectionIsWhole(t *testing.T) {
+	server := startServer(t, "HTTP/1.1 200 OK\r\nX-Id: {id}\r\nX-Digest: d\r\nConnection: close\r\n\r\ndone")
+	response, body, err := newSystem(t, server).call(t, "POST", "/unsafe/x", "signed")
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, 200)
+	assert.Equal(t, body, "done")
+}
+
+func TestServersOwnFailureIsPassedOn(t *testing.T) {
+	for _, path := range []string{"/unsafe/x", "/post/x"} {
+		server := startServer(t, rawAnswer(500, "bad"))
+		response, body, err := newSystem(t, server).call(t, "POST", path, "signed")
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, 500, path)
+		assert.Equal(t, body, "bad", path)
+		assert.Equal(t, len(server.seen()), 1, path)
+	}
+}
+
+// TestRefusalAfterARunPromisesNothing states that no refusal says "not run" once a try has run.
+func TestRefusalAfterARunPromisesNothing(t *testing.T) {
+	for _, path := range []string{"/keyed/x", "/any/x"} {
+		server := startServer(t, "", answerShed)
+		response, _, err := newSystem(t, server).call(t, "GET", path, "")
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, http.StatusBadGateway, path)
+	}
+}
+
+func TestFullServerIsTriedAgainOrRefusedWithATime(t *testing.T) {
+	server := startServer(t, answerShed, answerOK)
+	response, _, err := newSystem(t, server).call(t, "POST", "/unsafe/x", "signed")
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, 200)
+	full := startServer(t, answerShed)
+	response, _, err = newSystem(t, full).call(t, "POST", "/unsafe/x", "signed")
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	after, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+	assert.NilError(t, err)
+	assert.Assert(t, after > 0 && after <= 0.5, "%v", after)
+}
+
+func TestAnotherServerAtTheAddressIsNotAnOwner(t *testing.T) {
+	server := startServer(t, rawAnswer(421, ""), answerOK)
+	response, _, err := newSystem(t, server).call(t, "POST", "/unsafe/x", "signed")
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, 200)
+	assert.Equal(t, len(server.seen()), 2)
+}
+
+// TestRequestWaitsWhileItsKeyMoves states that a request for a key on its way reaches the new holder.
+func TestRequestWaitsWhileItsKeyMoves(t *testing.T) {
+	former, next := startServer(t, answerOK), startServer(t, answerOK)
+	s := newSystem(t, former, next)
+	moving := s.current.Plan().Clone()
+	moving.Services["revize"][0].Phase = assign.Releasing
+	moving.Version = 2
+	s.current.Adopt(moving, 0)
+	time.AfterFunc(50*time.Millisecond, func() { s.hold("revize-1", next.addr, 3) })
+	response, _, err := s.call(t, "POST", "/unsafe/x", "signed")
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, 200)
+	assert.Equal(t, len(former.seen()), 0)
+	assert.Equal(t, len(next.seen()), 1)
+}
+
+func TestKeyWithoutHolderIsRefusedAsNotRun(t *testing.T) {
+	server := startServer(t, answerOK)
+	s := newSystem(t, server)
+	free := s.current.Plan().Clone()
+	free.Services["revize"][0].Phase = assign.Free
+	free.Version = 2
+	s.current.Adopt(free, 0)
+	response, _, err := s.call(t, "POST", "/unsafe/x", "signed")
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, response.Header.Get("Retry-After") != "")
+	assert.Equal(t, len(server.seen()), 0)
+}
+
+func TestMalformedRequests(t *testing.T) {
+	s := newSystem(t, startServer(t, answerOK))
+	for _, test := range []struct {
+		path, id, key, body string
+		want                int
+	}{
+		{"/none/x", "i", "1", "", 404},
+		{"/any/x", "", "1", "", 400},
+		{"/keyed/x", "i", "", "", 400},
+		{"/keyed/x", "i", "65536", "", 400},
+		{"/any/x", "i", "", strings.Repeat("x", 1001), 413},
+	} {
+		request, err := http.NewRequest("POST", s.callers.URL+test.path, strings.NewReader(test.body))
+		assert.NilError(t, err)
+		request.Host = "a.example"
+		request.Header.Set("X-Id", test.id)
+		request.Header.Set("X-Key", test.key)
+		response, err := http.DefaultClient.Do(request)
+		assert.NilError(t, err)
+		response.Body.Close()
+		assert.Equal(t, response.StatusCode, test.want, "%+v", test)
+	}
+}
+
+// TestLeadTakesTheRequest states that a request for a key goes through the lead of its server, and
+// straight to the server where the lead leaves or is gone.
+func TestLeadTakesTheRequest(t *testing.T) {
+	server := startServer(t, answerOK)
+	entry, lead := newSystem(t, server), newSystem(t, server)
+	hops := startHops(t, lead.door)
+	host := assign.Host{Name: "h2", Zone: "zlin", Addr: hops}
+	entry.hold("revize-0", server.addr, 2, host)
+	response, body, err := entry.call(t, "POST", "/unsafe/x", "signed")
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, 200)
+	assert.Equal(t, body, "done")
+	assert.Equal(t, len(lead.door.KeyRates()["revize"]), 1)
+	assert.Equal(t, server.seen()[0].Header.Get(HeaderHop), "")
+	lead.door.Leave()
+	response, _, err = entry.call(t, "POST", "/unsafe/x", "signed")
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, 200)
+	assert.Equal(t, len(entry.door.KeyRates()["revize"]), 1)
+}
+
+func startHops(t *testing.T, door *Door) string {
+	t.Helper()
+	server := http.Server{Handler: http.HandlerFunc(door.ServeHop)}
+	listener := listen(t)
+	go server.Serve(listener)
+	t.Cleanup(func() { server.Close() })
+	return listener.Addr().String()
+}
+
+// TestRequestThatCrashesServersIsRefused states that a request is refused for good after the servers
+// that ran it have ended, also where other hosts have seen that.
+func TestRequestThatCrashesServersIsRefused(t *testing.T) {
+	server := startServer(t, "")
+	s := newSystem(t, server)
+	for range 4 {
+		_, _, err := s.call(t, "POST", "/unsafe/x", "deadly")
+		assert.NilError(t, err)
+		running, _ := s.fleet.Server("revize-0")
+		s.door.config.Guard.ServerDied(GuardLife(running.Entry()))
+		reborn := running.Entry()
+		reborn.Born++
+		s.fleet.Set([]fleet.Entry{reborn}, 0)
+	}
+	sent := len(server.seen())
+	response, _, err := s.call(t, "POST", "/unsafe/x", "deadly")
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusBadGateway)
+	assert.Equal(t, len(server.seen()), sent)
+	other := newSystem(t, startServer(t, answerOK))
+	records, _ := s.door.config.Guard.Export(0)
+	other.door.config.Guard.Import(records)
+	response, _, err = other.call(t, "POST", "/unsafe/x", "deadly")
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusBadGateway)
+	response, _, err = other.call(t, "POST", "/unsafe/x", "innocent")
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, 200)
+}
+
+// TestRepeatsStayWithinTheBudget counts the tries beyond the first where every server is full.
+func TestRepeatsStayWithinTheBudget(t *testing.T) {
+	b := budgets{config: BudgetConfig{Ratio: 0.2, Extra: 60, Window: 10 * time.Second, Hosts: func() int { return 12 }}}
+	const hosts, requests = 12, 500
+	for window := range 3 {
+		repeats := 0
+		for i := range requests {
+			now := time.Duration(window)*10*time.Second + time.Duration(i)*20*time.Millisecond
+			b.request("archiv", now)
+			for b.take("archiv", now) {
+				repeats++
+			}
+		}
+		assert.Assert(t, hosts*repeats <= hosts*requests/5+60, "%d repeats of each of %d hosts", repeats, hosts)
+	}
+}
--- a/internal/front/keyed.go
+++ b/internal/front/keyed.go
@@ -63,7 +63,7 @@
 // its way to another server the request waits.
 func (d *Door) sendKeyed(ctx context.Context, r *Request) Result {
 	d.budgets.request(r.Service.Name, d.clock())
-	d.keys.add(r.Service.Name, r.Key)
+	d.keys.add(r.Service.Name, r.Key, d.clock())
 	t := &keyedTry{door: d, r: r}
 	for ctx.Err() == nil {
 		result, again := t.round(ctx)
--- a/internal/front/keyrates.go
+++ b/internal/front/keyrates.go
@@ -13,7 +13,7 @@
 	meters map[string]*keyrange.Meter
 }
 
-func (r *keyRates) add(service string, key keyrange.Key) {
+func (r *keyRates) add(service string, key keyrange.Key, now time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.meters == nil {
@@ -21,7 +21,7 @@
 	}
 	meter := r.meters[service]
 	if meter == nil {
-		meter = keyrange.NewMeter()
+		meter = keyrange.NewMeter(now)
 		r.meters[service] = meter
 	}
 	meter.Add(key)
--- a/internal/keyrange/meter.go
+++ b/internal/keyrange/meter.go
@@ -25,9 +25,9 @@
 	taken  time.Duration
 }
 
-// NewMeter returns a meter that has seen nothing.
-func NewMeter() *Meter {
-	return &Meter{counts: make(map[Key]int), rates: make(map[Key]float64)}
+// NewMeter returns a meter that begins now.
+func NewMeter(now time.Duration) *Meter {
+	return &Meter{counts: make(map[Key]int), rates: make(map[Key]float64), taken: now}
 }
 
 // Add counts a request for a key.
