--- a/internal/assign/step.go
+++ b/internal/assign/step.go
@@ -33,8 +33,8 @@
 	Lives map[string]Server
 	// AtAddr holds the newest known life of the service's servers at each address.
 	AtAddr map[string]Server
-	// Reused holds the addresses that now belong to servers of other services.
-	Reused map[string]bool
+	// Reused holds the addresses whose newest server is one of another service, with its start.
+	Reused map[string]int64
 	// Regrant holds the first keys of ranges that need a new fence although they stay.
 	Regrant map[keyrange.Key]bool
 	// Proofs holds the proofs for releasing ranges, by their first key.
@@ -114,7 +114,7 @@
 func (s *stepper) settleHeld(a *Assignment) {
 	life, reborn := s.newerLife(a.Server)
 	switch {
-	case s.world.Reused[a.Server.Addr]:
+	case s.reused(a.Server):
 		s.free(a, "")
 	case reborn && s.ready(life.ID):
 		a.Server = life
@@ -132,7 +132,7 @@
 }
 
 func (s *stepper) settleReleasing(a *Assignment) {
-	if s.world.Reused[a.Server.Addr] {
+	if s.reused(a.Server) {
 		s.free(a, "")
 		return
 	}
@@ -141,6 +141,11 @@
 	}
 }
 
+// reused reports whether a server of another service has begun later at the address.
+func (s *stepper) reused(server Server) bool {
+	return s.world.Reused[server.Addr] > server.Born
+}
+
 // newerLife returns the life that has followed a server's life, under its ID or at its address.
 func (s *stepper) newerLife(server Server) (Server, bool) {
 	for _, life := range []Server{s.world.Lives[server.ID], s.world.AtAddr[server.Addr]} {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -302,7 +302,7 @@
 
 // atAddr returns the newest life of the service's servers at each address, and the addresses
 // at which a server of another service began later.
-func (l *Leader) atAddr(service string) (lives map[string]assign.Server, reused map[string]bool) {
+func (l *Leader) atAddr(service string) (lives map[string]assign.Server, reused map[string]int64) {
 	lives = make(map[string]assign.Server)
 	newest := make(map[string]fleet.Entry)
 	for _, name := range l.Fleet.Services() {
@@ -313,12 +313,12 @@
 			}
 		}
 	}
-	reused = make(map[string]bool)
+	reused = make(map[string]int64)
 	for addr, entry := range newest {
 		if entry.Service == service {
 			lives[addr] = life(entry)
 		} else {
-			reused[addr] = true
+			reused[addr] = entry.Born
 		}
 	}
 	return lives, reused
