A read that catches up is let finish

Each new plan left a word that others had read further, and the next read was ended by it at once. Change: such a word counts only for a read that is under way for 0.7 s, and is given on each read of the plan. Test: TestReadThatCatchesUpIsLetFinish.

--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -118,11 +118,9 @@
 	wake := func() { h.leader.Wake() }
 	h.state = &state{
 		platform: platform, current: h.current, clock: clock.Monotonic, log: log,
-		changed: func() {
-			h.orders.checkProgress(h.current.Plan().Orders)
-			wake()
-		},
-		hosts: make(map[string]assign.Host),
+		changed:   wake,
+		confirmed: func() { h.orders.checkProgress(h.current.Plan().Orders) },
+		hosts:     make(map[string]assign.Host),
 	}
 	h.guard = poison.NewGuard(poison.Bounds{Deaths: crashesToRefuse, Retention: crashRetention})
 	h.servers = newServers(platform, h.fleet, clock.Monotonic, log, wake)
--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/poplarcroft/poplarcroft/internal/duty"
 	"github.com/poplarcroft/poplarcroft/internal/eventlog"
 	"github.com/poplarcroft/poplarcroft/internal/follow"
 	"github.com/poplarcroft/poplarcroft/internal/routetable"
@@ -14,6 +15,9 @@
 // ordersWait is how long one read of the operators' words waits for a change.
 const ordersWait = 20 * time.Second
 
+// hungAfter is how long a read is under way before it can be taken for one that hangs.
+const hungAfter = 700 * time.Millisecond
+
 // orders follows the operators' words. One goroutine changes it; all may read.
 type orders struct {
 	platform Platform
@@ -66,14 +70,7 @@
 func (o *orders) read(ctx context.Context, follower *follow.Follower) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go func() {
-		select {
-		case <-o.behind:
-			o.log.Event("order", "next", o.next.Load(), "outcome", "behind, read anew")
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
+	go o.cancelIfBehind(ctx, cancel)
 	change, err := follower.Read(ctx, ordersWait)
 	if err != nil {
 		return err
@@ -83,6 +80,23 @@
 	return nil
 }
 
+// cancelIfBehind ends a read that is under way for longer than an answer takes, where
+// another host has read further.
+func (o *orders) cancelIfBehind(ctx context.Context, cancel func()) {
+	duty.Wait(ctx, hungAfter)
+	// A word from before tells nothing of this read.
+	select {
+	case <-o.behind:
+	default:
+	}
+	select {
+	case <-o.behind:
+		o.log.Event("order", "next", o.next.Load(), "outcome", "behind, read anew")
+		cancel()
+	case <-ctx.Done():
+	}
+}
+
 func (o *orders) apply(change follow.Change) {
 	present := make(map[string]bool, len(change.Records))
 	for _, record := range change.Records {
--- a/internal/edge/orders_test.go
+++ b/internal/edge/orders_test.go
@@ -78,6 +78,41 @@
 	return follow.Batch{Records: []follow.Record{{Key: "config", Value: []byte("7"), Offset: 2}}, End: 3}, nil
 }
 
+// slowSource answers after a while, as a store does that is slow.
+type slowSource struct{ hangingSource }
+
+func (s *slowSource) Since(ctx context.Context, offset uint64, wait time.Duration) (follow.Batch, error) {
+	s.reads = 1
+	select {
+	case <-ctx.Done():
+		return follow.Batch{}, ctx.Err()
+	case <-time.After(500 * time.Millisecond):
+		return s.hangingSource.Since(ctx, offset, wait)
+	}
+}
+
+// TestReadThatCatchesUpIsLetFinish replays scale-2 of Moravia: hosts that had been cut off read anew
+// again and again for three seconds, since each new plan ended the read that would have told them.
+func TestReadThatCatchesUpIsLetFinish(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newTestOrders()
+		follower := follow.New(&slowSource{})
+		assert.NilError(t, o.read(t.Context(), follower))
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		go func() {
+			for ctx.Err() == nil {
+				o.checkProgress(3)
+				time.Sleep(20 * time.Millisecond)
+			}
+		}()
+		assert.NilError(t, o.read(ctx, follower))
+		assert.Equal(t, o.Table().Version, routetable.Version(7))
+		cancel()
+		time.Sleep(time.Second)
+	})
+}
+
 // TestHangingReadIsGivenUp replays trouble-2 of Moravia: the answer to the read of a host
 // that had just started was lost, and it kept version 4 for twenty seconds.
 func TestHangingReadIsGivenUp(t *testing.T) {
@@ -93,5 +128,6 @@
 		assert.Equal(t, time.Since(started), time.Second)
 		o.checkProgress(3)
 		assert.Equal(t, len(o.behind), 0)
+		time.Sleep(time.Second)
 	})
 }
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -33,7 +33,8 @@
 	current  *assign.Current
 	clock    func() time.Duration
 	log      *eventlog.Log
-	changed  func()
+	// changed is told of changes, confirmed of each read that succeeded.
+	changed, confirmed func()
 
 	mu    sync.Mutex
 	next  uint64
@@ -60,6 +61,7 @@
 	if len(change.Records) > 0 {
 		s.changed()
 	}
+	s.confirmed()
 	return nil
 }
 
