--- a/internal/assign/plan.go
+++ b/internal/assign/plan.go
@@ -11,8 +11,11 @@
 package assign
 
 import (
+	"cmp"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/poplarcroft/poplarcroft/internal/keyrange"
 )
 
@@ -145,18 +148,39 @@
 	return renewers
 }
 
-// Covers reports whether the host renews the assignment under this plan: those of its own
-// zone and, for the leader, those of zones that have no host which may renew them.
+// renewersPerServer is the number of hosts that renew the grants of one server.
+const renewersPerServer = 3
+
+// Covers reports whether the host renews the assignment under this plan. A few hosts of
+// the server's zone do, and the leader where the zone has none that may.
 func (p Plan) Covers(host Host, a Assignment) bool {
 	if a.Phase != Held || !p.MayRenew(host, a.Fence) {
 		return false
 	}
-	if a.Server.Zone == host.Zone {
-		return true
+	able := p.Able(a.Server, func(h Host) bool { return h.Since <= a.Fence })
+	if len(able) == 0 {
+		return p.Leader.Same(host)
 	}
-	return p.Leader.Same(host) && !slices.ContainsFunc(p.Hosts, func(h Host) bool {
-		return h.Zone == a.Server.Zone && !h.Retired && h.Since <= a.Fence
+	return slices.ContainsFunc(able[:min(renewersPerServer, len(able))], host.Same)
+}
+
+// Able returns the hosts of a server's zone that are not retired and fit, in the server's own
+// order: by rendezvous hashing, so that the loss of a host changes only what it was first for.
+func (p Plan) Able(server Server, fit func(Host) bool) []Host {
+	var able []Host
+	for _, host := range p.Hosts {
+		if host.Zone == server.Zone && !host.Retired && fit(host) {
+			able = append(able, host)
+		}
+	}
+	slices.SortFunc(able, func(a, b Host) int {
+		return cmp.Compare(rank(b, server), rank(a, server))
 	})
+	return able
+}
+
+func rank(host Host, server Server) uint64 {
+	return xxhash.Sum64String(host.Name + "\x00" + server.ID)
 }
 
 // Valid reports whether each service's assignments cover all keys once, in order.
--- a/internal/front/lead.go
+++ b/internal/front/lead.go
@@ -1,13 +1,9 @@
 package front
 
 import (
-	"cmp"
-	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/poplarcroft/poplarcroft/internal/assign"
 )
 
@@ -36,23 +32,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock()
-	var able []assign.Host
-	for _, host := range plan.Hosts {
-		if host.Zone == server.Zone && !host.Retired && now >= l.down[host.Name] {
-			able = append(able, host)
-		}
-	}
+	able := plan.Able(server, func(host assign.Host) bool { return now >= l.down[host.Name] })
 	if len(able) == 0 {
 		return assign.Host{}, false
 	}
-	return slices.MaxFunc(able, func(a, b assign.Host) int {
-		return cmp.Compare(rank(a, server), rank(b, server))
-	}), true
-}
-
-// rank orders hosts by rendezvous hashing, so that the loss of a host moves only what it led.
-func rank(host assign.Host, server assign.Server) uint64 {
-	return xxhash.Sum64String(host.Name + "\x00" + server.ID)
+	return able[0], true
 }
 
 // failed notes that a host could not be reached.
