Only tries that arrive count as repeats

A connection that could not be opened brings nothing to the service, so the next try is its first arrival.

--- a/internal/front/keyed.go
+++ b/internal/front/keyed.go
@@ -32,7 +32,8 @@
 	// failure is the last failure that a server has answered.
 	failure *Answer
 	runs    int
-	sends   int
+	// arrived says that a try has reached a server, so that another one is a repeat.
+	arrived bool
 	notHeld int
 }
 
@@ -132,14 +133,15 @@
 	if !found || now.Phase != assign.Held || now.Server.ID != string(server.Entry().ID) {
 		return attempt{}, Result{}, false
 	}
-	if t.sends > 0 && !t.door.budgets.take(t.r.Service.Name, began) {
+	if t.arrived && !t.door.budgets.take(t.r.Service.Name, began) {
 		return attempt{}, notRun(reasonBudget, comeBack), false
 	}
 	if !server.Begin(t.door.allowance(t.r), began) {
 		return attempt{}, notRun(reasonCold, comeBack), false
 	}
-	t.sends++
-	return t.door.send(ctx, t.r, server), Result{}, true
+	a := t.door.send(ctx, t.r, server)
+	t.arrived = t.arrived || a.outcome != tryNotSent
+	return a, Result{}, true
 }
 
 // after decides what follows from a try.
--- a/internal/front/keyless.go
+++ b/internal/front/keyless.go
@@ -15,14 +15,16 @@
 func (d *Door) serveAny(ctx context.Context, r *Request) Result {
 	var excluded []fleet.ID
 	mayHaveRun := false
+	// arrived says that a try has reached a server, so that another one is a repeat.
+	arrived := false
 	runs := 0
 	var failure *Answer
 	last := notRun(reasonNoServer, comeBack)
-	for tries := 0; ; tries++ {
+	for {
 		if ctx.Err() != nil {
 			return end(d.overdue(mayHaveRun), failure, mayHaveRun)
 		}
-		if tries > 0 && !d.budgets.take(r.Service.Name, d.clock()) {
+		if arrived && !d.budgets.take(r.Service.Name, d.clock()) {
 			return end(last, failure, mayHaveRun)
 		}
 		now := d.clock()
@@ -36,6 +38,7 @@
 			continue
 		}
 		a := d.send(ctx, r, server)
+		arrived = arrived || a.outcome != tryNotSent
 		switch a.outcome {
 		case tryAnswered:
 			return Result{Kind: Done, Answer: a.answer}
