--- a/internal/front/door.go
+++ b/internal/front/door.go
@@ -162,7 +162,7 @@
 		return nil, http.StatusBadRequest, err
 	}
 	r.Body = body
-	r.Header = endToEnd(hr.Header)
+	r.Header = transport.EndToEnd(hr.Header)
 	if _, ok := r.Header["User-Agent"]; !ok {
 		// An empty value keeps the HTTP library from adding its own.
 		r.Header["User-Agent"] = []string{""}
--- a/internal/front/hop.go
+++ b/internal/front/hop.go
@@ -158,7 +158,7 @@
 	if r.Body, err = readBody(hr, 0); err != nil {
 		return nil, err
 	}
-	r.Header = endToEnd(hr.Header)
+	r.Header = transport.EndToEnd(hr.Header)
 	r.Header.Del(HeaderHop)
 	r.Deadline = now + patience(hr.Header, d.headers.DeadlineMS, 0)
 	return r, nil
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -11,7 +11,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -64,26 +63,6 @@
 	errBodyTooBig = errors.New("the body exceeds the limit")
 )
 
-// hopByHop lists the headers that concern one connection only.
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
-// endToEnd returns the headers that are passed on.
-func endToEnd(header http.Header) http.Header {
-	out := header.Clone()
-	for _, field := range header.Values("Connection") {
-		for name := range strings.SplitSeq(field, ",") {
-			out.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopByHop {
-		out.Del(name)
-	}
-	return out
-}
-
 // readBody reads a body of at most limit bytes.
 func readBody(r *http.Request, limit int64) ([]byte, error) {
 	if r.ContentLength == 0 || r.Body == nil {
--- a/internal/front/result.go
+++ b/internal/front/result.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/poplarcroft/poplarcroft/internal/transport"
 )
 
 // Kind tells what became of a request.
@@ -92,7 +94,7 @@
 
 func writeAnswer(w http.ResponseWriter, answer *Answer) int {
 	header := w.Header()
-	for name, values := range endToEnd(answer.Header) {
+	for name, values := range transport.EndToEnd(answer.Header) {
 		header[name] = values
 	}
 	// The answer to a HEAD request tells the length of a body that it has not.
--- a/internal/route/request.go
+++ b/internal/route/request.go
@@ -21,6 +21,7 @@
 	"github.com/poplarcroft/poplarcroft/internal/outcome"
 	"github.com/poplarcroft/poplarcroft/internal/poison"
 	"github.com/poplarcroft/poplarcroft/internal/record"
+	"github.com/poplarcroft/poplarcroft/internal/transport"
 )
 
 const (
@@ -176,23 +177,9 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
-// hopByHop lists the headers that concern one connection only.
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
 // endToEnd returns the headers that are passed on.
 func endToEnd(header http.Header) http.Header {
-	out := header.Clone()
-	for _, field := range header.Values("Connection") {
-		for name := range strings.SplitSeq(field, ",") {
-			out.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopByHop {
-		out.Del(name)
-	}
+	out := transport.EndToEnd(header)
 	for name := range out {
 		if strings.HasPrefix(name, "Poplarcroft-") {
 			out.Del(name)
