--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -66,11 +66,6 @@
 	return &Queue{places: max(places, 1)}
 }
 
-// SetPlaces changes the number of requests that the server takes at a time.
-func (q *Queue) SetPlaces(places int) {
-	q.places = max(places, 1)
-}
-
 // Len returns the numbers of requests at the server and in the queue.
 func (q *Queue) Len() (running, queued int) {
 	return q.running, len(q.waiting)
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -126,7 +126,7 @@
 	h.servers = newServers(platform, h.fleet, clock.Monotonic, log, wake)
 	h.servers.ended = func(entry fleet.Entry) { h.guard.ServerDied(front.GuardLife(entry)) }
 	h.orders = newOrders(platform, log, func() {
-		h.fleet.CloseZones(*h.orders.closed.Load())
+		h.fleet.CloseZones(*h.orders.closed.Load(), h.coldFor, clock.Monotonic())
 		wake()
 	})
 	h.renewer = renew.New(h.self, h.current, platform.Granter(), config.Timing, clock.Monotonic, log)
@@ -156,6 +156,15 @@
 	return service.ColdRate*h.config.ColdOverage + h.config.ColdSlack
 }
 
+// coldFor is how long a server of the service is cold after its start.
+func (h *Host) coldFor(service string) time.Duration {
+	table := h.orders.Table()
+	if table == nil {
+		return 0
+	}
+	return table.Services[service].ColdFor
+}
+
 func (h *Host) hostCount() int {
 	return max(len(h.current.Plan().Hosts), 1)
 }
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -35,7 +35,5 @@
 
 // LoadReport is the load that a server tells with an answer.
 type LoadReport struct {
-	Running, Waiting, Slots int
-	// Slowness is how long work takes now in relation to the usual; 1 is as usual.
-	Slowness float64
+	Running, Waiting int
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -82,10 +82,17 @@
 	f.view.Store(next)
 }
 
-// CloseZones sets the zones whose servers get nothing.
-func (f *Fleet) CloseZones(zones map[string]bool) {
+// CloseZones sets the zones whose servers get nothing. Servers of a zone that opens again are taken for
+// cold for the time that their service names, unless a newer entry says otherwise.
+func (f *Fleet) CloseZones(zones map[string]bool, coldFor func(service string) time.Duration, now time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	for _, server := range f.view.Load().byID {
+		entry := server.Entry()
+		if f.closed[entry.Zone] && !zones[entry.Zone] {
+			server.Chill(coldFor(entry.Service), now)
+		}
+	}
 	f.closed = zones
 	next := *f.view.Load()
 	next.closed = zones
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -46,11 +46,18 @@
 	leaving := entry("leaving", "zlin")
 	leaving.Draining = true
 	f := newTestFleet(leaving, entry("closed", "brno"))
-	f.CloseZones(map[string]bool{"brno": true})
+	coldFor := func(string) time.Duration { return 3 * time.Second }
+	f.CloseZones(map[string]bool{"brno": true}, coldFor, 0)
 	_, ok := f.Choose("archiv", nil, 0)
 	assert.Assert(t, !ok)
-	f.CloseZones(nil)
-	assert.Equal(t, chosen(t, f, 0), ID("closed"))
+	f.CloseZones(nil, coldFor, time.Second)
+	assert.Equal(t, chosen(t, f, time.Second), ID("closed"))
+	reopened := mustServer(t, f, "closed")
+	assert.Assert(t, reopened.Cold(time.Second) && !reopened.Cold(4*time.Second))
+	newer := entry("closed", "brno")
+	newer.Sequence = 2
+	f.Set([]Entry{newer}, 2*time.Second)
+	assert.Assert(t, !reopened.Cold(2*time.Second))
 }
 
 func TestColdServersAreChosenLast(t *testing.T) {
--- a/internal/front/keyless.go
+++ b/internal/front/keyless.go
@@ -10,58 +10,69 @@
 // comeBack is when a caller may try again where nothing better is known.
 const comeBack = 300 * time.Millisecond
 
+// anyTry is the course of one request to any server of its service.
+type anyTry struct {
+	excluded []fleet.ID
+	// arrived says that a try has reached a server, so that another one is a repeat.
+	arrived    bool
+	mayHaveRun bool
+	runs       int
+	// failure is the last failure that a server has answered.
+	failure *Answer
+	last    Result
+}
+
 // serveAny sends a request to any server of its service, and to another one where
 // that is allowed and may help.
 func (d *Door) serveAny(ctx context.Context, r *Request) Result {
-	var excluded []fleet.ID
-	mayHaveRun := false
-	// arrived says that a try has reached a server, so that another one is a repeat.
-	arrived := false
-	runs := 0
-	var failure *Answer
-	last := notRun(reasonNoServer, comeBack)
-	for {
-		if ctx.Err() != nil {
-			return end(d.overdue(mayHaveRun), failure, mayHaveRun)
-		}
-		if arrived && !d.budgets.take(r.Service.Name, d.clock()) {
-			return end(last, failure, mayHaveRun)
+	t := &anyTry{last: notRun(reasonNoServer, comeBack)}
+	for ctx.Err() == nil {
+		if t.arrived && !d.budgets.take(r.Service.Name, d.clock()) {
+			return end(t.last, t.failure, t.mayHaveRun)
 		}
 		now := d.clock()
-		server, ok := d.fleet.Choose(r.Service.Name, excluded, now)
+		server, ok := d.fleet.Choose(r.Service.Name, t.excluded, now)
 		if !ok {
-			return end(last, failure, mayHaveRun)
+			return end(t.last, t.failure, t.mayHaveRun)
 		}
-		excluded = append(excluded, server.Entry().ID)
+		t.excluded = append(t.excluded, server.Entry().ID)
 		if !server.Begin(d.allowance(r), now) {
-			last = notRun(reasonCold, comeBack)
+			t.last = notRun(reasonCold, comeBack)
 			continue
 		}
-		a := d.send(ctx, r, server)
-		arrived = arrived || a.outcome != tryNotSent
-		switch a.outcome {
-		case tryAnswered:
-			return Result{Kind: Done, Answer: a.answer}
-		case tryFailed:
-			runs++
-			mayHaveRun = true
-			failure = a.answer
-		case tryLost:
-			runs++
-			mayHaveRun = true
-			last = unknown(reasonAnswerLost)
-		case tryShed:
-			last = notRun(reasonFull, comeBack)
-		case tryNotSent:
-			last = notRun(reasonUnreachable, comeBack)
-		case tryNotHeld:
-			last = notRun(reasonNotHeld, comeBack)
+		ran := t.note(d.send(ctx, r, server))
+		if t.last.Kind == Done {
+			return t.last
 		}
-		ran := a.outcome == tryLost || a.outcome == tryFailed
-		if ran && (!r.Route.Idempotent || runs >= r.Route.Attempts || !d.timeLeft(r)) {
-			return end(last, failure, mayHaveRun)
+		if ran && (!r.Route.Idempotent || t.runs >= r.Route.Attempts || !d.timeLeft(r)) {
+			return end(t.last, t.failure, t.mayHaveRun)
+		}
+	}
+	return end(d.overdue(t.mayHaveRun), t.failure, t.mayHaveRun)
+}
+
+// note takes a try into account and reports whether the request may have run.
+func (t *anyTry) note(a attempt) bool {
+	t.arrived = t.arrived || a.outcome != tryNotSent
+	switch a.outcome {
+	case tryAnswered:
+		t.last = Result{Kind: Done, Answer: a.answer}
+	case tryShed:
+		t.last = notRun(reasonFull, comeBack)
+	case tryNotSent:
+		t.last = notRun(reasonUnreachable, comeBack)
+	case tryNotHeld:
+		t.last = notRun(reasonNotHeld, comeBack)
+	case tryFailed, tryLost:
+		t.runs++
+		t.mayHaveRun = true
+		t.last = unknown(reasonAnswerLost)
+		if a.answer != nil {
+			t.failure = a.answer
 		}
+		return true
 	}
+	return false
 }
 
 // timeLeft reports whether another run could be answered in time.
--- a/internal/front/try.go
+++ b/internal/front/try.go
@@ -199,26 +199,22 @@
 	return fleet.Failed
 }
 
-// noteLoad takes the load that a server told: running, waiting, slots and, where
-// it is known, its slowness in hundredths.
+// noteLoad takes the load that a server told: running, waiting, and more that is not used. How
+// long work takes on its machine changes too often to be of use when it arrives.
 func (d *Door) noteLoad(server *fleet.Server, text string, now time.Duration) {
 	fields := strings.Split(text, ",")
-	if len(fields) < 3 {
+	if len(fields) < 2 {
 		return
 	}
-	numbers := make([]int, len(fields))
-	for i, field := range fields {
-		number, err := strconv.Atoi(strings.TrimSpace(field))
-		if err != nil || number < 0 {
-			return
-		}
-		numbers[i] = number
+	running, err := strconv.ParseUint(strings.TrimSpace(fields[0]), 10, 16)
+	if err != nil {
+		return
 	}
-	report := fleet.LoadReport{Running: numbers[0], Waiting: numbers[1], Slots: numbers[2], Slowness: 1}
-	if len(numbers) > 3 {
-		report.Slowness = float64(numbers[3]) / 100
+	waiting, err := strconv.ParseUint(strings.TrimSpace(fields[1]), 10, 16)
+	if err != nil {
+		return
 	}
-	server.Report(report, now)
+	server.Report(fleet.LoadReport{Running: int(running), Waiting: int(waiting)}, now)
 }
 
 func errorText(err error) string {
--- a/internal/keyrange/range.go
+++ b/internal/keyrange/range.go
@@ -32,11 +32,6 @@
 	return int(r.Last) - int(r.First) + 1
 }
 
-// Adjoins reports whether the next range begins where this one ends.
-func (r Range) Adjoins(next Range) bool {
-	return r.Last != Last && r.Last+1 == next.First
-}
-
 // SplitAfter cuts the range in two after a key that is not its last one.
 func (r Range) SplitAfter(key Key) (left, right Range) {
 	return Range{First: r.First, Last: key}, Range{First: key + 1, Last: r.Last}
--- a/internal/renew/renew.go
+++ b/internal/renew/renew.go
@@ -90,14 +90,6 @@
 	}
 }
 
-// Confirmed reports whether the server has answered this host's grant of late.
-func (r *Renewer) Confirmed(service string, a assign.Assignment) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	s, ok := r.held[grantID{service, a.Range, a.Fence}]
-	return ok && s.confirmed && r.clock()-s.answered < r.timing.Hold
-}
-
 // Lost returns the grants that this host renews no longer because their servers do not answer.
 func (r *Renewer) Lost() []Lost {
 	r.mu.Lock()
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -64,17 +64,11 @@
 	// ColdFor is how long a server is cold after its start, in which it takes ColdRate requests a second.
 	ColdFor  time.Duration
 	ColdRate float64
-	// WarmFor is how long keys are slow that arrive without a handover.
-	WarmFor    time.Duration
-	HealthPath string
 }
 
 // Limits bound what a caller may send.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	BodyBytes int64
 }
 
 // Config is one version of the operators' configuration.
