--- /dev/null
+++ b/internal/eventlog/eventlog_test.go
@@ -0,0 +1,64 @@
+package eventlog
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// blockedWriter takes nothing until it is opened.
+type blockedWriter struct {
+	opened chan struct{}
+
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (w *blockedWriter) Write(p []byte) (int, error) {
+	<-w.opened
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.text.Write(p)
+}
+
+// TestBlockedOutputHoldsUpNobody states that lines are counted and left out while the output takes none,
+// and that the next line tells how many.
+func TestBlockedOutputHoldsUpNobody(t *testing.T) {
+	w := &blockedWriter{opened: make(chan struct{})}
+	l := New(w, "host", "h1")
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		l.Run(ctx)
+		close(done)
+	}()
+	const lines = 100_000
+	for i := range lines {
+		l.Event("answer", "id", i)
+	}
+	assert.Assert(t, len(l.queue) <= queueLines)
+	assert.Assert(t, l.Dropped() > lines/2, "%d", l.Dropped())
+	close(w.opened)
+	cancel()
+	<-done
+	text := w.text.String()
+	assert.Assert(t, strings.Contains(text, "msg=answer host=h1 id=0"), "%.200s", text)
+	assert.Assert(t, strings.Contains(text, "dropped_before="))
+}
+
+func TestRoutineLinesAreDroppedFirst(t *testing.T) {
+	l := Discard()
+	for range importantLinesPerSecond {
+		l.Routine("answer")
+	}
+	routine := l.Dropped()
+	assert.Assert(t, routine > 0)
+	for range importantLinesPerSecond {
+		l.Event("answer")
+	}
+	assert.Equal(t, l.Dropped(), routine)
+}
--- /dev/null
+++ b/internal/renew/renew_test.go
@@ -0,0 +1,165 @@
+package renew
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/poplarcroft/poplarcroft/internal/assign"
+	"github.com/poplarcroft/poplarcroft/internal/eventlog"
+	"github.com/poplarcroft/poplarcroft/internal/grants"
+	"github.com/poplarcroft/poplarcroft/internal/keyrange"
+)
+
+var self = assign.Host{Name: "h1", Incarnation: "1", Zone: "zlin", Since: 1}
+
+// fakeServer counts the grants that reach it.
+type fakeServer struct {
+	mu     sync.Mutex
+	silent bool
+	times  []time.Duration
+	now    func() time.Duration
+}
+
+func (s *fakeServer) Grant(ctx context.Context, _ assign.Server, _ grants.Grant) error {
+	s.mu.Lock()
+	s.times = append(s.times, s.now())
+	silent := s.silent
+	s.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return errors.New("no answer")
+	}
+	return nil
+}
+
+func (s *fakeServer) Release(context.Context, assign.Server, keyrange.Range, assign.Fence) (string, error) {
+	return "", errors.New("not used")
+}
+
+func (s *fakeServer) set(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = silent
+}
+
+func (s *fakeServer) sent() []time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]time.Duration(nil), s.times...)
+}
+
+// heldPlan gives all keys to a server of the zone.
+func heldPlan(version, fence assign.Fence, zone string, hosts ...assign.Host) assign.Plan {
+	return assign.Plan{Version: version, Hosts: hosts, Services: map[string][]assign.Assignment{"revize": {{
+		Range: keyrange.All, Phase: assign.Held, Fence: fence, Server: assign.Server{ID: "s1", Zone: zone, Born: 1},
+	}}}}
+}
+
+// run plays a renewer for a while.
+func run(t *testing.T, play func(server *fakeServer, current *assign.Current, r *Renewer, now func() time.Duration)) {
+	synctest.Test(t, func(t *testing.T) {
+		started := time.Now()
+		now := func() time.Duration { return time.Since(started) + time.Hour }
+		server := &fakeServer{now: now}
+		current := assign.NewCurrent()
+		r := New(self, current, server, grants.DefaultTiming(), now, eventlog.Discard())
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			r.Run(ctx)
+			close(done)
+		}()
+		play(server, current, r, now)
+		cancel()
+		<-done
+		time.Sleep(time.Minute)
+	})
+}
+
+func TestGrantIsRenewedInTime(t *testing.T) {
+	run(t, func(server *fakeServer, current *assign.Current, _ *Renewer, now func() time.Duration) {
+		current.Verify(now())
+		current.Adopt(heldPlan(2, 2, "zlin", self), now())
+		time.Sleep(8500 * time.Millisecond)
+		times := server.sent()
+		assert.Assert(t, len(times) >= 10 && len(times) <= 12, "%d grants", len(times))
+	})
+}
+
+// TestNothingIsRenewedWithoutRight states when a host must not renew.
+func TestNothingIsRenewedWithoutRight(t *testing.T) {
+	retired := self
+	retired.Retired = true
+	newer := self
+	newer.Since = 3
+	other := self
+	other.Incarnation = "2"
+	for name, plan := range map[string]assign.Plan{
+		"another zone's server":             heldPlan(4, 2, "brno", self),
+		"retired":                           heldPlan(4, 2, "zlin", retired),
+		"grant older than the host":         heldPlan(4, 2, "zlin", newer),
+		"another life of the host is named": heldPlan(4, 2, "zlin", other),
+		"no host is named":                  heldPlan(4, 2, "zlin"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(server *fakeServer, current *assign.Current, _ *Renewer, now func() time.Duration) {
+				current.Verify(now())
+				current.Adopt(plan, now())
+				time.Sleep(5 * time.Second)
+				assert.Equal(t, len(server.sent()), 0)
+			})
+		})
+	}
+}
+
+func TestUnconfirmedPlanStopsRenewals(t *testing.T) {
+	run(t, func(server *fakeServer, current *assign.Current, _ *Renewer, now func() time.Duration) {
+		current.Verify(now())
+		current.Adopt(heldPlan(2, 2, "zlin", self), now())
+		time.Sleep(30 * time.Second)
+		times := server.sent()
+		assert.Assert(t, times[len(times)-1] <= time.Hour+grants.DefaultTiming().StaleAfter)
+	})
+}
+
+// TestSilentServerIsGivenUp states that a server which is silent for longer than a restart may
+// take gets no old grant any more, and that the loss is told.
+func TestSilentServerIsGivenUp(t *testing.T) {
+	run(t, func(server *fakeServer, current *assign.Current, r *Renewer, now func() time.Duration) {
+		current.Verify(now())
+		current.Adopt(heldPlan(2, 2, "zlin", self), now())
+		time.Sleep(time.Second)
+		server.set(true)
+		silentFrom := now()
+		time.Sleep(3 * time.Second)
+		server.set(false)
+		time.Sleep(3 * time.Second)
+		times := server.sent()
+		assert.Assert(t, times[len(times)-1] <= silentFrom+grants.DefaultTiming().ContactLost)
+		assert.DeepEqual(t, r.Lost(), []Lost{{Service: "revize", First: 0, Fence: 2}})
+		current.Verify(now())
+		current.Adopt(heldPlan(3, 3, "zlin", self), now())
+		time.Sleep(time.Second)
+		assert.Assert(t, len(server.sent()) > len(times))
+	})
+}
+
+// TestGrantLearnedLateIsLeftAlone states that a host which could not read the plan for a while renews
+// nothing that it learns then: its server may have begun a new life since.
+func TestGrantLearnedLateIsLeftAlone(t *testing.T) {
+	run(t, func(server *fakeServer, current *assign.Current, _ *Renewer, now func() time.Duration) {
+		current.Verify(now())
+		time.Sleep(4 * time.Second)
+		current.Interrupt()
+		current.Adopt(heldPlan(2, 2, "zlin", self), now())
+		current.Verify(now())
+		time.Sleep(4 * time.Second)
+		assert.Equal(t, len(server.sent()), 0)
+	})
+}
