--- a/internal/assign/plan.go
+++ b/internal/assign/plan.go
@@ -96,7 +96,7 @@
 	Hosts []Host `json:"hosts"`
 	// Services holds for each service all its keys, in order.
 	Services map[string][]Assignment `json:"services"`
-	// Orders is how far the leader has read the operators' words. A host that has not
+	// Orders is how far the leader has read the operators' records. A host that has not
 	// read as far has a read that hangs.
 	Orders uint64 `json:"orders,omitempty"`
 	// Version is the fence of the plan's place in the store; zero is the empty plan.
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -343,7 +343,7 @@
 
 func (h *Host) followOrders(ctx context.Context) {
 	follower := follow.New(h.platform.Orders())
-	h.follow(ctx, "operators' words", func(ctx context.Context) error {
+	h.follow(ctx, "operators' records", func(ctx context.Context) error {
 		return h.orders.read(ctx, follower)
 	})
 }
--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -12,13 +12,13 @@
 	"github.com/poplarcroft/poplarcroft/internal/routetable"
 )
 
-// ordersWait is how long one read of the operators' words waits for a change.
+// ordersWait is how long one read of the operators' records waits for a change.
 const ordersWait = 20 * time.Second
 
 // hungAfter is how long a read is under way before it can be taken for one that hangs.
 const hungAfter = 700 * time.Millisecond
 
-// orders follows the operators' words. One goroutine changes it; all may read.
+// orders follows the operators' records. One goroutine changes it; all may read.
 type orders struct {
 	platform Platform
 	log      *eventlog.Log
@@ -26,7 +26,7 @@
 
 	table  atomic.Pointer[routetable.Table]
 	closed atomic.Pointer[map[string]bool]
-	// next is how far the words have been read; behind asks for a new read.
+	// next is how far the records have been read; behind asks for a new read.
 	next   atomic.Uint64
 	behind chan struct{}
 	// zones holds the closed zone of each key.
@@ -49,7 +49,7 @@
 	return (*o.closed.Load())[zone]
 }
 
-// Next returns how far the words have been read.
+// Next returns how far the records have been read.
 func (o *orders) Next() uint64 {
 	return o.next.Load()
 }
@@ -84,7 +84,7 @@
 // another host has read further.
 func (o *orders) cancelIfBehind(ctx context.Context, cancel func()) {
 	duty.Wait(ctx, hungAfter)
-	// A word from before tells nothing of this read.
+	// A signal from before this read says nothing about it.
 	select {
 	case <-o.behind:
 	default:
--- a/internal/edge/platform.go
+++ b/internal/edge/platform.go
@@ -17,7 +17,7 @@
 // ErrConflict reports that a topic did not end where a conditional append expected.
 var ErrConflict = errors.New("edge: the topic has grown")
 
-// Order is one word of the operators. One of its fields is set.
+// Order is one record of the operators. One of its fields is set.
 type Order struct {
 	// Config is the newest configuration.
 	Config *routetable.Config
@@ -31,9 +31,9 @@
 	Servers() follow.Source
 	// Server decodes an entry.
 	Server(record follow.Record) (fleet.Entry, error)
-	// Orders is the topic of the operators' words.
+	// Orders is the topic of the operators' records.
 	Orders() follow.Source
-	// Order decodes a word of the operators.
+	// Order decodes a record of the operators.
 	Order(record follow.Record) (Order, error)
 	// State is the topic of the hosts' own state.
 	State() follow.Source
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -63,7 +63,7 @@
 	Table func() *routetable.Table
 	// Hosts returns the hosts that have registered.
 	Hosts func() []assign.Host
-	// Orders returns how far this host has read the operators' words.
+	// Orders returns how far this host has read the operators' records.
 	Orders func() uint64
 	// Closed reports whether a zone's servers get nothing.
 	Closed func(zone string) bool
--- a/internal/leader/release.go
+++ b/internal/leader/release.go
@@ -147,7 +147,7 @@
 }
 
 // stopRenewers returns the reading of the clock at which all hosts that may have
-// renewed the range have stopped: by their own word, or because they cannot have
+// renewed the range have stopped: because they said so, or because they cannot have
 // confirmed an older plan since.
 func (l *Leader) stopRenewers(ctx context.Context, a assign.Assignment, plan assign.Plan) time.Duration {
 	deadline := l.Clock() + l.Timing.SilentAfter()
