--- a/internal/front/gone_test.go
+++ b/internal/front/gone_test.go
@@ -93,6 +93,7 @@
 	for _, path := range []string{"/unsafe/x", "/post/x"} {
 		server, _ := startPatient(t)
 		s := newSystem(t, server)
+		s.left = "600"
 		response, _, err := s.call(t, "POST", path, "signed")
 		assert.NilError(t, err)
 		assert.Assert(t, response.StatusCode == http.StatusGatewayTimeout || response.StatusCode == http.StatusBadGateway,
