One record of what a request's tries have shown; waits by the duty package

Read-through: keyed and other requests each kept arrived, runs and the last failure; leader and renewer wrote duty.Wait's select out by hand. Behaviour unchanged.

--- a/internal/front/keyed.go
+++ b/internal/front/keyed.go
@@ -26,14 +26,9 @@
 
 // keyedTry is the course of one request for a key.
 type keyedTry struct {
-	door       *Door
-	r          *Request
-	mayHaveRun bool
-	// failure is the last failure that a server has answered.
-	failure *Answer
-	runs    int
-	// arrived says that a try has reached a server, so that another one is a repeat.
-	arrived bool
+	course
+	door    *Door
+	r       *Request
 	notHeld int
 }
 
@@ -72,10 +67,10 @@
 			if result.Kind == Done {
 				return result
 			}
-			return t.lastEnd(result)
+			return t.end(result)
 		}
 	}
-	return t.lastEnd(d.overdue(t.mayHaveRun))
+	return t.end(d.overdue(t.mayHaveRun))
 }
 
 // waitUntil is the reading of the clock until which the request waits for a holder.
@@ -140,7 +135,7 @@
 		return attempt{}, notRun(reasonCold, comeBack), false
 	}
 	a := t.door.send(ctx, t.r, server)
-	t.arrived = t.arrived || a.outcome != tryNotSent
+	t.note(a)
 	return a, Result{}, true
 }
 
@@ -160,18 +155,8 @@
 	case tryNotSent:
 		return t.pause(ctx, fullPause, reasonUnreachable)
 	}
-	t.runs++
-	t.mayHaveRun = true
-	if a.outcome == tryFailed {
-		t.failure = a.answer
-	}
 	again := t.r.Route.Idempotent && t.runs < t.r.Route.Attempts && t.door.timeLeft(t.r)
-	return t.lastEnd(unknown(reasonAnswerLost)), again
-}
-
-// lastEnd is the end of the request where there is no success.
-func (t *keyedTry) lastEnd(own Result) Result {
-	return end(own, t.failure, t.mayHaveRun)
+	return t.end(unknown(reasonAnswerLost)), again
 }
 
 // pause lets time pass before another try, unless the goal has nearly passed.
--- a/internal/front/keyless.go
+++ b/internal/front/keyless.go
@@ -12,14 +12,9 @@
 
 // anyTry is the course of one request to any server of its service.
 type anyTry struct {
+	course
 	excluded []fleet.ID
-	// arrived says that a try has reached a server, so that another one is a repeat.
-	arrived    bool
-	mayHaveRun bool
-	runs       int
-	// failure is the last failure that a server has answered.
-	failure *Answer
-	last    Result
+	last     Result
 }
 
 // serveAny sends a request to any server of its service, and to another one where
@@ -28,32 +23,32 @@
 	t := &anyTry{last: notRun(reasonNoServer, comeBack)}
 	for ctx.Err() == nil {
 		if t.arrived && !d.budgets.take(r.Service.Name, d.clock()) {
-			return end(t.last, t.failure, t.mayHaveRun)
+			return t.end(t.last)
 		}
 		now := d.clock()
 		server, ok := d.fleet.Choose(r.Service.Name, t.excluded, now)
 		if !ok {
-			return end(t.last, t.failure, t.mayHaveRun)
+			return t.end(t.last)
 		}
 		t.excluded = append(t.excluded, server.Entry().ID)
 		if !server.Begin(d.allowance(r), now) {
 			t.last = notRun(reasonCold, comeBack)
 			continue
 		}
-		ran := t.note(d.send(ctx, r, server))
+		ran := t.take(d.send(ctx, r, server))
 		if t.last.Kind == Done {
 			return t.last
 		}
 		if ran && (!r.Route.Idempotent || t.runs >= r.Route.Attempts || !d.timeLeft(r)) {
-			return end(t.last, t.failure, t.mayHaveRun)
+			return t.end(t.last)
 		}
 	}
-	return end(d.overdue(t.mayHaveRun), t.failure, t.mayHaveRun)
+	return t.end(d.overdue(t.mayHaveRun))
 }
 
-// note takes a try into account and reports whether the request may have run.
-func (t *anyTry) note(a attempt) bool {
-	t.arrived = t.arrived || a.outcome != tryNotSent
+// take takes a try into account and reports whether the request may have run in it.
+func (t *anyTry) take(a attempt) bool {
+	t.note(a)
 	switch a.outcome {
 	case tryAnswered:
 		t.last = Result{Kind: Done, Answer: a.answer}
@@ -64,12 +59,7 @@
 	case tryNotHeld:
 		t.last = notRun(reasonNotHeld, comeBack)
 	case tryFailed, tryLost:
-		t.runs++
-		t.mayHaveRun = true
 		t.last = unknown(reasonAnswerLost)
-		if a.answer != nil {
-			t.failure = a.answer
-		}
 		return true
 	}
 	return false
@@ -80,15 +70,6 @@
 	return d.clock()+d.usual.of(r.Route.Name) < r.Deadline
 }
 
-// end is the end of a request without a success: a failure that a server has answered
-// goes before this host's own.
-func end(own Result, failure *Answer, mayHaveRun bool) Result {
-	if failure != nil {
-		return Result{Kind: Done, Answer: failure}
-	}
-	return withRun(own, mayHaveRun)
-}
-
 // overdue is the result of a request whose time is over.
 func (d *Door) overdue(mayHaveRun bool) Result {
 	if mayHaveRun {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -17,6 +17,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/poplarcroft/poplarcroft/internal/assign"
+	"github.com/poplarcroft/poplarcroft/internal/duty"
 	"github.com/poplarcroft/poplarcroft/internal/eventlog"
 	"github.com/poplarcroft/poplarcroft/internal/fleet"
 	"github.com/poplarcroft/poplarcroft/internal/grants"
@@ -151,10 +152,7 @@
 func (l *Leader) RunElection(ctx context.Context) {
 	for ctx.Err() == nil {
 		l.join(ctx)
-		select {
-		case <-ctx.Done():
-		case <-time.After(joinEvery):
-		}
+		duty.Wait(ctx, joinEvery)
 	}
 }
 
--- a/internal/leader/release.go
+++ b/internal/leader/release.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/poplarcroft/poplarcroft/internal/assign"
+	"github.com/poplarcroft/poplarcroft/internal/duty"
 	"github.com/poplarcroft/poplarcroft/internal/keyrange"
 )
 
@@ -87,10 +88,7 @@
 			l.Log.Event("release", "service", id.service, "keys", a.Range.String(), "server", a.Server.ID,
 				"fence", uint64(a.Fence), "outcome", "failed", "err", err.Error())
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(releaseRetry):
-		}
+		duty.Wait(ctx, releaseRetry)
 	}
 }
 
@@ -138,12 +136,8 @@
 
 // sleepUntil waits for a reading of the clock. It returns false where the context ends before.
 func (l *Leader) sleepUntil(ctx context.Context, at time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(at - l.Clock()):
-		return true
-	}
+	duty.Wait(ctx, at-l.Clock())
+	return ctx.Err() == nil
 }
 
 // stopRenewers returns the reading of the clock at which all hosts that may have
@@ -171,10 +165,7 @@
 		if err == nil {
 			return
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(releaseRetry):
-		}
+		duty.Wait(ctx, releaseRetry)
 	}
 }
 
--- a/internal/renew/renew.go
+++ b/internal/renew/renew.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/poplarcroft/poplarcroft/internal/assign"
+	"github.com/poplarcroft/poplarcroft/internal/duty"
 	"github.com/poplarcroft/poplarcroft/internal/eventlog"
 	"github.com/poplarcroft/poplarcroft/internal/grants"
 	"github.com/poplarcroft/poplarcroft/internal/keyrange"
@@ -21,6 +22,8 @@
 const (
 	// retryEvery is the time between two tries of a grant that has not been answered yet.
 	retryEvery = 150 * time.Millisecond
+	// settlePause is the time between two looks for calls under an older plan.
+	settlePause = 10 * time.Millisecond
 	// parallelCalls bounds the grants under way.
 	parallelCalls = 32
 )
@@ -232,16 +235,13 @@
 // Settle returns when no grant under an older plan than the present one is under
 // way any longer. It returns false where the context ends before.
 func (r *Renewer) Settle(ctx context.Context) bool {
-	for {
-		if !r.staleCalls() {
-			return true
-		}
-		select {
-		case <-ctx.Done():
+	for r.staleCalls() {
+		duty.Wait(ctx, settlePause)
+		if ctx.Err() != nil {
 			return false
-		case <-time.After(10 * time.Millisecond):
 		}
 	}
+	return true
 }
 
 // staleCalls reports whether a grant is under way that the present plan does not ask for.
