One host of each zone reads the platform's topics for the others

Cause: each host followed the plan, the service discovery and the operators' records at the platform's log itself.

Ruled out: fewer confirmations of the plan (renewing through an outage needs them); push of plans by the leader (bytes between zones, and no word on whether a plan is still the newest).

Change: internal/relay. Hosts of a zone ask the same host, which reads for itself while it is asked; the larger hosts first, the leader last. Replies carry ages, so confirmation of a plan counts from the question less the relay's own age.

--- a/internal/assign/plan.go
+++ b/internal/assign/plan.go
@@ -40,6 +40,8 @@
 	Since Fence `json:"since"`
 	// Led says that this life of the host has led, and so renewed grants in all zones.
 	Led bool `json:"led,omitempty"`
+	// Capacity is the host's share of a processor; the larger hosts read for the others.
+	Capacity float64 `json:"capacity,omitempty"`
 	// Retired hosts may no longer renew; they are kept until they must have noticed.
 	Retired bool `json:"retired,omitempty"`
 }
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -24,6 +24,7 @@
 	"github.com/poplarcroft/poplarcroft/internal/leader"
 	"github.com/poplarcroft/poplarcroft/internal/peer"
 	"github.com/poplarcroft/poplarcroft/internal/poison"
+	"github.com/poplarcroft/poplarcroft/internal/relay"
 	"github.com/poplarcroft/poplarcroft/internal/renew"
 	"github.com/poplarcroft/poplarcroft/internal/routetable"
 	"github.com/poplarcroft/poplarcroft/internal/transport"
@@ -46,6 +47,8 @@
 	// Grace is the time from the call to stop until the process is killed.
 	Grace  time.Duration
 	Timing grants.Timing
+	// Capacity is this host's share of a processor.
+	Capacity float64
 }
 
 const (
@@ -100,6 +103,7 @@
 	leader  *leader.Leader
 	door    *front.Door
 	peers   *peers
+	relay   *relay.Relay
 	guard   *poison.Guard
 	dial    transport.DialFunc
 
@@ -111,10 +115,17 @@
 // New returns a host that does not run yet.
 func New(config Config, platform Platform, log *eventlog.Log) *Host {
 	h := &Host{config: config, platform: platform, log: log, dial: transport.Dialer("")}
-	h.self = assign.Host{Name: config.Name, Incarnation: uuid.NewString(), Zone: config.Zone, Addr: config.PeerAddr}
+	h.self = assign.Host{
+		Name: config.Name, Incarnation: uuid.NewString(), Zone: config.Zone, Addr: config.PeerAddr, Capacity: config.Capacity,
+	}
 	h.current = assign.NewCurrent()
 	h.fleet = fleet.New(fleet.Options{Zone: config.Zone, Target: h.target})
 	h.peers = &peers{pool: peer.NewPool(peer.DialFunc(h.dial))}
+	h.relay = relay.New(relay.Config{
+		Hosts: func() ([]relay.Host, int) { return relayOrder(h.current.Plan(), h.self) },
+		Alone: func() bool { return h.leader.Leads() },
+		Ask:   h.peers.read, Clock: clock.Monotonic, Log: log,
+	})
 	wake := func() { h.leader.Wake() }
 	h.state = &state{
 		platform: platform, current: h.current, clock: clock.Monotonic, log: log,
@@ -262,7 +273,7 @@
 	go http.Serve(l.ready, ready)
 	calls := rpc.NewServer()
 	err := calls.RegisterName(rpcName, &service{
-		self: h.self, current: h.current, renewer: h.renewer, leader: h.leader, guard: h.guard,
+		self: h.self, current: h.current, renewer: h.renewer, leader: h.leader, guard: h.guard, relay: h.relay,
 	})
 	if err != nil {
 		panic(errors.NewAssertionErrorWithWrappedErrf(err, "register calls"))
@@ -342,7 +353,7 @@
 }
 
 func (h *Host) followOrders(ctx context.Context) {
-	follower := follow.New(h.platform.Orders())
+	follower := follow.New(h.relay.Source("orders", h.platform.Orders(), relay.Options{}))
 	h.follow(ctx, "operators' records", func(ctx context.Context) error {
 		return h.orders.read(ctx, follower)
 	})
@@ -350,7 +361,7 @@
 
 // followState registers this host, then follows the hosts' own topic.
 func (h *Host) followState(ctx context.Context) {
-	follower := follow.New(h.platform.State())
+	follower := follow.New(h.relay.Source("state", h.platform.State(), relay.Options{}))
 	registered := false
 	h.follow(ctx, "state", func(ctx context.Context) error {
 		if !registered {
@@ -364,21 +375,28 @@
 }
 
 func (h *Host) followServers(ctx context.Context) {
-	follower := follow.New(h.platform.Servers())
+	source := h.relay.Source("servers", h.platform.Servers(), relay.Options{
+		NewFilter: func() relay.Filter { return newServerNews(h.platform).tells },
+		Every:     h.serversEvery,
+	})
+	follower := follow.New(source)
 	h.follow(ctx, "servers", func(ctx context.Context) error {
 		if err := h.servers.read(ctx, follower); err != nil {
 			return err
 		}
 		h.seenServers.Store(true)
-		every := serversEvery
-		if h.leader.Leads() {
-			every = serversEveryLeader
-		}
-		duty.Wait(ctx, every)
 		return nil
 	})
 }
 
+// serversEvery is the time between two reads of the service discovery at the platform.
+func (h *Host) serversEvery() time.Duration {
+	if h.leader.Leads() {
+		return serversEveryLeader
+	}
+	return serversEvery
+}
+
 // reportLoad tells the leader the load on the keys whose servers this host sends to.
 func (h *Host) reportLoad(ctx context.Context) {
 	var reported time.Duration
--- /dev/null
+++ b/internal/edge/peers_test.go
@@ -0,0 +1,78 @@
+package edge
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/rpc"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/poplarcroft/poplarcroft/internal/assign"
+	"github.com/poplarcroft/poplarcroft/internal/clock"
+	"github.com/poplarcroft/poplarcroft/internal/eventlog"
+	"github.com/poplarcroft/poplarcroft/internal/grants"
+	"github.com/poplarcroft/poplarcroft/internal/peer"
+	"github.com/poplarcroft/poplarcroft/internal/renew"
+)
+
+func newTestService() *service {
+	self := assign.Host{Name: "h1", Incarnation: "1", Zone: "zlin"}
+	current := assign.NewCurrent()
+	return &service{
+		self: self, current: current,
+		renewer: renew.New(self, current, nil, grants.DefaultTiming(), clock.Monotonic, eventlog.Discard()),
+	}
+}
+
+func TestHostThatReadsThePlanIsNotSentIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestService()
+		time.AfterFunc(20*time.Millisecond, func() { s.current.Adopt(assign.Plan{Version: 7}, 0) })
+		var reply AdoptReply
+		assert.NilError(t, s.Adopt(AdoptArgs{Incarnation: "1", Version: 7}, &reply))
+		assert.Assert(t, !reply.Unknown)
+	})
+}
+
+func TestHostThatCannotReadIsSentThePlan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestService()
+		s.current.Adopt(assign.Plan{Version: 6}, 0)
+		var reply AdoptReply
+		assert.NilError(t, s.Adopt(AdoptArgs{Incarnation: "1", Version: 7}, &reply))
+		assert.Assert(t, reply.Unknown)
+		reply = AdoptReply{}
+		assert.NilError(t, s.Adopt(AdoptArgs{Incarnation: "1", Version: 7, Plan: &assign.Plan{}}, &reply))
+		assert.Assert(t, !reply.Unknown)
+		assert.Equal(t, s.current.Plan().Version, assign.Fence(7))
+	})
+}
+
+func TestNewerLifeOfAHostNeedsNoPlan(t *testing.T) {
+	s := newTestService()
+	var reply AdoptReply
+	assert.NilError(t, s.Adopt(AdoptArgs{Incarnation: "0", Version: 7}, &reply))
+	assert.Assert(t, !reply.Unknown)
+	assert.Equal(t, s.current.Plan().Version, assign.Fence(0))
+}
+
+// TestPlanReachesAHostOverTheWire states that the plan that is sent keeps its version and content.
+func TestPlanReachesAHostOverTheWire(t *testing.T) {
+	s := newTestService()
+	calls := rpc.NewServer()
+	assert.NilError(t, calls.RegisterName(rpcName, s))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	go http.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { peer.ServeRPC(t.Context(), calls, w) }))
+	p := &peers{pool: peer.NewPool((&net.Dialer{}).DialContext)}
+	defer p.pool.Close()
+	host := assign.Host{Name: "h1", Incarnation: "1", Addr: listener.Addr().String()}
+	plan := assign.Plan{Version: 7, Hosts: []assign.Host{host}}
+	assert.NilError(t, p.Adopt(context.Background(), host, plan))
+	assert.DeepEqual(t, s.current.Plan(), plan)
+}
--- /dev/null
+++ b/internal/edge/relays_test.go
@@ -0,0 +1,96 @@
+package edge
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/poplarcroft/poplarcroft/internal/assign"
+	"github.com/poplarcroft/poplarcroft/internal/eventlog"
+	"github.com/poplarcroft/poplarcroft/internal/follow"
+)
+
+func TestRelaysAreLargeHostsOfTheZoneThatDoNotLead(t *testing.T) {
+	plan := assign.Plan{
+		Leader: assign.Host{Name: "large-1", Incarnation: "1"},
+		Hosts: []assign.Host{
+			{Name: "small", Incarnation: "1", Zone: "zlin", Capacity: 0.2},
+			{Name: "large-1", Incarnation: "1", Zone: "zlin", Capacity: 0.8},
+			{Name: "large-2", Incarnation: "1", Zone: "zlin", Capacity: 0.8},
+			{Name: "retired", Incarnation: "1", Zone: "zlin", Capacity: 0.8, Retired: true},
+			{Name: "elsewhere", Incarnation: "1", Zone: "brno", Capacity: 0.8},
+		},
+	}
+	hosts, place := relayOrder(plan, plan.Hosts[0])
+	var names []string
+	for _, host := range hosts {
+		names = append(names, host.Name)
+	}
+	assert.DeepEqual(t, names, []string{"large-2", "small", "large-1"})
+	assert.Equal(t, place, 1)
+}
+
+// TestHostOutsideThePlanReadsForItself states that a host that has just started asks nobody.
+func TestHostOutsideThePlanReadsForItself(t *testing.T) {
+	plan := assign.Plan{Hosts: []assign.Host{{Name: "a", Zone: "zlin"}, {Name: "b", Zone: "zlin"}}}
+	_, place := relayOrder(plan, assign.Host{Name: "new", Zone: "zlin"})
+	assert.Equal(t, place, 0)
+}
+
+func TestOnlyNewsOfServersIsPassedOn(t *testing.T) {
+	news := newServerNews(fakePlatform{})
+	for _, step := range []struct {
+		record follow.Record
+		tells  bool
+	}{
+		{record("a", "1"), true},
+		{record("a", "1"), false},
+		{record("a", "2"), true},
+		{record("a", "!"), true},
+		{record("a", "2"), true},
+		{record("a", ""), true},
+		{record("a", "2"), true},
+		{record("b", "2"), true},
+	} {
+		assert.Equal(t, news.tells(step.record), step.tells, "%s=%s", step.record.Key, step.record.Value)
+	}
+}
+
+// relayedSource answers as a relay does that got the record 300 ms before the read ended,
+// and had itself confirmed 700 ms before that nothing else is there.
+type relayedSource struct{ plan []byte }
+
+func (s relayedSource) Newest(context.Context) (follow.Batch, error) {
+	return follow.Batch{End: 4}, nil
+}
+
+func (s relayedSource) Since(_ context.Context, _ uint64, _ time.Duration) (follow.Batch, error) {
+	return follow.Batch{
+		Records: []follow.Record{{Key: planKey, Value: s.plan, Offset: 4}}, End: 5,
+		Age: follow.Age{Relayed: true, Arrived: 300 * time.Millisecond, Confirmed: 700 * time.Millisecond},
+	}, nil
+}
+
+// TestRelayedPlanIsNotTakenForNewerThanItIs states that the times on which renewals rely
+// count from the question to the relay, less the ages that the relay tells.
+func TestRelayedPlanIsNotTakenForNewerThanItIs(t *testing.T) {
+	now := 10 * time.Second
+	clock := func() time.Duration {
+		now += time.Second
+		return now
+	}
+	s := &state{
+		platform: fakePlatform{}, current: assign.NewCurrent(), clock: clock, log: eventlog.Discard(),
+		changed: func() {}, confirmed: func() {}, hosts: make(map[string]assign.Host),
+	}
+	follower := follow.New(relayedSource{plan: []byte(`{"services":{}}`)})
+	_, err := follower.Read(t.Context(), 0)
+	assert.NilError(t, err)
+	assert.NilError(t, s.read(t.Context(), follower, 0))
+	assert.Equal(t, s.current.Plan().Version, assign.Fence(5))
+	asked := 11 * time.Second
+	assert.Equal(t, s.current.Learned(), asked-300*time.Millisecond)
+	assert.Equal(t, s.current.Verified(), asked-700*time.Millisecond)
+}
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -22,7 +22,7 @@
 	hostPrefix = "host/"
 	// stateWait is how long one read waits for a change. It bounds the age of the
 	// confirmation that the plan is the newest.
-	stateWait = 2500 * time.Millisecond
+	stateWait = 2000 * time.Millisecond
 	// registerTimeout bounds the registration of this host.
 	registerTimeout = time.Second
 )
@@ -49,14 +49,19 @@
 		s.current.Interrupt()
 		return err
 	}
+	learned := s.clock()
+	if change.Age.Relayed {
+		// The answer may have been held up on its way, the question not.
+		learned = started - change.Age.Arrived
+	}
 	for _, record := range change.Records {
-		s.apply(record)
+		s.apply(record, learned)
 	}
 	s.mu.Lock()
 	s.next = follower.Next()
 	s.mu.Unlock()
 	if !change.Whole {
-		s.current.Verify(started)
+		s.current.Verify(started - change.Age.Confirmed)
 	}
 	if len(change.Records) > 0 {
 		s.changed()
@@ -65,22 +70,23 @@
 	return nil
 }
 
-func (s *state) apply(record follow.Record) {
+// apply takes one record. It did not exist yet, or only just, at the given time.
+func (s *state) apply(record follow.Record, learned time.Duration) {
 	switch {
 	case record.Key == planKey:
-		s.applyPlan(record)
+		s.applyPlan(record, learned)
 	case strings.HasPrefix(record.Key, hostPrefix):
 		s.applyHost(record)
 	}
 }
 
-func (s *state) applyPlan(record follow.Record) {
+func (s *state) applyPlan(record follow.Record, learned time.Duration) {
 	plan, err := decodePlan(record)
 	if err != nil {
 		s.log.Event("plan", "offset", record.Offset, "outcome", "rejected", "err", err.Error())
 		return
 	}
-	if s.current.Adopt(plan, s.clock()) {
+	if s.current.Adopt(plan, learned) {
 		s.log.Event("plan", "version", uint64(plan.Version), "leader", plan.Leader.Name, "hosts", len(plan.Hosts), "outcome", "adopted")
 	}
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -26,6 +26,17 @@
 type Batch struct {
 	Records []Record
 	End     uint64
+	Age     Age
+}
+
+// Age says how old a batch was when it was read. It is zero where the topic itself was read.
+type Age struct {
+	// Relayed says that another host had read the topic.
+	Relayed bool
+	// Arrived is how long before its answer the other host had got the first of the records.
+	Arrived time.Duration
+	// Confirmed is how long before its answer the topic is known to have held nothing further.
+	Confirmed time.Duration
 }
 
 // Source is a topic of keyed records.
@@ -43,6 +54,7 @@
 	Records []Record
 	// Whole says that keys which are not among the records do not exist.
 	Whole bool
+	Age   Age
 }
 
 // Follower follows one topic.
@@ -78,7 +90,7 @@
 		return Change{}, err
 	}
 	f.next = batch.End
-	return Change{Records: newestOfEach(batch.Records)}, nil
+	return Change{Records: newestOfEach(batch.Records), Age: batch.Age}, nil
 }
 
 func (f *Follower) resync(ctx context.Context) (Change, error) {
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,253 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/poplarcroft/poplarcroft/internal/eventlog"
+	"github.com/poplarcroft/poplarcroft/internal/follow"
+)
+
+var errSilent = errors.New("no answer")
+
+// fixture is a zone with hosts that follow one topic. The bubble of a test has one runnable goroutine at a
+// time where it matters, and its fields are changed while all others sleep.
+type fixture struct {
+	started time.Time
+	records []follow.Record
+	changed chan struct{}
+	hosts   []*testHost
+}
+
+// testHost is one host: silent ones give no answer to others, cut ones get none from the platform.
+type testHost struct {
+	fixture     *fixture
+	name        string
+	relay       *Relay
+	source      *Source
+	silent, cut bool
+	reads       int
+	next        uint64
+	last        follow.Batch
+}
+
+func newFixture(hosts int, newFilter func() Filter) *fixture {
+	f := &fixture{started: time.Now(), changed: make(chan struct{})}
+	var list []Host
+	for i := range hosts {
+		list = append(list, Host{Name: fmt.Sprint(i)})
+	}
+	for i := range hosts {
+		h := &testHost{fixture: f, name: fmt.Sprint(i)}
+		h.relay = New(Config{
+			Hosts: func() ([]Host, int) { return list, i },
+			Alone: func() bool { return false },
+			Ask:   h.ask, Clock: f.now, Log: eventlog.Discard(),
+		})
+		h.source = h.relay.Source("servers", h, Options{NewFilter: newFilter, Every: func() time.Duration { return time.Second }})
+		f.hosts = append(f.hosts, h)
+	}
+	return f
+}
+
+func (f *fixture) now() time.Duration { return time.Since(f.started) }
+
+func (f *fixture) append(value string) {
+	f.records = append(f.records, follow.Record{Key: "a", Value: []byte(value), Offset: uint64(len(f.records))})
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// ask asks another host.
+func (h *testHost) ask(ctx context.Context, host Host, ask Ask) (Reply, error) {
+	for _, other := range h.fixture.hosts {
+		if other.name == host.Name && !other.silent {
+			return other.relay.Serve(ctx, ask), nil
+		}
+	}
+	<-ctx.Done()
+	return Reply{}, errSilent
+}
+
+// Newest implements follow.Source.
+func (h *testHost) Newest(context.Context) (follow.Batch, error) { return follow.Batch{}, nil }
+
+// Since implements follow.Source.
+func (h *testHost) Since(ctx context.Context, offset uint64, wait time.Duration) (follow.Batch, error) {
+	h.reads++
+	if h.cut {
+		time.Sleep(time.Second)
+		return follow.Batch{}, errSilent
+	}
+	f := h.fixture
+	if offset == uint64(len(f.records)) && wait > 0 {
+		select {
+		case <-ctx.Done():
+			return follow.Batch{}, ctx.Err()
+		case <-f.changed:
+		case <-time.After(wait):
+		}
+	}
+	return follow.Batch{Records: f.records[offset:], End: uint64(len(f.records))}, nil
+}
+
+// run follows the topic.
+func (h *testHost) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		batch, err := h.source.Since(ctx, h.next, 0)
+		if err != nil {
+			time.Sleep(100 * time.Millisecond)
+			continue
+		}
+		h.next = batch.End
+		if len(batch.Records) > 0 {
+			h.last = batch
+		}
+	}
+}
+
+// play lets all hosts follow the topic for a while, then runs the test.
+func (f *fixture) play(t *testing.T, test func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	for _, h := range f.hosts {
+		go h.run(ctx)
+	}
+	time.Sleep(5 * time.Second)
+	for _, h := range f.hosts {
+		h.reads = 0
+	}
+	test()
+	cancel()
+	time.Sleep(2 * time.Second)
+}
+
+func TestOneHostReadsForItsZone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(3, nil)
+		f.play(t, func() {
+			f.append("1")
+			time.Sleep(1100 * time.Millisecond)
+			for _, h := range f.hosts {
+				assert.Equal(t, h.next, uint64(1), h.name)
+			}
+			time.Sleep(8900 * time.Millisecond)
+			assert.Equal(t, f.hosts[0].reads, 10)
+			assert.Equal(t, f.hosts[1].reads+f.hosts[2].reads, 0)
+		})
+	})
+}
+
+// TestLossOfRelayIsBorne states that what is written while the relay fails is known to all
+// others within the time in which a configuration must be in force, 2 s.
+func TestLossOfRelayIsBorne(t *testing.T) {
+	for name, fail := range map[string]func(*testHost){
+		"silent":                func(h *testHost) { h.silent = true },
+		"cut from the platform": func(h *testHost) { h.cut = true },
+		"cut from everything":   func(h *testHost) { h.silent, h.cut = true, true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			for phase := range 20 {
+				synctest.Test(t, func(t *testing.T) {
+					f := newFixture(3, nil)
+					f.play(t, func() {
+						time.Sleep(time.Duration(phase) * 50 * time.Millisecond)
+						fail(f.hosts[0])
+						f.append("1")
+						time.Sleep(1800 * time.Millisecond)
+						assert.Equal(t, f.hosts[1].next, uint64(1))
+						assert.Equal(t, f.hosts[2].next, uint64(1))
+						// The next host reads for the others then.
+						time.Sleep(10 * time.Second)
+						f.hosts[2].reads = 0
+						time.Sleep(2 * time.Second)
+						assert.Equal(t, f.hosts[2].reads <= 1, true, "%d reads", f.hosts[2].reads)
+					})
+				})
+			}
+		})
+	}
+}
+
+// TestAgesBoundWhatIsTold states that the ages of a reply never make knowledge newer than it is.
+func TestAgesBoundWhatIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		started := time.Now()
+		now := func() time.Duration { return time.Since(started) }
+		r := New(Config{Hosts: func() ([]Host, int) { return nil, 0 }, Alone: func() bool { return true }, Clock: now, Log: eventlog.Discard()})
+		r.Source("servers", nil, Options{})
+		record := follow.Record{Key: "a", Offset: 4}
+		r.noteRead("servers", 4, follow.Batch{Records: []follow.Record{record}, End: 5}, now())
+		time.Sleep(time.Second)
+		reply := r.Serve(t.Context(), Ask{Topic: "servers", Offset: 4, Wait: askWait})
+		assert.DeepEqual(t, reply.Age, follow.Age{Relayed: true, Arrived: time.Second, Confirmed: time.Second})
+
+		// A read has failed: the next record may have come right after the last one that did not.
+		r.noteFailure("servers")
+		record.Offset = 5
+		time.Sleep(time.Second)
+		r.noteRead("servers", 5, follow.Batch{Records: []follow.Record{record}, End: 6}, now())
+		reply = r.Serve(t.Context(), Ask{Topic: "servers", Offset: 5, Wait: askWait})
+		assert.DeepEqual(t, reply.Age, follow.Age{Relayed: true, Arrived: 2 * time.Second, Confirmed: 0})
+	})
+}
+
+func TestRelayAnswersOnlyWhatItKnows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		started := time.Now()
+		now := func() time.Duration { return time.Since(started) }
+		r := New(Config{Hosts: func() ([]Host, int) { return nil, 0 }, Alone: func() bool { return true }, Clock: now, Log: eventlog.Discard()})
+		r.Source("servers", nil, Options{})
+		serve := func(offset uint64) Outcome {
+			return r.Serve(t.Context(), Ask{Topic: "servers", Offset: offset, Wait: askWait}).Outcome
+		}
+		assert.Equal(t, serve(0), NotReading)
+		assert.Equal(t, r.Serve(t.Context(), Ask{Topic: "unknown"}).Outcome, NotReading)
+		r.noteRead("servers", 4, follow.Batch{End: 7}, now())
+		assert.Equal(t, serve(3), NotReading)
+		assert.Equal(t, serve(7), Told)
+		assert.Equal(t, serve(8), Behind)
+		time.Sleep(contactLimit)
+		assert.Equal(t, serve(7), NoContact)
+	})
+}
+
+// TestFeedIsBounded states that a host that is too far behind is sent to the platform.
+func TestFeedIsBounded(t *testing.T) {
+	f := newFeed(func() Filter { return all })
+	value := make([]byte, maxFeedBytes/4)
+	for i := range uint64(10) {
+		f.add(i, follow.Batch{Records: []follow.Record{{Value: value, Offset: i}}, End: i + 1}, 0, 0)
+	}
+	assert.Assert(t, f.bytes <= maxFeedBytes)
+	assert.Assert(t, !f.covers(5))
+	assert.Equal(t, len(f.since(6, 0).Records), 4)
+}
+
+// TestFilterBeginsAnewAfterAGap states that a record is passed on where the host has not read
+// those before it.
+func TestFilterBeginsAnewAfterAGap(t *testing.T) {
+	newFilter := func() Filter {
+		last := ""
+		return func(record follow.Record) bool {
+			tells := string(record.Value) != last
+			last = string(record.Value)
+			return tells
+		}
+	}
+	f := newFeed(newFilter)
+	add := func(offset uint64, value string) {
+		f.add(offset, follow.Batch{Records: []follow.Record{{Value: []byte(value), Offset: offset}}, End: offset + 1}, 0, 0)
+	}
+	add(0, "ready")
+	add(1, "ready")
+	assert.Equal(t, len(f.since(1, 0).Records), 0)
+	add(7, "ready")
+	assert.Equal(t, len(f.since(7, 0).Records), 1)
+}
