A read from before an outage of the platform's log ends when contact is back

The log was silent from 18 to 26 s. A read of the operators' records that began in that time is never answered and ended only after its 20 s; until then one host kept the old configuration unless the plan told it that others had read further.

Change: reads that began before contact was regained end at once (relay). A host whose relay does not answer reads for 2 s at most, a relay for 5 s (was 20 s). Test fails without it: TestReadFromBeforeAnOutageIsEnded.

--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -13,7 +13,7 @@
 )
 
 // ordersWait is how long one read of the operators' records waits for a change.
-const ordersWait = 20 * time.Second
+const ordersWait = 5 * time.Second
 
 // hungAfter is how long a read is under way before it can be taken for one that hangs.
 const hungAfter = 700 * time.Millisecond
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -14,6 +14,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/poplarcroft/poplarcroft/internal/eventlog"
 	"github.com/poplarcroft/poplarcroft/internal/follow"
 )
@@ -82,6 +84,8 @@
 	contactLimit = 1400 * time.Millisecond
 	// avoidFor is how long a host that did not answer is not asked again.
 	avoidFor = 3 * time.Second
+	// fallbackWait bounds a read at the platform by a host whose relay does not answer.
+	fallbackWait = 2 * time.Second
 	// servesFor is how long a host goes on as a relay after it was last asked.
 	servesFor = 3 * time.Second
 )
@@ -108,6 +112,10 @@
 	// contact is when the last read began that the platform has answered; reached says that there was one.
 	contact time.Duration
 	reached bool
+	// lost says that a read has failed since the platform was last in contact.
+	lost bool
+	// reading holds the reads at the platform that are under way, with when they began.
+	reading map[*context.CancelCauseFunc]time.Duration
 	// asked is when another host last asked; serves says that one has.
 	asked  time.Duration
 	serves bool
@@ -117,7 +125,10 @@
 
 // New returns a relay without topics.
 func New(config Config) *Relay {
-	return &Relay{config: config, feeds: make(map[Topic]*feed), avoided: make(map[string]time.Duration)}
+	return &Relay{
+		config: config, feeds: make(map[Topic]*feed), avoided: make(map[string]time.Duration),
+		reading: make(map[*context.CancelCauseFunc]time.Duration),
+	}
 }
 
 // choose returns the host to ask, if there is one.
@@ -151,12 +162,50 @@
 	r.config.Log.Event("relay", "host", host.Name, "outcome", "avoided", "reason", reason)
 }
 
-// noteContact notes that the platform has answered a read that began at the given time.
+// errRegained ends a read that began before contact was regained.
+var errRegained = errors.New("relay: contact was lost meanwhile")
+
+// noteContact notes that the platform has answered a read that began at the given time. Where others
+// had failed before, those under way since then may never be answered, and end.
 func (r *Relay) noteContact(began time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.reached = true
 	r.contact = max(r.contact, began)
+	if !r.lost {
+		return
+	}
+	r.lost = false
+	for cancel, other := range r.reading {
+		if other < began {
+			(*cancel)(errRegained)
+		}
+	}
+}
+
+// noteFailedRead notes that a topic could not be read. A read that this host has ended itself says
+// nothing of the contact.
+func (r *Relay) noteFailedRead(topic Topic, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.feeds[topic].interrupted = true
+	if !errors.IsAny(err, context.Canceled, errRegained, follow.ErrCompacted) {
+		r.lost = true
+	}
+}
+
+// begin notes a read at the platform; the returned function ends the note.
+func (r *Relay) begin(ctx context.Context, began time.Duration) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reading[&cancel] = began
+	return ctx, func() {
+		cancel(nil)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.reading, &cancel)
+	}
 }
 
 // contactAge returns how long ago the platform was last in contact. The lock is held.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -189,7 +189,7 @@
 		assert.DeepEqual(t, reply.Age, follow.Age{Relayed: true, Arrived: time.Second, Confirmed: time.Second})
 
 		// A read has failed: the next record may have come right after the last one that did not.
-		r.noteFailure("servers")
+		r.noteFailedRead("servers", errSilent)
 		record.Offset = 5
 		time.Sleep(time.Second)
 		r.noteRead("servers", 5, follow.Batch{Records: []follow.Record{record}, End: 6}, now())
@@ -251,3 +251,46 @@
 	add(7, "ready")
 	assert.Equal(t, len(f.since(7, 0).Records), 1)
 }
+
+// lostAnswer is a topic whose first read is never answered.
+type lostAnswer struct{ reads int }
+
+func (s *lostAnswer) Newest(context.Context) (follow.Batch, error) { return follow.Batch{}, nil }
+
+func (s *lostAnswer) Since(ctx context.Context, offset uint64, _ time.Duration) (follow.Batch, error) {
+	s.reads++
+	if s.reads == 1 {
+		<-ctx.Done()
+		return follow.Batch{}, ctx.Err()
+	}
+	return follow.Batch{Records: []follow.Record{{Key: "config", Offset: offset}}, End: offset + 1}, nil
+}
+
+// TestReadFromBeforeAnOutageIsEnded replays trouble-3 of Moravia: a read of the operators' records that began
+// while the platform was silent was not answered after its return, and a host kept an old configuration.
+func TestReadFromBeforeAnOutageIsEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(1, nil)
+		h := f.hosts[0]
+		h.cut = true
+		orders := h.relay.Source("orders", &lostAnswer{}, Options{})
+		ended := make(chan error, 1)
+		go func() {
+			_, err := orders.Since(t.Context(), 3, time.Minute)
+			ended <- err
+		}()
+		f.play(t, func() {
+			h.cut = false
+			time.Sleep(2200 * time.Millisecond)
+			select {
+			case err := <-ended:
+				assert.ErrorIs(t, err, errRegained)
+			default:
+				t.Fatal("the read goes on")
+			}
+			batch, err := orders.Since(t.Context(), 3, time.Minute)
+			assert.NilError(t, err)
+			assert.Equal(t, batch.End, uint64(4))
+		})
+	})
+}
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -72,6 +72,7 @@
 		if err == nil || ctx.Err() != nil {
 			return batch, err
 		}
+		wait = min(wait, fallbackWait)
 	}
 	duty.Wait(ctx, s.last+s.every()-s.relay.config.Clock())
 	return s.read(ctx, offset, wait)
@@ -81,9 +82,14 @@
 func (s *Source) read(ctx context.Context, offset uint64, wait time.Duration) (follow.Batch, error) {
 	began := s.relay.config.Clock()
 	s.last = began
-	batch, err := s.direct.Since(ctx, offset, wait)
+	reading, end := s.relay.begin(ctx, began)
+	defer end()
+	batch, err := s.direct.Since(reading, offset, wait)
 	if err != nil {
-		s.relay.noteFailure(s.topic)
+		if cause := context.Cause(reading); cause != nil {
+			err = cause
+		}
+		s.relay.noteFailedRead(s.topic, err)
 		return follow.Batch{}, err
 	}
 	s.relay.noteRead(s.topic, offset, batch, began)
@@ -98,13 +104,6 @@
 	r.feeds[topic].add(offset, batch, began, r.config.Clock())
 }
 
-// noteFailure notes that a topic could not be read.
-func (r *Relay) noteFailure(topic Topic) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.feeds[topic].interrupted = true
-}
-
 // ask reads at another host.
 func (s *Source) ask(ctx context.Context, host Host, offset uint64) (follow.Batch, error) {
 	calling, cancel := context.WithTimeout(ctx, askWait+answerTimeout)
