--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -112,6 +112,9 @@
 	}
 }
 
+// settling is how long the hosts follow the topic before a test.
+const settling = 5050 * time.Millisecond
+
 // play lets all hosts follow the topic for a while, then runs the test.
 func (f *fixture) play(t *testing.T, test func()) {
 	ctx, cancel := context.WithCancel(t.Context())
@@ -119,7 +122,8 @@
 	for _, h := range f.hosts {
 		go h.run(ctx)
 	}
-	time.Sleep(5 * time.Second)
+	// Reads at the platform begin at whole seconds; the count begins between two.
+	time.Sleep(settling)
 	for _, h := range f.hosts {
 		h.reads = 0
 	}
