--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,12 +17,12 @@
 
 var errSilent = errors.New("no answer")
 
-// fixture is a zone with hosts that follow one topic. The bubble of a test has one runnable goroutine at a
-// time where it matters, and its fields are changed while all others sleep.
+// fixture is a zone with hosts that follow one topic.
 type fixture struct {
 	started time.Time
+	// mu guards what follows and the fields of the hosts.
+	mu      sync.Mutex
 	records []follow.Record
-	changed chan struct{}
 	hosts   []*testHost
 }
 
@@ -34,11 +35,10 @@
 	silent, cut bool
 	reads       int
 	next        uint64
-	last        follow.Batch
 }
 
 func newFixture(hosts int, newFilter func() Filter) *fixture {
-	f := &fixture{started: time.Now(), changed: make(chan struct{})}
+	f := &fixture{started: time.Now()}
 	var list []Host
 	for i := range hosts {
 		list = append(list, Host{Name: fmt.Sprint(i)})
@@ -59,15 +59,15 @@
 func (f *fixture) now() time.Duration { return time.Since(f.started) }
 
 func (f *fixture) append(value string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.records = append(f.records, follow.Record{Key: "a", Value: []byte(value), Offset: uint64(len(f.records))})
-	close(f.changed)
-	f.changed = make(chan struct{})
 }
 
 // ask asks another host.
 func (h *testHost) ask(ctx context.Context, host Host, ask Ask) (Reply, error) {
 	for _, other := range h.fixture.hosts {
-		if other.name == host.Name && !other.silent {
+		if other.name == host.Name && !h.fixture.has(&other.silent) {
 			return other.relay.Serve(ctx, ask), nil
 		}
 	}
@@ -78,40 +78,60 @@
 // Newest implements follow.Source.
 func (h *testHost) Newest(context.Context) (follow.Batch, error) { return follow.Batch{}, nil }
 
-// Since implements follow.Source.
-func (h *testHost) Since(ctx context.Context, offset uint64, wait time.Duration) (follow.Batch, error) {
-	h.reads++
-	if h.cut {
-		time.Sleep(time.Second)
-		return follow.Batch{}, errSilent
+// has reads a flag.
+func (f *fixture) has(flag *bool) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return *flag
+}
+
+// set sets flags.
+func (f *fixture) set(value bool, flags ...*bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, flag := range flags {
+		*flag = value
 	}
+}
+
+// Since implements follow.Source. It does not wait.
+func (h *testHost) Since(_ context.Context, offset uint64, _ time.Duration) (follow.Batch, error) {
 	f := h.fixture
-	if offset == uint64(len(f.records)) && wait > 0 {
-		select {
-		case <-ctx.Done():
-			return follow.Batch{}, ctx.Err()
-		case <-f.changed:
-		case <-time.After(wait):
-		}
+	if f.has(&h.cut) {
+		time.Sleep(time.Second)
+		return follow.Batch{}, errSilent
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	h.reads++
 	return follow.Batch{Records: f.records[offset:], End: uint64(len(f.records))}, nil
 }
 
 // run follows the topic.
 func (h *testHost) run(ctx context.Context) {
+	next := uint64(0)
 	for ctx.Err() == nil {
-		batch, err := h.source.Since(ctx, h.next, 0)
+		batch, err := h.source.Since(ctx, next, 0)
 		if err != nil {
 			time.Sleep(100 * time.Millisecond)
 			continue
 		}
-		h.next = batch.End
-		if len(batch.Records) > 0 {
-			h.last = batch
-		}
+		next = batch.End
+		h.fixture.mu.Lock()
+		h.next = next
+		h.fixture.mu.Unlock()
 	}
 }
 
+// count returns how often a host has read at the platform since it was last asked, and how far it knows the topic.
+func (h *testHost) count() (reads int, next uint64) {
+	h.fixture.mu.Lock()
+	defer h.fixture.mu.Unlock()
+	reads = h.reads
+	h.reads = 0
+	return reads, h.next
+}
+
 // settling is how long the hosts follow the topic before a test.
 const settling = 5050 * time.Millisecond
 
@@ -125,7 +145,7 @@
 	// Reads at the platform begin at whole seconds; the count begins between two.
 	time.Sleep(settling)
 	for _, h := range f.hosts {
-		h.reads = 0
+		h.count()
 	}
 	test()
 	cancel()
@@ -138,12 +158,20 @@
 		f.play(t, func() {
 			f.append("1")
 			time.Sleep(1100 * time.Millisecond)
-			for _, h := range f.hosts {
-				assert.Equal(t, h.next, uint64(1), h.name)
+			for i, h := range f.hosts {
+				reads, next := h.count()
+				assert.Equal(t, next, uint64(1), h.name)
+				assert.Equal(t, reads > 0, i == 0, h.name)
+			}
+			time.Sleep(10 * time.Second)
+			for i, h := range f.hosts {
+				reads, _ := h.count()
+				want := 0
+				if i == 0 {
+					want = 10
+				}
+				assert.Equal(t, reads, want, h.name)
 			}
-			time.Sleep(8900 * time.Millisecond)
-			assert.Equal(t, f.hosts[0].reads, 10)
-			assert.Equal(t, f.hosts[1].reads+f.hosts[2].reads, 0)
 		})
 	})
 }
@@ -151,10 +179,10 @@
 // TestLossOfRelayIsBorne states that what is written while the relay fails is known to all
 // others within the time in which a configuration must be in force, 2 s.
 func TestLossOfRelayIsBorne(t *testing.T) {
-	for name, fail := range map[string]func(*testHost){
-		"silent":                func(h *testHost) { h.silent = true },
-		"cut from the platform": func(h *testHost) { h.cut = true },
-		"cut from everything":   func(h *testHost) { h.silent, h.cut = true, true },
+	for name, flags := range map[string]func(*testHost) []*bool{
+		"silent":                func(h *testHost) []*bool { return []*bool{&h.silent} },
+		"cut from the platform": func(h *testHost) []*bool { return []*bool{&h.cut} },
+		"cut from everything":   func(h *testHost) []*bool { return []*bool{&h.silent, &h.cut} },
 	} {
 		t.Run(name, func(t *testing.T) {
 			for phase := range 20 {
@@ -162,16 +190,19 @@
 					f := newFixture(3, nil)
 					f.play(t, func() {
 						time.Sleep(time.Duration(phase) * 50 * time.Millisecond)
-						fail(f.hosts[0])
+						f.set(true, flags(f.hosts[0])...)
 						f.append("1")
 						time.Sleep(1800 * time.Millisecond)
-						assert.Equal(t, f.hosts[1].next, uint64(1))
-						assert.Equal(t, f.hosts[2].next, uint64(1))
+						for _, h := range f.hosts[1:] {
+							_, next := h.count()
+							assert.Equal(t, next, uint64(1), h.name)
+						}
 						// The next host reads for the others then.
 						time.Sleep(10 * time.Second)
-						f.hosts[2].reads = 0
+						f.hosts[2].count()
 						time.Sleep(2 * time.Second)
-						assert.Equal(t, f.hosts[2].reads <= 1, true, "%d reads", f.hosts[2].reads)
+						reads, _ := f.hosts[2].count()
+						assert.Assert(t, reads <= 1, "%d reads", reads)
 					})
 				})
 			}
@@ -276,7 +307,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(1, nil)
 		h := f.hosts[0]
-		h.cut = true
+		f.set(true, &h.cut)
 		orders := h.relay.Source("orders", &lostAnswer{}, Options{})
 		ended := make(chan error, 1)
 		go func() {
@@ -284,7 +315,7 @@
 			ended <- err
 		}()
 		f.play(t, func() {
-			h.cut = false
+			f.set(false, &h.cut)
 			time.Sleep(2200 * time.Millisecond)
 			select {
 			case err := <-ended:
