Relays: nothing is told after a gap, and long reads are checked once; claims wait for their witness; hops are shorter

Each long read of the operators' records is checked once, 0.4 s after its start. Tests that failed first: TestRelayThatReadAnewTellsNothing, TestRecordThatALongReadMissesIsFound.

--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -353,7 +353,8 @@
 }
 
 func (h *Host) followOrders(ctx context.Context) {
-	follower := follow.New(h.relay.Source("orders", h.platform.Orders(), relay.Options{}))
+	source := follow.Checked{Source: h.platform.Orders(), After: ordersCheckAfter}
+	follower := follow.New(h.relay.Source("orders", source, relay.Options{}))
 	h.follow(ctx, "operators' records", func(ctx context.Context) error {
 		return h.orders.read(ctx, follower)
 	})
--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -12,8 +12,12 @@
 	"github.com/poplarcroft/poplarcroft/internal/routetable"
 )
 
-// ordersWait is how long one read of the operators' records waits for a change.
-const ordersWait = 5 * time.Second
+const (
+	// ordersWait is how long one read of the operators' records waits for a change.
+	ordersWait = 20 * time.Second
+	// ordersCheckAfter is when a read that waits is checked for a record that it has missed.
+	ordersCheckAfter = 400 * time.Millisecond
+)
 
 // hungAfter is how long a read is under way before it can be taken for one that hangs.
 const hungAfter = 700 * time.Millisecond
--- /dev/null
+++ b/internal/follow/checked_test.go
@@ -0,0 +1,58 @@
+package follow
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// missingSource has a record that long reads do not notice.
+type missingSource struct {
+	written time.Time
+	reads   int
+}
+
+func (s *missingSource) Newest(context.Context) (Batch, error) { return Batch{}, nil }
+
+func (s *missingSource) Since(ctx context.Context, offset uint64, wait time.Duration) (Batch, error) {
+	s.reads++
+	if wait > 0 {
+		select {
+		case <-ctx.Done():
+			return Batch{}, ctx.Err()
+		case <-time.After(wait):
+		}
+	}
+	if time.Now().Before(s.written) {
+		return Batch{End: offset}, nil
+	}
+	return Batch{Records: []Record{{Key: "config", Offset: offset}}, End: offset + 1}, nil
+}
+
+// TestRecordThatALongReadMissesIsFound replays scale-2 of Moravia (seed 877415582895): a configuration was being
+// written when a relay's read arrived, and the read ended two seconds later only because of other hosts.
+func TestRecordThatALongReadMissesIsFound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &missingSource{written: time.Now().Add(60 * time.Millisecond)}
+		started := time.Now()
+		batch, err := Checked{Source: source, After: 400 * time.Millisecond}.Since(t.Context(), 2, 20*time.Second)
+		assert.NilError(t, err)
+		assert.Equal(t, len(batch.Records), 1)
+		assert.Equal(t, time.Since(started), 400*time.Millisecond)
+	})
+}
+
+func TestCheckCostsOneRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &missingSource{written: time.Now().Add(time.Hour)}
+		started := time.Now()
+		batch, err := Checked{Source: source, After: 400 * time.Millisecond}.Since(t.Context(), 2, 20*time.Second)
+		assert.NilError(t, err)
+		assert.Equal(t, batch.End, uint64(2))
+		assert.Equal(t, time.Since(started), 20*time.Second)
+		assert.Equal(t, source.reads, 2)
+	})
+}
--- a/internal/front/hop.go
+++ b/internal/front/hop.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/poplarcroft/poplarcroft/internal/assign"
 	"github.com/poplarcroft/poplarcroft/internal/poison"
 	"github.com/poplarcroft/poplarcroft/internal/routetable"
@@ -64,60 +68,88 @@
 	d.log.Event("hop", "id", r.ID, "lead", lead.Name, "outcome", outcome, "detail", detail)
 }
 
+// The fields of a hop, in order. Their names are not sent, because a hop costs bytes between zones.
+const (
+	hopRoute = iota
+	hopService
+	hopPrint
+	hopGoal
+	hopAttempts
+	hopPriority
+	hopIdempotent
+	hopFields
+)
+
+// hopSeparator separates the fields; it does not occur in an escaped one.
+const hopSeparator = "&"
+
 // encodeHop tells the lead what its own configuration may not: the service that was
-// chosen, what may be repeated, and the time that has passed.
+// chosen, what may be repeated, and the time that is left until the goal, in milliseconds.
 func encodeHop(r *Request, now time.Duration) string {
-	values := url.Values{
-		"route":    {r.Route.Name},
-		"service":  {r.Service.Name},
-		"print":    {r.Print.String()},
-		"goal":     {(r.Arrived + r.Route.Goal - now).String()},
-		"attempts": {strconv.Itoa(r.Route.Attempts)},
-		"priority": {strconv.Itoa(r.Route.Priority)},
-	}
+	fields := make([]string, hopFields)
+	fields[hopRoute] = url.QueryEscape(r.Route.Name)
+	fields[hopService] = url.QueryEscape(r.Service.Name)
+	fields[hopPrint] = base64.RawURLEncoding.EncodeToString(r.Print[:])
+	fields[hopGoal] = strconv.FormatInt((r.Arrived + r.Route.Goal - now).Milliseconds(), 10)
+	fields[hopAttempts] = strconv.Itoa(r.Route.Attempts)
+	fields[hopPriority] = strconv.Itoa(r.Route.Priority)
 	if r.Route.Idempotent {
-		values.Set("idempotent", "1")
+		fields[hopIdempotent] = "1"
 	}
-	return values.Encode()
+	return strings.Join(fields, hopSeparator)
 }
 
 // decodeHop is the reverse of encodeHop.
 func decodeHop(text string, now time.Duration) (*Request, error) {
-	values, err := url.ParseQuery(text)
-	if err != nil {
-		return nil, err
+	fields := strings.Split(text, hopSeparator)
+	if len(fields) != hopFields {
+		return nil, errors.Newf("hop: %d fields instead of %d", len(fields), hopFields)
 	}
-	goal, err := time.ParseDuration(values.Get("goal"))
-	if err != nil {
-		return nil, err
+	r := &Request{Route: &routetable.Route{Idempotent: fields[hopIdempotent] != ""}, Arrived: now}
+	r.Service.Keyed = true
+	var err error
+	if r.Route.Name, err = url.QueryUnescape(fields[hopRoute]); err != nil {
+		return nil, errors.Wrap(err, "hop: route")
 	}
-	attempts, err := strconv.Atoi(values.Get("attempts"))
-	if err != nil {
+	if r.Service.Name, err = url.QueryUnescape(fields[hopService]); err != nil {
+		return nil, errors.Wrap(err, "hop: service")
+	}
+	if r.Print, err = decodePrint(fields[hopPrint]); err != nil {
 		return nil, err
 	}
-	priority, err := strconv.Atoi(values.Get("priority"))
+	goal, err := strconv.ParseInt(fields[hopGoal], 10, 64)
 	if err != nil {
-		return nil, err
+		return nil, errors.Wrap(err, "hop: goal")
 	}
+	r.Route.Goal = time.Duration(goal) * time.Millisecond
+	if r.Route.Attempts, err = strconv.Atoi(fields[hopAttempts]); err != nil {
+		return nil, errors.Wrap(err, "hop: attempts")
+	}
+	if r.Route.Priority, err = strconv.Atoi(fields[hopPriority]); err != nil {
+		return nil, errors.Wrap(err, "hop: priority")
+	}
+	return r, nil
+}
+
+func decodePrint(text string) (poison.Fingerprint, error) {
 	var print poison.Fingerprint
-	if err := print.UnmarshalText([]byte(values.Get("print"))); err != nil {
-		return nil, err
+	bytes, err := base64.RawURLEncoding.DecodeString(text)
+	if err != nil {
+		return print, errors.Wrap(err, "hop: fingerprint")
+	}
+	if len(bytes) != len(print) {
+		return print, errors.Newf("hop: fingerprint of %d bytes", len(bytes))
 	}
-	return &Request{
-		Print: print,
-		Route: &routetable.Route{
-			Name: values.Get("route"), Idempotent: values.Get("idempotent") != "",
-			Goal: goal, Attempts: attempts, Priority: priority,
-		},
-		Service: routetable.Service{Name: values.Get("service"), Keyed: true},
-		Arrived: now,
-	}, nil
+	copy(print[:], bytes)
+	return print, nil
 }
 
 // ServeHop takes a request that another host passes on.
 func (d *Door) ServeHop(w http.ResponseWriter, hr *http.Request) {
 	now := d.clock()
 	w.Header().Set(d.headers.RequestID, hr.Header.Get(d.headers.RequestID))
+	// The entry host dates the answer; here the header would only cost bytes between zones.
+	w.Header()["Date"] = nil
 	r, err := d.readHop(hr, now)
 	if err != nil {
 		d.log.Event("hop", "id", hr.Header.Get(d.headers.RequestID), "outcome", "rejected", "err", err.Error())
--- a/internal/keeper/claims.go
+++ b/internal/keeper/claims.go
@@ -31,7 +31,8 @@
 
 // Claim asks whether a non-idempotent request may run now. With KindNew, copied
 // tells whether a quorum of the session's lessors, this one included,
-// remembers the claim: only then may the request be sent.
+// remembers the claim: only then may the request be sent. The witness has it too by
+// then, unless it does not answer.
 func (k *Keeper) Claim(ctx context.Context, id idempotency.ID, digest idempotency.Digest) (verdict idempotency.Verdict, copied bool) {
 	ready := k.readMemory(ctx) && k.recall(ctx)
 	verdict = k.memory.Claim(ctx, id, digest)
@@ -39,10 +40,11 @@
 		return verdict, false
 	}
 	entry, own := k.memory.Claimed(id, verdict.Attempt)
-	k.tellWitness(entry)
+	kept := k.tellWitness(entry)
 	if !own || !k.hold(ctx, entry) {
 		return verdict, false
 	}
+	k.awaitWitness(ctx, kept)
 	_, own = k.memory.Claimed(id, verdict.Attempt)
 	return verdict, own
 }
@@ -86,8 +88,8 @@
 }
 
 // gather returns the entry and those that wait behind it in the ring, up to a batch.
-func gather(first idempotency.Entry, ring <-chan idempotency.Entry) []idempotency.Entry {
-	batch := []idempotency.Entry{first}
+func gather[T any](first T, ring <-chan T) []T {
+	batch := []T{first}
 	for len(batch) < copyBatch {
 		select {
 		case entry := <-ring:
--- a/internal/keeper/remember.go
+++ b/internal/keeper/remember.go
@@ -2,15 +2,25 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
 	"github.com/poplarcroft/poplarcroft/internal/idempotency"
 	"github.com/poplarcroft/poplarcroft/internal/peer"
+	"github.com/poplarcroft/poplarcroft/internal/timeline"
 )
 
-// rememberTimeout bounds one question to another host for request IDs.
-const rememberTimeout = 250 * time.Millisecond
+const (
+	// rememberTimeout bounds one question to another host for request IDs.
+	rememberTimeout = 250 * time.Millisecond
+	// witnessWait bounds the time for which a claim waits for the witness.
+	witnessWait = 250 * time.Millisecond
+	// witnessPause is how long no claim waits after the witness was silent.
+	witnessPause = time.Second
+	// witnessTries is how often entries are sent to the witness.
+	witnessTries = 3
+)
 
 // Remembered returns the request IDs that this keeper remembers of the slices.
 func (k *Keeper) Remembered(args peer.RememberedArgs) []idempotency.Entry {
@@ -79,35 +89,78 @@
 	return entries
 }
 
-// tellWitness passes an entry on to the witness. Where it cannot keep up, the
-// entry stays with the lessors alone.
-func (k *Keeper) tellWitness(entry idempotency.Entry) {
+// witnessEntry is an entry on its way to the witness. kept, if there is one, is closed
+// when the witness has it or is not asked any longer.
+type witnessEntry struct {
+	entry idempotency.Entry
+	kept  chan struct{}
+}
+
+// tellWitness passes an entry on to the witness and returns a channel that is closed when it is there. Where
+// the witness cannot keep up, the entry stays with the lessors alone.
+func (k *Keeper) tellWitness(entry idempotency.Entry) <-chan struct{} {
+	kept := make(chan struct{})
 	select {
-	case k.witnessed <- entry:
+	case k.witnessed <- witnessEntry{entry, kept}:
 	default:
+		close(kept)
+	}
+	return kept
+}
+
+// awaitWitness waits until the witness has a claim, for witnessWait at most, and not at all right after
+// the witness was silent: the loss of all lessors at once is rare, and requests must not wait for a lost witness.
+func (k *Keeper) awaitWitness(ctx context.Context, kept <-chan struct{}) {
+	if k.deps.Clock() < time.Duration(k.silentUntil.Load()) {
+		return
+	}
+	timer := time.NewTimer(witnessWait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-kept:
+	case <-timer.C:
 	}
 }
 
 // witnessDuty copies claims and their ends to a host that is no lessor of the
 // session, in another zone where there is one. It remembers them when all
-// lessors are lost. Nothing waits for it: what is lost within its delay stays lost.
+// lessors are lost.
 func (k *Keeper) witnessDuty(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case entry := <-k.witnessed:
-			batch := gather(entry, k.witnessed)
-			addr := k.deps.Witness(k.addr, k.zone, k.lessorHosts())
-			if addr == "" {
-				continue
+		case first := <-k.witnessed:
+			batch := gather(first, k.witnessed)
+			k.copyToWitness(ctx, batch)
+			for _, entry := range batch {
+				close(entry.kept)
 			}
-			args := peer.WitnessArgs{Entries: batch}
-			k.deps.Peers.CallTimeout(ctx, rememberTimeout, addr, "Peer.Witness", args, &peer.Empty{})
 		}
 	}
 }
 
+// copyToWitness copies entries, and tries again where the witness does not answer.
+func (k *Keeper) copyToWitness(ctx context.Context, batch []witnessEntry) {
+	var args peer.WitnessArgs
+	for _, entry := range batch {
+		args.Entries = append(args.Entries, entry.entry)
+	}
+	for range witnessTries {
+		addr := k.deps.Witness(k.addr, k.zone, k.lessorHosts())
+		if addr == "" {
+			return
+		}
+		err := k.deps.Peers.CallTimeout(ctx, rememberTimeout, addr, "Peer.Witness", args, &peer.Empty{})
+		if err == nil || ctx.Err() != nil {
+			return
+		}
+		k.silentUntil.Store(int64(k.deps.Clock() + witnessPause))
+		k.record(timeline.KindWitnessSilent, fmt.Sprintf("%s: %v", addr, err))
+	}
+}
+
 // lessorHosts returns the names of the hosts of the session's lessors.
 func (k *Keeper) lessorHosts() []string {
 	k.mu.Lock()
--- a/internal/keeper/state.go
+++ b/internal/keeper/state.go
@@ -99,7 +99,9 @@
 	recalled  map[int]uint64
 	recalling *sync.Mutex
 	finished  chan idempotency.Entry
-	witnessed chan idempotency.Entry
+	witnessed chan witnessEntry
+	// silentUntil is the host's clock until which no claim waits for the witness.
+	silentUntil *atomic.Int64
 }
 
 func newIDState(self string, retention time.Duration) idState {
@@ -109,6 +111,7 @@
 		recalled:    make(map[int]uint64),
 		recalling:   new(sync.Mutex),
 		finished:    make(chan idempotency.Entry, finishedRing),
-		witnessed:   make(chan idempotency.Entry, finishedRing),
+		witnessed:   make(chan witnessEntry, finishedRing),
+		silentUntil: new(atomic.Int64),
 	}
 }
--- a/internal/relay/feed.go
+++ b/internal/relay/feed.go
@@ -43,10 +43,10 @@
 // add takes the records that a read from an offset on brought.
 func (f *feed) add(offset uint64, batch follow.Batch, began, now time.Duration) {
 	arrived := now
-	if f.interrupted || f.started && offset != f.end {
+	if f.interrupted {
 		arrived = f.confirmed
 	}
-	if !f.started || offset != f.end {
+	if !f.started {
 		f.restart(offset)
 	}
 	for _, record := range batch.Records {
@@ -59,10 +59,34 @@
 	f.confirmed = began
 	f.interrupted = false
 	f.trim()
+	f.wake()
+}
+
+// wake ends the waits for a change.
+func (f *feed) wake() {
 	close(f.changed)
 	f.changed = make(chan struct{})
 }
 
+// align prepares for a read from an offset on and reports whether it goes on where the last one ended.
+func (f *feed) align(offset uint64) bool {
+	if f.started && offset == f.end {
+		return true
+	}
+	f.stop()
+	return false
+}
+
+// stop ends what can be told until the next read is answered.
+func (f *feed) stop() {
+	if !f.started {
+		return
+	}
+	f.started = false
+	f.interrupted = true
+	f.wake()
+}
+
 // restart begins anew at an offset.
 func (f *feed) restart(offset uint64) {
 	f.started = true
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -188,8 +188,12 @@
 func (r *Relay) noteFailedRead(topic Topic, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.feeds[topic].interrupted = true
-	if !errors.IsAny(err, context.Canceled, errRegained, follow.ErrCompacted) {
+	f := r.feeds[topic]
+	f.interrupted = true
+	switch {
+	case errors.Is(err, follow.ErrCompacted):
+		f.stop()
+	case !errors.IsAny(err, context.Canceled, errRegained):
 		r.lost = true
 	}
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -278,6 +278,7 @@
 	}
 	f := newFeed(newFilter)
 	add := func(offset uint64, value string) {
+		f.align(offset)
 		f.add(offset, follow.Batch{Records: []follow.Record{{Value: []byte(value), Offset: offset}}, End: offset + 1}, 0, 0)
 	}
 	add(0, "ready")
@@ -329,3 +330,26 @@
 		})
 	})
 }
+
+// TestRelayThatReadAnewTellsNothing replays scale-1 of Moravia: the records after a relay's last read were
+// deleted, it read the newest ones, and told the others for seconds that there was nothing new.
+func TestRelayThatReadAnewTellsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		started := time.Now()
+		now := func() time.Duration { return time.Since(started) }
+		r := New(Config{Hosts: func() ([]Host, int) { return nil, 0 }, Alone: func() bool { return true }, Clock: now, Log: eventlog.Discard()})
+		orders := r.Source("orders", &lostAnswer{}, Options{})
+		r.noteRead("orders", 0, follow.Batch{End: 1}, now())
+		asked := make(chan Outcome)
+		go func() { asked <- r.Serve(t.Context(), Ask{Topic: "orders", Offset: 1, Wait: askWait}).Outcome }()
+		time.Sleep(100 * time.Millisecond)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go orders.Since(ctx, 3, time.Minute)
+		synctest.Wait()
+		assert.Equal(t, <-asked, NotReading)
+		assert.Equal(t, now(), 100*time.Millisecond)
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -80,6 +80,10 @@
 
 // read reads at the platform and keeps what other hosts may ask for.
 func (s *Source) read(ctx context.Context, offset uint64, wait time.Duration) (follow.Batch, error) {
+	if !s.relay.align(s.topic, offset) {
+		// Other hosts can be told only after the first answer.
+		wait = 0
+	}
 	began := s.relay.config.Clock()
 	s.last = began
 	reading, end := s.relay.begin(ctx, began)
@@ -96,6 +100,14 @@
 	return batch, nil
 }
 
+// align reports whether the next read goes on where the last one ended. Otherwise this host has learned
+// of records in another way, and can tell nothing until that read is answered.
+func (r *Relay) align(topic Topic, offset uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.feeds[topic].align(offset)
+}
+
 // noteRead keeps what a read at the platform brought.
 func (r *Relay) noteRead(topic Topic, offset uint64, batch follow.Batch, began time.Duration) {
 	r.noteContact(began)
--- a/internal/timeline/event.go
+++ b/internal/timeline/event.go
@@ -39,6 +39,7 @@
 	KindServerRecovered  Kind = "server-recovered"
 	KindServerDraining   Kind = "server-draining"
 	KindServerWarm       Kind = "server-warm"
+	KindWitnessSilent    Kind = "witness-silent"
 	KindRequestUnknown   Kind = "request-unknown"
 	KindRequestSuspected Kind = "request-suspected"
 	KindRequestPoisoned  Kind = "request-poisoned"
