--- a/internal/follow/checked_test.go
+++ b/internal/follow/checked_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,13 +13,13 @@
 // missingSource has a record that long reads do not notice.
 type missingSource struct {
 	written time.Time
-	reads   int
+	reads   atomic.Int64
 }
 
 func (s *missingSource) Newest(context.Context) (Batch, error) { return Batch{}, nil }
 
 func (s *missingSource) Since(ctx context.Context, offset uint64, wait time.Duration) (Batch, error) {
-	s.reads++
+	s.reads.Add(1)
 	if wait > 0 {
 		select {
 		case <-ctx.Done():
@@ -53,6 +54,6 @@
 		assert.NilError(t, err)
 		assert.Equal(t, batch.End, uint64(2))
 		assert.Equal(t, time.Since(started), 20*time.Second)
-		assert.Equal(t, source.reads, 2)
+		assert.Equal(t, source.reads.Load(), int64(2))
 	})
 }
