A session that has not recalled the request IDs of its slices says so when it hands them on

Ruled out: the witness's delay (all four claims were at the witness 2 ms after they were made). Change: AdoptArgs.Complete; an incomplete handover is completed by the successor before a request runs.

--- a/internal/host/rpc.go
+++ b/internal/host/rpc.go
@@ -78,7 +78,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), adoptLimit)
 	defer cancel()
-	reply.Adopted = k.Adopt(ctx, args.Slices, args.Entries)
+	reply.Adopted = k.Adopt(ctx, args.Slices, args.Entries, args.Complete)
 	reply.Lead, _ = k.Lead()
 	return nil
 }
--- a/internal/keeper/adopt.go
+++ b/internal/keeper/adopt.go
@@ -11,19 +11,26 @@
 )
 
 // Adopt activates slices that another session left behind. It returns true
-// once the server has confirmed them.
-func (k *Keeper) Adopt(ctx context.Context, grants []backend.SliceGrant, entries []idempotency.Entry) bool {
+// once the server has confirmed them. Where the entries are not complete, the request IDs of
+// the slices are recalled from all hosts before a request runs.
+func (k *Keeper) Adopt(ctx context.Context, grants []backend.SliceGrant, entries []idempotency.Entry, complete bool) bool {
 	if _, lead := k.Lead(); !lead || !k.mayAdopt(grants) || !k.takeOver(ctx, entries) {
 		return false
 	}
+	k.noteAdopted(grants, complete)
+	k.renew(ctx)
+	return k.holdsAll(grants)
+}
+
+func (k *Keeper) noteAdopted(grants []backend.SliceGrant, complete bool) {
 	k.mu.Lock()
+	defer k.mu.Unlock()
 	for _, grant := range grants {
 		k.adopted[grant.Slice] = max(k.adopted[grant.Slice], record.Epoch(grant.Epoch))
-		k.recalled[grant.Slice] = max(k.recalled[grant.Slice], grant.Epoch)
+		if complete {
+			k.recalled[grant.Slice] = max(k.recalled[grant.Slice], grant.Epoch)
+		}
 	}
-	k.mu.Unlock()
-	k.renew(ctx)
-	return k.holdsAll(grants)
 }
 
 // mayAdopt refuses slices that the log has since given to somebody else.
--- a/internal/keeper/closing.go
+++ b/internal/keeper/closing.go
@@ -145,7 +145,9 @@
 // adoptAt asks the successor's lessors until one of them, the lead, has
 // confirmed. It marks the slices as activated then.
 func (k *Keeper) adoptAt(ctx context.Context, successor record.SessionID, grants []backend.SliceGrant) bool {
-	args := peer.AdoptArgs{Session: successor, From: k.id, Slices: grants, Entries: k.entriesOf(grants)}
+	args := peer.AdoptArgs{
+		Session: successor, From: k.id, Slices: grants, Complete: k.recalledAll(grants), Entries: k.entriesOf(grants),
+	}
 	for _, lessor := range k.lessorsOf(successor) {
 		var reply peer.AdoptReply
 		err := k.deps.Peers.CallTimeout(ctx, adoptTimeout, lessor.PeerAddr, "Peer.Adopt", args, &reply)
--- a/internal/keeper/remember.go
+++ b/internal/keeper/remember.go
@@ -6,7 +6,9 @@
 	"sync"
 	"time"
 
+	"github.com/poplarcroft/poplarcroft/internal/backend"
 	"github.com/poplarcroft/poplarcroft/internal/idempotency"
+	"github.com/poplarcroft/poplarcroft/internal/ownership"
 	"github.com/poplarcroft/poplarcroft/internal/peer"
 	"github.com/poplarcroft/poplarcroft/internal/timeline"
 )
@@ -67,6 +69,20 @@
 	return missing
 }
 
+// recalledAll reports whether the request IDs of slices that the session hands over are complete
+// here, each as of the epoch under which the session had it.
+func (k *Keeper) recalledAll(grants []backend.SliceGrant) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, grant := range grants {
+		handover := k.handovers[ownership.SliceKey{Service: k.service, Slice: grant.Slice}]
+		if k.recalled[grant.Slice] < uint64(handover.Epoch) {
+			return false
+		}
+	}
+	return true
+}
+
 // askRemembered asks all known hosts at once, this one included.
 func (k *Keeper) askRemembered(ctx context.Context, args peer.RememberedArgs) []idempotency.Entry {
 	var (
--- a/internal/peer/protocol.go
+++ b/internal/peer/protocol.go
@@ -68,6 +68,8 @@
 	Session record.SessionID
 	From    record.SessionID
 	Slices  []backend.SliceGrant
+	// Complete says that the entries are all that is remembered of the slices. Otherwise the successor asks all hosts.
+	Complete bool
 	// Entries are the request IDs that the former owner's lessors remember of the slices.
 	Entries []idempotency.Entry
 }
