--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -2,23 +2,17 @@
 
 import (
 	"context"
-	"encoding/json"
-	"net"
 	"net/http"
-	"net/rpc"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
 	"github.com/poplarcroft/poplarcroft/internal/assign"
 	"github.com/poplarcroft/poplarcroft/internal/clock"
-	"github.com/poplarcroft/poplarcroft/internal/duty"
 	"github.com/poplarcroft/poplarcroft/internal/eventlog"
 	"github.com/poplarcroft/poplarcroft/internal/fleet"
-	"github.com/poplarcroft/poplarcroft/internal/follow"
 	"github.com/poplarcroft/poplarcroft/internal/front"
 	"github.com/poplarcroft/poplarcroft/internal/grants"
 	"github.com/poplarcroft/poplarcroft/internal/leader"
@@ -52,23 +46,10 @@
 }
 
 const (
-	// serversEvery and serversEveryLeader are the times between two reads of the service discovery.
-	serversEvery       = time.Second
-	serversEveryLeader = 400 * time.Millisecond
-	// retryPause and maxRetryPause bound the pause after a failed read; it doubles.
-	retryPause    = 100 * time.Millisecond
-	maxRetryPause = 500 * time.Millisecond
-	// reportEvery is the time between two reports to the leader, reportPressed that while
-	// requests wait for a server.
-	reportEvery   = 2 * time.Second
-	reportPressed = 300 * time.Millisecond
-	reportTimeout = 400 * time.Millisecond
 	// crashesToRefuse is the number of servers that a request may crash before it is refused, and
 	// crashRetention is how long a crash is remembered.
 	crashesToRefuse = 3
 	crashRetention  = 2 * time.Minute
-	// suspectsEvery is the time between two messages about requests that crash servers.
-	suspectsEvery = time.Second
 	// leaveAfter is how long a host that stops still accepts connections, until the balancer has noticed.
 	leaveAfter = 2800 * time.Millisecond
 	// leaveReserve is kept of the grace for the end of the process.
@@ -235,82 +216,6 @@
 	return nil
 }
 
-// listeners are the addresses that the host answers on.
-type listeners struct {
-	callers, ready, peers, metrics net.Listener
-}
-
-func (h *Host) listen() (listeners, error) {
-	var l listeners
-	for _, entry := range []struct {
-		listener *net.Listener
-		name     string
-		addr     string
-	}{
-		{&l.callers, "callers", h.config.CallerAddr},
-		{&l.ready, "readiness", h.config.ReadyAddr},
-		{&l.peers, "hosts", h.config.PeerAddr},
-		{&l.metrics, "metrics", h.config.MetricsAddr},
-	} {
-		if entry.addr == "" {
-			continue
-		}
-		listener, err := net.Listen("tcp", entry.addr)
-		if err != nil {
-			return listeners{}, errors.Wrapf(err, "address for %s", entry.name)
-		}
-		*entry.listener = listener
-	}
-	return l, nil
-}
-
-// serve starts the HTTP servers and returns the one for callers.
-func (h *Host) serve(ctx context.Context, l listeners) *http.Server {
-	callers := &http.Server{Handler: h.door, ReadHeaderTimeout: headerTimeout, ErrorLog: nil}
-	go callers.Serve(l.callers)
-	ready := http.NewServeMux()
-	ready.HandleFunc(h.config.ReadyPath, h.answerReady)
-	go http.Serve(l.ready, ready)
-	calls := rpc.NewServer()
-	err := calls.RegisterName(rpcName, &service{
-		self: h.self, current: h.current, renewer: h.renewer, leader: h.leader, guard: h.guard, relay: h.relay,
-	})
-	if err != nil {
-		panic(errors.NewAssertionErrorWithWrappedErrf(err, "register calls"))
-	}
-	go http.Serve(l.peers, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Header.Get(front.HeaderHop) != "" {
-			h.door.ServeHop(w, r)
-			return
-		}
-		peer.ServeRPC(ctx, calls, w)
-	}))
-	if l.metrics != nil {
-		metrics := http.NewServeMux()
-		metrics.HandleFunc(h.config.MetricsPath, h.answerMetrics)
-		go http.Serve(l.metrics, metrics)
-	}
-	return callers
-}
-
-// answerReady tells the balancer whether to send new connections.
-func (h *Host) answerReady(w http.ResponseWriter, _ *http.Request) {
-	if h.leaving.Load() || h.orders.Table() == nil || !h.seenServers.Load() {
-		w.WriteHeader(http.StatusServiceUnavailable)
-	}
-}
-
-func (h *Host) answerMetrics(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Content-Type", "application/json")
-	err := json.NewEncoder(w).Encode(map[string]any{
-		"door": h.door.Counters.Snapshot(), "leads": h.leader.Leads(), "plan": uint64(h.current.Plan().Version),
-		"log_lines_dropped": h.log.Dropped(),
-	})
-	if err != nil {
-		h.log.Routine("metrics", "outcome", "failed", "err", err.Error())
-	}
-}
-
 // leave ends the work for callers: it is not ready at once, goes on accepting until the
 // balancer has noticed, and finishes what it has.
 func (h *Host) leave(callers *http.Server) {
@@ -325,132 +230,3 @@
 		h.log.Event("leave", "outcome", "requests unfinished", "err", err.Error())
 	}
 }
-
-// follow repeats a read until the context ends, with a pause after a failure.
-func (h *Host) follow(ctx context.Context, name string, read func(context.Context) error) {
-	pause := retryPause
-	failing := false
-	for ctx.Err() == nil {
-		err := read(ctx)
-		if err == nil {
-			if failing {
-				h.log.Event("dependency", "name", name, "outcome", "regained")
-			}
-			failing = false
-			pause = retryPause
-			continue
-		}
-		if ctx.Err() != nil {
-			return
-		}
-		if !failing {
-			h.log.Event("dependency", "name", name, "outcome", "lost", "err", err.Error())
-		}
-		failing = true
-		duty.Wait(ctx, pause)
-		pause = min(2*pause, maxRetryPause)
-	}
-}
-
-func (h *Host) followOrders(ctx context.Context) {
-	source := follow.Checked{Source: h.platform.Orders(), After: ordersCheckAfter}
-	follower := follow.New(h.relay.Source("orders", source, relay.Options{}))
-	h.follow(ctx, "operators' records", func(ctx context.Context) error {
-		return h.orders.read(ctx, follower)
-	})
-}
-
-// followState registers this host, then follows the hosts' own topic.
-func (h *Host) followState(ctx context.Context) {
-	follower := follow.New(h.relay.Source("state", h.platform.State(), relay.Options{}))
-	registered := false
-	h.follow(ctx, "state", func(ctx context.Context) error {
-		if !registered {
-			if err := h.state.register(ctx, h.self); err != nil {
-				return err
-			}
-			registered = true
-		}
-		return h.state.read(ctx, follower, stateWait)
-	})
-}
-
-func (h *Host) followServers(ctx context.Context) {
-	source := h.relay.Source("servers", h.platform.Servers(), relay.Options{
-		NewFilter: func() relay.Filter { return newServerNews(h.platform).tells },
-		Every:     h.serversEvery,
-	})
-	follower := follow.New(source)
-	h.follow(ctx, "servers", func(ctx context.Context) error {
-		if err := h.servers.read(ctx, follower); err != nil {
-			return err
-		}
-		h.seenServers.Store(true)
-		return nil
-	})
-}
-
-// serversEvery is the time between two reads of the service discovery at the platform.
-func (h *Host) serversEvery() time.Duration {
-	if h.leader.Leads() {
-		return serversEveryLeader
-	}
-	return serversEvery
-}
-
-// reportLoad tells the leader the load on the keys whose servers this host sends to.
-func (h *Host) reportLoad(ctx context.Context) {
-	var reported time.Duration
-	duty.Every(ctx, reportPressed, func(ctx context.Context) {
-		now := clock.Monotonic()
-		if now-reported < reportEvery && !h.door.Pressed() {
-			return
-		}
-		reported = now
-		h.report(ctx)
-	})
-}
-
-func (h *Host) report(ctx context.Context) {
-	args := ReportArgs{Host: h.self.Name, Rates: h.door.KeyRates(), Lost: h.renewer.Lost(), Slowness: h.fleet.Slowness(clock.Monotonic())}
-	if h.leader.Leads() {
-		h.leader.Report(args.Host, leader.Report{Rates: args.Rates, Slowness: args.Slowness}, args.Lost)
-		return
-	}
-	to := h.current.Plan().Leader
-	if to.Addr == "" {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
-	if err := h.peers.report(ctx, to, args); err != nil {
-		h.log.Routine("report", "leader", to.Name, "outcome", "failed", "err", err.Error())
-	}
-}
-
-// shareSuspects tells all hosts of requests in whose course servers ended.
-func (h *Host) shareSuspects(ctx context.Context) {
-	var told uint64
-	duty.Every(ctx, suspectsEvery, func(ctx context.Context) {
-		h.guard.Expire()
-		records, next := h.guard.Export(told)
-		told = next
-		if len(records) == 0 {
-			return
-		}
-		h.log.Event("suspects", "records", len(records), "first", records[0].Fingerprint.String(), "server", records[0].Death.Addr)
-		for _, host := range h.current.Plan().Hosts {
-			if !host.Same(h.self) && !host.Retired {
-				go h.tellSuspects(ctx, host, records)
-			}
-		}
-	})
-}
-
-func (h *Host) tellSuspects(ctx context.Context, host assign.Host, records []poison.Record) {
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
-	if err := h.peers.suspects(ctx, host, SuspectsArgs{Records: records}); err != nil {
-		h.log.Routine("suspects", "host", host.Name, "outcome", "failed", "err", err.Error())
-	}
-}
--- /dev/null
+++ b/internal/edge/listen.go
@@ -0,0 +1,98 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/rpc"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/poplarcroft/poplarcroft/internal/front"
+	"github.com/poplarcroft/poplarcroft/internal/peer"
+)
+
+// listeners are the addresses that the host answers on.
+type listeners struct {
+	callers, ready, peers, metrics net.Listener
+}
+
+func (h *Host) listen() (listeners, error) {
+	var l listeners
+	for _, entry := range []struct {
+		listener *net.Listener
+		name     string
+		addr     string
+	}{
+		{&l.callers, "callers", h.config.CallerAddr},
+		{&l.ready, "readiness", h.config.ReadyAddr},
+		{&l.peers, "hosts", h.config.PeerAddr},
+		{&l.metrics, "metrics", h.config.MetricsAddr},
+	} {
+		if entry.addr == "" {
+			continue
+		}
+		listener, err := net.Listen("tcp", entry.addr)
+		if err != nil {
+			return listeners{}, errors.Wrapf(err, "address for %s", entry.name)
+		}
+		*entry.listener = listener
+	}
+	return l, nil
+}
+
+// serve starts the HTTP servers and returns the one for callers.
+func (h *Host) serve(ctx context.Context, l listeners) *http.Server {
+	callers := &http.Server{Handler: h.door, ReadHeaderTimeout: headerTimeout}
+	go h.serveOn("callers", callers, l.callers)
+	ready := http.NewServeMux()
+	ready.HandleFunc(h.config.ReadyPath, h.answerReady)
+	go h.serveOn("readiness", &http.Server{Handler: ready}, l.ready)
+	calls := rpc.NewServer()
+	err := calls.RegisterName(rpcName, &service{
+		self: h.self, current: h.current, renewer: h.renewer, leader: h.leader, guard: h.guard, relay: h.relay,
+	})
+	if err != nil {
+		panic(errors.NewAssertionErrorWithWrappedErrf(err, "register calls"))
+	}
+	peers := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(front.HeaderHop) != "" {
+			h.door.ServeHop(w, r)
+			return
+		}
+		peer.ServeRPC(ctx, calls, w)
+	})
+	go h.serveOn("hosts", &http.Server{Handler: peers}, l.peers)
+	if l.metrics != nil {
+		metrics := http.NewServeMux()
+		metrics.HandleFunc(h.config.MetricsPath, h.answerMetrics)
+		go h.serveOn("metrics", &http.Server{Handler: metrics}, l.metrics)
+	}
+	return callers
+}
+
+// serveOn serves until the server is shut down.
+func (h *Host) serveOn(name string, server *http.Server, listener net.Listener) {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		h.log.Event("listener", "name", name, "outcome", "ended", "err", err.Error())
+	}
+}
+
+// answerReady tells the balancer whether to send new connections.
+func (h *Host) answerReady(w http.ResponseWriter, _ *http.Request) {
+	if h.leaving.Load() || h.orders.Table() == nil || !h.seenServers.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (h *Host) answerMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	err := json.NewEncoder(w).Encode(map[string]any{
+		"door": h.door.Counters.Snapshot(), "leads": h.leader.Leads(), "plan": uint64(h.current.Plan().Version),
+		"relay": h.relay.Counters.Snapshot(), "log_lines_dropped": h.log.Dropped(),
+	})
+	if err != nil {
+		h.log.Routine("metrics", "outcome", "failed", "err", err.Error())
+	}
+}
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -66,6 +66,9 @@
 }
 
 func (s *servers) apply(change follow.Change, now time.Duration) {
+	if len(change.Records) == 0 && !change.Whole && len(s.missing) == 0 {
+		return
+	}
 	present := make(map[string]bool, len(change.Records))
 	for _, record := range change.Records {
 		present[record.Key] = true
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -81,17 +80,10 @@
 	joinEvery = time.Second
 	// rebalanceEvery is the time between two moves that spread load.
 	rebalanceEvery = 600 * time.Millisecond
-	// reportLapses is how long a report on loads is believed.
-	reportLapses = 4 * time.Second
-	// minSlowness and maxSlowness bound what a server's speed changes of its share.
-	minSlowness = 0.5
-	maxSlowness = 4
 	// coalesce is the time for which the leader waits for more news before it looks at the world.
 	coalesce = 20 * time.Millisecond
 	// firstGrantAfter is how long a new leader waits for servers to appear before it gives keys out for the first time.
 	firstGrantAfter = 1500 * time.Millisecond
-	// retireAfter is how long a host may be silent before it may renew no longer.
-	retireAfter = 5 * time.Second
 	// regrantEvery is the time between two new fences for servers that do not answer.
 	regrantEvery = time.Second
 	// writeTimeout bounds one write of the plan.
@@ -269,64 +261,6 @@
 	return next, changed
 }
 
-// world collects what is known about a service.
-func (l *Leader) world(service string, now time.Duration) assign.World {
-	world := assign.World{
-		Lives:  make(map[string]assign.Server),
-		Proofs: l.proofs[service],
-		Load:   l.load(service, now),
-	}
-	world.AtAddr, world.Reused = l.atAddr(service)
-	var cold []assign.Candidate
-	for _, server := range l.Fleet.Servers(service) {
-		entry := server.Entry()
-		known := life(entry)
-		world.Lives[known.ID] = known
-		if entry.Draining || l.Closed(entry.Zone) {
-			continue
-		}
-		candidate := assign.Candidate{Server: known, Capacity: float64(max(entry.Slots, 1)) / l.slowness(known.ID, now)}
-		if server.Cold(now) {
-			cold = append(cold, candidate)
-		} else {
-			world.Ready = append(world.Ready, candidate)
-		}
-	}
-	if len(world.Ready) == 0 {
-		world.Ready = cold
-	}
-	return world
-}
-
-// atAddr returns the newest life of the service's servers at each address, and the addresses
-// at which a server of another service began later.
-func (l *Leader) atAddr(service string) (lives map[string]assign.Server, reused map[string]int64) {
-	lives = make(map[string]assign.Server)
-	newest := make(map[string]fleet.Entry)
-	for _, name := range l.Fleet.Services() {
-		for _, server := range l.Fleet.Servers(name) {
-			entry := server.Entry()
-			if known, ok := newest[entry.Addr]; !ok || known.Born < entry.Born {
-				newest[entry.Addr] = entry
-			}
-		}
-	}
-	reused = make(map[string]int64)
-	for addr, entry := range newest {
-		if entry.Service == service {
-			lives[addr] = life(entry)
-		} else {
-			reused[addr] = entry.Born
-		}
-	}
-	return lives, reused
-}
-
-// life is the server of an entry.
-func life(entry fleet.Entry) assign.Server {
-	return assign.Server{ID: string(entry.ID), Addr: entry.Addr, Zone: entry.Zone, Born: entry.Born}
-}
-
 // regrants returns the first keys of the ranges that need a new fence: all where the
 // leader is new, those of zones with hosts that are new, and those with whose server this
 // host has lost contact.
@@ -355,121 +289,6 @@
 	return keys
 }
 
-// hosts returns the hosts that may renew from now on.
-func (l *Leader) hosts(former []assign.Host, version assign.Fence, now time.Duration) []assign.Host {
-	byName := make(map[string]assign.Host)
-	for _, host := range former {
-		byName[host.Name] = host
-	}
-	self := l.Self
-	self.Led = true
-	for _, host := range append(l.Hosts(), self) {
-		if known, ok := byName[host.Name]; !ok || !known.Same(host) {
-			host.Since = version
-			byName[host.Name] = host
-			l.heard[host.Name] = now
-			delete(l.retired, host.Name)
-		}
-	}
-	known := byName[self.Name]
-	known.Led = true
-	byName[self.Name] = known
-	for name, host := range byName {
-		l.retire(byName, name, host, now)
-	}
-	return slices.SortedFunc(maps.Values(byName), func(a, b assign.Host) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
-}
-
-// retire takes the right to renew from a host that is silent, and forgets a host
-// that must have stopped.
-func (l *Leader) retire(byName map[string]assign.Host, name string, host assign.Host, now time.Duration) {
-	heard, ok := l.heard[name]
-	if !ok {
-		l.heard[name] = now
-		heard = now
-	}
-	silent := now-heard > retireAfter && name != l.Self.Name
-	if !host.Retired {
-		host.Retired = silent
-		byName[name] = host
-		delete(l.retired, name)
-		return
-	}
-	if !silent {
-		host.Retired = false
-		byName[name] = host
-		return
-	}
-	seen, ok := l.retired[name]
-	if !ok {
-		l.retired[name] = now
-		return
-	}
-	if now-seen > l.Timing.SilentAfter()+l.Timing.Outlives() {
-		delete(byName, name)
-	}
-}
-
-// Report is what a host tells of the servers that it sends to.
-type Report struct {
-	// Rates holds the load on the keys of each service.
-	Rates map[string]map[keyrange.Key]keyrange.CentiRate
-	// Slowness holds the time that servers take in relation to the usual, in hundredths.
-	Slowness map[string]int
-}
-
-// timedReport is a report and when it came.
-type timedReport struct {
-	Report
-	at time.Duration
-}
-
-// Report takes a host's report, and the grants whose servers do not answer it.
-func (l *Leader) Report(host string, report Report, lost []renew.Lost) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.heard[host] = l.Clock()
-	for _, id := range lost {
-		l.lost[id] = true
-	}
-	l.reports[host] = timedReport{Report: report, at: l.Clock()}
-}
-
-// slowness returns how long a server takes in relation to the usual, as hosts see it,
-// within bounds that keep a passing judgement from moving all its keys.
-func (l *Leader) slowness(id string, now time.Duration) float64 {
-	sum, n := 0, 0
-	for _, told := range l.reports {
-		if value, ok := told.Slowness[id]; ok && now-told.at <= reportLapses {
-			sum += value
-			n++
-		}
-	}
-	if n == 0 {
-		return 1
-	}
-	return min(max(float64(sum)/float64(n)/100, minSlowness), maxSlowness)
-}
-
-// load returns the load on the keys of a service, nil where nothing is known.
-func (l *Leader) load(service string, now time.Duration) *keyrange.Load {
-	var rates []map[keyrange.Key]keyrange.CentiRate
-	for _, told := range l.reports {
-		if now-told.at <= reportLapses && told.Rates[service] != nil {
-			rates = append(rates, told.Rates[service])
-		}
-	}
-	if len(rates) == 0 {
-		return nil
-	}
-	return keyrange.NewLoad(rates)
-}
-
 func (l *Leader) logChanges(before, after assign.Plan) {
 	for service, assignments := range after.Services {
 		for _, a := range assignments {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -105,7 +105,8 @@
 
 // Relay is the part of one host in reading for its zone. It is safe for concurrent use.
 type Relay struct {
-	config Config
+	Counters Counters
+	config   Config
 
 	mu    sync.Mutex
 	feeds map[Topic]*feed
@@ -223,6 +224,7 @@
 // Serve answers another host. It waits for a record as the ask says, and not longer than the
 // platform is in contact.
 func (r *Relay) Serve(ctx context.Context, ask Ask) Reply {
+	r.Counters.Served.Add(1)
 	deadline := r.config.Clock() + min(ask.Wait, askWait)
 	for {
 		reply, changed, wait := r.look(ask, deadline)
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -70,8 +70,10 @@
 	if host, ok := s.relay.choose(); ok {
 		batch, err := s.ask(ctx, host, offset)
 		if err == nil || ctx.Err() != nil {
+			s.relay.Counters.Relayed.Add(1)
 			return batch, err
 		}
+		s.relay.Counters.Fallback.Add(1)
 		wait = min(wait, fallbackWait)
 	}
 	duty.Wait(ctx, s.last+s.every()-s.relay.config.Clock())
@@ -84,6 +86,7 @@
 		// Other hosts can be told only after the first answer.
 		wait = 0
 	}
+	s.relay.Counters.Direct.Add(1)
 	began := s.relay.config.Clock()
 	s.last = began
 	reading, end := s.relay.begin(ctx, began)
