--- a/internal/cmd/ctlcmd/experiment.go
+++ b/internal/cmd/ctlcmd/experiment.go
@@ -28,6 +28,10 @@
 		{Name: "slow", Summary: "policies with one server in five slowed", Run: runPolicies(
 			"slow", experiment.FaultNone, experiment.FaultSlow, experiment.FaultMoving)},
 		{Name: "hot", Summary: "slices and consistent hashing with hot keys and changing servers", Run: runHot},
+		{Name: "placing", Summary: "choice among servers without keys under bursts, slow, grey and noisy servers", Run: runReplay(
+			"placing", experiment.ComparePlacing, experiment.PrintPlacing)},
+		{Name: "waiting", Summary: "requests that wait for one server that owns keys, under bursts and when it is slow", Run: runReplay(
+			"waiting", experiment.CompareWaiting, experiment.PrintWaiting)},
 	}
 }
 
@@ -40,6 +44,21 @@
 	return flags, runs, asJSON
 }
 
+// runReplay returns the command that replays loads against policies.
+func runReplay[R any](name string, compare func(runs int) []R, printTable func(io.Writer, []R) error) func(context.Context, []string, io.Writer, io.Writer) int {
+	return func(_ context.Context, args []string, stdout, stderr io.Writer) int {
+		flags, runs, asJSON := experimentFlags(name, stderr)
+		if code, proceed := parseExperiment(flags, args, runs, stderr); !proceed {
+			return code
+		}
+		results := compare(*runs)
+		if *asJSON {
+			return printJSON(results, stdout, stderr)
+		}
+		return exitCode(printTable(stdout, results), stderr)
+	}
+}
+
 // parseExperiment parses the flags. Where it returns false the command ends with the code.
 func parseExperiment(flags *flag.FlagSet, args []string, runs *int, stderr io.Writer) (code int, proceed bool) {
 	if err := flags.Parse(args); errors.Is(err, flag.ErrHelp) {
