Opinions by which servers are chosen fade in half a second

Cause: the emulator's noise load (x3 at a fifth of the servers, drawn each 0.4 s): opinions that lasted 3 s kept requests from servers that were free again and crowded the others. Change: mood and failures fade in 0.5 s; the speed told to the leader still in 3 s (its shares of keys need the lasting one).

--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -27,8 +27,11 @@
 const (
 	// sampleWeight is the weight of a new observation in a moving average.
 	sampleWeight = 0.25
-	// forgetAfter is the time in which an opinion of a server fades to 1/e.
+	// forgetAfter is the time in which the speed of a server, as it is reported, fades to 1/e.
 	forgetAfter = 3 * time.Second
+	// moodAfter is the same for the opinion by which servers are chosen: machines that servers share
+	// with others change within half a second.
+	moodAfter = 500 * time.Millisecond
 	// reportFadesAfter is the time in which a load report fades to 1/e.
 	reportFadesAfter = 250 * time.Millisecond
 	// firstPause and maxPause bound the time for which a server that could not be reached is left out.
@@ -55,10 +58,9 @@
 	// others is the number of requests of other hosts at the last report, at reported.
 	others   float64
 	reported time.Duration
-	// slowness is a moving average of latency in relation to the route's usual one, as of judged.
-	slowness float64
-	failures float64
-	judged   time.Duration
+	// slowness and mood are moving averages of latency in relation to the route's usual one, failures of the
+	// share of failures. Slowness is the lasting speed, mood and failures are what the choice goes by.
+	slowness, mood, failures fading
 	// sampled is when a try last told of the slowness.
 	sampled time.Duration
 	// pauseUntil leaves the server out for a while; misses counts failed connections in a row.
@@ -67,7 +69,12 @@
 }
 
 func newServer(entry Entry, target *transport.Target, now time.Duration) *Server {
-	return &Server{Target: target, slowness: 1, judged: now, sampled: now - 2*forgetAfter, entry: entry, coldUntil: now + entry.ColdFor}
+	return &Server{
+		Target: target, sampled: now - 2*forgetAfter, entry: entry, coldUntil: now + entry.ColdFor,
+		slowness: fading{value: 1, rest: 1, after: forgetAfter, at: now},
+		mood:     fading{value: 1, rest: 1, after: moodAfter, at: now},
+		failures: fading{after: moodAfter, at: now},
+	}
 }
 
 // update takes a newer entry of the same life.
@@ -122,17 +129,17 @@
 	if ending == Cancelled {
 		return
 	}
-	s.fade(now)
 	switch ending {
 	case Answered:
 		if ratio > 0 {
 			s.sampled = now
-			s.slowness += sampleWeight * (min(ratio, maxRatio) - s.slowness)
+			s.slowness.sample(min(ratio, maxRatio), now)
+			s.mood.sample(min(ratio, maxRatio), now)
 		}
-		s.failures -= sampleWeight * s.failures
+		s.failures.sample(0, now)
 		s.misses = 0
 	case Failed:
-		s.failures += sampleWeight * (1 - s.failures)
+		s.failures.sample(1, now)
 	case Shed:
 		s.pauseUntil = now + shedPause
 	case Unreachable:
@@ -141,14 +148,6 @@
 	}
 }
 
-// fade lets the opinion of the server tend to the usual as time goes by.
-func (s *Server) fade(now time.Duration) {
-	keep := math.Exp(-float64(now-s.judged) / float64(forgetAfter))
-	s.slowness = 1 + (s.slowness-1)*keep
-	s.failures *= keep
-	s.judged = now
-}
-
 // Report takes the load that came with an answer.
 func (s *Server) Report(report LoadReport, now time.Duration) {
 	s.mu.Lock()
@@ -181,8 +180,7 @@
 func (s *Server) Slowness(now time.Duration) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.fade(now)
-	return s.slowness
+	return s.slowness.now(now)
 }
 
 // judgement returns the slowness, and false where no try has told of it of late.
@@ -192,14 +190,13 @@
 	if now-s.sampled > forgetAfter {
 		return 1, false
 	}
-	return s.slowness, true
+	return s.slowness.value, true
 }
 
 // cost is the expected time of a request at the server in relation to the usual time.
 func (s *Server) cost(now time.Duration) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.fade(now)
 	wait := max(0, s.occupancy(now)+1/float64(max(s.entry.Slots, 1))-1)
-	return s.slowness*(1+wait+0.2*s.occupancy(now)) + failureWeight*s.failures
+	return s.mood.now(now)*(1+wait+0.2*s.occupancy(now)) + failureWeight*s.failures.now(now)
 }
