--- a/internal/edge/relays.go
+++ b/internal/edge/relays.go
@@ -51,30 +51,30 @@
 	return -1
 }
 
-// serverNews tells which entries of the service discovery say something new. Most only
-// repeat what is known. It belongs to one goroutine.
-type serverNews struct {
+// entryFilter tells which entries of the service discovery say something new. Most only
+// repeat what is known. The lock of the relay guards it.
+type entryFilter struct {
 	platform Platform
 	known    map[string]fleet.Entry
 }
 
-func newServerNews(platform Platform) *serverNews {
-	return &serverNews{platform: platform, known: make(map[string]fleet.Entry)}
+func newEntryFilter(platform Platform) *entryFilter {
+	return &entryFilter{platform: platform, known: make(map[string]fleet.Entry)}
 }
 
-// tells reports whether the record differs from the last one of its key in more than its sequence.
-func (n *serverNews) tells(record follow.Record) bool {
+// keep reports whether the record differs from the last one of its key in more than its sequence.
+func (f *entryFilter) keep(record follow.Record) bool {
 	if len(record.Value) == 0 {
-		delete(n.known, record.Key)
+		delete(f.known, record.Key)
 		return true
 	}
-	entry, err := n.platform.Server(record)
+	entry, err := f.platform.Server(record)
 	if err != nil {
-		delete(n.known, record.Key)
+		delete(f.known, record.Key)
 		return true
 	}
 	entry.Sequence = 0
-	known, ok := n.known[record.Key]
-	n.known[record.Key] = entry
+	known, ok := f.known[record.Key]
+	f.known[record.Key] = entry
 	return !ok || known != entry
 }
--- a/internal/edge/relays_test.go
+++ b/internal/edge/relays_test.go
@@ -40,10 +40,10 @@
 }
 
 func TestOnlyNewsOfServersIsPassedOn(t *testing.T) {
-	news := newServerNews(fakePlatform{})
+	filter := newEntryFilter(fakePlatform{})
 	for _, step := range []struct {
 		record follow.Record
-		tells  bool
+		keep   bool
 	}{
 		{record("a", "1"), true},
 		{record("a", "1"), false},
@@ -54,7 +54,7 @@
 		{record("a", "2"), true},
 		{record("b", "2"), true},
 	} {
-		assert.Equal(t, news.tells(step.record), step.tells, "%s=%s", step.record.Key, step.record.Value)
+		assert.Equal(t, filter.keep(step.record), step.keep, "%s=%s", step.record.Key, step.record.Value)
 	}
 }
 
--- a/internal/edge/topics.go
+++ b/internal/edge/topics.go
@@ -76,7 +76,7 @@
 
 func (h *Host) followServers(ctx context.Context) {
 	source := h.relay.Source(topicServers, h.platform.Servers(), relay.Options{
-		NewFilter: func() relay.Filter { return newServerNews(h.platform).tells },
+		NewFilter: func() relay.Filter { return newEntryFilter(h.platform).keep },
 		Every:     h.serversEvery,
 	})
 	follower := follow.New(source)
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -29,9 +29,9 @@
 	sampleWeight = 0.25
 	// forgetAfter is the time in which the speed of a server, as it is reported, fades to 1/e.
 	forgetAfter = 3 * time.Second
-	// moodAfter is the same for the opinion by which servers are chosen: machines that servers share
+	// choiceFadesAfter is the same for the opinion by which servers are chosen: machines that servers share
 	// with others change within half a second.
-	moodAfter = 500 * time.Millisecond
+	choiceFadesAfter = 500 * time.Millisecond
 	// reportFadesAfter is the time in which a load report fades to 1/e.
 	reportFadesAfter = 250 * time.Millisecond
 	// firstPause and maxPause bound the time for which a server that could not be reached is left out.
@@ -58,9 +58,9 @@
 	// others is the number of requests of other hosts at the last report, at reported.
 	others   float64
 	reported time.Duration
-	// slowness and mood are moving averages of latency in relation to the route's usual one, failures of the
-	// share of failures. Slowness is the lasting speed, mood and failures are what the choice goes by.
-	slowness, mood, failures fading
+	// slowness and recent are moving averages of latency in relation to the route's usual one, failures of the
+	// share of failures. Slowness is the lasting speed, recent and failures are what the choice goes by.
+	slowness, recent, failures fading
 	// sampled is when a try last told of the slowness.
 	sampled time.Duration
 	// pauseUntil leaves the server out for a while; misses counts failed connections in a row.
@@ -72,8 +72,8 @@
 	return &Server{
 		Target: target, sampled: now - 2*forgetAfter, entry: entry, coldUntil: now + entry.ColdFor,
 		slowness: fading{value: 1, rest: 1, after: forgetAfter, at: now},
-		mood:     fading{value: 1, rest: 1, after: moodAfter, at: now},
-		failures: fading{after: moodAfter, at: now},
+		recent:   fading{value: 1, rest: 1, after: choiceFadesAfter, at: now},
+		failures: fading{after: choiceFadesAfter, at: now},
 	}
 }
 
@@ -134,7 +134,7 @@
 		if ratio > 0 {
 			s.sampled = now
 			s.slowness.sample(min(ratio, maxRatio), now)
-			s.mood.sample(min(ratio, maxRatio), now)
+			s.recent.sample(min(ratio, maxRatio), now)
 		}
 		s.failures.sample(0, now)
 		s.misses = 0
@@ -198,5 +198,5 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	wait := max(0, s.occupancy(now)+1/float64(max(s.entry.Slots, 1))-1)
-	return s.mood.now(now)*(1+wait+0.2*s.occupancy(now)) + failureWeight*s.failures.now(now)
+	return s.recent.now(now)*(1+wait+0.2*s.occupancy(now)) + failureWeight*s.failures.now(now)
 }
