TestNoLessorAnswers asks a port that nobody gets

The test closed a listener and relied on its port to refuse; a test that runs beside it had got the port (all of them listen on 127.0.0.1:0). Ruled out: the product, which sent where it was told. Change: port 1.

--- a/internal/route/forward_test.go
+++ b/internal/route/forward_test.go
@@ -119,11 +119,13 @@
 	}
 }
 
+// refusingAddr refuses connections. The port of a closed listener does not for long: a test that runs
+// beside may get it.
+const refusingAddr = "127.0.0.1:1"
+
 func TestNoLessorAnswers(t *testing.T) {
 	t.Parallel()
-	gone := newFakeServer(t, answer(""))
-	gone.Close()
-	far := newTestHost(t, "h2", keyedDirectory(record.Lessor{Host: "h3", PeerAddr: gone.addr()}))
+	far := newTestHost(t, "h2", keyedDirectory(record.Lessor{Host: "h3", PeerAddr: refusingAddr}))
 	got := far.call(t, http.MethodPost, "/v1/revize/k", "b")
 	assert.Equal(t, got.outcome, outcome.NotRun, "no byte was sent")
 	assert.Equal(t, got.reason, outcome.ReasonNotLead)
