Read-through: one way to draw arrivals and work in the emulators; a relay's log line names the relay as relay

The line had the field host twice, once for the writing host and once for the one that is avoided. A read that its host ends counts as relayed no longer.

--- a/internal/experiment/placing.go
+++ b/internal/experiment/placing.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"math"
 	"math/rand/v2"
 	"text/tabwriter"
 	"time"
@@ -77,8 +76,6 @@
 	placingTries   = 3
 	// noiseEvery is how often the servers that are held up change.
 	noiseEvery = 400 * time.Millisecond
-	// workSpread is the spread of the logarithm of the work.
-	workSpread = 0.5
 	placingHop = time.Millisecond
 )
 
@@ -160,11 +157,6 @@
 
 func placingID(i int) fleet.ID { return fleet.ID(fmt.Sprintf("%02d", i)) }
 
-// exponential draws a time with the given mean.
-func (p *placing) exponential(mean time.Duration) time.Duration {
-	return time.Duration(p.rng.ExpFloat64() * float64(mean))
-}
-
 // faulty reports whether the faults from second 10 on are under way.
 func (p *placing) faulty() bool { return p.clock.now >= 10*time.Second }
 
@@ -174,14 +166,14 @@
 	if p.load.Burst > 0 && p.faulty() && p.clock.now < 20*time.Second {
 		rate *= p.load.Burst
 	}
-	p.clock.after(p.exponential(time.Duration(float64(time.Second)/rate)), func() {
+	p.clock.after(drawGap(p.rng, rate), func() {
 		if p.clock.now > placingTime {
 			return
 		}
-		work := float64(kind.work) * math.Exp(workSpread*p.rng.NormFloat64()-workSpread*workSpread/2)
+		work := drawWork(p.rng, kind.work)
 		host := p.hosts[p.rng.IntN(len(p.hosts))]
 		p.owed += kind.worth
-		host.try(&placingRequest{kind: kind, work: time.Duration(work), arrived: p.clock.now})
+		host.try(&placingRequest{kind: kind, work: work, arrived: p.clock.now})
 		p.arrivals(kind)
 	})
 }
--- a/internal/experiment/waiting.go
+++ b/internal/experiment/waiting.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"math"
 	"math/rand/v2"
 	"text/tabwriter"
 	"time"
@@ -137,15 +136,14 @@
 
 // arrivals makes the requests of a kind.
 func (w *waitingRun) arrivals(kind waitingKind) {
-	mean := float64(time.Second) / (kind.rate * w.factor(w.load.Rate))
-	w.clock.after(time.Duration(w.rng.ExpFloat64()*mean), func() {
+	w.clock.after(drawGap(w.rng, kind.rate*w.factor(w.load.Rate)), func() {
 		if w.clock.now > waitingTime {
 			return
 		}
-		work := float64(kind.work) * math.Exp(workSpread*w.rng.NormFloat64()-workSpread*workSpread/2)
+		work := drawWork(w.rng, kind.work)
 		w.owed += kind.worth
 		w.asked[kind.name]++
-		w.offer(&waitingRequest{kind: kind, work: time.Duration(work), arrived: w.clock.now})
+		w.offer(&waitingRequest{kind: kind, work: work, arrived: w.clock.now})
 		w.arrivals(kind)
 	})
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -160,7 +160,7 @@
 	r.mu.Lock()
 	r.avoided[host.Name] = r.config.Clock() + avoidFor
 	r.mu.Unlock()
-	r.config.Log.Event("relay", "host", host.Name, "outcome", "avoided", "reason", reason)
+	r.config.Log.Event("relay", "relay", host.Name, "outcome", "avoided", "reason", reason)
 }
 
 // errRegained ends a read that began before contact was regained.
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -69,9 +69,12 @@
 func (s *Source) Since(ctx context.Context, offset uint64, wait time.Duration) (follow.Batch, error) {
 	if host, ok := s.relay.choose(); ok {
 		batch, err := s.ask(ctx, host, offset)
-		if err == nil || ctx.Err() != nil {
+		if err == nil {
 			s.relay.Counters.Relayed.Add(1)
-			return batch, err
+			return batch, nil
+		}
+		if ctx.Err() != nil {
+			return follow.Batch{}, err
 		}
 		s.relay.Counters.Fallback.Add(1)
 		wait = min(wait, fallbackWait)
