follow, relay, edge: an offset identifies a record only within one era of the log

Cause (class: positions of two histories compared): a follower went on from its offset; what was written again below it was never read. Change: a position is an era and an offset. A relay answers only within an era, and a read from before a restore is cancelled as one from before an outage. After a restore the lost evacuations stay for 3 s, ended ones stay ended, and entries of servers never get older; a late entry (lower sequence) is ignored in general. Hosts register again. config lines tell age and source; event restored on each topic. Ruled out: more waiting (the record is never read, at no time).

--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -125,7 +125,7 @@
 	h.guard = poison.NewGuard(poison.Bounds{CrashLimit: maxCrashes, Retention: crashRetention})
 	h.servers = newServers(platform, h.fleet, clock.Monotonic, log, wakeLeader)
 	h.servers.onEnded = func(entry fleet.Entry) { h.guard.ServerCrashed(front.GuardServer(entry)) }
-	h.operatorRecords = newOperatorRecords(platform, log, func() {
+	h.operatorRecords = newOperatorRecords(platform, clock.Monotonic, log, func() {
 		h.fleet.EvacuateZones(*h.operatorRecords.evacuated.Load(), h.coldFor, clock.Monotonic())
 		wakeLeader()
 	})
--- a/internal/edge/operator_records.go
+++ b/internal/edge/operator_records.go
@@ -23,6 +23,10 @@
 // hangTimeout is how long a read must have been in progress before it can count as hanging.
 const hangTimeout = 700 * time.Millisecond
 
+// rewriteGrace is how long after a restore of the log what its writers had written before may be
+// missing. They write it again, but not at once.
+const rewriteGrace = 3 * time.Second
+
 // operatorRecords follows the operators' records: the configuration and the evacuated zones. One
 // goroutine calls read; Table, Evacuated, Next and checkProgress are safe for concurrent use. Log
 // lines call a record "order".
@@ -33,16 +37,31 @@
 
 	table     atomic.Pointer[routetable.Table]
 	evacuated atomic.Pointer[map[string]bool]
-	// next is the offset after the last record that was read. A value in behind says that another
-	// host has read further.
+	// next is the ordinal of the position after the last record that was read. A value in behind
+	// says that another host has read further.
 	next   atomic.Uint64
 	behind chan struct{}
-	// zoneByKey holds the evacuated zones by the keys of their records.
-	zoneByKey map[string]string
+	clock  func() time.Duration
+	// evacuations holds the records of the evacuated zones by key. ended holds those that have been
+	// removed: a restore of the log can bring them back.
+	evacuations, ended map[string]evacuation
+}
+
+// evacuation is the record of an evacuated zone.
+type evacuation struct {
+	zone   string
+	offset uint64
+	// missing is set if a restore of the log has lost the record. It is kept until missingUntil,
+	// unless the operators write or remove it before.
+	missing      bool
+	missingUntil time.Duration
 }
 
-func newOperatorRecords(platform Platform, log *eventlog.Log, onChange func()) *operatorRecords {
-	o := &operatorRecords{platform: platform, log: log, onChange: onChange, zoneByKey: make(map[string]string), behind: make(chan struct{}, 1)}
+func newOperatorRecords(platform Platform, clock func() time.Duration, log *eventlog.Log, onChange func()) *operatorRecords {
+	o := &operatorRecords{
+		platform: platform, clock: clock, log: log, onChange: onChange, behind: make(chan struct{}, 1),
+		evacuations: make(map[string]evacuation), ended: make(map[string]evacuation),
+	}
 	o.evacuated.Store(&map[string]bool{})
 	return o
 }
@@ -57,12 +76,12 @@
 	return (*o.evacuated.Load())[zone]
 }
 
-// Next returns the offset after the last record that was read.
+// Next returns the ordinal of the position after the last record that was read.
 func (o *operatorRecords) Next() uint64 {
 	return o.next.Load()
 }
 
-// checkProgress notes that another host has read up to the given offset. If that is further than
+// checkProgress notes that another host has read up to the position with the given ordinal. If that is further than
 // this host, the read in progress is cancelled, as its answer has probably been lost.
 func (o *operatorRecords) checkProgress(furthest uint64) {
 	if o.next.Load() >= furthest {
@@ -79,15 +98,29 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go o.cancelIfBehind(ctx, cancel)
-	change, err := follower.Read(ctx, maxReadWait)
+	change, err := follower.Read(ctx, o.readWait())
 	if err != nil {
 		return err
 	}
-	o.next.Store(follower.Next())
+	o.next.Store(follower.Next().Ordinal())
+	if change.Restored {
+		o.log.Event("restored", "topic", "operators' records", "era", follower.Next().Era.Number(), "next", follower.Next().Offset)
+	}
 	o.apply(change)
 	return nil
 }
 
+// readWait returns how long the next read may wait for a change.
+func (o *operatorRecords) readWait() time.Duration {
+	wait := maxReadWait
+	for _, e := range o.evacuations {
+		if e.missing {
+			wait = min(wait, max(e.missingUntil-o.clock(), time.Millisecond))
+		}
+	}
+	return wait
+}
+
 // cancelIfBehind cancels a read that takes longer than hangTimeout if another host has read
 // further. A shorter time would also cancel reads that are about to get their answer.
 func (o *operatorRecords) cancelIfBehind(ctx context.Context, cancel func()) {
@@ -110,66 +143,108 @@
 	present := make(map[string]bool, len(change.Records))
 	for _, record := range change.Records {
 		present[record.Key] = true
-		if len(record.Value) == 0 {
+		switch {
+		case len(record.Value) == 0:
 			o.removeKey(record.Key)
-			continue
+		case change.Restored && o.endedBefore(record):
+			o.log.Event("zone", "key", record.Key, "offset", record.Offset, "outcome", "stays open, the record is from before the restore")
+		default:
+			o.applyRecord(record, change.Age)
 		}
-		o.applyRecord(record)
 	}
 	if change.Snapshot {
-		for key := range maps.Clone(o.zoneByKey) {
-			if !present[key] {
-				o.removeKey(key)
-			}
-		}
+		o.removeAbsent(present, change.Restored)
 	}
-	if len(change.Records) > 0 || change.Snapshot {
+	expired := o.removeExpired()
+	if len(change.Records) > 0 || change.Snapshot || expired {
 		o.onChange()
 	}
 }
 
+// endedBefore reports whether a record in the snapshot of a restored log is one that this host has
+// seen being removed.
+func (o *operatorRecords) endedBefore(record follow.Record) bool {
+	e, ok := o.ended[record.Key]
+	return ok && e.offset == record.Offset
+}
+
+// removeAbsent ends the evacuations whose records a snapshot does not have. The snapshot of a restored
+// log may lack records that the operators write again, so what is in force stays for rewriteGrace.
+func (o *operatorRecords) removeAbsent(present map[string]bool, restored bool) {
+	for key, e := range maps.Clone(o.evacuations) {
+		switch {
+		case present[key]:
+		case restored:
+			e.missing = true
+			e.missingUntil = o.clock() + rewriteGrace
+			o.evacuations[key] = e
+			o.log.Event("zone", "zone", e.zone, "outcome", "stays closed, the record was lost in the restore")
+		case !e.missing:
+			o.removeKey(key)
+		}
+	}
+}
+
+// removeExpired ends the evacuations whose records were lost and not written again in time. It
+// reports whether there were any.
+func (o *operatorRecords) removeExpired() bool {
+	expired := false
+	for key, e := range maps.Clone(o.evacuations) {
+		if e.missing && o.clock() >= e.missingUntil {
+			o.removeKey(key)
+			expired = true
+		}
+	}
+	return expired
+}
+
 // applyRecord applies one record. A malformed one is logged and changes nothing.
-func (o *operatorRecords) applyRecord(record follow.Record) {
+func (o *operatorRecords) applyRecord(record follow.Record, age follow.Age) {
 	decoded, err := o.platform.DecodeOperatorRecord(record)
 	if err != nil {
 		o.log.Event("order", "key", record.Key, "offset", record.Offset, "outcome", "rejected", "err", err.Error())
 		return
 	}
 	if decoded.Config != nil {
-		o.applyConfig(decoded.Config, record.Offset)
+		o.applyConfig(decoded.Config, record.Offset, age)
 	}
 	if decoded.EvacuatedZone != "" {
-		o.zoneByKey[record.Key] = decoded.EvacuatedZone
+		o.evacuations[record.Key] = evacuation{zone: decoded.EvacuatedZone, offset: record.Offset}
 		o.publishZones()
 		o.log.Event("zone", "zone", decoded.EvacuatedZone, "outcome", "closed", "offset", record.Offset)
 	}
 }
 
 // applyConfig puts a configuration in force unless the same or a newer version already is.
-func (o *operatorRecords) applyConfig(config *routetable.Config, offset uint64) {
+func (o *operatorRecords) applyConfig(config *routetable.Config, offset uint64, age follow.Age) {
 	if current := o.table.Load(); current != nil && config.Version <= current.Version {
+		if config.Version < current.Version {
+			o.log.Event("config", "version", uint64(config.Version), "in_force", uint64(current.Version), "offset", offset, "outcome", "older, ignored")
+		}
 		return
 	}
 	o.table.Store(routetable.New(*config))
-	o.log.Event("config", "version", uint64(config.Version), "routes", len(config.Routes), "offset", offset, "outcome", "in force")
+	o.log.Event("config", "version", uint64(config.Version), "routes", len(config.Routes), "offset", offset,
+		"relayed", age.Relayed, "age_ms", age.Arrived.Milliseconds(), "outcome", "in force")
 }
 
-// removeKey ends the evacuation of the zone whose record had the given key, if there is one.
+// removeKey ends the evacuation whose record had the given key, if there is one.
 func (o *operatorRecords) removeKey(key string) {
-	zone, ok := o.zoneByKey[key]
+	e, ok := o.evacuations[key]
 	if !ok {
 		return
 	}
-	delete(o.zoneByKey, key)
+	delete(o.evacuations, key)
+	o.ended[key] = e
 	o.publishZones()
-	o.log.Event("zone", "zone", zone, "outcome", "open")
+	o.log.Event("zone", "zone", e.zone, "outcome", "open")
 }
 
 // publishZones replaces the set of evacuated zones that other goroutines read.
 func (o *operatorRecords) publishZones() {
-	evacuated := make(map[string]bool, len(o.zoneByKey))
-	for _, zone := range o.zoneByKey {
-		evacuated[zone] = true
+	evacuated := make(map[string]bool, len(o.evacuations))
+	for _, e := range o.evacuations {
+		evacuated[e.zone] = true
 	}
 	o.evacuated.Store(&evacuated)
 }
--- a/internal/edge/operator_records_test.go
+++ b/internal/edge/operator_records_test.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
+	"github.com/poplarcroft/poplarcroft/internal/clock"
 	"github.com/poplarcroft/poplarcroft/internal/eventlog"
 	"github.com/poplarcroft/poplarcroft/internal/fleet"
 	"github.com/poplarcroft/poplarcroft/internal/follow"
@@ -16,7 +17,8 @@
 )
 
 // fakePlatform decodes records with values of one byte: a version for the key "config", the start
-// time of a server, or "!" for a malformed record. Any other operators' key is an evacuated zone.
+// time of a server, or "!" for a malformed record. Further bytes of a server are its sequence number
+// and any character if it drains. Any other operators' key is an evacuated zone.
 type fakePlatform struct{ Platform }
 
 func (fakePlatform) DecodeOperatorRecord(record follow.Record) (OperatorRecord, error) {
@@ -33,11 +35,16 @@
 	if record.Value[0] == '!' {
 		return fleet.Entry{}, errors.New("malformed")
 	}
-	return fleet.Entry{ID: fleet.ID(record.Key), Service: "revize", Addr: record.Key + ":80", Born: int64(record.Value[0])}, nil
+	decoded := fleet.Entry{ID: fleet.ID(record.Key), Service: "revize", Addr: record.Key + ":80", Born: int64(record.Value[0])}
+	if len(record.Value) > 1 {
+		decoded.Sequence = int64(record.Value[1])
+		decoded.Draining = len(record.Value) > 2
+	}
+	return decoded, nil
 }
 
 func newTestOperatorRecords() *operatorRecords {
-	return newOperatorRecords(fakePlatform{}, eventlog.Discard(), func() {})
+	return newOperatorRecords(fakePlatform{}, clock.Monotonic, eventlog.Discard(), func() {})
 }
 
 func record(key, value string) follow.Record {
@@ -70,7 +77,7 @@
 	return follow.Batch{Records: []follow.Record{{Key: "config", Value: []byte("4"), Offset: 1}}, End: 2}, nil
 }
 
-func (s *hangingSource) Since(ctx context.Context, _ uint64, _ time.Duration) (follow.Batch, error) {
+func (s *hangingSource) Since(ctx context.Context, _ follow.Position, _ time.Duration) (follow.Batch, error) {
 	s.reads++
 	if s.reads == 1 {
 		<-ctx.Done()
@@ -82,13 +89,13 @@
 // slowSource answers each read of changes after 500 ms, as a slow store does.
 type slowSource struct{ hangingSource }
 
-func (s *slowSource) Since(ctx context.Context, offset uint64, wait time.Duration) (follow.Batch, error) {
+func (s *slowSource) Since(ctx context.Context, from follow.Position, wait time.Duration) (follow.Batch, error) {
 	s.reads = 1
 	select {
 	case <-ctx.Done():
 		return follow.Batch{}, ctx.Err()
 	case <-time.After(500 * time.Millisecond):
-		return s.hangingSource.Since(ctx, offset, wait)
+		return s.hangingSource.Since(ctx, from, wait)
 	}
 }
 
@@ -134,3 +141,26 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// TestRestoreUndoesNoEvacuation checks that neither an evacuation that a restore of the log has lost
+// ends, nor one that had ended is in force again, until the operators have written again.
+func TestRestoreUndoesNoEvacuation(t *testing.T) {
+	o := newTestOperatorRecords()
+	now := time.Duration(0)
+	o.clock = func() time.Duration { return now }
+	brno, zlin := record("brno", "1"), record("zlin", "1")
+	brno.Offset, zlin.Offset = 1, 2
+	o.apply(follow.Change{Records: []follow.Record{brno}, Snapshot: true})
+	o.apply(follow.Change{Records: []follow.Record{record("brno", ""), zlin}})
+	o.apply(follow.Change{Records: []follow.Record{brno}, Snapshot: true, Restored: true})
+	assert.Assert(t, o.Evacuated("zlin") && !o.Evacuated("brno"))
+	assert.Equal(t, o.readWait(), rewriteGrace)
+
+	// An evacuation that is ordered anew counts, and one that is not written again ends.
+	brno.Offset = 3
+	o.apply(follow.Change{Records: []follow.Record{brno}})
+	assert.Assert(t, o.Evacuated("zlin") && o.Evacuated("brno"))
+	now = rewriteGrace
+	o.apply(follow.Change{})
+	assert.Assert(t, !o.Evacuated("zlin") && o.Evacuated("brno"))
+}
--- a/internal/edge/platform.go
+++ b/internal/edge/platform.go
@@ -47,9 +47,10 @@
 	DecodeOperatorRecord(record follow.Record) (OperatorRecord, error)
 	// State returns the topic of the hosts' shared state.
 	State() follow.Source
-	// AppendState appends a record to the shared state and returns its offset. If at is not nil, it
-	// appends only if the topic ends at that offset, and otherwise returns ErrConflict.
-	AppendState(ctx context.Context, key string, value []byte, at *uint64) (offset uint64, err error)
+	// AppendState appends a record to the shared state and returns its position. If at is not nil,
+	// it appends only if the topic ends at that offset, and otherwise returns ErrConflict. The
+	// condition holds for the offset in any era, so the caller checks the era of the position.
+	AppendState(ctx context.Context, key string, value []byte, at *uint64) (follow.Position, error)
 	// Elector returns the election of the leader.
 	Elector() leader.Elector
 	// Granter returns the client for granting key ranges to backend servers.
--- a/internal/edge/relays_test.go
+++ b/internal/edge/relays_test.go
@@ -66,7 +66,7 @@
 	return follow.Batch{End: 4}, nil
 }
 
-func (s relayedSource) Since(_ context.Context, _ uint64, _ time.Duration) (follow.Batch, error) {
+func (s relayedSource) Since(_ context.Context, _ follow.Position, _ time.Duration) (follow.Batch, error) {
 	return follow.Batch{
 		Records: []follow.Record{{Key: planKey, Value: s.plan, Offset: 4}}, End: 5,
 		Age: follow.Age{Relayed: true, Arrived: 300 * time.Millisecond, Confirmed: 700 * time.Millisecond},
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -17,6 +17,10 @@
 // outage. An entry that is removed later belongs to a server that is gone.
 const expiryWindow = 250 * time.Millisecond
 
+// endedRetention is how long a server that is gone is remembered. The log is restored from copies
+// that are only seconds old.
+const endedRetention = time.Minute
+
 // servers follows the service discovery and keeps the fleet's entries up to date. It must be
 // used by one goroutine only.
 type servers struct {
@@ -33,18 +37,28 @@
 	// missing holds the keys of removed entries that may come back, with the time at which
 	// they count as gone.
 	missing map[string]time.Duration
+	// ended holds the last entry of each key that counts as gone, with the time. A restore of the
+	// log can bring it back.
+	ended map[string]endedEntry
 	// failing says that the last read failed. recoveredAt is the time of the first successful
 	// read after the last outage.
 	failing     bool
 	recoveredAt time.Duration
 }
 
+// endedEntry is the last entry of a server that is gone.
+type endedEntry struct {
+	fleet.Entry
+	at time.Duration
+}
+
 func newServers(platform Platform, f *fleet.Fleet, clock func() time.Duration, log *eventlog.Log, onChange func()) *servers {
 	return &servers{
 		platform: platform, fleet: f, clock: clock, log: log, onChange: onChange,
 		onEnded:     func(fleet.Entry) {},
 		entries:     make(map[string]fleet.Entry),
 		missing:     make(map[string]time.Duration),
+		ended:       make(map[string]endedEntry),
 		recoveredAt: -returnGrace,
 	}
 }
@@ -65,6 +79,10 @@
 		s.recoveredAt = now
 		s.log.Event("dependency", "name", "service discovery", "outcome", "regained")
 	}
+	if change.Restored {
+		s.recoveredAt = now
+		s.log.Event("restored", "topic", "servers", "era", follower.Next().Era.Number(), "next", follower.Next().Offset)
+	}
 	s.apply(change, now)
 	return nil
 }
@@ -81,7 +99,7 @@
 			s.markMissing(record.Key, now)
 			continue
 		}
-		s.applyEntry(record)
+		s.applyEntry(record, change.Restored)
 	}
 	if change.Snapshot {
 		for key := range s.entries {
@@ -101,9 +119,13 @@
 }
 
 // applyEntry adds or replaces one entry. A malformed record removes the entry, since it names no
-// server that could be used.
-func (s *servers) applyEntry(record follow.Record) {
+// server that could be used. restored says that the record is in the snapshot of a restored log.
+func (s *servers) applyEntry(record follow.Record, restored bool) {
 	entry, err := s.platform.DecodeServer(record)
+	if err == nil && s.outdated(record.Key, entry, restored) {
+		s.log.Routine("server", "id", record.Key, "born", entry.Born, "sequence", entry.Sequence, "offset", record.Offset, "outcome", "outdated")
+		return
+	}
 	if err != nil {
 		s.log.Event("server", "id", record.Key, "outcome", "rejected", "err", err.Error())
 		delete(s.entries, record.Key)
@@ -120,6 +142,23 @@
 	delete(s.missing, record.Key)
 }
 
+// outdated reports whether this host knows a newer entry of the server. A server numbers the entries
+// of an incarnation. The snapshot of a restored log may be older than all that this host has read,
+// also the removal of an entry.
+func (s *servers) outdated(key string, entry fleet.Entry, restored bool) bool {
+	if known, ok := s.entries[key]; ok {
+		if known.Born == entry.Born {
+			return restored || entry.Sequence < known.Sequence
+		}
+		return restored && entry.Born < known.Born
+	}
+	ended, ok := s.ended[key]
+	if !ok {
+		return false
+	}
+	return restored && entry.Born <= ended.Born || entry.Born == ended.Born && entry.Sequence < ended.Sequence
+}
+
 // reportEnded calls onEnded for the incarnations that a new entry proves to have ended: an older
 // one with the same ID, and any older one at the same address.
 func (s *servers) reportEnded(key string, entry fleet.Entry) {
@@ -154,8 +193,14 @@
 		if now >= at {
 			s.log.Event("server", "id", key, "outcome", "gone")
 			s.onEnded(s.entries[key])
+			s.ended[key] = endedEntry{s.entries[key], now}
 			delete(s.missing, key)
 			delete(s.entries, key)
 		}
 	}
+	for key, ended := range s.ended {
+		if now-ended.at > endedRetention {
+			delete(s.ended, key)
+		}
+	}
 }
--- a/internal/edge/servers_test.go
+++ b/internal/edge/servers_test.go
@@ -77,3 +77,40 @@
 	s.apply(follow.Change{Records: []follow.Record{record("a", "2")}}, 2*time.Second)
 	assert.DeepEqual(t, ended, []fleet.ID{"a"})
 }
+
+// entry returns a record of the service discovery. The value is the start time and the sequence
+// number, one byte each, and "d" for a server that drains.
+func entry(key, value string) follow.Record {
+	return follow.Record{Key: key, Value: []byte(value)}
+}
+
+// TestRestoreBringsBackNoOlderEntry checks that the snapshot of a restored log neither makes a draining
+// server ready nor brings back one that is gone, and that a lost entry counts as missing for a while.
+func TestRestoreBringsBackNoOlderEntry(t *testing.T) {
+	s, f := newTestServers()
+	s.apply(follow.Change{Records: []follow.Record{entry("a", "14"), entry("b", "11"), entry("c", "11")}, Snapshot: true}, 10*time.Second)
+	s.apply(follow.Change{Records: []follow.Record{entry("a", "15d"), entry("b", ""), entry("d", "11")}}, 11*time.Second)
+	s.recoveredAt = 12 * time.Second
+	s.apply(follow.Change{Records: []follow.Record{entry("a", "14"), entry("b", "11"), entry("c", "11")}, Snapshot: true, Restored: true}, 12*time.Second)
+	a, ok := f.Server("a")
+	assert.Assert(t, ok && a.Entry().Draining)
+	present, missing := ids(f)
+	assert.DeepEqual(t, present, []string{"a", "c"})
+	assert.DeepEqual(t, missing, []string{"d"})
+
+	// What the servers write from then on counts.
+	s.apply(follow.Change{Records: []follow.Record{entry("b", "21"), entry("d", "12")}}, 13*time.Second)
+	present, missing = ids(f)
+	assert.DeepEqual(t, present, []string{"a", "b", "c", "d"})
+	assert.Equal(t, len(missing), 0)
+}
+
+// TestLateEntryIsIgnored checks that an entry that arrives after a newer one of the same incarnation
+// changes nothing.
+func TestLateEntryIsIgnored(t *testing.T) {
+	s, f := newTestServers()
+	s.apply(follow.Change{Records: []follow.Record{entry("a", "15d")}, Snapshot: true}, 10*time.Second)
+	s.apply(follow.Change{Records: []follow.Record{entry("a", "14")}}, 11*time.Second)
+	a, ok := f.Server("a")
+	assert.Assert(t, ok && a.Entry().Draining)
+}
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -37,9 +37,13 @@
 	// onChange is called after each read with changes, onRead after each successful read.
 	onChange, onRead func()
 
+	// registered is set while this host's record is known to be in the topic. Only the goroutine
+	// that reads uses it.
+	registered bool
+
 	mu sync.Mutex
-	// next is the offset after the last record that was read or written.
-	next uint64
+	// next is the position after the last record that was read or written.
+	next follow.Position
 	// hosts holds the registered hosts by key.
 	hosts map[string]assign.Host
 }
@@ -59,6 +63,10 @@
 		// request before started, so the ages that it reports count from there.
 		arrivedAt = started - change.Age.Arrived
 	}
+	if change.Restored {
+		s.registered = false
+		s.log.Event("restored", "topic", "state", "era", follower.Next().Era.Number(), "plan", uint64(s.current.Plan().Version))
+	}
 	for _, record := range change.Records {
 		s.apply(record, arrivedAt)
 	}
@@ -139,7 +147,7 @@
 	return hosts
 }
 
-// register writes this host's record to the topic.
+// register writes this host's record to the topic. A restore of the log can lose it.
 func (s *state) register(ctx context.Context, self assign.Host) error {
 	value, err := json.Marshal(self)
 	if err != nil {
@@ -147,8 +155,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
-	_, err = s.platform.AppendState(ctx, hostPrefix+self.Name, value, nil)
-	return err
+	if _, err = s.platform.AppendState(ctx, hostPrefix+self.Name, value, nil); err != nil {
+		return err
+	}
+	s.registered = true
+	return nil
 }
 
 // NextVersion implements leader.Store. It returns the version of a plan that is written at the
@@ -156,7 +167,7 @@
 func (s *state) NextVersion() assign.Fence {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return assign.FenceAt(s.next)
+	return assign.FenceAt(s.next.Offset)
 }
 
 // Write implements leader.Store. It writes the plan only if it gets the version next, that is if no
@@ -167,16 +178,19 @@
 		return assign.Plan{}, errors.NewAssertionErrorWithWrappedErrf(err, "plan")
 	}
 	at := uint64(next) - 1 // the inverse of assign.FenceAt
-	offset, err := s.platform.AppendState(ctx, planKey, value, &at)
+	position, err := s.platform.AppendState(ctx, planKey, value, &at)
 	if errors.Is(err, ErrConflict) {
 		return assign.Plan{}, errors.Mark(err, leader.ErrConflict)
 	}
 	if err != nil {
 		return assign.Plan{}, err
 	}
-	plan.Version = assign.FenceAt(offset)
+	plan.Version = assign.FenceAt(position.Offset)
+	position.Offset++
 	s.mu.Lock()
-	s.next = max(s.next, offset+1)
+	if position.Ordinal() > s.next.Ordinal() {
+		s.next = position
+	}
 	s.mu.Unlock()
 	return plan, nil
 }
--- a/internal/edge/topics.go
+++ b/internal/edge/topics.go
@@ -66,13 +66,11 @@
 // followState is the loop that registers this host and then follows the hosts' shared state.
 func (h *Host) followState(ctx context.Context) {
 	follower := follow.New(h.relay.Source(topicState, h.platform.State(), relay.Options{}))
-	registered := false
 	h.readLoop(ctx, "state", func(ctx context.Context) error {
-		if !registered {
+		if !h.state.registered {
 			if err := h.state.register(ctx, h.self); err != nil {
 				return err
 			}
-			registered = true
 		}
 		return h.state.read(ctx, follower, stateWait)
 	})
--- a/internal/follow/checked.go
+++ b/internal/follow/checked.go
@@ -22,15 +22,15 @@
 }
 
 // Since implements Source.
-func (c Checked) Since(ctx context.Context, offset uint64, wait time.Duration) (Batch, error) {
+func (c Checked) Since(ctx context.Context, from Position, wait time.Duration) (Batch, error) {
 	if wait <= c.CheckAfter {
-		return c.Source.Since(ctx, offset, wait)
+		return c.Source.Since(ctx, from, wait)
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	waiting := make(chan readResult, 1)
 	go func() {
-		batch, err := c.Source.Since(ctx, offset, wait)
+		batch, err := c.Source.Since(ctx, from, wait)
 		waiting <- readResult{batch, err}
 	}()
 	timer := time.NewTimer(c.CheckAfter)
@@ -41,7 +41,7 @@
 	case <-timer.C:
 	}
 	// The check is only an addition: if it fails, the waiting read is still in flight and decides.
-	if batch, err := c.Source.Since(ctx, offset, 0); err == nil && len(batch.Records) > 0 {
+	if batch, err := c.Source.Since(ctx, from, 0); err == nil && len(batch.Records) > 0 {
 		return batch, nil
 	}
 	result := <-waiting
--- a/internal/follow/checked_test.go
+++ b/internal/follow/checked_test.go
@@ -18,7 +18,7 @@
 
 func (s *missingSource) Newest(context.Context) (Batch, error) { return Batch{}, nil }
 
-func (s *missingSource) Since(ctx context.Context, offset uint64, wait time.Duration) (Batch, error) {
+func (s *missingSource) Since(ctx context.Context, from Position, wait time.Duration) (Batch, error) {
 	s.reads.Add(1)
 	if wait > 0 {
 		select {
@@ -28,9 +28,9 @@
 		}
 	}
 	if time.Now().Before(s.written) {
-		return Batch{End: offset}, nil
+		return Batch{End: from.Offset}, nil
 	}
-	return Batch{Records: []Record{{Key: "config", Offset: offset}}, End: offset + 1}, nil
+	return Batch{Records: []Record{{Key: "config", Offset: from.Offset}}, End: from.Offset + 1}, nil
 }
 
 // TestRecordThatALongReadMissesIsFound is a regression test (scale-2 of the Moravia run, seed
@@ -40,7 +40,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		source := &missingSource{written: time.Now().Add(60 * time.Millisecond)}
 		started := time.Now()
-		batch, err := Checked{Source: source, CheckAfter: 400 * time.Millisecond}.Since(t.Context(), 2, 20*time.Second)
+		batch, err := Checked{Source: source, CheckAfter: 400 * time.Millisecond}.Since(t.Context(), Position{Offset: 2}, 20*time.Second)
 		assert.NilError(t, err)
 		assert.Equal(t, len(batch.Records), 1)
 		assert.Equal(t, time.Since(started), 400*time.Millisecond)
@@ -52,7 +52,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		source := &missingSource{written: time.Now().Add(time.Hour)}
 		started := time.Now()
-		batch, err := Checked{Source: source, CheckAfter: 400 * time.Millisecond}.Since(t.Context(), 2, 20*time.Second)
+		batch, err := Checked{Source: source, CheckAfter: 400 * time.Millisecond}.Since(t.Context(), Position{Offset: 2}, 20*time.Second)
 		assert.NilError(t, err)
 		assert.Equal(t, batch.End, uint64(2))
 		assert.Equal(t, time.Since(started), 20*time.Second)
--- a/internal/leader/simulation_follow_test.go
+++ b/internal/leader/simulation_follow_test.go
@@ -16,12 +16,12 @@
 }
 
 // Since implements follow.Source for the plan. The answer is delayed at random.
-func (h *simHost) Since(ctx context.Context, offset uint64, wait time.Duration) (follow.Batch, error) {
+func (h *simHost) Since(ctx context.Context, from follow.Position, wait time.Duration) (follow.Batch, error) {
 	h.sim.mu.Lock()
 	pause := time.Duration(5+h.sim.rng.IntN(300)) * time.Millisecond
 	connected := h.sim.connected(h.self.Name, "store")
-	batch := follow.Batch{End: max(uint64(len(h.sim.plans)), offset)}
-	for at := offset; at < batch.End; at++ {
+	batch := follow.Batch{End: max(uint64(len(h.sim.plans)), from.Offset)}
+	for at := from.Offset; at < batch.End; at++ {
 		batch.Records = append(batch.Records, follow.Record{Offset: at})
 	}
 	h.sim.mu.Unlock()
@@ -66,7 +66,7 @@
 	next := uint64(0)
 	for ctx.Err() == nil {
 		began := h.sim.now()
-		batch, err := source.Since(ctx, next, 0)
+		batch, err := source.Since(ctx, follow.Position{Offset: next}, 0)
 		if err != nil {
 			h.current.NoteReadFailure()
 			time.Sleep(50 * time.Millisecond)
--- a/internal/relay/cache.go
+++ b/internal/relay/cache.go
@@ -21,8 +21,9 @@
 	keep      Filter
 	// valid is set while the cache can answer reads.
 	valid bool
-	// The cache covers the offsets from first to end, without end. records holds those of their
-	// records that keep selects, and bytes is the total size of their keys and values.
+	// The cache covers the offsets of one era from first to end, without end. records holds those
+	// of their records that keep selects, and bytes is the total size of their keys and values.
+	era        follow.Era
 	first, end uint64
 	records    []cachedRecord
 	bytes      int
@@ -45,14 +46,15 @@
 	return &topicCache{newFilter: newFilter, changed: make(chan struct{})}
 }
 
-// add adds the result of a read from an offset. The read began at began; now is the present time.
+// add adds the result of a read from an offset of the batch's era. The read began at began; now is
+// the present time.
 func (c *topicCache) add(offset uint64, batch follow.Batch, began, now time.Duration) {
 	arrived := now
 	if c.readFailed {
 		arrived = c.confirmedAt
 	}
-	if !c.valid {
-		c.reset(offset)
+	if !c.valid || c.era != batch.Era {
+		c.reset(batch.Era, offset)
 	}
 	for _, record := range batch.Records {
 		if c.keep(record) {
@@ -73,10 +75,10 @@
 	c.changed = make(chan struct{})
 }
 
-// prepareRead prepares for a read from an offset and reports whether that read continues where the
+// prepareRead prepares for a read from a position and reports whether that read continues where the
 // last one ended. Otherwise the cache cannot answer until the read has been answered.
-func (c *topicCache) prepareRead(offset uint64) bool {
-	if c.valid && offset == c.end {
+func (c *topicCache) prepareRead(from follow.Position) bool {
+	if c.valid && from == (follow.Position{Era: c.era, Offset: c.end}) {
 		return true
 	}
 	c.invalidate()
@@ -93,10 +95,11 @@
 	c.notify()
 }
 
-// reset empties the cache and begins at an offset. It also creates a new filter, whose state
-// must not depend on records before the gap.
-func (c *topicCache) reset(offset uint64) {
+// reset empties the cache and begins at an offset of an era. It also creates a new filter, whose
+// state must not depend on records before the gap.
+func (c *topicCache) reset(era follow.Era, offset uint64) {
 	c.valid = true
+	c.era = era
 	c.keep = c.newFilter()
 	c.first = offset
 	c.records = nil
@@ -117,9 +120,10 @@
 	return len(record.Key) + len(record.Value)
 }
 
-// has reports whether the cache has all records from the offset on that other hosts need.
-func (c *topicCache) has(offset uint64) bool {
-	return c.valid && offset >= c.first
+// has reports whether the cache has all records from the position on that other hosts need. It has
+// none of another era: a host that is behind or ahead in eras has to find out from the platform.
+func (c *topicCache) has(from follow.Position) bool {
+	return c.valid && from.Era == c.era && from.Offset >= c.first
 }
 
 // recordsSince returns the cached records from an offset on. The outcome is Behind if the cache does not
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -33,8 +33,8 @@
 // Ask is a request to read a topic from another host.
 type Ask struct {
 	Topic Topic
-	// Offset is the first offset to read.
-	Offset uint64
+	// From is the position of the first record to read.
+	From follow.Position
 	// Wait is how long the answer may be delayed until there is a record.
 	Wait time.Duration
 }
@@ -45,7 +45,8 @@
 const (
 	// Answered means that the reply holds the records of the topic from the requested offset on.
 	Answered Outcome = iota
-	// NotReading means that the host does not read the topic, or has no records from that offset on.
+	// NotReading means that the host does not read the topic, has no records from that offset on,
+	// or has read the topic in another era.
 	NotReading
 	// Behind means that the relay has not read as far as the querying host.
 	Behind
@@ -72,7 +73,7 @@
 type Reply struct {
 	Outcome Outcome
 	Records []follow.Record
-	// End is the offset after the last record that the relay has read.
+	// End is the offset after the last record that the relay has read, in the era of the query.
 	End uint64
 	Age follow.Age
 }
@@ -129,6 +130,8 @@
 	hadContact  bool
 	// contactLost is set if a read has failed since the platform last answered one.
 	contactLost bool
+	// era is the latest era of the log in which any topic was read.
+	era follow.Era
 	// reads holds the start time of each read from the platform that is in flight.
 	reads map[*context.CancelCauseFunc]time.Duration
 	// lastQueried is when another host last queried this one; wasQueried is set if one has.
@@ -178,17 +181,23 @@
 	r.config.Log.Event("relay", "relay", host.Name, "outcome", "avoided", "reason", reason)
 }
 
-// errContactRegained is the cause with which reads are canceled that began before an outage ended.
+// errContactRegained is the cause with which reads are canceled that began before an outage ended,
+// or before a restore of the log, which is an outage too.
 var errContactRegained = errors.New("relay: read canceled because contact with the platform was lost and regained since it began")
 
-// recordContact records that the platform has answered a read that began at the given time. If
-// reads had failed before, older reads still in flight may never be answered, so they are canceled.
-func (r *Relay) recordContact(began time.Duration) {
+// recordContact records that the platform has answered a read that began at the given time, in the
+// given era of the log. If reads had failed before, or the log has been restored, older reads still
+// in flight may never be answered, so they are canceled.
+func (r *Relay) recordContact(began time.Duration, era follow.Era) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.hadContact = true
 	r.lastContact = max(r.lastContact, began)
-	if !r.contactLost {
+	restored := era > r.era
+	if restored {
+		r.recordEra(era)
+	}
+	if !r.contactLost && !restored {
 		return
 	}
 	r.contactLost = false
@@ -199,6 +208,20 @@
 	}
 }
 
+// recordEra records a later era of the log. What was read in an older one answers no queries any
+// more. The caller holds the lock.
+func (r *Relay) recordEra(era follow.Era) {
+	if r.era != follow.UnknownEra {
+		r.config.Log.Event("relay", "outcome", "log restored", "era", uint64(era), "era_before", uint64(r.era))
+	}
+	r.era = era
+	for _, c := range r.caches {
+		if c.era < era {
+			c.invalidate()
+		}
+	}
+}
+
 // recordFailedRead records that a read of a topic failed. A read that this host canceled itself
 // does not mean that contact is lost.
 func (r *Relay) recordFailedRead(topic Topic, err error) {
@@ -207,7 +230,7 @@
 	c := r.caches[topic]
 	c.readFailed = true
 	switch {
-	case errors.Is(err, follow.ErrCompacted):
+	case errors.IsAny(err, follow.ErrCompacted, follow.ErrRestored):
 		c.invalidate()
 	case !errors.IsAny(err, context.Canceled, errContactRegained):
 		r.contactLost = true
@@ -268,14 +291,14 @@
 	r.lastQueried = now
 	r.wasQueried = true
 	c := r.caches[ask.Topic]
-	if c == nil || !c.has(ask.Offset) {
+	if c == nil || !c.has(ask.From) {
 		return Reply{Outcome: NotReading}, nil, 0
 	}
 	age := r.contactAge(now)
 	if age >= maxContactAge {
 		return Reply{Outcome: NoContact}, nil, 0
 	}
-	reply := c.recordsSince(ask.Offset, now)
+	reply := c.recordsSince(ask.From.Offset, now)
 	if len(reply.Records) > 0 {
 		return reply, nil, 0
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -97,7 +97,7 @@
 }
 
 // Since implements follow.Source. It does not wait.
-func (h *testHost) Since(_ context.Context, offset uint64, _ time.Duration) (follow.Batch, error) {
+func (h *testHost) Since(_ context.Context, from follow.Position, _ time.Duration) (follow.Batch, error) {
 	z := h.zone
 	if z.has(&h.partitioned) {
 		time.Sleep(time.Second)
@@ -106,14 +106,14 @@
 	z.mu.Lock()
 	defer z.mu.Unlock()
 	h.reads++
-	return follow.Batch{Records: z.records[offset:], End: uint64(len(z.records))}, nil
+	return follow.Batch{Records: z.records[from.Offset:], End: uint64(len(z.records))}, nil
 }
 
 // followTopic reads the topic until the context ends.
 func (h *testHost) followTopic(ctx context.Context) {
 	next := uint64(0)
 	for ctx.Err() == nil {
-		batch, err := h.source.Since(ctx, next, 0)
+		batch, err := h.source.Since(ctx, follow.Position{Offset: next}, 0)
 		if err != nil {
 			time.Sleep(100 * time.Millisecond)
 			continue
@@ -225,7 +225,7 @@
 		record := follow.Record{Key: "a", Offset: 4}
 		r.recordRead("servers", 4, follow.Batch{Records: []follow.Record{record}, End: 5}, now())
 		time.Sleep(time.Second)
-		reply := r.Serve(t.Context(), Ask{Topic: "servers", Offset: 4, Wait: relayWait})
+		reply := r.Serve(t.Context(), Ask{Topic: "servers", From: follow.Position{Offset: 4}, Wait: relayWait})
 		assert.DeepEqual(t, reply.Age, follow.Age{Relayed: true, Arrived: time.Second, Confirmed: time.Second})
 
 		// A read has failed, so the next record may have been written right after the last successful one.
@@ -233,7 +233,7 @@
 		record.Offset = 5
 		time.Sleep(time.Second)
 		r.recordRead("servers", 5, follow.Batch{Records: []follow.Record{record}, End: 6}, now())
-		reply = r.Serve(t.Context(), Ask{Topic: "servers", Offset: 5, Wait: relayWait})
+		reply = r.Serve(t.Context(), Ask{Topic: "servers", From: follow.Position{Offset: 5}, Wait: relayWait})
 		assert.DeepEqual(t, reply.Age, follow.Age{Relayed: true, Arrived: 2 * time.Second, Confirmed: 0})
 	})
 }
@@ -245,7 +245,7 @@
 		r := New(Config{Hosts: func() ([]Host, int) { return nil, 0 }, MustReadDirectly: func() bool { return true }, Clock: now, Log: eventlog.Discard()})
 		r.Source("servers", nil, Options{})
 		serve := func(offset uint64) Outcome {
-			return r.Serve(t.Context(), Ask{Topic: "servers", Offset: offset, Wait: relayWait}).Outcome
+			return r.Serve(t.Context(), Ask{Topic: "servers", From: follow.Position{Offset: offset}, Wait: relayWait}).Outcome
 		}
 		assert.Equal(t, serve(0), NotReading)
 		assert.Equal(t, r.Serve(t.Context(), Ask{Topic: "unknown"}).Outcome, NotReading)
@@ -267,7 +267,7 @@
 		c.add(i, follow.Batch{Records: []follow.Record{{Value: value, Offset: i}}, End: i + 1}, 0, 0)
 	}
 	assert.Assert(t, c.bytes <= maxCachedBytes)
-	assert.Assert(t, !c.has(5))
+	assert.Assert(t, !c.has(follow.Position{Offset: 5}))
 	assert.Equal(t, len(c.recordsSince(6, 0).Records), 4)
 }
 
@@ -284,7 +284,7 @@
 	}
 	c := newTopicCache(newFilter)
 	add := func(offset uint64, value string) {
-		c.prepareRead(offset)
+		c.prepareRead(follow.Position{Offset: offset})
 		c.add(offset, follow.Batch{Records: []follow.Record{{Value: []byte(value), Offset: offset}}, End: offset + 1}, 0, 0)
 	}
 	add(0, "ready")
@@ -301,13 +301,13 @@
 	return follow.Batch{}, nil
 }
 
-func (s *firstReadUnanswered) Since(ctx context.Context, offset uint64, _ time.Duration) (follow.Batch, error) {
+func (s *firstReadUnanswered) Since(ctx context.Context, from follow.Position, _ time.Duration) (follow.Batch, error) {
 	s.reads++
 	if s.reads == 1 {
 		<-ctx.Done()
 		return follow.Batch{}, ctx.Err()
 	}
-	return follow.Batch{Records: []follow.Record{{Key: "config", Offset: offset}}, End: offset + 1}, nil
+	return follow.Batch{Records: []follow.Record{{Key: "config", Offset: from.Offset}}, End: from.Offset + 1}, nil
 }
 
 // TestReadFromBeforeAnOutageIsCanceled is a regression test (trouble-3 of the Moravia run): a read of
@@ -321,7 +321,7 @@
 		orders := h.relay.Source("orders", &firstReadUnanswered{}, Options{})
 		ended := make(chan error, 1)
 		go func() {
-			_, err := orders.Since(t.Context(), 3, time.Minute)
+			_, err := orders.Since(t.Context(), follow.Position{Offset: 3}, time.Minute)
 			ended <- err
 		}()
 		z.withFollowers(t, func() {
@@ -333,7 +333,7 @@
 			default:
 				t.Fatal("the read from before the outage has not been canceled")
 			}
-			batch, err := orders.Since(t.Context(), 3, time.Minute)
+			batch, err := orders.Since(t.Context(), follow.Position{Offset: 3}, time.Minute)
 			assert.NilError(t, err)
 			assert.Equal(t, batch.End, uint64(4))
 		})
@@ -352,11 +352,13 @@
 		orders := r.Source("orders", &firstReadUnanswered{}, Options{})
 		r.recordRead("orders", 0, follow.Batch{End: 1}, now())
 		outcome := make(chan Outcome)
-		go func() { outcome <- r.Serve(t.Context(), Ask{Topic: "orders", Offset: 1, Wait: relayWait}).Outcome }()
+		go func() {
+			outcome <- r.Serve(t.Context(), Ask{Topic: "orders", From: follow.Position{Offset: 1}, Wait: relayWait}).Outcome
+		}()
 		time.Sleep(100 * time.Millisecond)
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		go orders.Since(ctx, 3, time.Minute)
+		go orders.Since(ctx, follow.Position{Offset: 3}, time.Minute)
 		synctest.Wait()
 		assert.Equal(t, <-outcome, NotReading)
 		assert.Equal(t, now(), 100*time.Millisecond)
@@ -364,3 +366,40 @@
 		synctest.Wait()
 	})
 }
+
+// TestRelayDoesNotAnswerAcrossARestore checks that a relay answers no host that has read the topic
+// in another era: their offsets belong to different records. A query in progress ends at once, also
+// if the relay has learned of the restore from another topic.
+func TestRelayDoesNotAnswerAcrossARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		started := time.Now()
+		now := func() time.Duration { return time.Since(started) }
+		r := New(Config{Hosts: func() ([]Host, int) { return nil, 0 }, MustReadDirectly: func() bool { return true }, Clock: now, Log: eventlog.Discard()})
+		orders := r.Source("orders", &firstReadUnanswered{}, Options{})
+		r.Source("servers", nil, Options{})
+		serve := func(era follow.Era) Outcome {
+			return r.Serve(t.Context(), Ask{Topic: "orders", From: follow.Position{Era: era, Offset: 5}}).Outcome
+		}
+		r.recordRead("orders", 5, follow.Batch{Era: 1, End: 5}, now())
+		assert.Equal(t, serve(1), Answered)
+		assert.Equal(t, serve(2), NotReading)
+		read := make(chan error, 1)
+		go func() {
+			_, err := orders.Since(t.Context(), follow.Position{Era: 1, Offset: 5}, time.Minute)
+			read <- err
+		}()
+		outcome := make(chan Outcome, 1)
+		go func() {
+			outcome <- r.Serve(t.Context(), Ask{Topic: "orders", From: follow.Position{Era: 1, Offset: 5}, Wait: relayWait}).Outcome
+		}()
+		time.Sleep(100 * time.Millisecond)
+		r.recordRead("servers", 0, follow.Batch{Era: 2, End: 3}, now())
+		assert.Equal(t, <-outcome, NotReading)
+		assert.ErrorIs(t, <-read, errContactRegained)
+		assert.Equal(t, now(), 100*time.Millisecond)
+		assert.Equal(t, serve(1), NotReading)
+		r.recordRead("orders", 4, follow.Batch{Era: 2, End: 7}, now())
+		assert.Equal(t, serve(1), NotReading)
+		assert.Equal(t, serve(2), Answered)
+	})
+}
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -64,14 +64,14 @@
 		return follow.Batch{}, err
 	}
 	s.lastStart = began
-	s.relay.recordContact(began)
+	s.relay.recordContact(began, batch.Era)
 	return batch, nil
 }
 
 // Since implements follow.Source. It queries the relay first, if there is one.
-func (s *Source) Since(ctx context.Context, offset uint64, wait time.Duration) (follow.Batch, error) {
+func (s *Source) Since(ctx context.Context, from follow.Position, wait time.Duration) (follow.Batch, error) {
 	if host, ok := s.relay.chooseRelay(); ok {
-		batch, err := s.ask(ctx, host, offset)
+		batch, err := s.ask(ctx, host, from)
 		if err == nil {
 			s.relay.Counters.Relayed.Add(1)
 			return batch, nil
@@ -83,12 +83,12 @@
 		wait = min(wait, fallbackWait)
 	}
 	loop.Sleep(ctx, s.lastStart+s.minInterval()-s.relay.config.Clock())
-	return s.read(ctx, offset, wait)
+	return s.read(ctx, from, wait)
 }
 
 // read reads from the platform and caches the records for other hosts.
-func (s *Source) read(ctx context.Context, offset uint64, wait time.Duration) (follow.Batch, error) {
-	if !s.relay.prepareRead(s.topic, offset) {
+func (s *Source) read(ctx context.Context, from follow.Position, wait time.Duration) (follow.Batch, error) {
+	if !s.relay.prepareRead(s.topic, from) {
 		// The cache can answer other hosts only after this read, so the read must not wait.
 		wait = 0
 	}
@@ -97,7 +97,7 @@
 	s.lastStart = began
 	readCtx, endRead := s.relay.trackRead(ctx, began)
 	defer endRead()
-	batch, err := s.direct.Since(readCtx, offset, wait)
+	batch, err := s.direct.Since(readCtx, from, wait)
 	if err != nil {
 		if cause := context.Cause(readCtx); cause != nil {
 			err = cause
@@ -105,7 +105,7 @@
 		s.relay.recordFailedRead(s.topic, err)
 		return follow.Batch{}, err
 	}
-	s.relay.recordRead(s.topic, offset, batch, began)
+	s.relay.recordRead(s.topic, from.Offset, batch, began)
 	return batch, nil
 }
 
@@ -113,25 +113,25 @@
 // whether that read continues where the last one ended. Otherwise this host has skipped records
 // (they came through a relay or from Newest), and its cache cannot answer until that read is
 // answered.
-func (r *Relay) prepareRead(topic Topic, offset uint64) bool {
+func (r *Relay) prepareRead(topic Topic, from follow.Position) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.caches[topic].prepareRead(offset)
+	return r.caches[topic].prepareRead(from)
 }
 
 // recordRead caches the result of a read from the platform.
 func (r *Relay) recordRead(topic Topic, offset uint64, batch follow.Batch, began time.Duration) {
-	r.recordContact(began)
+	r.recordContact(began, batch.Era)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.caches[topic].add(offset, batch, began, r.config.Clock())
 }
 
 // ask reads from another host. A host that does not answer or has no contact is not queried again for a while.
-func (s *Source) ask(ctx context.Context, host Host, offset uint64) (follow.Batch, error) {
+func (s *Source) ask(ctx context.Context, host Host, from follow.Position) (follow.Batch, error) {
 	callCtx, cancel := context.WithTimeout(ctx, relayWait+replyTimeout)
 	defer cancel()
-	reply, err := s.relay.config.Ask(callCtx, host, Ask{Topic: s.topic, Offset: offset, Wait: relayWait})
+	reply, err := s.relay.config.Ask(callCtx, host, Ask{Topic: s.topic, From: from, Wait: relayWait})
 	if err != nil {
 		if ctx.Err() == nil {
 			s.relay.avoidHost(host, err.Error())
@@ -140,7 +140,7 @@
 	}
 	switch reply.Outcome {
 	case Answered:
-		return follow.Batch{Records: reply.Records, End: reply.End, Age: reply.Age}, nil
+		return follow.Batch{Records: reply.Records, Era: from.Era, End: reply.End, Age: reply.Age}, nil
 	case NoContact:
 		s.relay.avoidHost(host, reply.Outcome.String())
 	}
