assign, leader: fences and plans outlast a restore of the log

What callers would see: two servers hold one key (OWNER), so a sign-off can be recorded twice. Change: a fence is era and offset; a plan carries the era in which it was written, and is verified only by a log of that era. TestSimulationDetectsHiddenPlans: a violation where hosts hide their plans.

--- a/internal/assign/current.go
+++ b/internal/assign/current.go
@@ -11,13 +11,20 @@
 type Current struct {
 	mu   sync.Mutex
 	plan Plan
-	// verifiedAt is when the plan was last known to be the newest.
-	verifiedAt time.Duration
-	// readFailed is set if a read of the plan has failed since it was verified.
+	// copied is set if the plan was read from a log that had been restored since it was written.
+	// Then it may be older than the plan that other hosts act by, and it may even be one that
+	// nobody acts by, which a leader wrote before it learned of the restore.
+	copied bool
+	// verifiedAt is when the plan was last known to be the newest. readAt is when the log was last
+	// known to hold no newer one.
+	verifiedAt, readAt time.Duration
+	// era is the number of the era in which the log was last read.
+	era uint64
+	// readFailed is set if a read of the plan has failed since readAt.
 	readFailed bool
 	// writtenAfter is the earliest time at which the plan can have been written. If no read has
-	// failed since the last verification, it is the time at which the plan was read, as a read
-	// returns a plan shortly after it is written; otherwise it is the time of that verification.
+	// failed since readAt, it is the time at which the plan was read, as a read returns a plan
+	// shortly after it is written; otherwise it is readAt. It is zero for a plan from before a restore.
 	writtenAfter time.Duration
 	// changed is closed and replaced when a newer plan is adopted.
 	changed chan struct{}
@@ -50,7 +57,7 @@
 	return c.writtenAfter
 }
 
-// NoteReadFailure records that a read of the plan failed. Until the next verification, a plan
+// NoteReadFailure records that a read of the plan failed. Until the next call of Verify, a plan
 // that is adopted may have been written at any time since the last one.
 func (c *Current) NoteReadFailure() {
 	c.mu.Lock()
@@ -59,36 +66,80 @@
 }
 
 // AdoptOfUnknownAge adopts the plan if its version is higher than the known one. The plan may
-// have been written at any time since the last verification. It reports whether it was adopted.
+// have been written at any time since the last call of Verify. It reports whether it was adopted.
 func (c *Current) AdoptOfUnknownAge(plan Plan) bool {
 	c.NoteReadFailure()
 	return c.Adopt(plan, 0)
 }
 
-// Adopt adopts a plan that was read at the given time if its version is higher than the known
-// one, and reports whether it did. The caller must not change the plan afterwards.
+// AdoptFromLog adopts a plan that was read at the given time, in the era of the log with the given
+// number, and reports whether it did. A plan of an older era is adopted only by a host that knows no
+// other, which routes requests by it and renews nothing.
+func (c *Current) AdoptFromLog(plan Plan, now time.Duration, era uint64) bool {
+	if plan.Version.Era() >= era {
+		return c.Adopt(plan, now)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.plan.Version != 0 && (!c.copied || plan.Version <= c.plan.Version) {
+		return false
+	}
+	c.copied = true
+	c.replace(plan, now)
+	return true
+}
+
+// Adopt adopts a plan that was read at the given time, and reports whether it did: if its version is
+// higher than the known one, or the known one is copied. The caller must not change the plan
+// afterwards.
 func (c *Current) Adopt(plan Plan, now time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if plan.Version <= c.plan.Version {
+	if plan.Version <= c.plan.Version && !c.copied {
 		return false
 	}
+	c.copied = false
+	c.replace(plan, now)
+	return true
+}
+
+// replace replaces the plan. The caller holds the lock.
+func (c *Current) replace(plan Plan, now time.Duration) {
 	c.plan = plan
-	c.writtenAfter = now
-	if c.readFailed {
-		c.writtenAfter = c.verifiedAt
+	switch {
+	case plan.Version.Era() < c.era:
+		c.writtenAfter = 0
+	case c.readFailed:
+		c.writtenAfter = c.readAt
+	default:
+		c.writtenAfter = now
 	}
 	close(c.changed)
 	c.changed = make(chan struct{})
-	return true
 }
 
-// Verify records that no newer plan existed at the given reading of the host's clock.
-func (c *Current) Verify(at time.Duration) {
+// ActedBy returns the plan if hosts act by it, and otherwise, also if it is copied, the empty plan.
+func (c *Current) ActedBy() Plan {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.verifiedAt = max(c.verifiedAt, at)
+	if c.copied {
+		return Plan{}
+	}
+	return c.plan
+}
+
+// Verify records that the log, in the era with the given number, held no newer plan at the given
+// reading of the host's clock. A log that has been restored since the plan was written proves
+// nothing: it may have lost a newer one.
+func (c *Current) Verify(at time.Duration, era uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readAt = max(c.readAt, at)
+	c.era = max(c.era, era)
 	c.readFailed = false
+	if c.plan.Version.Era() >= era {
+		c.verifiedAt = max(c.verifiedAt, at)
+	}
 }
 
 // VerifiedAt returns the reading of the host's clock at which the plan was last known to be the newest.
--- /dev/null
+++ b/internal/assign/current_test.go
@@ -0,0 +1,39 @@
+package assign
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestFencesRiseAcrossEras(t *testing.T) {
+	last, next := FenceAt(0, 4_000_000_000), FenceAt(1, 0)
+	assert.Assert(t, next > last)
+	assert.Equal(t, last.Offset(), uint64(4_000_000_000))
+	assert.Equal(t, last.Era(), uint64(0))
+	assert.Equal(t, next.Offset(), uint64(0))
+	assert.Equal(t, next.Era(), uint64(1))
+}
+
+// TestPlanOfARestoredLogIsNotActedBy checks that a host does not take a plan from before a restore of
+// the log for newer than its own, and that a host without one neither acts by it nor keeps it when it
+// learns what others act by.
+func TestPlanOfARestoredLogIsNotActedBy(t *testing.T) {
+	c := NewCurrent()
+	assert.Assert(t, c.AdoptFromLog(Plan{Version: FenceAt(0, 5)}, time.Second, 0))
+	c.Verify(time.Second, 0)
+	assert.Assert(t, !c.AdoptFromLog(Plan{Version: FenceAt(0, 8)}, 2*time.Second, 1))
+	c.Verify(2*time.Second, 1)
+	assert.Equal(t, c.VerifiedAt(), time.Second)
+	assert.Assert(t, c.AdoptFromLog(Plan{Version: FenceAt(1, 3)}, 3*time.Second, 1))
+	c.Verify(3*time.Second, 1)
+	assert.Equal(t, c.VerifiedAt(), 3*time.Second)
+
+	fresh := NewCurrent()
+	assert.Assert(t, fresh.AdoptFromLog(Plan{Version: FenceAt(0, 8)}, 2*time.Second, 1))
+	assert.Equal(t, fresh.Plan().Version, FenceAt(0, 8))
+	assert.Equal(t, fresh.ActedBy().Version, Fence(0))
+	assert.Assert(t, fresh.Adopt(Plan{Version: FenceAt(0, 6)}, 0))
+	assert.Equal(t, fresh.ActedBy().Version, FenceAt(0, 6))
+}
--- a/internal/assign/plan.go
+++ b/internal/assign/plan.go
@@ -5,8 +5,8 @@
 //
 // The plan is stored as a single record. A host replaces the whole record with a conditional
 // write, so when several hosts write at once, one write succeeds and the others are rejected.
-// The fencing token of a change is derived from the offset of the record in the log, so it is
-// higher than all earlier ones.
+// The fencing token of a change is derived from the position of the record in the log, so it is
+// higher than all earlier ones, also after the log has been restored from an older copy.
 //
 // Safety: a range moves from one server to another only through the phase Releasing, in which
 // no host renews it. It leaves this phase only with a Proof that the former owner no longer
@@ -28,10 +28,25 @@
 // is lower than one that it has seen for the key.
 type Fence uint64
 
-// FenceAt returns the fencing token of the plan that is stored at an offset of the log. Tokens
-// begin at one, since zero stands for the empty plan.
-func FenceAt(offset uint64) Fence {
-	return Fence(offset + 1)
+// fenceOffsetBits is the number of bits of a fencing token that hold the offset.
+const fenceOffsetBits = 32
+
+// FenceAt returns the fencing token of the plan that is stored at an offset of the log, written in
+// the era with the given number. A restore of the log begins a new era and gives offsets out again,
+// so tokens are ordered by era first. Tokens of an era begin at one, since zero stands for the
+// empty plan.
+func FenceAt(era, offset uint64) Fence {
+	return Fence(era<<fenceOffsetBits | (offset + 1))
+}
+
+// Era returns the number of the era in which the token was issued.
+func (f Fence) Era() uint64 {
+	return uint64(f) >> fenceOffsetBits
+}
+
+// Offset returns the offset of the token's plan. The empty plan has none.
+func (f Fence) Offset() uint64 {
+	return uint64(f)&(1<<fenceOffsetBits-1) - 1
 }
 
 // Host is one incarnation (one run of the process) of a host that may renew grants.
@@ -107,10 +122,13 @@
 	Hosts []Host `json:"hosts"`
 	// Services holds the assignments of each service. They cover all keys once, in ascending order.
 	Services map[string][]Assignment `json:"services"`
-	// Orders is the offset up to which the leader has read the operator records. A host that
-	// has not read as far soon cancels its pending read, whose answer has probably been lost.
+	// Orders is the ordinal of the position up to which the leader has read the operator records. A
+	// host that has not read as far soon cancels its pending read, whose answer has probably been lost.
 	Orders uint64 `json:"orders,omitempty"`
-	// Version is the fencing token of the plan's offset in the log; zero is the empty plan.
+	// Era is the number of the era in which the plan was written. A restored log holds plans of
+	// older eras, at offsets that other plans have had since.
+	Era uint64 `json:"era,omitempty"`
+	// Version is the fencing token of the plan's era and offset; zero is the empty plan.
 	Version Fence `json:"-"`
 }
 
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -45,6 +45,21 @@
 	Unknown bool
 }
 
+// PlanArgs asks a host for the plan that it acts by.
+type PlanArgs struct {
+	// Known is the version of the newest plan that the asking host knows hosts to act by.
+	Known assign.Fence
+}
+
+// PlanReply is the answer of one incarnation of a host.
+type PlanReply struct {
+	Incarnation string
+	// Version is the version of the host's plan. Plan is that plan if it is newer than the known
+	// one, and otherwise nil.
+	Version assign.Fence
+	Plan    *assign.Plan
+}
+
 // ReportArgs reports to the leader what a host has observed.
 type ReportArgs struct {
 	Host string
@@ -124,6 +139,17 @@
 	}
 }
 
+// Plan returns the plan that this host acts by if it is newer than the one that the caller knows.
+func (s *rpcService) Plan(args PlanArgs, reply *PlanReply) error {
+	plan := s.current.ActedBy()
+	reply.Incarnation = s.self.Incarnation
+	reply.Version = plan.Version
+	if plan.Version > args.Known {
+		reply.Plan = &plan
+	}
+	return nil
+}
+
 // Report passes a host's report on to the leader.
 func (s *rpcService) Report(args ReportArgs, _ *Empty) error {
 	s.leader.Report(args.Host, leader.Report{Rates: args.Rates, Slowness: args.Slowness}, args.Lost)
@@ -160,6 +186,18 @@
 	return nil
 }
 
+// NewerPlan implements leader.Peers.
+func (p *peers) NewerPlan(ctx context.Context, host assign.Host, known assign.Fence) (leader.PeerPlan, error) {
+	var reply PlanReply
+	if err := p.pool.Call(ctx, host.Addr, rpcName+".Plan", PlanArgs{Known: known}, &reply); err != nil {
+		return leader.PeerPlan{}, err
+	}
+	if reply.Plan != nil {
+		reply.Plan.Version = reply.Version
+	}
+	return leader.PeerPlan{Incarnation: reply.Incarnation, Newer: reply.Plan}, nil
+}
+
 // read asks another host, the relay, for what it has read of a topic.
 func (p *peers) read(ctx context.Context, host relay.Host, ask relay.Ask) (relay.Reply, error) {
 	var reply relay.Reply
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -63,18 +63,22 @@
 		// request before started, so the ages that it reports count from there.
 		arrivedAt = started - change.Age.Arrived
 	}
+	if change.Snapshot {
+		// A snapshot does not tell when its records were written.
+		s.current.NoteReadFailure()
+	}
 	if change.Restored {
 		s.registered = false
 		s.log.Event("restored", "topic", "state", "era", follower.Next().Era.Number(), "plan", uint64(s.current.Plan().Version))
 	}
 	for _, record := range change.Records {
-		s.apply(record, arrivedAt)
+		s.apply(record, arrivedAt, follower.Next().Era)
 	}
 	s.mu.Lock()
 	s.next = follower.Next()
 	s.mu.Unlock()
 	if !change.Snapshot {
-		s.current.Verify(started - change.Age.Confirmed)
+		s.current.Verify(started-change.Age.Confirmed, follower.Next().Era.Number())
 	}
 	if len(change.Records) > 0 {
 		s.onChange()
@@ -83,30 +87,32 @@
 	return nil
 }
 
-// apply applies one record. arrivedAt is the earliest time at which the record can have been
-// written, apart from the latency of a read.
-func (s *state) apply(record follow.Record, arrivedAt time.Duration) {
+// apply applies one record, read in the given era. arrivedAt is the earliest time at which the record
+// can have been written, apart from the latency of a read.
+func (s *state) apply(record follow.Record, arrivedAt time.Duration, era follow.Era) {
 	switch {
 	case record.Key == planKey:
-		s.applyPlan(record, arrivedAt)
+		s.applyPlan(record, arrivedAt, era)
 	case strings.HasPrefix(record.Key, hostPrefix):
 		s.applyHost(record)
 	}
 }
 
 // applyPlan adopts a plan if it is newer than the current one.
-func (s *state) applyPlan(record follow.Record, arrivedAt time.Duration) {
+func (s *state) applyPlan(record follow.Record, arrivedAt time.Duration, era follow.Era) {
 	plan, err := decodePlan(record)
 	if err != nil {
 		s.log.Event("plan", "offset", record.Offset, "outcome", "rejected", "err", err.Error())
 		return
 	}
-	if s.current.Adopt(plan, arrivedAt) {
-		s.log.Event("plan", "version", uint64(plan.Version), "leader", plan.Leader.Name, "hosts", len(plan.Hosts), "outcome", "adopted")
+	if s.current.AdoptFromLog(plan, arrivedAt, era.Number()) {
+		s.log.Event("plan", "version", uint64(plan.Version), "leader", plan.Leader.Name, "hosts", len(plan.Hosts), "outcome", "adopted",
+			"copied", plan.Version.Era() < era.Number())
 	}
 }
 
-// decodePlan decodes and checks a plan. Its version follows from the record's offset.
+// decodePlan decodes and checks a plan. Its version follows from the era in which it was written and
+// the record's offset.
 func decodePlan(record follow.Record) (assign.Plan, error) {
 	var plan assign.Plan
 	if err := json.Unmarshal(record.Value, &plan); err != nil {
@@ -115,7 +121,7 @@
 	if !plan.Valid() {
 		return assign.Plan{}, errors.New("plan: a service's assignments don't cover every key exactly once")
 	}
-	plan.Version = assign.FenceAt(record.Offset)
+	plan.Version = assign.FenceAt(plan.Era, record.Offset)
 	return plan, nil
 }
 
@@ -167,17 +173,20 @@
 func (s *state) NextVersion() assign.Fence {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return assign.FenceAt(s.next.Offset)
+	return assign.FenceAt(s.next.Era.Number(), s.next.Offset)
 }
 
 // Write implements leader.Store. It writes the plan only if it gets the version next, that is if no
-// host has written to the topic meanwhile; otherwise it returns leader.ErrConflict.
+// host has written to the topic meanwhile; otherwise it returns leader.ErrConflict. That is also the
+// error if the log has been restored since the era of next. The plan may then be in the log, but
+// its version is of an older era, so no leader builds on it without asking the other hosts.
 func (s *state) Write(ctx context.Context, plan assign.Plan, next assign.Fence) (assign.Plan, error) {
+	plan.Era = next.Era()
 	value, err := json.Marshal(plan)
 	if err != nil {
 		return assign.Plan{}, errors.NewAssertionErrorWithWrappedErrf(err, "plan")
 	}
-	at := uint64(next) - 1 // the inverse of assign.FenceAt
+	at := next.Offset()
 	position, err := s.platform.AppendState(ctx, planKey, value, &at)
 	if errors.Is(err, ErrConflict) {
 		return assign.Plan{}, errors.Mark(err, leader.ErrConflict)
@@ -185,11 +194,13 @@
 	if err != nil {
 		return assign.Plan{}, err
 	}
-	plan.Version = assign.FenceAt(position.Offset)
-	position.Offset++
+	if position.Era != follow.UnknownEra && position.Era.Number() != next.Era() {
+		return assign.Plan{}, errors.Wrapf(leader.ErrConflict, "the log is in era %d", position.Era.Number())
+	}
+	plan.Version = next
 	s.mu.Lock()
-	if position.Ordinal() > s.next.Ordinal() {
-		s.next = position
+	if s.next.Era.Number() == next.Era() {
+		s.next.Offset = max(s.next.Offset, position.Offset+1)
 	}
 	s.mu.Unlock()
 	return plan, nil
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -7,7 +7,8 @@
 // while; the conditional write of the plan lets only one of them succeed, and the other one
 // gets ErrConflict. A leader has no state that must survive it: a new leader starts from the
 // plan, repeats the releases that are pending, and learns loads and failures from the hosts'
-// reports.
+// reports. After a restore of the log, the plan in the log may be older than the one that the hosts
+// act by; see recovery.
 //
 // A failed write of the plan is logged as event "plan" and retried in the next step. A release
 // that gets no answer is logged as event "release" and retried; if it keeps failing, the range
@@ -57,6 +58,16 @@
 	// Adopt sends the plan to a host. It returns nil once the host sends no more renewals that
 	// are based on an older plan.
 	Adopt(ctx context.Context, host assign.Host, plan assign.Plan) error
+	// NewerPlan asks a host for its plan if that is newer than the version.
+	NewerPlan(ctx context.Context, host assign.Host, known assign.Fence) (PeerPlan, error)
+}
+
+// PeerPlan is the answer of a host that was asked for its plan.
+type PeerPlan struct {
+	// Incarnation is the incarnation of the host that answered.
+	Incarnation string
+	// Newer is the host's plan, or nil if it is not newer than the known one.
+	Newer *assign.Plan
 }
 
 // Config holds the dependencies of a Leader.
@@ -130,6 +141,10 @@
 	lastReport, retiredSince map[string]time.Duration
 	// leaderSince is when this host became leader.
 	leaderSince time.Duration
+
+	// recovery is the recovery of the plan after a restore of the log, or nil if there is none. Only
+	// the control loop uses it.
+	recovery *recovery
 }
 
 // New returns a Leader that is not elected yet.
@@ -225,8 +240,11 @@
 	if table == nil || !l.ServersKnown() {
 		return
 	}
-	plan := l.Current.Plan()
 	version := l.Store.NextVersion()
+	if !l.recoverPlan(ctx, version) {
+		return
+	}
+	plan := l.Current.Plan()
 	next, changed := l.nextPlan(plan, table, version)
 	if changed {
 		ctx, cancel := context.WithTimeout(ctx, writeTimeout)
@@ -250,7 +268,7 @@
 	defer l.mu.Unlock()
 	now := l.Clock()
 	next := plan.Clone()
-	changed := !plan.Leader.SameIncarnation(l.Self)
+	changed := !plan.Leader.SameIncarnation(l.Self) || plan.Version.Era() < version.Era()
 	next.Leader = l.Self
 	next.Leader.Led = true
 	next.Hosts = l.nextHosts(plan.Hosts, version, now)
@@ -285,7 +303,7 @@
 }
 
 // rangesToRegrant returns the first keys of the ranges that need a new fencing token: all ranges if
-// the leader is new, the ranges of servers in zones with a new host (a host renews no grants older
+// the leader is new or the log has been restored, the ranges of servers in zones with a new host (a host renews no grants older
 // than itself), and the ranges whose server has stopped answering a renewer.
 func (l *Leader) rangesToRegrant(service string, plan, next assign.Plan, all bool, now time.Duration) map[keyrange.Key]bool {
 	zonesWithNewHosts := make(map[string]bool)
--- a/internal/leader/simulation_faults_test.go
+++ b/internal/leader/simulation_faults_test.go
@@ -29,17 +29,7 @@
 			}
 		}
 	case 3: // the host stops and restarts as a new incarnation
-		if host.stop != nil {
-			host.stop()
-			host.stop = nil
-			time.AfterFunc(length/4, func() {
-				sim.mu.Lock()
-				defer sim.mu.Unlock()
-				next := host.self
-				next.Incarnation += "'"
-				sim.start(host.index, next)
-			})
-		}
+		sim.restart(host, length/4)
 	case 4: // the server crashes and restarts
 		sim.crash(server, max(length, 2*time.Second))
 	case 5: // the server drains and comes back
@@ -58,6 +48,71 @@
 	}
 }
 
+// restart stops a host and starts it after the given time as a new incarnation.
+func (sim *simulation) restart(host *simHost, after time.Duration) {
+	if host.stop == nil {
+		return
+	}
+	host.stop()
+	host.stop = nil
+	time.AfterFunc(after, func() {
+		sim.mu.Lock()
+		defer sim.mu.Unlock()
+		next := host.self
+		next.Incarnation += "'"
+		sim.start(host.index, next)
+	})
+}
+
+// injectFaultOrRestore injects one random fault; one in four is a restore of the log.
+func (sim *simulation) injectFaultOrRestore() {
+	sim.mu.Lock()
+	restore := sim.chance(0.25)
+	sim.mu.Unlock()
+	if !restore {
+		sim.injectFault()
+		return
+	}
+	sim.restore()
+}
+
+// restore makes the log unreachable for a moment, and replaces it by a copy from some seconds ago. At
+// times, all hosts restart meanwhile, or one that then becomes the leader and knows only the copy.
+func (sim *simulation) restore() {
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
+	away := time.Duration(100+sim.rng.IntN(1500)) * time.Millisecond
+	age := time.Duration(200+sim.rng.IntN(5000)) * time.Millisecond
+	restarts := sim.chance(0.3)
+	newLeader := sim.hosts[sim.rng.IntN(len(sim.hosts))]
+	if restarts || sim.chance(0.5) {
+		newLeader = nil
+	}
+	sim.faults = append(sim.faults, fmt.Sprintf("%v restore after %v, copy %v old, all hosts restart: %v, a new leader: %v", sim.now(), away, age, restarts, newLeader != nil))
+	for _, host := range sim.hosts {
+		until := max(sim.partitions[[2]string{host.self.Name, "store"}], sim.now()+away)
+		sim.partitions[[2]string{host.self.Name, "store"}] = until
+		if restarts || host == newLeader {
+			sim.restart(host, away/2)
+		}
+	}
+	if newLeader != nil {
+		sim.elected = newLeader.self.Name
+		sim.members[sim.elected] = sim.now()
+	}
+	copied := sim.now() - age
+	time.AfterFunc(away-time.Millisecond, func() {
+		sim.mu.Lock()
+		defer sim.mu.Unlock()
+		kept := 0
+		for kept < len(sim.written) && sim.written[kept] <= copied {
+			kept++
+		}
+		sim.records, sim.written = sim.records[:kept:kept], sim.written[:kept:kept]
+		sim.era++
+	})
+}
+
 // isolate partitions a host and a server from everything but each other. The server's entry in
 // the service discovery expires.
 func (sim *simulation) isolate(host *simHost, server *simServer, until time.Duration) {
--- a/internal/leader/simulation_follow_test.go
+++ b/internal/leader/simulation_follow_test.go
@@ -10,26 +10,39 @@
 	"github.com/poplarcroft/poplarcroft/internal/relay"
 )
 
-// Newest implements follow.Source for the plan. The simulation reads by offset only.
-func (h *simHost) Newest(context.Context) (follow.Batch, error) {
-	return follow.Batch{}, errNoAnswer
+// Newest implements follow.Source for the plan. The answer is delayed at random.
+func (h *simHost) Newest(ctx context.Context) (follow.Batch, error) {
+	return h.read(ctx, func(records []follow.Record) ([]follow.Record, error) {
+		return records[max(len(records)-1, 0):], nil
+	})
 }
 
 // Since implements follow.Source for the plan. The answer is delayed at random.
 func (h *simHost) Since(ctx context.Context, from follow.Position, wait time.Duration) (follow.Batch, error) {
+	return h.read(ctx, func(records []follow.Record) ([]follow.Record, error) {
+		switch {
+		case from.Era != h.sim.era:
+			return nil, follow.ErrRestored
+		case from.Offset > uint64(len(records)):
+			return nil, follow.ErrCompacted
+		}
+		return records[from.Offset:], nil
+	})
+}
+
+// read selects records of the plan's topic and returns them after a random delay.
+func (h *simHost) read(ctx context.Context, choose func([]follow.Record) ([]follow.Record, error)) (follow.Batch, error) {
 	h.sim.mu.Lock()
 	pause := time.Duration(5+h.sim.rng.IntN(300)) * time.Millisecond
 	connected := h.sim.connected(h.self.Name, "store")
-	batch := follow.Batch{End: max(uint64(len(h.sim.plans)), from.Offset)}
-	for at := from.Offset; at < batch.End; at++ {
-		batch.Records = append(batch.Records, follow.Record{Offset: at})
-	}
+	records, err := choose(h.sim.records)
+	batch := follow.Batch{Records: slices.Clone(records), Era: h.sim.era, End: uint64(len(h.sim.records))}
 	h.sim.mu.Unlock()
 	loop.Sleep(ctx, pause)
 	if !connected {
 		return follow.Batch{}, errNoAnswer
 	}
-	return batch, nil
+	return batch, err
 }
 
 // askRelay implements relay.Config.Ask: it reads from the relay of another host.
@@ -62,27 +75,33 @@
 
 // followPlan reads the plan through the relay of the zone, as package edge does.
 func (h *simHost) followPlan(ctx context.Context) {
-	source := h.relay.Source("plan", h, relay.Options{})
-	next := uint64(0)
+	follower := follow.New(h.relay.Source("plan", h, relay.Options{}))
 	for ctx.Err() == nil {
 		began := h.sim.now()
-		batch, err := source.Since(ctx, follow.Position{Offset: next}, 0)
+		change, err := follower.Read(ctx, 0)
 		if err != nil {
 			h.current.NoteReadFailure()
 			time.Sleep(50 * time.Millisecond)
 			continue
 		}
 		learned := h.sim.now()
-		if batch.Age.Relayed {
-			learned = began - batch.Age.Arrived
+		if change.Age.Relayed {
+			learned = began - change.Age.Arrived
 		}
-		for _, record := range batch.Records {
+		if change.Snapshot {
+			h.current.NoteReadFailure()
+		}
+		for _, record := range change.Records {
 			h.sim.mu.Lock()
-			plan := h.sim.plans[record.Offset]
+			plan := h.sim.plans[string(record.Value)]
 			h.sim.mu.Unlock()
-			h.current.Adopt(plan, learned)
+			h.current.AdoptFromLog(plan, learned, follower.Next().Era.Number())
+		}
+		h.sim.mu.Lock()
+		h.next = follower.Next()
+		h.sim.mu.Unlock()
+		if !change.Snapshot {
+			h.current.Verify(began-change.Age.Confirmed, follower.Next().Era.Number())
 		}
-		next = batch.End
-		h.current.Verify(began - batch.Age.Confirmed)
 	}
 }
--- a/internal/leader/simulation_test.go
+++ b/internal/leader/simulation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -17,6 +18,7 @@
 	"github.com/poplarcroft/poplarcroft/internal/assign"
 	"github.com/poplarcroft/poplarcroft/internal/eventlog"
 	"github.com/poplarcroft/poplarcroft/internal/fleet"
+	"github.com/poplarcroft/poplarcroft/internal/follow"
 	"github.com/poplarcroft/poplarcroft/internal/grants"
 	"github.com/poplarcroft/poplarcroft/internal/keyrange"
 	"github.com/poplarcroft/poplarcroft/internal/relay"
@@ -37,6 +39,9 @@
 	faultTime  = 60 * time.Second
 )
 
+// simRuns is the number of seeds of each test that looks for violations.
+var simRuns = flag.Int("sim-runs", 25, "number of seeds")
+
 // simLog receives the hosts' log lines if it is set, to debug a run.
 var simLog io.Writer
 
@@ -48,8 +53,12 @@
 	// timing is what the renewers use; assumed is what the leaders assume that renewers use.
 	timing, assumed grants.Timing
 
-	// plans is the log of written plans, by offset.
-	plans []assign.Plan
+	// records is the topic of the plan and written holds when each record was written. era counts the
+	// restores of the log. The value of a record is a key of plans, which also holds lost plans.
+	records []follow.Record
+	written []time.Duration
+	era     follow.Era
+	plans   map[string]assign.Plan
 	// members holds when each host last called Join; elected is the host that is the leader.
 	members map[string]time.Duration
 	elected string
@@ -61,6 +70,8 @@
 	// server incarnation that got it.
 	highestFence      [simServers]assign.Fence
 	highestFenceOwner [simServers]string
+	// hidePlans makes hosts answer that they have no newer plan.
+	hidePlans bool
 	// faults describes the injected faults; violation is the first violated invariant.
 	faults    []string
 	violation string
@@ -93,6 +104,8 @@
 	relay   *relay.Relay
 	fleet   *fleet.Fleet
 	stop    context.CancelFunc
+	// next is the position after the last record that this host has read or written; sim.mu guards it.
+	next follow.Position
 }
 
 func (sim *simulation) now() time.Duration { return time.Since(sim.started) }
@@ -239,20 +252,35 @@
 	if !sim.connected(h.self.Name, "store") {
 		return assign.Plan{}, errNoAnswer
 	}
-	if assign.FenceAt(uint64(len(sim.plans))) != next {
+	at := uint64(len(sim.records))
+	if next.Offset() != at {
 		return assign.Plan{}, ErrConflict
 	}
 	plan.Version = next
-	sim.plans = append(sim.plans, plan)
+	sim.append(plan)
 	if sim.chance(0.05) {
 		return assign.Plan{}, errNoAnswer
 	}
+	if next.Era() != sim.era.Number() {
+		return assign.Plan{}, ErrConflict
+	}
+	h.next = follow.Position{Era: sim.era, Offset: at + 1}
 	return plan, nil
 }
 
+// append appends a plan to the topic. The caller holds sim.mu.
+func (sim *simulation) append(plan assign.Plan) {
+	id := fmt.Sprintf("%d/%d", sim.era, len(sim.records))
+	sim.plans[id] = plan
+	sim.records = append(sim.records, follow.Record{Value: []byte(id), Offset: uint64(len(sim.records))})
+	sim.written = append(sim.written, sim.now())
+}
+
 // NextVersion implements Store.
 func (h *simHost) NextVersion() assign.Fence {
-	return h.current.Plan().Version + 1
+	h.sim.mu.Lock()
+	defer h.sim.mu.Unlock()
+	return assign.FenceAt(h.next.Era.Number(), h.next.Offset)
 }
 
 // Join implements Elector with a lease of three seconds. The leader also changes at random.
@@ -293,6 +321,25 @@
 	return nil
 }
 
+// NewerPlan implements Peers.
+func (h *simHost) NewerPlan(ctx context.Context, host assign.Host, known assign.Fence) (PeerPlan, error) {
+	sim := h.sim
+	sim.mu.Lock()
+	i := slices.IndexFunc(sim.hosts, func(other *simHost) bool { return other.self.Name == host.Name })
+	to := sim.hosts[i]
+	ok := sim.connected(h.self.Name, host.Name) && to.stop != nil
+	sim.mu.Unlock()
+	if !ok {
+		<-ctx.Done()
+		return PeerPlan{}, errNoAnswer
+	}
+	answer := PeerPlan{Incarnation: to.self.Incarnation}
+	if plan := to.current.ActedBy(); plan.Version > known && !sim.hidePlans {
+		answer.Newer = &plan
+	}
+	return answer, nil
+}
+
 // pollServers polls the service discovery and sends this host's reports to the leader.
 func (h *simHost) pollServers(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -367,12 +414,13 @@
 	return hosts
 }
 
-// simulate runs the simulation. It returns the first violation with the faults that were injected,
+// simulate runs the simulation. inject injects one random fault. It returns the first violation with the faults that were injected,
 // and the number of cells that are held at the end.
-func simulate(t *testing.T, seed uint64, timing, assumed grants.Timing) (violation string, held int) {
+func simulate(t *testing.T, seed uint64, timing, assumed grants.Timing, inject func(*simulation)) (violation string, held int) {
 	synctest.Test(t, func(*testing.T) {
 		sim := &simulation{
 			rng: rand.New(rand.NewPCG(seed, 1)), started: time.Now().Add(-time.Hour), timing: timing, assumed: assumed,
+			era: 1, plans: make(map[string]assign.Plan),
 			members: make(map[string]time.Duration), partitions: make(map[[2]string]time.Duration),
 		}
 		zones := []string{"brno", "zlin"}
@@ -393,7 +441,7 @@
 			pause := time.Duration(sim.rng.IntN(2500)) * time.Millisecond
 			sim.mu.Unlock()
 			time.Sleep(pause)
-			sim.injectFault()
+			inject(sim)
 		}
 		time.Sleep(40 * time.Second)
 		sim.mu.Lock()
@@ -422,12 +470,26 @@
 // TestOneOwnerUnderRandomFaults checks that no key ever has two owners, that fencing tokens rise,
 // and that every key has an owner again after the faults.
 func TestOneOwnerUnderRandomFaults(t *testing.T) {
-	runs := 25
+	runs := *simRuns
 	if testing.Short() {
 		runs = 5
 	}
 	for seed := range runs {
-		violation, held := simulate(t, uint64(seed), grants.DefaultTiming(), grants.DefaultTiming())
+		violation, held := simulate(t, uint64(seed), grants.DefaultTiming(), grants.DefaultTiming(), (*simulation).injectFault)
+		assert.Equal(t, violation, "", "seed %d", seed)
+		assert.Equal(t, held, simServers, "seed %d: number of cells with an owner after the faults", seed)
+	}
+}
+
+// TestOneOwnerAcrossRestores is TestOneOwnerUnderRandomFaults with restores of the log from older
+// copies among the faults, also while all hosts restart.
+func TestOneOwnerAcrossRestores(t *testing.T) {
+	runs := *simRuns
+	if testing.Short() {
+		runs = 5
+	}
+	for seed := range runs {
+		violation, held := simulate(t, uint64(seed), grants.DefaultTiming(), grants.DefaultTiming(), (*simulation).injectFaultOrRestore)
 		assert.Equal(t, violation, "", "seed %d", seed)
 		assert.Equal(t, held, simServers, "seed %d: number of cells with an owner after the faults", seed)
 	}
@@ -451,7 +513,7 @@
 			timing, assumed := grants.DefaultTiming(), grants.DefaultTiming()
 			change(&timing, &assumed)
 			for seed := range uint64(400) {
-				if violation, _ := simulate(t, seed, timing, assumed); violation != "" {
+				if violation, _ := simulate(t, seed, timing, assumed, (*simulation).injectFault); violation != "" {
 					return
 				}
 			}
@@ -459,3 +521,20 @@
 		})
 	}
 }
+
+// TestSimulationDetectsHiddenPlans checks that the simulation finds a violation if the leader builds on
+// the plan of the restored log; otherwise TestOneOwnerAcrossRestores would prove nothing about it.
+func TestSimulationDetectsHiddenPlans(t *testing.T) {
+	for seed := range uint64(400) {
+		violation, _ := simulate(t, seed, grants.DefaultTiming(), grants.DefaultTiming(), func(sim *simulation) {
+			sim.mu.Lock()
+			sim.hidePlans = true
+			sim.mu.Unlock()
+			sim.injectFaultOrRestore()
+		})
+		if violation != "" {
+			return
+		}
+	}
+	t.Fatal("no violation found in 400 runs although hosts hide their plans")
+}
--- a/internal/renew/renew_test.go
+++ b/internal/renew/renew_test.go
@@ -84,7 +84,7 @@
 
 func TestGrantIsRenewedInTime(t *testing.T) {
 	run(t, func(server *fakeServer, current *assign.Current, _ *Renewer, now func() time.Duration) {
-		current.Verify(now())
+		current.Verify(now(), 0)
 		current.Adopt(heldPlan(2, 2, "zlin", self), now())
 		time.Sleep(8500 * time.Millisecond)
 		times := server.sent()
@@ -109,7 +109,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			run(t, func(server *fakeServer, current *assign.Current, _ *Renewer, now func() time.Duration) {
-				current.Verify(now())
+				current.Verify(now(), 0)
 				current.Adopt(plan, now())
 				time.Sleep(5 * time.Second)
 				assert.Equal(t, len(server.sent()), 0)
@@ -120,7 +120,7 @@
 
 func TestUnverifiedPlanStopsRenewals(t *testing.T) {
 	run(t, func(server *fakeServer, current *assign.Current, _ *Renewer, now func() time.Duration) {
-		current.Verify(now())
+		current.Verify(now(), 0)
 		current.Adopt(heldPlan(2, 2, "zlin", self), now())
 		time.Sleep(30 * time.Second)
 		times := server.sent()
@@ -133,7 +133,7 @@
 // and its new incarnation must not receive the old grant. A new grant is sent again.
 func TestGrantOfUnresponsiveServerIsReportedLost(t *testing.T) {
 	run(t, func(server *fakeServer, current *assign.Current, r *Renewer, now func() time.Duration) {
-		current.Verify(now())
+		current.Verify(now(), 0)
 		current.Adopt(heldPlan(2, 2, "zlin", self), now())
 		time.Sleep(time.Second)
 		server.setSilent(true)
@@ -144,7 +144,7 @@
 		times := server.sent()
 		assert.Assert(t, times[len(times)-1] <= silentFrom+grants.DefaultTiming().MaxServerSilence)
 		assert.DeepEqual(t, r.Lost(), []Lost{{Service: "revize", First: 0, Fence: 2}})
-		current.Verify(now())
+		current.Verify(now(), 0)
 		current.Adopt(heldPlan(3, 3, "zlin", self), now())
 		time.Sleep(time.Second)
 		assert.Assert(t, len(server.sent()) > len(times))
@@ -156,11 +156,11 @@
 // server may have restarted since.
 func TestGrantLearnedLateIsNotRenewed(t *testing.T) {
 	run(t, func(server *fakeServer, current *assign.Current, _ *Renewer, now func() time.Duration) {
-		current.Verify(now())
+		current.Verify(now(), 0)
 		time.Sleep(4 * time.Second)
 		current.NoteReadFailure()
 		current.Adopt(heldPlan(2, 2, "zlin", self), now())
-		current.Verify(now())
+		current.Verify(now(), 0)
 		time.Sleep(4 * time.Second)
 		assert.Equal(t, len(server.sent()), 0)
 	})
