poison: a limit of its own where hosts share the servers

Cause: CrashLimit counts if the request once ran alone, otherwise one crash more is needed. On the users' platform every host sends to every server, so no run is ever known to be alone, and edge.maxCrashes = 3 meant four. Class: a bound whose condition can never hold where it is used. Evidence: TestSharedServersBlockAtTheirLimit; TestRequestThatCrashesServersIsRefused had the fourth crash written into its loop, now three (stricter). Change: Bounds.SharedCrashLimit, three on the platform; the product's own interface keeps its rule (one more). Ruled out: dropping the rule of running alone there, which protects innocent requests (TestOnlyThePoisonRequestIsFound).

--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -122,7 +122,7 @@
 		onRead:   func() { h.operatorRecords.checkProgress(h.current.Plan().Orders) },
 		hosts:    make(map[string]assign.Host),
 	}
-	h.guard = poison.NewGuard(poison.Bounds{CrashLimit: maxCrashes, Retention: crashRetention})
+	h.guard = poison.NewGuard(poison.Bounds{CrashLimit: maxCrashes, SharedCrashLimit: maxCrashes, Retention: crashRetention})
 	h.servers = newServers(platform, h.fleet, clock.Monotonic, log, wakeLeader)
 	h.servers.onEnded = func(entry fleet.Entry) { h.guard.ServerCrashed(front.GuardServer(entry)) }
 	h.operatorRecords = newOperatorRecords(platform, clock.Monotonic, log, func() {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -206,7 +206,7 @@
 func TestRequestThatCrashesServersIsRefused(t *testing.T) {
 	server := startServer(t, "")
 	s := newSystem(t, server)
-	for range 4 {
+	for range 3 {
 		_, _, err := s.call(t, "POST", "/unsafe/x", "deadly")
 		assert.NilError(t, err)
 		running, _ := s.fleet.Server("revize-0")
--- a/internal/poison/evidence.go
+++ b/internal/poison/evidence.go
@@ -22,6 +22,9 @@
 	// occurred while it ran alone. Otherwise it takes one crash more. Values below 1
 	// count as 1.
 	CrashLimit int
+	// SharedCrashLimit is the number of crashes that blocks a request in any case. Zero means
+	// one more than CrashLimit.
+	SharedCrashLimit int
 	// Retention is how long a crash is stored.
 	Retention time.Duration
 	// Requests is the maximum number of requests with evidence. Zero means DefaultRequests.
@@ -73,6 +76,9 @@
 // Configure changes the bounds.
 func (s *EvidenceStore) Configure(bounds Bounds) {
 	bounds.CrashLimit = max(bounds.CrashLimit, 1)
+	if bounds.SharedCrashLimit == 0 {
+		bounds.SharedCrashLimit = bounds.CrashLimit + 1
+	}
 	if bounds.Requests == 0 {
 		bounds.Requests = DefaultRequests
 	}
@@ -106,9 +112,9 @@
 	switch {
 	case crashes == 0:
 		return Clean
-	case crashes > s.bounds.CrashLimit:
+	case crashes >= s.bounds.SharedCrashLimit:
 		return Blocked
-	case crashes == s.bounds.CrashLimit && alone > 0:
+	case crashes >= s.bounds.CrashLimit && alone > 0:
 		return Blocked
 	default:
 		return Suspect
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -5,8 +5,9 @@
 // is sent again runs alone, as a trial: nothing else is in flight on its server. If it
 // finishes, it is cleared. If the server crashes again, nothing else can have been the
 // cause. A request counts as poison and is blocked after a configured number of crashes
-// of different server incarnations, at least one of them while it ran alone. One crash
-// more blocks it even if other requests ran beside it each time.
+// of different server incarnations, at least one of them while it ran alone. Another
+// number of crashes blocks it even if other requests ran beside it each time; where hosts
+// share the servers, none can know that a request ran alone.
 //
 // Every attempt to send a request to a server asks a Guard first and reports its end to
 // it (packages route and front). A crash is often noticed only after the connections
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -259,3 +259,15 @@
 		assert.Assert(t, again.Allowed && again.Alone, "%+v", again)
 	}
 }
+
+// TestSharedServersBlockAtTheirLimit is a regression test (BUDGET on Moravia): where hosts share the
+// servers, no run counts as alone, and a request crashed one server more than the configured number.
+func TestSharedServersBlockAtTheirLimit(t *testing.T) {
+	store := NewEvidenceStore(Bounds{CrashLimit: 3, SharedCrashLimit: 3, Retention: time.Minute})
+	f := Fingerprint{1}
+	for n := range 3 {
+		assert.Equal(t, store.Check(start, f) == Blocked, false)
+		store.Add(start, f, incarnation(n), false)
+	}
+	assert.Equal(t, store.Check(start, f), Blocked)
+}
