--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -124,11 +124,13 @@
 }
 
 // guardEnding returns how the attempt ended as far as the guard is concerned: only a broken
-// connection or a timeout makes the request suspect.
+// connection or a timeout makes the request suspect, and only a success clears it.
 func (a attempt) guardEnding(ctx context.Context) poison.Result {
 	switch {
 	case a.outcome == attemptAnswered, a.outcome == attemptFailed:
 		return poison.Finished
+	case a.outcome == attemptFailed:
+		return poison.Failed
 	case a.outcome != attemptLost:
 		return poison.Rejected
 	case ctx.Err() != nil:
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -271,3 +271,22 @@
 	}
 	assert.Equal(t, store.Check(start, f), Blocked)
 }
+
+// TestServersFailureClearsNothing checks that a failure that a server answers, which it may do without
+// executing the request, does not clear the request.
+func TestServersFailureClearsNothing(t *testing.T) {
+	store := NewEvidenceStore(Bounds{CrashLimit: 3, SharedCrashLimit: 3, Retention: time.Minute})
+	tracker := NewTracker(store)
+	f := Fingerprint{1}
+	for n := range 3 {
+		server := incarnation(n)
+		for _, result := range []Result{Failed, Broken} {
+			number, decision := tracker.Begin(start, server, f)
+			assert.Assert(t, decision.Allowed)
+			tracker.Sent(server, number, true)
+			tracker.End(start, server, number, result)
+		}
+		tracker.ServerCrashed(start, server)
+	}
+	assert.Equal(t, store.Check(start, f), Blocked)
+}
--- a/internal/poison/tracker.go
+++ b/internal/poison/tracker.go
@@ -26,7 +26,7 @@
 
 // Results of attempts.
 const (
-	// Finished means that the server answered after executing the request.
+	// Finished means that the server executed the request and answered. It clears the request.
 	Finished Result = iota + 1
 	// Rejected means that the request was not sent, or that the server rejected it
 	// without executing it.
@@ -35,6 +35,9 @@
 	Broken
 	// TimedOut means that the host stopped waiting. The server may still execute the request.
 	TimedOut
+	// Failed means that the server answered with a failure. It may not have begun to execute the
+	// request, so it neither clears the request nor makes it suspect.
+	Failed
 )
 
 // Decision is the decision on an attempt that is about to begin.
