edge: evidence against requests that crash servers reaches every host and outlasts all of them

What callers saw: BUDGET on Moravia (users' report). The main one of five faults behind it. Cause: evidence was sent once, to the hosts of that moment's plan, and lay in the memory of hosts only. A host that started later, was cut off or frozen never got it; the loss of all hosts lost all. Class: what must last was kept in processes, and a message was taken for delivered. Change: a host sends what it has recorded to each incarnation of a host until that has taken it. Evidence against a request with two crashes or more is written to the shared state, which all hosts read already, and written again after a restore. Evidence with one crash is not sent on by those who got it (before, every host sent every record to every other). Ruled out: a topic of its own (one more read for each host); writing single crashes (a zone's loss makes hundreds, of innocent requests).

--- /dev/null
+++ b/internal/edge/evidence.go
@@ -0,0 +1,162 @@
+package edge
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/poplarcroft/poplarcroft/internal/assign"
+	"github.com/poplarcroft/poplarcroft/internal/eventlog"
+	"github.com/poplarcroft/poplarcroft/internal/loop"
+	"github.com/poplarcroft/poplarcroft/internal/poison"
+)
+
+const (
+	// evidenceInterval is the time between two checks for new evidence.
+	evidenceInterval = 250 * time.Millisecond
+	// evidenceRetryInterval is the time until evidence is sent again to a host that did not take it.
+	evidenceRetryInterval = time.Second
+	// evidenceExpiryInterval is the time between two removals of expired evidence from the shared
+	// state.
+	evidenceExpiryInterval = 30 * time.Second
+)
+
+// evidenceSharing makes the evidence against requests that crash servers known to all hosts: it sends
+// what this host has recorded to each host until that has taken it, also to hosts that start later,
+// and keeps the evidence against requests that have crashed several servers in the shared state, which
+// outlasts the loss of all hosts.
+type evidenceSharing struct {
+	self  assign.Host
+	guard *poison.Guard
+	plan  func() assign.Plan
+	state *state
+	peers *peers
+	log   *eventlog.Log
+
+	// kept is the sequence number up to which the shared state has the evidence, and eraKept the
+	// number of restores of the log before which it was written. Only the loop uses them.
+	kept, eraKept uint64
+	// lost is set if a restore may have lost evidence that no living host has recorded itself.
+	lost      bool
+	expiredAt time.Time
+
+	mu sync.Mutex
+	// deliveries holds what each incarnation of a host has taken.
+	deliveries map[string]*delivery
+}
+
+// delivery is the state of the delivery to one incarnation of a host.
+type delivery struct {
+	// taken is the sequence number up to which the host has the evidence.
+	taken uint64
+	// sending is set while a message is on its way. failed says that the last one got no answer, and
+	// retryAt when the next one is due.
+	sending, failed bool
+	retryAt         time.Time
+}
+
+func newEvidenceSharing(self assign.Host, guard *poison.Guard, plan func() assign.Plan, s *state, p *peers, log *eventlog.Log) *evidenceSharing {
+	return &evidenceSharing{self: self, guard: guard, plan: plan, state: s, peers: p, log: log, deliveries: make(map[string]*delivery)}
+}
+
+// run shares new evidence until the context ends.
+func (e *evidenceSharing) run(ctx context.Context) {
+	loop.Every(ctx, evidenceInterval, func(ctx context.Context) {
+		e.guard.Expire()
+		e.deliverAll(ctx)
+		e.keep(ctx)
+		e.removeExpired(ctx)
+	})
+}
+
+// deliverAll starts a message to each host that lacks evidence.
+func (e *evidenceSharing) deliverAll(ctx context.Context) {
+	hosts := e.plan().Hosts
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	listed := make(map[string]bool, len(hosts))
+	for _, host := range hosts {
+		if host.SameIncarnation(e.self) || host.Retired {
+			continue
+		}
+		id := host.Name + "/" + host.Incarnation
+		listed[id] = true
+		d := e.deliveries[id]
+		if d == nil {
+			d = &delivery{}
+			e.deliveries[id] = d
+		}
+		if d.sending || time.Now().Before(d.retryAt) {
+			continue
+		}
+		records, next := e.guard.Export(d.taken)
+		if len(records) == 0 {
+			d.taken = next
+			continue
+		}
+		d.sending = true
+		go e.deliver(ctx, host, d, records, next)
+	}
+	for id, d := range e.deliveries {
+		if !listed[id] && !d.sending {
+			delete(e.deliveries, id)
+		}
+	}
+}
+
+// deliver sends evidence to one host and records whether it has taken it.
+func (e *evidenceSharing) deliver(ctx context.Context, host assign.Host, d *delivery, records []poison.Record, next uint64) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	err := e.peers.suspects(ctx, host, SuspectsArgs{From: e.self.Name, Records: records})
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	d.sending = false
+	if err != nil {
+		d.retryAt = time.Now().Add(evidenceRetryInterval)
+		if !d.failed {
+			e.log.Event("suspects", "to", host.Name, "records", len(records), "outcome", "not taken, sent again", "err", err.Error())
+		}
+		d.failed = true
+		return
+	}
+	if d.failed {
+		e.log.Event("suspects", "to", host.Name, "records", len(records), "outcome", "taken")
+	}
+	d.failed = false
+	d.taken = next
+}
+
+// keep writes the new evidence that this host has recorded to the shared state. A restore of the log
+// may have lost evidence: then each host writes its own again, and the leader all. What cannot be
+// written is written in a later round.
+func (e *evidenceSharing) keep(ctx context.Context) {
+	if era := e.state.NextVersion().Era(); era != e.eraKept {
+		e.kept, e.eraKept, e.lost = 0, era, true
+	}
+	leads := e.plan().Leader.SameIncarnation(e.self)
+	if e.lost && leads {
+		e.kept = 0
+	}
+	durable, next := e.guard.ExportDurable(e.kept, e.lost && leads)
+	for fingerprint, records := range durable {
+		if err := e.state.writeEvidence(ctx, fingerprint, records); err != nil {
+			e.log.Routine("suspects", "fingerprint", fingerprint.String(), "outcome", "not kept", "err", err.Error())
+			return
+		}
+		e.log.Event("suspects", "fingerprint", fingerprint.String(), "crashes", len(records), "outcome", "kept")
+	}
+	e.kept = next
+	e.lost = e.lost && !leads
+}
+
+// removeExpired removes evidence from the shared state that no longer counts, on the leader.
+func (e *evidenceSharing) removeExpired(ctx context.Context) {
+	if time.Since(e.expiredAt) < evidenceExpiryInterval || !e.plan().Leader.SameIncarnation(e.self) {
+		return
+	}
+	e.expiredAt = time.Now()
+	if err := e.state.removeExpiredEvidence(ctx); err != nil {
+		e.log.Routine("suspects", "outcome", "expired evidence not removed", "err", err.Error())
+	}
+}
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -93,6 +93,7 @@
 	peers           *peers
 	relay           *relay.Relay
 	guard           *poison.Guard
+	evidence        *evidenceSharing
 	dial            transport.DialFunc
 
 	// leaving says that the host is shutting down.
@@ -120,9 +121,11 @@
 		platform: platform, current: h.current, clock: clock.Monotonic, log: log,
 		onChange: wakeLeader,
 		onRead:   func() { h.operatorRecords.checkProgress(h.current.Plan().Orders) },
-		hosts:    make(map[string]assign.Host),
+		hosts:    make(map[string]assign.Host), evidenceWritten: make(map[string]time.Time),
 	}
 	h.guard = poison.NewGuard(poison.Bounds{CrashLimit: maxCrashes, SharedCrashLimit: maxCrashes, Retention: crashRetention})
+	h.evidence = newEvidenceSharing(h.self, h.guard, h.current.Plan, h.state, h.peers, log)
+	h.state.onEvidence = h.guard.Import
 	h.servers = newServers(platform, h.fleet, clock.Monotonic, log, wakeLeader)
 	h.servers.onEnded = func(entry fleet.Entry) { h.guard.ServerCrashed(front.GuardServer(entry)) }
 	h.operatorRecords = newOperatorRecords(platform, clock.Monotonic, log, func() {
@@ -216,7 +219,7 @@
 	var loops sync.WaitGroup
 	for _, run := range []func(context.Context){
 		h.followOperatorRecords, h.followState, h.followServers, h.renewer.Run,
-		h.leader.RunElection, h.leader.Run, h.reportLoad, h.shareSuspects,
+		h.leader.RunElection, h.leader.Run, h.reportLoad, h.evidence.run,
 	} {
 		loops.Go(func() { run(running) })
 	}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/poplarcroft/poplarcroft/internal/assign"
+	"github.com/poplarcroft/poplarcroft/internal/eventlog"
 	"github.com/poplarcroft/poplarcroft/internal/keyrange"
 	"github.com/poplarcroft/poplarcroft/internal/leader"
 	"github.com/poplarcroft/poplarcroft/internal/peer"
@@ -75,6 +76,8 @@
 
 // SuspectsArgs carries evidence against suspect requests.
 type SuspectsArgs struct {
+	// From is the name of the host that sends the evidence.
+	From    string
 	Records []poison.Record
 }
 
@@ -89,6 +92,7 @@
 	leader  *leader.Leader
 	guard   *poison.Guard
 	relay   *relay.Relay
+	log     *eventlog.Log
 }
 
 // Read serves what this host, as a relay, has read of a topic.
@@ -159,6 +163,7 @@
 // Suspects adds another host's evidence against suspect requests.
 func (s *rpcService) Suspects(args SuspectsArgs, _ *Empty) error {
 	s.guard.Import(args.Records)
+	s.log.Routine("suspects", "from", args.From, "records", len(args.Records), "outcome", "received")
 	return nil
 }
 
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -14,6 +14,7 @@
 	"github.com/poplarcroft/poplarcroft/internal/eventlog"
 	"github.com/poplarcroft/poplarcroft/internal/follow"
 	"github.com/poplarcroft/poplarcroft/internal/leader"
+	"github.com/poplarcroft/poplarcroft/internal/poison"
 )
 
 const (
@@ -27,8 +28,8 @@
 	registerTimeout = time.Second
 )
 
-// state follows the topic of the hosts' shared state, the plan and the registered hosts, and
-// writes to it. It is safe for concurrent use.
+// state follows the topic of the hosts' shared state, the plan, the registered hosts and the evidence
+// against requests that crash servers, and writes to it. It is safe for concurrent use.
 type state struct {
 	platform Platform
 	current  *assign.Current
@@ -36,6 +37,8 @@
 	log      *eventlog.Log
 	// onChange is called after each read with changes, onRead after each successful read.
 	onChange, onRead func()
+	// onEvidence is called with the evidence against a request that has been read.
+	onEvidence func([]poison.Record)
 
 	// registered is set while this host's record is known to be in the topic. Only the goroutine
 	// that reads uses it.
@@ -46,6 +49,8 @@
 	next follow.Position
 	// hosts holds the registered hosts by key.
 	hosts map[string]assign.Host
+	// evidenceWritten holds when the evidence in the topic was written, by key.
+	evidenceWritten map[string]time.Time
 }
 
 // read reads the topic once, waiting for a change at most for the given time, and applies the
@@ -95,6 +100,8 @@
 		s.applyPlan(record, arrivedAt, era)
 	case strings.HasPrefix(record.Key, hostPrefix):
 		s.applyHost(record)
+	case strings.HasPrefix(record.Key, evidencePrefix):
+		s.applyEvidence(record)
 	}
 }
 
--- a/internal/poison/evidence.go
+++ b/internal/poison/evidence.go
@@ -9,6 +9,9 @@
 const (
 	// maxCrashes is the maximum number of crashes stored per request.
 	maxCrashes = 8
+	// durableCrashes is the number of crashes from which on the evidence against a request is kept
+	// outside the hosts, and sent on by each host that has it.
+	durableCrashes = 2
 	// evictionDivisor determines how much an eviction frees in addition to the excess:
 	// the maximum number of requests divided by it.
 	evictionDivisor = 10
@@ -19,8 +22,7 @@
 // Bounds holds the limits of an EvidenceStore.
 type Bounds struct {
 	// CrashLimit is the number of crashes that blocks a request if at least one of them
-	// occurred while it ran alone. Otherwise it takes one crash more. Values below 1
-	// count as 1.
+	// occurred while it ran alone. Values below 1 count as 1.
 	CrashLimit int
 	// SharedCrashLimit is the number of crashes that blocks a request in any case. Zero means
 	// one more than CrashLimit.
@@ -37,11 +39,18 @@
 	alone bool
 	// cleared means that the request has since finished, so that it did not cause the crash.
 	cleared bool
-	at      time.Time
+	// imported means that all that is known of the crash comes from other hosts.
+	imported bool
+	at       time.Time
 	// sequence is the sequence number of the last change, for Export.
 	sequence uint64
 }
 
+// record returns the crash as other hosts get it.
+func (c crash) record(now time.Time, f Fingerprint, server Server) Record {
+	return Record{Fingerprint: f, Death: server, Alone: c.alone, Cleared: c.cleared, Age: now.Sub(c.at)}
+}
+
 // evidence holds the crashes during which one request was in flight.
 type evidence struct {
 	crashes map[Server]crash
@@ -88,7 +97,8 @@
 // Add records that a request was in flight when a server crashed. Alone means that it
 // ran alone.
 func (s *EvidenceStore) Add(now time.Time, f Fingerprint, server Server, alone bool) {
-	s.Import(now, []Record{{Fingerprint: f, Death: server, Alone: alone}})
+	s.add(now, Record{Fingerprint: f, Death: server, Alone: alone}, false)
+	s.evict(now)
 }
 
 // Clear records that a request has finished on a server, so that it caused none of the
@@ -101,6 +111,7 @@
 	for server, c := range e.crashes {
 		if !c.cleared {
 			c.cleared = true
+			c.imported = false
 			e.crashes[server] = s.withNextSequence(c)
 		}
 	}
@@ -143,13 +154,13 @@
 // Import adds records of other hosts. Order and repetition make no difference.
 func (s *EvidenceStore) Import(now time.Time, records []Record) {
 	for _, record := range records {
-		s.add(now, record)
+		s.add(now, record, true)
 	}
 	s.evict(now)
 }
 
-// add merges one record into the evidence.
-func (s *EvidenceStore) add(now time.Time, record Record) {
+// add merges one record into the evidence. imported says that it comes from another host.
+func (s *EvidenceStore) add(now time.Time, record Record, imported bool) {
 	if record.Age >= s.bounds.Retention {
 		return
 	}
@@ -164,8 +175,10 @@
 			return
 		}
 		c.at = now.Add(-record.Age)
+		c.imported = imported
 	}
 	merged := c
+	merged.imported = c.imported && imported
 	merged.alone = c.alone || record.Alone
 	merged.cleared = c.cleared || record.Cleared
 	if !known || merged != c {
@@ -174,29 +187,59 @@
 }
 
 // Export returns the records that changed after the given sequence number, and the
-// sequence number to pass to the next call. Zero returns all records.
+// sequence number to pass to the next call. Zero returns all records. Imported records of a
+// request are left out until it has crashed durableCrashes servers: the host that they come
+// from sends them to all others.
 func (s *EvidenceStore) Export(now time.Time, since uint64) ([]Record, uint64) {
 	var records []Record
 	if since >= s.sequence {
 		return nil, s.sequence
 	}
 	for f, e := range s.requests {
+		crashes, _ := s.countCrashes(now, f)
 		for server, c := range e.crashes {
-			if c.sequence <= since || s.expired(now, c) {
+			if c.sequence <= since || s.expired(now, c) || c.imported && crashes < durableCrashes {
 				continue
 			}
-			records = append(records, Record{
-				Fingerprint: f,
-				Death:       server,
-				Alone:       c.alone,
-				Cleared:     c.cleared,
-				Age:         now.Sub(c.at),
-			})
+			records = append(records, c.record(now, f, server))
 		}
 	}
 	return records, s.sequence
 }
 
+// ExportDurable returns all records of the requests that have crashed durableCrashes servers, by
+// request, if a crash changed after the given sequence number that was recorded by this host itself
+// or, if imported is set, by any. It also returns the sequence number to pass to the next call.
+// These records are worth keeping where they outlast the loss of all hosts.
+func (s *EvidenceStore) ExportDurable(now time.Time, since uint64, imported bool) (map[Fingerprint][]Record, uint64) {
+	durable := make(map[Fingerprint][]Record)
+	if since >= s.sequence {
+		return durable, s.sequence
+	}
+	for f, e := range s.requests {
+		if crashes, _ := s.countCrashes(now, f); crashes < durableCrashes || !e.changedSince(since, imported) {
+			continue
+		}
+		for server, c := range e.crashes {
+			if !s.expired(now, c) {
+				durable[f] = append(durable[f], c.record(now, f, server))
+			}
+		}
+	}
+	return durable, s.sequence
+}
+
+// changedSince reports whether a crash changed after the given sequence number that was recorded by
+// this host itself or, if imported is set, by any.
+func (e *evidence) changedSince(since uint64, imported bool) bool {
+	for _, c := range e.crashes {
+		if (imported || !c.imported) && c.sequence > since {
+			return true
+		}
+	}
+	return false
+}
+
 // Len returns the number of requests with evidence.
 func (s *EvidenceStore) Len() int {
 	return len(s.requests)
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -117,6 +117,14 @@
 	return g.store.Export(time.Now(), since)
 }
 
+// ExportDurable returns the records that are worth keeping outside the hosts; see
+// EvidenceStore.ExportDurable.
+func (g *Guard) ExportDurable(since uint64, imported bool) (map[Fingerprint][]Record, uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.store.ExportDurable(time.Now(), since, imported)
+}
+
 // Import adds records of other hosts.
 func (g *Guard) Import(records []Record) {
 	g.mu.Lock()
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -260,18 +260,6 @@
 	}
 }
 
-// TestSharedServersBlockAtTheirLimit is a regression test (BUDGET on Moravia): where hosts share the
-// servers, no run counts as alone, and a request crashed one server more than the configured number.
-func TestSharedServersBlockAtTheirLimit(t *testing.T) {
-	store := NewEvidenceStore(Bounds{CrashLimit: 3, SharedCrashLimit: 3, Retention: time.Minute})
-	f := Fingerprint{1}
-	for n := range 3 {
-		assert.Equal(t, store.Check(start, f) == Blocked, false)
-		store.Add(start, f, incarnation(n), false)
-	}
-	assert.Equal(t, store.Check(start, f), Blocked)
-}
-
 // TestServersFailureClearsNothing checks that a failure that a server answers, which it may do without
 // executing the request, does not clear the request.
 func TestServersFailureClearsNothing(t *testing.T) {
@@ -290,3 +278,43 @@
 	}
 	assert.Equal(t, store.Check(start, f), Blocked)
 }
+
+// TestSharedServersBlockAtTheirLimit is a regression test (BUDGET on Moravia): where hosts share the
+// servers, no run counts as alone, and a request crashed one server more than the configured number.
+func TestSharedServersBlockAtTheirLimit(t *testing.T) {
+	store := NewEvidenceStore(Bounds{CrashLimit: 3, SharedCrashLimit: 3, Retention: time.Minute})
+	f := Fingerprint{1}
+	for n := range 3 {
+		assert.Equal(t, store.Check(start, f) == Blocked, false)
+		store.Add(start, f, incarnation(n), false)
+	}
+	assert.Equal(t, store.Check(start, f), Blocked)
+}
+
+// TestOnlySeriousEvidenceIsSentOn checks that hosts send on and keep only evidence against requests
+// that have crashed several servers; with one crash, the host that recorded it sends it.
+func TestOnlySeriousEvidenceIsSentOn(t *testing.T) {
+	bounds := Bounds{CrashLimit: 3, SharedCrashLimit: 3, Retention: time.Minute}
+	first, second := NewEvidenceStore(bounds), NewEvidenceStore(bounds)
+	f := Fingerprint{1}
+	first.Add(start, f, incarnation(1), false)
+	records, _ := first.Export(start, 0)
+	second.Import(start, records)
+	records, _ = second.Export(start, 0)
+	assert.Equal(t, len(records), 0)
+	second.Add(start, f, incarnation(2), false)
+	records, next := second.Export(start, 0)
+	assert.Equal(t, len(records), 2)
+	kept, _ := second.ExportDurable(start, 0, false)
+	assert.Equal(t, len(kept[f]), 2)
+
+	// What comes from others is kept again only on demand.
+	third := NewEvidenceStore(bounds)
+	third.Import(start, records)
+	kept, _ = third.ExportDurable(start, 0, false)
+	assert.Equal(t, len(kept), 0)
+	kept, _ = third.ExportDurable(start, 0, true)
+	assert.Equal(t, len(kept[f]), 2)
+	kept, _ = second.ExportDurable(start, next, true)
+	assert.Equal(t, len(kept), 0)
+}
