relay: a host that the platform turns away reads through any other host

What callers saw: CONFIG (users' report on grown Riga): a request handled by an older version than the one acknowledged seconds before. Cause: a host looks for a relay only among the hosts before it in its zone. The relay itself, the leader (which keeps its role while it cannot join the election) and a zone whose hosts are all turned away read from the platform alone. In-flight long reads hung besides. Class: the one who serves others has nobody to ask. TestHostThatThePlatformTurnsAwayAsksOthers failed before (the relay's case; the test ends there). Change: a host whose reads have failed for 0.5 s cancels what is in flight, asks any host (own zone first, then the relay of each other zone), at most five that fail in 3 s, and tries the platform once a second for each topic. A host without contact says so even if its cache does not reach the question. TestReadFromBeforeAnOutageIsCanceled expects the cancellation now when contact is lost, which is earlier than when it is regained.

--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -114,6 +114,7 @@
 	h.relay = relay.New(relay.Config{
 		Hosts:            func() ([]relay.Host, int) { return relayOrder(h.current.Plan(), h.self) },
 		MustReadDirectly: func() bool { return h.leader.IsLeader() },
+		Others:           func() []relay.Host { return otherRelays(h.current.Plan(), h.self) },
 		Ask:              h.peers.read, Clock: clock.Monotonic, Log: log,
 	})
 	wakeLeader := func() { h.leader.Wake() }
--- a/internal/edge/relays.go
+++ b/internal/edge/relays.go
@@ -41,6 +41,29 @@
 	return hosts, position
 }
 
+// otherRelays returns the hosts of other zones in the order in which this host queries them if no host
+// of its own zone can answer: the relay of each zone first, since it reads the topics anyway.
+func otherRelays(plan assign.Plan, self assign.Host) []relay.Host {
+	var zones []string
+	for _, host := range plan.Hosts {
+		if host.Zone != self.Zone && !slices.Contains(zones, host.Zone) {
+			zones = append(zones, host.Zone)
+		}
+	}
+	slices.Sort(zones)
+	var ordered []relay.Host
+	for rank, found := 0, true; found; rank++ {
+		found = false
+		for _, zone := range zones {
+			if hosts, _ := relayOrder(plan, assign.Host{Zone: zone}); rank < len(hosts) {
+				ordered = append(ordered, hosts[rank])
+				found = true
+			}
+		}
+	}
+	return ordered
+}
+
 // falseFirst compares two booleans so that false sorts before true.
 func falseFirst(a, b bool) int {
 	switch {
--- a/internal/edge/relays_test.go
+++ b/internal/edge/relays_test.go
@@ -95,3 +95,17 @@
 	assert.Equal(t, s.current.WrittenAfter(), requestedAt-300*time.Millisecond)
 	assert.Equal(t, s.current.VerifiedAt(), requestedAt-700*time.Millisecond)
 }
+
+// TestOtherRelaysStartWithTheRelayOfEachZone checks whom a host asks if no host of its zone can answer.
+func TestOtherRelaysStartWithTheRelayOfEachZone(t *testing.T) {
+	plan := assign.Plan{Hosts: []assign.Host{
+		{Name: "a1", Zone: "a", Capacity: 1}, {Name: "a2", Zone: "a", Capacity: 2},
+		{Name: "b1", Zone: "b", Capacity: 2}, {Name: "b2", Zone: "b", Capacity: 1}, {Name: "b3", Zone: "b", Retired: true},
+		{Name: "c1", Zone: "c"},
+	}}
+	var names []string
+	for _, host := range otherRelays(plan, plan.Hosts[5]) {
+		names = append(names, host.Name)
+	}
+	assert.DeepEqual(t, names, []string{"a2", "b1", "a1", "b2"})
+}
--- a/internal/leader/simulation_follow_test.go
+++ b/internal/leader/simulation_follow_test.go
@@ -73,6 +73,17 @@
 	return hosts, self
 }
 
+// otherHosts returns the hosts of other zones.
+func (h *simHost) otherHosts() []relay.Host {
+	var hosts []relay.Host
+	for _, other := range h.current.Plan().Hosts {
+		if other.Zone != h.self.Zone && !other.Retired {
+			hosts = append(hosts, relay.Host{Name: other.Name})
+		}
+	}
+	return hosts
+}
+
 // followPlan reads the plan through the relay of the zone, as package edge does.
 func (h *simHost) followPlan(ctx context.Context) {
 	follower := follow.New(h.relay.Source("plan", h, relay.Options{}))
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -11,13 +11,17 @@
 // for example, a host renews grants only if it has verified its plan recently. Ages are measured
 // on clocks that include the time in which a machine is suspended.
 //
-// Failures: a relay that does not answer, or that has no contact with the platform, is not
+// Failures: a host that loses contact with the platform queries any other host, of its own zone
+// first, until it has contact again: the platform may turn away single hosts, also relays and the
+// leader. A relay that does not answer, or that has no contact with the platform, is not
 // queried for a few seconds, and event "relay" is logged. A relay whose cache does not reach the
 // requested offset says so, and the querying host reads from the platform (counter Fallback).
 package relay
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -96,6 +100,15 @@
 	maxContactAge = 1400 * time.Millisecond
 	// avoidDuration is how long a host that did not answer or had no contact is not queried again.
 	avoidDuration = 3 * time.Second
+	// lostContactAge is the time since the last contact with the platform after which a host whose
+	// reads fail relies on the other hosts.
+	lostContactAge = 500 * time.Millisecond
+	// directRetryInterval is the time between two reads of a topic from the platform while contact is
+	// lost, and directRetryTimeout the timeout of one.
+	directRetryInterval = time.Second
+	directRetryTimeout  = 400 * time.Millisecond
+	// maxAvoided is the number of avoided hosts from which on a host without contact queries no more.
+	maxAvoided = 5
 	// fallbackWait bounds how long a read from the platform waits for a record if the relay could not answer.
 	fallbackWait = 2 * time.Second
 	// servingTimeout is how long a host acts as a relay after the last query.
@@ -107,8 +120,11 @@
 	// Hosts returns the hosts of the zone in the order in which they are preferred as relays; all
 	// hosts of a zone use the same order. The list includes this host; self is its index.
 	Hosts func() (hosts []Host, self int)
-	// MustReadDirectly reports whether this host has to read from the platform itself.
+	// MustReadDirectly reports whether this host has to read from the platform itself while it can.
 	MustReadDirectly func() bool
+	// Others returns the hosts of other zones in the order in which they are queried if no host of
+	// the own zone has contact with the platform.
+	Others func() []Host
 	// Ask queries another host.
 	Ask func(ctx context.Context, host Host, ask Ask) (Reply, error)
 	// Clock returns a monotonic reading that includes the time in which the machine is suspended.
@@ -139,19 +155,25 @@
 	wasQueried  bool
 	// avoidedUntil holds the time until which a host is not queried, by host name.
 	avoidedUntil map[string]time.Duration
+	// failures counts how often in a row a host failed to answer, by host name.
+	failures map[string]int
 }
 
 // New returns a Relay without topics; Source adds them.
 func New(config Config) *Relay {
 	return &Relay{
-		config: config, caches: make(map[Topic]*topicCache), avoidedUntil: make(map[string]time.Duration),
+		config: config, caches: make(map[Topic]*topicCache), avoidedUntil: make(map[string]time.Duration), failures: make(map[string]int),
 		reads: make(map[*context.CancelCauseFunc]time.Duration),
 	}
 }
 
 // chooseRelay returns the relay to query. It returns false if this host has to read from the platform:
 // because it must, because others query it, or because no host before it in the order is available.
+// A host that has lost contact with the platform queries any host.
 func (r *Relay) chooseRelay() (Host, bool) {
+	if r.hasLostContact() {
+		return r.chooseAnyHost()
+	}
 	if r.config.MustReadDirectly() {
 		return Host{}, false
 	}
@@ -173,14 +195,49 @@
 	return Host{}, false
 }
 
+// hasLostContact reports whether the platform has not answered this host for lostContactAge, although
+// it was asked.
+func (r *Relay) hasLostContact() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.contactLost && r.contactAge(r.config.Clock()) >= lostContactAge
+}
+
+// chooseAnyHost returns the other host that is not avoided and has failed least often in a row; a
+// single failure does not count. It returns false if all are avoided, or so many that the platform
+// seems to be away for all.
+func (r *Relay) chooseAnyHost() (Host, bool) {
+	hosts, self := r.config.Hosts()
+	candidates := slices.Concat(hosts[:min(self, len(hosts))], hosts[min(self+1, len(hosts)):], r.config.Others())
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.config.Clock()
+	known := len(candidates)
+	candidates = slices.DeleteFunc(candidates, func(host Host) bool { return r.avoidedUntil[host.Name] > now })
+	if len(candidates) == 0 || known-len(candidates) >= maxAvoided {
+		return Host{}, false
+	}
+	return slices.MinFunc(candidates, func(a, b Host) int {
+		return cmp.Compare(max(r.failures[a.Name], 1), max(r.failures[b.Name], 1))
+	}), true
+}
+
 // avoidHost excludes a host from being queried for avoidDuration.
 func (r *Relay) avoidHost(host Host, reason string) {
 	r.mu.Lock()
 	r.avoidedUntil[host.Name] = r.config.Clock() + avoidDuration
+	r.failures[host.Name]++
 	r.mu.Unlock()
 	r.config.Log.Event("relay", "relay", host.Name, "outcome", "avoided", "reason", reason)
 }
 
+// recordAnswered records that a host has answered.
+func (r *Relay) recordAnswered(host Host) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.failures, host.Name)
+}
+
 // errContactRegained is the cause with which reads are canceled that began before an outage ended,
 // or before a restore of the log, which is an outage too.
 var errContactRegained = errors.New("relay: read canceled because contact with the platform was lost and regained since it began")
@@ -208,6 +265,10 @@
 	}
 }
 
+// errContactLost is the cause with which reads are canceled that are in flight when contact with the
+// platform is lost: they may never be answered, and other hosts can answer.
+var errContactLost = errors.New("relay: read canceled because contact with the platform is lost")
+
 // recordEra records a later era of the log. What was read in an older one answers no queries any
 // more. The caller holds the lock.
 func (r *Relay) recordEra(era follow.Era) {
@@ -232,8 +293,20 @@
 	switch {
 	case errors.IsAny(err, follow.ErrCompacted, follow.ErrRestored):
 		c.invalidate()
-	case !errors.IsAny(err, context.Canceled, errContactRegained):
+	case !errors.IsAny(err, context.Canceled, errContactRegained, errContactLost):
 		r.contactLost = true
+		r.cancelHangingReads()
+	}
+}
+
+// cancelHangingReads cancels the reads in flight if contact with the platform is lost. The caller holds
+// the lock.
+func (r *Relay) cancelHangingReads() {
+	if r.contactAge(r.config.Clock()) < lostContactAge {
+		return
+	}
+	for cancel := range r.reads {
+		(*cancel)(errContactLost)
 	}
 }
 
@@ -291,10 +364,13 @@
 	r.lastQueried = now
 	r.wasQueried = true
 	c := r.caches[ask.Topic]
+	age := r.contactAge(now)
+	if c != nil && r.contactLost && age >= maxContactAge {
+		return Reply{Outcome: NoContact}, nil, 0
+	}
 	if c == nil || !c.has(ask.From) {
 		return Reply{Outcome: NotReading}, nil, 0
 	}
-	age := r.contactAge(now)
 	if age >= maxContactAge {
 		return Reply{Outcome: NoContact}, nil, 0
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/poplarcroft/poplarcroft/internal/eventlog"
 	"github.com/poplarcroft/poplarcroft/internal/follow"
+	"github.com/poplarcroft/poplarcroft/internal/loop"
 )
 
 var errNoAnswer = errors.New("no answer")
@@ -24,6 +25,8 @@
 	mu      sync.Mutex
 	records []follow.Record
 	hosts   []*testHost
+	// others are hosts of another zone. They are among hosts, too.
+	others []Host
 }
 
 // testHost is one host. An unresponsive one does not answer other hosts; a partitioned one gets
@@ -35,6 +38,7 @@
 	relay                     *Relay
 	source                    *Source
 	unresponsive, partitioned bool
+	leads                     bool
 	reads                     int
 	next                      uint64
 }
@@ -49,7 +53,8 @@
 		h := &testHost{zone: z, name: fmt.Sprint(i)}
 		h.relay = New(Config{
 			Hosts:            func() ([]Host, int) { return list, i },
-			MustReadDirectly: func() bool { return false },
+			MustReadDirectly: func() bool { return h.leads },
+			Others:           func() []Host { return z.others },
 			Ask:              h.ask, Clock: z.now, Log: eventlog.Discard(),
 		})
 		h.source = h.relay.Source("servers", h, Options{NewFilter: newFilter, MinInterval: func() time.Duration { return time.Second }})
@@ -97,10 +102,10 @@
 }
 
 // Since implements follow.Source. It does not wait.
-func (h *testHost) Since(_ context.Context, from follow.Position, _ time.Duration) (follow.Batch, error) {
+func (h *testHost) Since(ctx context.Context, from follow.Position, _ time.Duration) (follow.Batch, error) {
 	z := h.zone
 	if z.has(&h.partitioned) {
-		time.Sleep(time.Second)
+		loop.Sleep(ctx, time.Second)
 		return follow.Batch{}, errNoAnswer
 	}
 	z.mu.Lock()
@@ -329,7 +334,7 @@
 			time.Sleep(2200 * time.Millisecond)
 			select {
 			case err := <-ended:
-				assert.ErrorIs(t, err, errContactRegained)
+				assert.ErrorIs(t, err, errContactLost)
 			default:
 				t.Fatal("the read from before the outage has not been canceled")
 			}
@@ -403,3 +408,61 @@
 		assert.Equal(t, serve(2), Answered)
 	})
 }
+
+// TestHostThatThePlatformTurnsAwayAsksOthers is a regression test (CONFIG): a relay, a leader, or a
+// zone whose hosts are all turned away by the platform, which serves the other hosts, learned of a
+// new configuration only when the platform served it again, 10 s later.
+func TestHostThatThePlatformTurnsAwayAsksOthers(t *testing.T) {
+	for name, partitioned := range map[string]int{"relay": 1, "leader": 1, "all hosts of the zone": 3} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				z := newTestZone(3, nil)
+				outside := &testHost{zone: z, name: "outside"}
+				outside.relay = New(Config{
+					Hosts: func() ([]Host, int) { return []Host{{Name: outside.name}}, 0 }, Others: func() []Host { return nil },
+					MustReadDirectly: func() bool { return false }, Ask: outside.ask, Clock: z.now, Log: eventlog.Discard(),
+				})
+				outside.source = outside.relay.Source("servers", outside, Options{MinInterval: func() time.Duration { return time.Second }})
+				z.hosts = append(z.hosts, outside)
+				z.others = []Host{{Name: outside.name}}
+				z.hosts[0].leads = name == "leader"
+				z.withFollowers(t, func() {
+					for _, h := range z.hosts[:partitioned] {
+						z.set(true, &h.partitioned)
+					}
+					z.append("1")
+					time.Sleep(3500 * time.Millisecond)
+					z.append("2")
+					time.Sleep(1800 * time.Millisecond)
+					for _, h := range z.hosts {
+						_, next := h.takeReadCount()
+						assert.Equal(t, next, uint64(2), h.name)
+					}
+				})
+			})
+		})
+	}
+}
+
+// TestHostsAskFewOthersWhileThePlatformIsAway checks that a host does not query all others, again and
+// again, while the platform answers nobody.
+func TestHostsAskFewOthersWhileThePlatformIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		z := newTestZone(20, nil)
+		z.withFollowers(t, func() {
+			for _, h := range z.hosts {
+				z.set(true, &h.partitioned)
+			}
+			time.Sleep(6 * time.Second)
+			served := int64(0)
+			for _, h := range z.hosts {
+				served -= h.relay.Counters.Served.Value()
+			}
+			time.Sleep(30 * time.Second)
+			for _, h := range z.hosts {
+				served += h.relay.Counters.Served.Value()
+			}
+			assert.Assert(t, served <= 20*maxAvoided*11, "%d queries of 20 hosts in 30 s", served)
+		})
+	})
+}
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -70,6 +70,9 @@
 
 // Since implements follow.Source. It queries the relay first, if there is one.
 func (s *Source) Since(ctx context.Context, from follow.Position, wait time.Duration) (follow.Batch, error) {
+	if s.relay.hasLostContact() {
+		return s.sinceWithoutContact(ctx, from)
+	}
 	if host, ok := s.relay.chooseRelay(); ok {
 		batch, err := s.ask(ctx, host, from)
 		if err == nil {
@@ -86,6 +89,32 @@
 	return s.read(ctx, from, wait)
 }
 
+// sinceWithoutContact reads from any other host while this host has lost contact with the platform. Now
+// and then it tries the platform first.
+func (s *Source) sinceWithoutContact(ctx context.Context, from follow.Position) (follow.Batch, error) {
+	if s.relay.config.Clock()-s.lastStart >= directRetryInterval {
+		directCtx, cancel := context.WithTimeout(ctx, directRetryTimeout)
+		defer cancel()
+		batch, err := s.read(directCtx, from, 0)
+		if err == nil || errors.IsAny(err, follow.ErrCompacted, follow.ErrRestored) {
+			return batch, err
+		}
+	}
+	host, ok := s.relay.chooseRelay()
+	if !ok {
+		return follow.Batch{}, errNoOtherHost
+	}
+	batch, err := s.ask(ctx, host, from)
+	if err == nil {
+		s.relay.Counters.Relayed.Add(1)
+	}
+	return batch, err
+}
+
+// errNoOtherHost reports that this host has lost contact with the platform and there is no other host
+// to query.
+var errNoOtherHost = errors.New("relay: contact with the platform is lost, and no other host can be queried")
+
 // read reads from the platform and caches the records for other hosts.
 func (s *Source) read(ctx context.Context, from follow.Position, wait time.Duration) (follow.Batch, error) {
 	if !s.relay.prepareRead(s.topic, from) {
@@ -140,6 +169,7 @@
 	}
 	switch reply.Outcome {
 	case Answered:
+		s.relay.recordAnswered(host)
 		return follow.Batch{Records: reply.Records, Era: from.Era, End: reply.End, Age: reply.Age}, nil
 	case NoContact:
 		s.relay.avoidHost(host, reply.Outcome.String())
