poison: one delivery of evidence for both interfaces

The state of a delivery moves to poison.Deliveries, which both use. No sending waits for another now.

--- a/internal/edge/evidence.go
+++ b/internal/edge/evidence.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/poplarcroft/poplarcroft/internal/assign"
@@ -40,23 +39,14 @@
 	lost      bool
 	expiredAt time.Time
 
-	mu sync.Mutex
-	// deliveries holds what each incarnation of a host has taken.
-	deliveries map[string]*delivery
-}
-
-// delivery is the state of the delivery to one incarnation of a host.
-type delivery struct {
-	// taken is the sequence number up to which the host has the evidence.
-	taken uint64
-	// sending is set while a message is on its way. failed says that the last one got no answer, and
-	// retryAt when the next one is due.
-	sending, failed bool
-	retryAt         time.Time
+	deliveries *poison.Deliveries
 }
 
 func newEvidenceSharing(self assign.Host, guard *poison.Guard, plan func() assign.Plan, s *state, p *peers, log *eventlog.Log) *evidenceSharing {
-	return &evidenceSharing{self: self, guard: guard, plan: plan, state: s, peers: p, log: log, deliveries: make(map[string]*delivery)}
+	return &evidenceSharing{
+		self: self, guard: guard, plan: plan, state: s, peers: p, log: log,
+		deliveries: poison.NewDeliveries(guard, evidenceRetryInterval),
+	}
 }
 
 // run shares new evidence until the context ends.
@@ -71,60 +61,33 @@
 
 // deliverAll starts a message to each host that lacks evidence.
 func (e *evidenceSharing) deliverAll(ctx context.Context) {
-	hosts := e.plan().Hosts
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	listed := make(map[string]bool, len(hosts))
-	for _, host := range hosts {
+	listed := make(map[string]bool)
+	for _, host := range e.plan().Hosts {
 		if host.SameIncarnation(e.self) || host.Retired {
 			continue
 		}
 		id := host.Name + "/" + host.Incarnation
 		listed[id] = true
-		d := e.deliveries[id]
-		if d == nil {
-			d = &delivery{}
-			e.deliveries[id] = d
-		}
-		if d.sending || time.Now().Before(d.retryAt) {
-			continue
-		}
-		records, next := e.guard.Export(d.taken)
-		if len(records) == 0 {
-			d.taken = next
-			continue
-		}
-		d.sending = true
-		go e.deliver(ctx, host, d, records, next)
-	}
-	for id, d := range e.deliveries {
-		if !listed[id] && !d.sending {
-			delete(e.deliveries, id)
+		if records, ok := e.deliveries.Begin(id); ok {
+			go e.deliver(ctx, host, id, records)
 		}
 	}
+	e.deliveries.Retain(listed)
 }
 
 // deliver sends evidence to one host and records whether it has taken it.
-func (e *evidenceSharing) deliver(ctx context.Context, host assign.Host, d *delivery, records []poison.Record, next uint64) {
+func (e *evidenceSharing) deliver(ctx context.Context, host assign.Host, id string, records []poison.Record) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	err := e.peers.suspects(ctx, host, SuspectsArgs{From: e.self.Name, Records: records})
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	d.sending = false
-	if err != nil {
-		d.retryAt = time.Now().Add(evidenceRetryInterval)
-		if !d.failed {
-			e.log.Event("suspects", "to", host.Name, "records", len(records), "outcome", "not taken, sent again", "err", err.Error())
-		}
-		d.failed = true
-		return
-	}
-	if d.failed {
+	changed := e.deliveries.End(id, err == nil)
+	switch {
+	case !changed:
+	case err != nil:
+		e.log.Event("suspects", "to", host.Name, "records", len(records), "outcome", "not taken, sent again", "err", err.Error())
+	default:
 		e.log.Event("suspects", "to", host.Name, "records", len(records), "outcome", "taken")
 	}
-	d.failed = false
-	d.taken = next
 }
 
 // keep writes the new evidence that this host has recorded to the shared state. A restore of the log
--- a/internal/host/suspects.go
+++ b/internal/host/suspects.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/poplarcroft/poplarcroft/internal/loop"
@@ -14,21 +13,22 @@
 const (
 	// suspectInterval is the time between two checks for new evidence to send.
 	suspectInterval = 50 * time.Millisecond
-	// suspectTimeout bounds one call that sends evidence.
-	suspectTimeout = 300 * time.Millisecond
+	// suspectTimeout bounds one call that sends evidence, and suspectRetryInterval is the time until
+	// what was not taken is sent again.
+	suspectTimeout       = 300 * time.Millisecond
+	suspectRetryInterval = time.Second
 )
 
 // suspectLoop sends new evidence against requests to all other hosts, so that every
 // host rejects a request that crashes servers, wherever its caller sends it again.
 func (h *Host) suspectLoop(ctx context.Context) {
 	var since uint64
+	deliveries := poison.NewDeliveries(h.guard, suspectRetryInterval)
 	loop.Every(ctx, suspectInterval, func(ctx context.Context) {
 		records, next := h.guard.Export(since)
 		since = next
-		if len(records) > 0 {
-			h.recordSuspects(records)
-			h.broadcastSuspects(ctx, records)
-		}
+		h.recordSuspects(records)
+		h.broadcastSuspects(ctx, deliveries)
 		h.guard.Expire()
 	})
 }
@@ -52,17 +52,22 @@
 	}
 }
 
-// broadcastSuspects sends evidence to all other hosts. It is not sent again if a call fails.
-func (h *Host) broadcastSuspects(ctx context.Context, records []poison.Record) {
-	var calls sync.WaitGroup
+// broadcastSuspects starts a message to each host that has not taken all evidence yet.
+func (h *Host) broadcastSuspects(ctx context.Context, deliveries *poison.Deliveries) {
+	known := make(map[string]bool)
 	for _, host := range h.members.All() {
 		if host.Name == h.config.Name {
 			continue
 		}
-		calls.Go(func() {
-			args := peer.SuspectsArgs{Records: records}
-			h.peers.CallTimeout(ctx, suspectTimeout, host.PeerAddr, "Peer.Suspects", args, &peer.Empty{})
-		})
+		id := host.Name + "/" + host.Incarnation
+		known[id] = true
+		if records, ok := deliveries.Begin(id); ok {
+			go func() {
+				args := peer.SuspectsArgs{Records: records}
+				err := h.peers.CallTimeout(ctx, suspectTimeout, host.PeerAddr, "Peer.Suspects", args, &peer.Empty{})
+				deliveries.End(id, err == nil)
+			}()
+		}
 	}
-	calls.Wait()
+	deliveries.Retain(known)
 }
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -318,3 +318,42 @@
 	kept, _ = second.ExportDurable(start, next, true)
 	assert.Equal(t, len(kept), 0)
 }
+
+// TestEveryReceiverGetsAllEvidence checks that evidence is due to a receiver until it has taken it, also
+// to one that is listed later.
+func TestEveryReceiverGetsAllEvidence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		guard := NewGuard(Bounds{CrashLimit: 3, Retention: time.Minute})
+		deliveries := NewDeliveries(guard, time.Second)
+		due := func(id string) int {
+			records, ok := deliveries.Begin(id)
+			assert.Equal(t, ok, len(records) > 0)
+			return len(records)
+		}
+		assert.Equal(t, due("b"), 0)
+		crashHere(t, guard, Fingerprint{1}, incarnation(1))
+		assert.Equal(t, due("b"), 1)
+		assert.Equal(t, due("b"), 0, "while a message is on its way")
+		assert.Assert(t, deliveries.End("b", false), "first failure")
+		assert.Equal(t, due("b"), 0, "before the retry interval has passed")
+		time.Sleep(time.Second)
+		crashHere(t, guard, Fingerprint{2}, incarnation(2))
+		assert.Equal(t, due("b"), 2)
+		assert.Assert(t, deliveries.End("b", true), "first success")
+		assert.Equal(t, due("b"), 0)
+		assert.Equal(t, due("c"), 2)
+		deliveries.Retain(map[string]bool{"b": true})
+		assert.Assert(t, !deliveries.End("c", true))
+		assert.Equal(t, due("c"), 2, "a receiver that was not listed for a while")
+	})
+}
+
+// crashHere makes a request crash a server as this host sees it.
+func crashHere(t *testing.T, guard *Guard, f Fingerprint, server Server) {
+	t.Helper()
+	attempt, _, ok := guard.Begin(t.Context(), server, f)
+	assert.Assert(t, ok)
+	attempt.SentShared()
+	attempt.End(Broken)
+	guard.ServerCrashed(server)
+}
