relay: contact with a slow platform is regained

Class: a time-out that is shorter than the slowest answer that counts. Change: a probe in the background, 2 s at most, one a source; its result only says that the platform answers.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -103,10 +103,10 @@
 	// lostContactAge is the time since the last contact with the platform after which a host whose
 	// reads fail relies on the other hosts.
 	lostContactAge = 500 * time.Millisecond
-	// directRetryInterval is the time between two reads of a topic from the platform while contact is
-	// lost, and directRetryTimeout the timeout of one.
-	directRetryInterval = time.Second
-	directRetryTimeout  = 400 * time.Millisecond
+	// probeInterval is the least time between two probes of the platform by a source while contact is
+	// lost, and probeTimeout the timeout of one.
+	probeInterval = time.Second
+	probeTimeout  = 2 * time.Second
 	// maxAvoided is the number of avoided hosts from which on a host without contact queries no more.
 	maxAvoided = 5
 	// fallbackWait bounds how long a read from the platform waits for a record if the relay could not answer.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -39,8 +39,10 @@
 	source                    *Source
 	unresponsive, partitioned bool
 	leads                     bool
-	reads                     int
-	next                      uint64
+	// slow makes each read from the platform take 900 ms.
+	slow  bool
+	reads int
+	next  uint64
 }
 
 func newTestZone(hosts int, newFilter func() Filter) *testZone {
@@ -108,6 +110,12 @@
 		loop.Sleep(ctx, time.Second)
 		return follow.Batch{}, errNoAnswer
 	}
+	if z.has(&h.slow) {
+		loop.Sleep(ctx, 900*time.Millisecond)
+		if ctx.Err() != nil {
+			return follow.Batch{}, ctx.Err()
+		}
+	}
 	z.mu.Lock()
 	defer z.mu.Unlock()
 	h.reads++
@@ -466,3 +474,24 @@
 		})
 	})
 }
+
+// TestContactWithASlowPlatformIsRegained checks that a host that has lost contact finds out that the
+// platform answers again, also if each answer takes long.
+func TestContactWithASlowPlatformIsRegained(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		z := newTestZone(1, nil)
+		h := z.hosts[0]
+		z.withFollowers(t, func() {
+			z.set(true, &h.partitioned)
+			time.Sleep(5 * time.Second)
+			assert.Assert(t, h.relay.hasLostContact())
+			z.set(false, &h.partitioned)
+			z.set(true, &h.slow)
+			z.append("1")
+			time.Sleep(5 * time.Second)
+			assert.Assert(t, !h.relay.hasLostContact())
+			_, next := h.takeReadCount()
+			assert.Equal(t, next, uint64(1))
+		})
+	})
+}
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -25,6 +26,8 @@
 	// lastStart is when the last one started.
 	minInterval func() time.Duration
 	lastStart   time.Duration
+	// probing is set while a probe of the platform is in progress.
+	probing atomic.Bool
 }
 
 // Filter reports whether a record has information for other hosts that earlier records did not
@@ -89,17 +92,10 @@
 	return s.read(ctx, from, wait)
 }
 
-// sinceWithoutContact reads from any other host while this host has lost contact with the platform. Now
-// and then it tries the platform first.
+// sinceWithoutContact reads from any other host while this host has lost contact with the platform. It
+// finds out in the background whether the platform answers again.
 func (s *Source) sinceWithoutContact(ctx context.Context, from follow.Position) (follow.Batch, error) {
-	if s.relay.config.Clock()-s.lastStart >= directRetryInterval {
-		directCtx, cancel := context.WithTimeout(ctx, directRetryTimeout)
-		defer cancel()
-		batch, err := s.read(directCtx, from, 0)
-		if err == nil || errors.IsAny(err, follow.ErrCompacted, follow.ErrRestored) {
-			return batch, err
-		}
-	}
+	s.probe(ctx, from)
 	host, ok := s.relay.chooseRelay()
 	if !ok {
 		return follow.Batch{}, errNoOtherHost
@@ -111,6 +107,26 @@
 	return batch, err
 }
 
+// probe reads from the platform in the background, at most once per probeInterval, and records contact if
+// the platform answers. It drops what was read. A slow platform answers a probe that takes long, too.
+func (s *Source) probe(ctx context.Context, from follow.Position) {
+	began := s.relay.config.Clock()
+	if began-s.lastStart < probeInterval || !s.probing.CompareAndSwap(false, true) {
+		return
+	}
+	s.lastStart = began
+	s.relay.Counters.Direct.Add(1)
+	go func() {
+		defer s.probing.Store(false)
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
+		defer cancel()
+		batch, err := s.direct.Since(ctx, from, 0)
+		if err == nil || errors.IsAny(err, follow.ErrCompacted, follow.ErrRestored) {
+			s.relay.recordContact(began, batch.Era)
+		}
+	}()
+}
+
 // errNoOtherHost reports that this host has lost contact with the platform and there is no other host
 // to query.
 var errNoOtherHost = errors.New("relay: contact with the platform is lost, and no other host can be queried")
