leader, edge: a registration from before a restore replaces no host

Change: a registration tells the era in which it was made, the leader takes only those of the present one; hosts register after their first read, which tells them the era.

--- a/internal/assign/plan.go
+++ b/internal/assign/plan.go
@@ -61,6 +61,9 @@
 	// grants with a lower fencing token: their server may have restarted, and its new
 	// incarnation must not get a grant that was meant for the former one.
 	Since Fence `json:"since"`
+	// Era is the number of the era of the log in which this incarnation registered last. A restored
+	// log may bring back the registration of an older incarnation, which is of an older era.
+	Era uint64 `json:"era,omitempty"`
 	// Led is set if this incarnation has been leader and may therefore have renewed grants in all zones.
 	Led bool `json:"led,omitempty"`
 	// Capacity is the CPU capacity of the host, in cores. Larger hosts are preferred as relays.
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -162,16 +162,20 @@
 
 // register writes this host's record to the topic. A restore of the log can lose it.
 func (s *state) register(ctx context.Context, self assign.Host) error {
+	self.Era = s.NextVersion().Era()
 	value, err := json.Marshal(self)
 	if err != nil {
 		return errors.NewAssertionErrorWithWrappedErrf(err, "encode host record")
 	}
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
-	if _, err = s.platform.AppendState(ctx, hostPrefix+self.Name, value, nil); err != nil {
+	position, err := s.platform.AppendState(ctx, hostPrefix+self.Name, value, nil)
+	if err != nil {
 		return err
 	}
-	s.registered = true
+	// If the log has been restored since the last read, the next read ends with a snapshot, after which
+	// this host registers again.
+	s.registered = position.Era == follow.UnknownEra || position.Era.Number() == self.Era
 	return nil
 }
 
--- a/internal/edge/topics.go
+++ b/internal/edge/topics.go
@@ -63,16 +63,18 @@
 	})
 }
 
-// followState is the loop that registers this host and then follows the hosts' shared state.
+// followState is the loop that follows the hosts' shared state. It registers this host there once it
+// knows the era of the log, and after each restore.
 func (h *Host) followState(ctx context.Context) {
 	follower := follow.New(h.relay.Source(topicState, h.platform.State(), relay.Options{}))
 	h.readLoop(ctx, "state", func(ctx context.Context) error {
-		if !h.state.registered {
-			if err := h.state.register(ctx, h.self); err != nil {
-				return err
-			}
+		if err := h.state.read(ctx, follower, stateWait); err != nil {
+			return err
+		}
+		if h.state.registered {
+			return nil
 		}
-		return h.state.read(ctx, follower, stateWait)
+		return h.state.register(ctx, h.self)
 	})
 }
 
--- a/internal/leader/hosts.go
+++ b/internal/leader/hosts.go
@@ -12,9 +12,9 @@
 // may no longer renew grants.
 const retireTimeout = 5 * time.Second
 
-// nextHosts returns the hosts of the next plan: those of the former one and the registered ones,
-// each in its newest incarnation, without the retired ones that must have stopped renewing. The
-// caller holds the lock.
+// nextHosts returns the hosts of the next plan: those of the former one and the ones registered in the
+// era of the version, each in its newest incarnation, without the retired ones that must have stopped
+// renewing. The caller holds the lock.
 func (l *Leader) nextHosts(former []assign.Host, version assign.Fence, now time.Duration) []assign.Host {
 	byName := make(map[string]assign.Host)
 	for _, host := range former {
@@ -22,7 +22,12 @@
 	}
 	self := l.Self
 	self.Led = true
+	self.Era = version.Era()
 	for _, host := range append(l.Hosts(), self) {
+		if host.Era < version.Era() {
+			// After a restore of the log, this may be an incarnation that another one has replaced.
+			continue
+		}
 		if known, ok := byName[host.Name]; !ok || !known.SameIncarnation(host) {
 			host.Since = version
 			byName[host.Name] = host
--- a/internal/leader/simulation_faults_test.go
+++ b/internal/leader/simulation_faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"time"
 
 	"github.com/poplarcroft/poplarcroft/internal/assign"
@@ -60,6 +61,7 @@
 		defer sim.mu.Unlock()
 		next := host.self
 		next.Incarnation += "'"
+		sim.olderRegistrations = maps.Clone(sim.registrations)
 		sim.start(host.index, next)
 	})
 }
@@ -110,6 +112,8 @@
 		}
 		sim.records, sim.written = sim.records[:kept:kept], sim.written[:kept:kept]
 		sim.era++
+		sim.registrations = sim.olderRegistrations
+		sim.olderRegistrations = maps.Clone(sim.registrations)
 	})
 }
 
--- a/internal/leader/simulation_test.go
+++ b/internal/leader/simulation_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -59,6 +60,9 @@
 	written []time.Duration
 	era     follow.Era
 	plans   map[string]assign.Plan
+	// registrations holds the registration of each host in the log, and olderRegistrations those of
+	// some seconds ago, which a restore brings back.
+	registrations, olderRegistrations map[string]assign.Host
 	// members holds when each host last called Join; elected is the host that is the leader.
 	members map[string]time.Duration
 	elected string
@@ -403,15 +407,19 @@
 	}
 }
 
-// registered returns the newest incarnation of each host.
+// registered returns the registrations that the log holds. After a restore, these are older ones until
+// the hosts register again.
 func (sim *simulation) registered() []assign.Host {
 	sim.mu.Lock()
 	defer sim.mu.Unlock()
-	var hosts []assign.Host
 	for _, h := range sim.hosts {
-		hosts = append(hosts, h.self)
+		if h.next.Era == sim.era {
+			host := h.self
+			host.Era = sim.era.Number()
+			sim.registrations[host.Name] = host
+		}
 	}
-	return hosts
+	return slices.Collect(maps.Values(sim.registrations))
 }
 
 // simulate runs the simulation. inject injects one random fault. It returns the first violation with the faults that were injected,
@@ -421,6 +429,7 @@
 		sim := &simulation{
 			rng: rand.New(rand.NewPCG(seed, 1)), started: time.Now().Add(-time.Hour), timing: timing, assumed: assumed,
 			era: 1, plans: make(map[string]assign.Plan),
+			registrations: make(map[string]assign.Host), olderRegistrations: make(map[string]assign.Host),
 			members: make(map[string]time.Duration), partitions: make(map[[2]string]time.Duration),
 		}
 		zones := []string{"brno", "zlin"}
