--- a/internal/edge/operator_records.go
+++ b/internal/edge/operator_records.go
@@ -81,8 +81,8 @@
 	return o.next.Load()
 }
 
-// checkProgress notes that another host has read up to the position with the given ordinal. If that is further than
-// this host, the read in progress is cancelled, as its answer has probably been lost.
+// checkProgress notes that another host has read up to the position with the given ordinal. If that
+// is further than this host, the read in progress is cancelled, as its answer has probably been lost.
 func (o *operatorRecords) checkProgress(furthest uint64) {
 	if o.next.Load() >= furthest {
 		return
--- a/internal/leader/simulation_test.go
+++ b/internal/leader/simulation_test.go
@@ -5,7 +5,6 @@
 	"flag"
 	"fmt"
 	"io"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -247,46 +246,6 @@
 	return sim.servers[i]
 }
 
-// Write implements Store for one host. Some writes succeed but return an error, as if the answer were lost.
-func (h *simHost) Write(ctx context.Context, plan assign.Plan, next assign.Fence) (assign.Plan, error) {
-	sim := h.sim
-	time.Sleep(5 * time.Millisecond)
-	sim.mu.Lock()
-	defer sim.mu.Unlock()
-	if !sim.connected(h.self.Name, "store") {
-		return assign.Plan{}, errNoAnswer
-	}
-	at := uint64(len(sim.records))
-	if next.Offset() != at {
-		return assign.Plan{}, ErrConflict
-	}
-	plan.Version = next
-	sim.append(plan)
-	if sim.chance(0.05) {
-		return assign.Plan{}, errNoAnswer
-	}
-	if next.Era() != sim.era.Number() {
-		return assign.Plan{}, ErrConflict
-	}
-	h.next = follow.Position{Era: sim.era, Offset: at + 1}
-	return plan, nil
-}
-
-// append appends a plan to the topic. The caller holds sim.mu.
-func (sim *simulation) append(plan assign.Plan) {
-	id := fmt.Sprintf("%d/%d", sim.era, len(sim.records))
-	sim.plans[id] = plan
-	sim.records = append(sim.records, follow.Record{Value: []byte(id), Offset: uint64(len(sim.records))})
-	sim.written = append(sim.written, sim.now())
-}
-
-// NextVersion implements Store.
-func (h *simHost) NextVersion() assign.Fence {
-	h.sim.mu.Lock()
-	defer h.sim.mu.Unlock()
-	return assign.FenceAt(h.next.Era.Number(), h.next.Offset)
-}
-
 // Join implements Elector with a lease of three seconds. The leader also changes at random.
 func (h *simHost) Join(context.Context) (bool, error) {
 	sim := h.sim
@@ -303,47 +262,6 @@
 	return sim.elected == h.self.Name, nil
 }
 
-// Adopt implements Peers.
-func (h *simHost) Adopt(ctx context.Context, host assign.Host, plan assign.Plan) error {
-	sim := h.sim
-	sim.mu.Lock()
-	i := slices.IndexFunc(sim.hosts, func(other *simHost) bool { return other.self.Name == host.Name })
-	to := sim.hosts[i]
-	ok := sim.connected(h.self.Name, host.Name) && to.stop != nil
-	sim.mu.Unlock()
-	if !ok {
-		<-ctx.Done()
-		return errNoAnswer
-	}
-	if to.self.Incarnation != host.Incarnation {
-		return nil
-	}
-	to.current.AdoptOfUnknownAge(plan)
-	if !to.renewer.AwaitStaleCalls(ctx) {
-		return errNoAnswer
-	}
-	return nil
-}
-
-// NewerPlan implements Peers.
-func (h *simHost) NewerPlan(ctx context.Context, host assign.Host, known assign.Fence) (PeerPlan, error) {
-	sim := h.sim
-	sim.mu.Lock()
-	i := slices.IndexFunc(sim.hosts, func(other *simHost) bool { return other.self.Name == host.Name })
-	to := sim.hosts[i]
-	ok := sim.connected(h.self.Name, host.Name) && to.stop != nil
-	sim.mu.Unlock()
-	if !ok {
-		<-ctx.Done()
-		return PeerPlan{}, errNoAnswer
-	}
-	answer := PeerPlan{Incarnation: to.self.Incarnation}
-	if plan := to.current.ActedBy(); plan.Version > known && !sim.hidePlans {
-		answer.Newer = &plan
-	}
-	return answer, nil
-}
-
 // pollServers polls the service discovery and sends this host's reports to the leader.
 func (h *simHost) pollServers(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -407,21 +325,6 @@
 	}
 }
 
-// registered returns the registrations that the log holds. After a restore, these are older ones until
-// the hosts register again.
-func (sim *simulation) registered() []assign.Host {
-	sim.mu.Lock()
-	defer sim.mu.Unlock()
-	for _, h := range sim.hosts {
-		if h.next.Era == sim.era {
-			host := h.self
-			host.Era = sim.era.Number()
-			sim.registrations[host.Name] = host
-		}
-	}
-	return slices.Collect(maps.Values(sim.registrations))
-}
-
 // simulate runs the simulation. inject injects one random fault. It returns the first violation with the faults that were injected,
 // and the number of cells that are held at the end.
 func simulate(t *testing.T, seed uint64, timing, assumed grants.Timing, inject func(*simulation)) (violation string, held int) {
@@ -476,32 +379,28 @@
 	return violation, held
 }
 
-// TestOneOwnerUnderRandomFaults checks that no key ever has two owners, that fencing tokens rise,
-// and that every key has an owner again after the faults.
-func TestOneOwnerUnderRandomFaults(t *testing.T) {
+// checkOneOwner runs the simulation with all seeds, and checks that no key ever has two owners, that
+// fencing tokens rise, and that every key has an owner again after the faults.
+func checkOneOwner(t *testing.T, inject func(*simulation)) {
 	runs := *simRuns
 	if testing.Short() {
 		runs = 5
 	}
 	for seed := range runs {
-		violation, held := simulate(t, uint64(seed), grants.DefaultTiming(), grants.DefaultTiming(), (*simulation).injectFault)
+		violation, held := simulate(t, uint64(seed), grants.DefaultTiming(), grants.DefaultTiming(), inject)
 		assert.Equal(t, violation, "", "seed %d", seed)
 		assert.Equal(t, held, simServers, "seed %d: number of cells with an owner after the faults", seed)
 	}
 }
 
-// TestOneOwnerAcrossRestores is TestOneOwnerUnderRandomFaults with restores of the log from older
-// copies among the faults, also while all hosts restart.
+func TestOneOwnerUnderRandomFaults(t *testing.T) {
+	checkOneOwner(t, (*simulation).injectFault)
+}
+
+// TestOneOwnerAcrossRestores has restores of the log from older copies among the faults, also while all
+// hosts restart.
 func TestOneOwnerAcrossRestores(t *testing.T) {
-	runs := *simRuns
-	if testing.Short() {
-		runs = 5
-	}
-	for seed := range runs {
-		violation, held := simulate(t, uint64(seed), grants.DefaultTiming(), grants.DefaultTiming(), (*simulation).injectFaultOrRestore)
-		assert.Equal(t, violation, "", "seed %d", seed)
-		assert.Equal(t, held, simServers, "seed %d: number of cells with an owner after the faults", seed)
-	}
+	checkOneOwner(t, (*simulation).injectFaultOrRestore)
 }
 
 // TestSimulationDetectsMissingWaits disables one safety rule at a time and checks that the simulation
