front: a probe trusts only a connection that stays open; two tests without their races

The first holds a real fault as well: a process that is ending may still accept a connection, and its crash was then dropped. Class: a weak sign taken for a proof. Change: an accepted connection counts as life if it stays open for 100 ms. The test's server now refuses, as one that has crashed; the flag is read under the lock.

--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -1,9 +1,12 @@
 package front
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -206,6 +209,7 @@
 func TestRequestThatCrashesServersIsRefused(t *testing.T) {
 	server := startServer(t, "")
 	s := newSystem(t, server)
+	s.ingress.probes.dial = func(context.Context, string, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED }
 	for range 3 {
 		_, _, err := s.call(t, "POST", "/unsafe/x", "deadly")
 		assert.NilError(t, err)
--- a/internal/front/probe.go
+++ b/internal/front/probe.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -14,8 +16,14 @@
 	"github.com/poplarcroft/poplarcroft/internal/transport"
 )
 
-// probeTimeout bounds a probe. A server that does not even refuse a connection by then proves nothing.
-const probeTimeout = 400 * time.Millisecond
+const (
+	// probeTimeout bounds the opening of the connection. A server that does not even refuse it by then
+	// proves nothing.
+	probeTimeout = 400 * time.Millisecond
+	// probeHold is how long an accepted connection must stay open. A process that is ending may still
+	// accept one.
+	probeHold = 100 * time.Millisecond
+)
 
 // probes find out whether a server has crashed when a connection to it breaks under a request. The
 // service discovery tells of a crash only seconds later, and not at all while it is away; until then
@@ -35,8 +43,8 @@
 }
 
 // probe opens a connection to a server and tells the guard the result: a server whose host refuses
-// the connection has ended, and one that accepts it lives. It does nothing while the server is being
-// probed already.
+// the connection has ended, and one that accepts and keeps it lives. It does nothing while the server is
+// being probed already.
 func (p *probes) probe(entry fleet.Entry) {
 	server := GuardServer(entry)
 	if !p.begin(server) {
@@ -49,8 +57,10 @@
 	conn, err := p.dial(ctx, "tcp", entry.Addr)
 	switch {
 	case err == nil:
-		conn.Close()
-		p.guard.ServerAlive(started, server)
+		defer conn.Close()
+		if staysOpen(conn) {
+			p.guard.ServerAlive(started, server)
+		}
 	case errors.IsAny(err, syscall.ECONNREFUSED, syscall.ECONNRESET):
 		p.log.Event("server", "id", string(entry.ID), "addr", entry.Addr, "born", entry.Born, "outcome", "refuses connections after one broke")
 		p.guard.ServerCrashed(server)
@@ -59,6 +69,15 @@
 	}
 }
 
+// staysOpen reports whether the other end keeps a connection open for probeHold.
+func staysOpen(conn net.Conn) bool {
+	if err := conn.SetReadDeadline(time.Now().Add(probeHold)); err != nil {
+		return false
+	}
+	_, err := conn.Read(make([]byte, 1))
+	return errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // begin registers a probe. It returns false if the server is being probed.
 func (p *probes) begin(server poison.Server) bool {
 	p.mu.Lock()
--- a/internal/front/probe_test.go
+++ b/internal/front/probe_test.go
@@ -44,6 +44,28 @@
 	}
 }
 
+// TestProbeDoesNotTrustAConnectionThatEnds checks that a server that accepts a connection and closes it,
+// as one may that is ending, does not count as alive.
+func TestProbeDoesNotTrustAConnectionThatEnds(t *testing.T) {
+	listener := listen(t)
+	defer listener.Close()
+	go func() {
+		if conn, err := listener.Accept(); err == nil {
+			conn.Close()
+		}
+	}()
+	entry := fleet.Entry{ID: "a", Addr: listener.Addr().String(), Born: 1}
+	guard := poison.NewGuard(poison.Bounds{CrashLimit: 3, SharedCrashLimit: 3, Retention: time.Minute})
+	f := poison.Fingerprint{1}
+	attempt, _, ok := guard.Begin(t.Context(), GuardServer(entry), f)
+	assert.Assert(t, ok)
+	attempt.SentShared()
+	attempt.End(poison.Broken)
+	newProbes(transport.Dialer(""), guard, eventlog.Discard()).probe(entry)
+	guard.ServerCrashed(GuardServer(entry))
+	assert.Equal(t, guard.Check(f), poison.Suspect)
+}
+
 // TestBlockedRequestGetsItsAnswerAtOnce is a regression test: a request that the guard did not allow
 // was taken for one that could not be sent, and was tried again until its goal had nearly passed. A
 // host that forwards a request may lack the evidence that the primary has.
--- a/internal/leader/simulation_store_test.go
+++ b/internal/leader/simulation_store_test.go
@@ -103,8 +103,11 @@
 	if err != nil {
 		return PeerPlan{}, err
 	}
+	h.sim.mu.Lock()
+	hide := h.sim.hidePlans
+	h.sim.mu.Unlock()
 	answer := PeerPlan{Incarnation: to.self.Incarnation}
-	if plan := to.current.ActedBy(); plan.Version > known && !h.sim.hidePlans {
+	if plan := to.current.ActedBy(); plan.Version > known && !hide {
 		answer.Newer = &plan
 	}
 	return answer, nil
