poison, front: evidence against a request is logged with its source and count; attempts with caller and path

Change: the guard reports each change of the count (source, before, after); the attempt's line holds caller and path beside the fingerprint, also if it was answered while crashes were known. No decision changes. Test: TestChangesOfEvidenceAreReported.

--- a/internal/edge/evidence.go
+++ b/internal/edge/evidence.go
@@ -123,3 +123,13 @@
 		e.log.Routine("suspects", "outcome", "expired evidence not removed", "err", err.Error())
 	}
 }
+
+// logEvidence logs a change of the number of crashes that count against a request.
+func (h *Host) logEvidence(c poison.Change) {
+	if c.Server == (poison.Server{}) {
+		h.log.Event("evidence", "fingerprint", c.Fingerprint.String(), "outcome", "cleared", "before", c.Before, "after", c.After)
+		return
+	}
+	h.log.Event("evidence", "fingerprint", c.Fingerprint.String(), "server", c.Server.Incarnation, "addr", c.Server.Addr,
+		"source", string(c.Source), "outcome", "crash", "before", c.Before, "after", c.After)
+}
--- a/internal/edge/evidence_test.go
+++ b/internal/edge/evidence_test.go
@@ -31,7 +31,7 @@
 		assert.Assert(t, ok)
 		attempt.SentShared()
 		attempt.End(poison.Broken)
-		guard.ServerCrashed(server)
+		guard.ServerCrashed(server, poison.Discovery)
 	}
 }
 
@@ -55,7 +55,7 @@
 	guard := poison.NewGuard(testBounds)
 	s := &state{
 		platform: platform, current: assign.NewCurrent(), clock: clock.Monotonic, log: eventlog.Discard(),
-		hosts: make(map[string]assign.Host), evidenceWritten: make(map[string]time.Time), onEvidence: guard.Import,
+		hosts: make(map[string]assign.Host), evidenceWritten: make(map[string]time.Time), onEvidence: func(records []poison.Record) { guard.Import(records, poison.SharedState) },
 	}
 	p := &peers{pool: peer.NewPool(dial)}
 	return newEvidenceSharing(assign.Host{Name: name, Incarnation: name}, guard, plan, s, p, eventlog.Discard()), guard
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -126,9 +126,10 @@
 	}
 	h.guard = poison.NewGuard(poison.Bounds{CrashLimit: maxCrashes, SharedCrashLimit: maxCrashes, Retention: crashRetention})
 	h.evidence = newEvidenceSharing(h.self, h.guard, h.current.Plan, h.state, h.peers, log)
-	h.state.onEvidence = h.guard.Import
+	h.guard.Observe(h.logEvidence)
+	h.state.onEvidence = func(records []poison.Record) { h.guard.Import(records, poison.SharedState) }
 	h.servers = newServers(platform, h.fleet, clock.Monotonic, log, wakeLeader)
-	h.servers.onEnded = func(entry fleet.Entry) { h.guard.ServerCrashed(front.GuardServer(entry)) }
+	h.servers.onEnded = func(entry fleet.Entry) { h.guard.ServerCrashed(front.GuardServer(entry), poison.Discovery) }
 	h.operatorRecords = newOperatorRecords(platform, clock.Monotonic, log, func() {
 		h.fleet.EvacuateZones(*h.operatorRecords.evacuated.Load(), h.coldFor, clock.Monotonic())
 		wakeLeader()
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -162,7 +162,7 @@
 
 // Suspects adds another host's evidence against suspect requests.
 func (s *rpcService) Suspects(args SuspectsArgs, _ *Empty) error {
-	s.guard.Import(args.Records)
+	s.guard.Import(args.Records, poison.OtherHost)
 	s.log.Routine("suspects", "from", args.From, "records", len(args.Records), "outcome", "received")
 	return nil
 }
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -113,10 +113,10 @@
 		ratio = in.baseline.relative(r.Route.Name, a, now-started)
 	}
 	server.End(a.fleetEnding(ctx), ratio, now)
-	if a.outcome != attemptAnswered {
+	if a.outcome != attemptAnswered || guarded.Crashes > 0 {
 		in.log.Event("try", "id", r.ID, "route", r.Route.Name, "server", entry.ID, "addr", entry.Addr,
 			"outcome", a.outcome.String(), "detail", a.detail, "ms", (now - started).Milliseconds(),
-			"fingerprint", r.Fingerprint.String(), "crashes_known", guarded.Crashes)
+			"caller", r.Caller, "path", r.Path, "fingerprint", r.Fingerprint.String(), "crashes_known", guarded.Crashes)
 	}
 	return a
 }
@@ -202,7 +202,7 @@
 	case answer.Status >= 500:
 		return attempt{outcome: attemptFailed, answer: answer, detail: status}
 	}
-	return attempt{outcome: attemptAnswered, answer: answer}
+	return attempt{outcome: attemptAnswered, answer: answer, detail: status}
 }
 
 // hasDigest reports whether a successful answer carries the server's digest and a body without
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/poplarcroft/poplarcroft/internal/assign"
 	"github.com/poplarcroft/poplarcroft/internal/fleet"
+	"github.com/poplarcroft/poplarcroft/internal/poison"
 )
 
 func TestAnswerIsPassedOnWhole(t *testing.T) {
@@ -214,7 +215,7 @@
 		_, _, err := s.call(t, "POST", "/unsafe/x", "deadly")
 		assert.NilError(t, err)
 		running, _ := s.fleet.Server("revize-0")
-		s.ingress.config.Guard.ServerCrashed(GuardServer(running.Entry()))
+		s.ingress.config.Guard.ServerCrashed(GuardServer(running.Entry()), poison.Discovery)
 		restarted := running.Entry()
 		restarted.Born++
 		s.fleet.Set([]fleet.Entry{restarted}, 0)
@@ -226,7 +227,7 @@
 	assert.Equal(t, len(server.seen()), sent)
 	other := newSystem(t, startServer(t, answerOK))
 	records, _ := s.ingress.config.Guard.Export(0)
-	other.ingress.config.Guard.Import(records)
+	other.ingress.config.Guard.Import(records, poison.OtherHost)
 	response, _, err = other.call(t, "POST", "/unsafe/x", "deadly")
 	assert.NilError(t, err)
 	assert.Equal(t, response.StatusCode, http.StatusBadGateway)
--- a/internal/front/ingress.go
+++ b/internal/front/ingress.go
@@ -180,7 +180,8 @@
 		// An empty value keeps the HTTP library from adding its default User-Agent.
 		r.Header["User-Agent"] = []string{""}
 	}
-	r.Fingerprint = fingerprint(r, hr.RemoteAddr, hr.Header.Get(in.headers.Key))
+	r.Caller = withoutPort(hr.RemoteAddr)
+	r.Fingerprint = fingerprint(r, hr.Header.Get(in.headers.Key))
 	r.Deadline = arrived + callerTimeout(hr.Header, in.headers.DeadlineMS, route.Timeout)
 	return r, 0, nil
 }
@@ -226,5 +227,5 @@
 		return
 	}
 	in.log.Event("answer", append(fields, "outcome", result.Kind.String(), "reason", result.Reason,
-		"retry_after_ms", result.RetryAfter.Milliseconds())...)
+		"retry_after_ms", result.RetryAfter.Milliseconds(), "fingerprint", r.Fingerprint.String())...)
 }
--- a/internal/front/probe.go
+++ b/internal/front/probe.go
@@ -63,7 +63,7 @@
 		}
 	case errors.IsAny(err, syscall.ECONNREFUSED, syscall.ECONNRESET):
 		p.log.Event("server", "id", string(entry.ID), "addr", entry.Addr, "born", entry.Born, "outcome", "refuses connections after one broke")
-		p.guard.ServerCrashed(server)
+		p.guard.ServerCrashed(server, poison.ConnectionRefused)
 	default:
 		p.log.Routine("server", "id", string(entry.ID), "addr", entry.Addr, "outcome", "probe without result", "err", err.Error())
 	}
--- a/internal/front/probe_test.go
+++ b/internal/front/probe_test.go
@@ -62,7 +62,7 @@
 	attempt.SentShared()
 	attempt.End(poison.Broken)
 	newProbes(transport.Dialer(""), guard, eventlog.Discard()).probe(entry)
-	guard.ServerCrashed(GuardServer(entry))
+	guard.ServerCrashed(GuardServer(entry), poison.Discovery)
 	assert.Equal(t, guard.Check(f), poison.Suspect)
 }
 
@@ -77,7 +77,7 @@
 	for n := range 3 {
 		records = append(records, poison.Record{Fingerprint: f, Death: poison.Server{Incarnation: strconv.Itoa(n)}})
 	}
-	s.ingress.config.Guard.Import(records)
+	s.ingress.config.Guard.Import(records, poison.OtherHost)
 	now := s.ingress.clock()
 	request := func(service string, keyed bool) *Request {
 		return &Request{
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -50,6 +50,9 @@
 	// Header holds the end-to-end headers only.
 	Header http.Header
 	Body   []byte
+	// Caller is the address at the other end of the connection, without its port. It is empty if
+	// another host forwards the request.
+	Caller string
 	// Fingerprint is the same whenever the caller repeats the request; the ID is not.
 	Fingerprint poison.Fingerprint
 	// Arrived is when this host received the request. Deadline is when the caller stops waiting or
@@ -60,15 +63,20 @@
 // fingerprint identifies the request by the caller's address and the request's contents. The
 // request ID is left out because a caller that repeats a request gives it a new one, and the service
 // because a route can lead to several.
-func fingerprint(r *Request, caller, key string) poison.Fingerprint {
-	if host, _, err := net.SplitHostPort(caller); err == nil {
-		caller = host
-	}
+func fingerprint(r *Request, key string) poison.Fingerprint {
 	return poison.FingerprintOf(poison.Request{
-		Key: key + "\x00" + caller, Method: r.Method, Path: r.Host + "\x00" + r.Path, Body: r.Body,
+		Key: key + "\x00" + r.Caller, Method: r.Method, Path: r.Host + "\x00" + r.Path, Body: r.Body,
 	})
 }
 
+// withoutPort returns an address without its port.
+func withoutPort(addr string) string {
+	if host, _, err := net.SplitHostPort(addr); err == nil {
+		return host
+	}
+	return addr
+}
+
 // maxDeadline is the longest time until the deadline that a caller may set.
 const maxDeadline = 10 * time.Minute
 
--- a/internal/host/rpc.go
+++ b/internal/host/rpc.go
@@ -6,6 +6,7 @@
 
 	"github.com/poplarcroft/poplarcroft/internal/keeper"
 	"github.com/poplarcroft/poplarcroft/internal/peer"
+	"github.com/poplarcroft/poplarcroft/internal/poison"
 	"github.com/poplarcroft/poplarcroft/internal/record"
 )
 
@@ -119,7 +120,7 @@
 
 // Suspects imports another host's evidence against requests.
 func (s *peerService) Suspects(args peer.SuspectsArgs, _ *peer.Empty) error {
-	s.host.guard.Import(args.Records)
+	s.host.guard.Import(args.Records, poison.OtherHost)
 	return nil
 }
 
--- a/internal/poison/evidence.go
+++ b/internal/poison/evidence.go
@@ -33,6 +33,34 @@
 	Requests int
 }
 
+// Source says how a host has learned of a crash.
+type Source string
+
+// Sources of crashes.
+const (
+	// ConnectionRefused means that the server's address refused a connection.
+	ConnectionRefused Source = "connection refused"
+	// Discovery means that the service discovery, or the end of the server's session, told of it.
+	Discovery Source = "service discovery"
+	// OtherHost means that another host sent the evidence.
+	OtherHost Source = "other host"
+	// SharedState means that the evidence was read from the shared state.
+	SharedState Source = "shared state"
+)
+
+// Change is a change of the number of crashes that count against a request.
+type Change struct {
+	Fingerprint Fingerprint
+	// Server is the server incarnation whose crash was added. It is empty if a success of the request
+	// has cleared it.
+	Server Server
+	// Source says how this host has learned of the change. It is empty if the request was cleared by
+	// an answer that this host got.
+	Source Source
+	// Before and After are the numbers of crashes that count.
+	Before, After int
+}
+
 // crash is the evidence of one server crash against a request.
 type crash struct {
 	// alone means that nothing else was in flight on the server.
@@ -73,11 +101,13 @@
 	requests map[Fingerprint]*evidence
 	// sequence numbers the changes, so that Export returns only newer ones.
 	sequence uint64
+	// onChange is called with each change of the number of crashes that count against a request.
+	onChange func(Change)
 }
 
 // NewEvidenceStore returns an empty store.
 func NewEvidenceStore(bounds Bounds) *EvidenceStore {
-	s := &EvidenceStore{requests: make(map[Fingerprint]*evidence)}
+	s := &EvidenceStore{requests: make(map[Fingerprint]*evidence), onChange: func(Change) {}}
 	s.Configure(bounds)
 	return s
 }
@@ -96,18 +126,22 @@
 
 // Add records that a request was in flight when a server crashed. Alone means that it
 // ran alone.
-func (s *EvidenceStore) Add(now time.Time, f Fingerprint, server Server, alone bool) {
-	s.add(now, Record{Fingerprint: f, Death: server, Alone: alone}, false)
+func (s *EvidenceStore) Add(now time.Time, f Fingerprint, server Server, alone bool, source Source) {
+	s.addAndReport(now, Record{Fingerprint: f, Death: server, Alone: alone}, source)
 	s.evict(now)
 }
 
 // Clear records that a request has finished on a server, so that it caused none of the
 // crashes known so far.
-func (s *EvidenceStore) Clear(f Fingerprint) {
+func (s *EvidenceStore) Clear(now time.Time, f Fingerprint) {
 	e, ok := s.requests[f]
 	if !ok {
 		return
 	}
+	before, _ := s.countCrashes(now, f)
+	if before > 0 {
+		defer s.onChange(Change{Fingerprint: f, Before: before})
+	}
 	for server, c := range e.crashes {
 		if !c.cleared {
 			c.cleared = true
@@ -152,13 +186,24 @@
 }
 
 // Import adds records of other hosts. Order and repetition make no difference.
-func (s *EvidenceStore) Import(now time.Time, records []Record) {
+func (s *EvidenceStore) Import(now time.Time, records []Record, source Source) {
 	for _, record := range records {
-		s.add(now, record, true)
+		s.addAndReport(now, record, source)
 	}
 	s.evict(now)
 }
 
+// addAndReport merges one record into the evidence and reports whether this changes the number of
+// crashes that count.
+func (s *EvidenceStore) addAndReport(now time.Time, record Record, source Source) {
+	before, _ := s.countCrashes(now, record.Fingerprint)
+	s.add(now, record, source == OtherHost || source == SharedState)
+	after, _ := s.countCrashes(now, record.Fingerprint)
+	if before != after {
+		s.onChange(Change{Fingerprint: record.Fingerprint, Server: record.Death, Source: source, Before: before, After: after})
+	}
+}
+
 // add merges one record into the evidence. imported says that it comes from another host.
 func (s *EvidenceStore) add(now time.Time, record Record, imported bool) {
 	if record.Age >= s.bounds.Retention {
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -24,6 +24,14 @@
 	return &Guard{store: store, tracker: NewTracker(store), trialEnded: make(chan struct{})}
 }
 
+// Observe sets a function that is called with each change of the number of crashes that count
+// against a request. It must not block or call the guard. Observe is called before the guard is used.
+func (g *Guard) Observe(onChange func(Change)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.store.onChange = onChange
+}
+
 // Attempt is one attempt to send one request to one server. Its holder must call End;
 // only the first call has an effect.
 type Attempt struct {
@@ -95,11 +103,11 @@
 	return g.store.Check(time.Now(), f)
 }
 
-// ServerCrashed records that a server's incarnation has crashed.
-func (g *Guard) ServerCrashed(server Server) {
+// ServerCrashed records that a server's incarnation has crashed, and how this host has learned of it.
+func (g *Guard) ServerCrashed(server Server, source Source) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.tracker.ServerCrashed(time.Now(), server)
+	g.tracker.ServerCrashed(time.Now(), server, source)
 }
 
 // ServerAlive records that the server answered a query sent at queriedAt.
@@ -125,11 +133,11 @@
 	return g.store.ExportDurable(time.Now(), since, imported)
 }
 
-// Import adds records of other hosts.
-func (g *Guard) Import(records []Record) {
+// Import adds records of other hosts; the source is OtherHost or SharedState.
+func (g *Guard) Import(records []Record, source Source) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.store.Import(time.Now(), records)
+	g.store.Import(time.Now(), records, source)
 }
 
 // Configure changes the bounds.
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -71,9 +71,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			store := NewEvidenceStore(bounds)
-			store.Import(start, c.records)
+			store.Import(start, c.records, OtherHost)
 			if c.clear {
-				store.Clear(suspect)
+				store.Clear(start, suspect)
 			}
 			assert.Equal(t, store.Check(at(time.Minute), suspect).String(), c.want.String())
 		})
@@ -82,14 +82,14 @@
 
 func TestMemoryIsBounded(t *testing.T) {
 	store := NewEvidenceStore(Bounds{CrashLimit: 1, Retention: time.Hour, Requests: 100})
-	store.Add(start, suspect, incarnation(0), true)
+	store.Add(start, suspect, incarnation(0), true, Discovery)
 	for n := range 1000 {
 		f := Fingerprint{2, byte(n), byte(n >> 8)}
-		store.Add(at(time.Duration(n)*time.Second), f, incarnation(n), false)
+		store.Add(at(time.Duration(n)*time.Second), f, incarnation(n), false, Discovery)
 		assert.Assert(t, store.Len() <= 100)
 	}
 	for n := range 100 {
-		store.Add(start, suspect, incarnation(n), false)
+		store.Add(start, suspect, incarnation(n), false, Discovery)
 	}
 	records, _ := store.Export(start, 0)
 	assert.Assert(t, len(records) <= 100+maxCrashes)
@@ -104,15 +104,15 @@
 		var exported [3][3]uint64
 		exchange := func(from, to int) {
 			records, next := hosts[from].Export(start, exported[from][to])
-			hosts[to].Import(start, records)
+			hosts[to].Import(start, records, OtherHost)
 			exported[from][to] = next
 		}
 		host := rapid.IntRange(0, 2)
 		t.Repeat(map[string]func(*rapid.T){
 			"death": func(t *rapid.T) {
-				hosts[host.Draw(t, "host")].Add(start, suspect, incarnation(rapid.IntRange(0, 3).Draw(t, "server")), rapid.Bool().Draw(t, "alone"))
+				hosts[host.Draw(t, "host")].Add(start, suspect, incarnation(rapid.IntRange(0, 3).Draw(t, "server")), rapid.Bool().Draw(t, "alone"), Discovery)
 			},
-			"clear":    func(t *rapid.T) { hosts[host.Draw(t, "host")].Clear(suspect) },
+			"clear":    func(t *rapid.T) { hosts[host.Draw(t, "host")].Clear(start, suspect) },
 			"exchange": func(t *rapid.T) { exchange(host.Draw(t, "from"), host.Draw(t, "to")) },
 		})
 		for range 2 {
@@ -140,9 +140,9 @@
 		"broken, server queried before":     {Broken, func(t *Tracker) { t.ServerAlive(at(-1), server) }, true},
 		"broken, server alive after":        {Broken, func(t *Tracker) { t.ServerAlive(at(1), server) }, false},
 		"timed out":                         {TimedOut, func(*Tracker) {}, false},
-		"timed out, then alive and crashed": {TimedOut, func(t *Tracker) { t.ServerAlive(at(1), server); t.ServerCrashed(at(2), server) }, true},
-		"finished, then crashed":            {Finished, func(t *Tracker) { t.ServerCrashed(at(2), server) }, false},
-		"broken, crashed much later":        {Broken, func(t *Tracker) { t.ServerCrashed(at(unansweredWindow), server) }, false},
+		"timed out, then alive and crashed": {TimedOut, func(t *Tracker) { t.ServerAlive(at(1), server); t.ServerCrashed(at(2), server, Discovery) }, true},
+		"finished, then crashed":            {Finished, func(t *Tracker) { t.ServerCrashed(at(2), server, Discovery) }, false},
+		"broken, crashed much later":        {Broken, func(t *Tracker) { t.ServerCrashed(at(unansweredWindow), server, Discovery) }, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			tracker := NewTracker(NewEvidenceStore(bounds))
@@ -161,18 +161,18 @@
 	store := NewEvidenceStore(bounds)
 	tracker := NewTracker(store)
 	tracker.Begin(start, incarnation(1), suspect)
-	tracker.ServerCrashed(start, incarnation(1))
+	tracker.ServerCrashed(start, incarnation(1), Discovery)
 	assert.Equal(t, store.Check(start, suspect), Clean)
 }
 
 func TestSharedServerDoesNotCountAsAlone(t *testing.T) {
 	for sharedServer, want := range map[bool]Suspicion{false: Blocked, true: Suspect} {
 		store := NewEvidenceStore(bounds)
-		store.Add(start, suspect, incarnation(1), false)
+		store.Add(start, suspect, incarnation(1), false, Discovery)
 		tracker := NewTracker(store)
 		number, _ := tracker.Begin(start, incarnation(2), suspect)
 		tracker.Sent(incarnation(2), number, sharedServer)
-		tracker.ServerCrashed(start, incarnation(2))
+		tracker.ServerCrashed(start, incarnation(2), Discovery)
 		assert.Equal(t, store.Check(start, suspect), want)
 	}
 }
@@ -180,7 +180,7 @@
 func TestTrialsAreBounded(t *testing.T) {
 	tracker := NewTracker(NewEvidenceStore(bounds))
 	for n := range maxTrials + 1 {
-		tracker.store.Add(start, Fingerprint{byte(n)}, incarnation(1), false)
+		tracker.store.Add(start, Fingerprint{byte(n)}, incarnation(1), false, Discovery)
 	}
 	for n := range maxTrials {
 		_, decision := tracker.Begin(start, incarnation(2), Fingerprint{byte(n)})
@@ -203,14 +203,14 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				guard := NewGuard(bounds)
-				guard.Import([]Record{{Fingerprint: suspect, Death: incarnation(1)}})
+				guard.Import([]Record{{Fingerprint: suspect, Death: incarnation(1)}}, OtherHost)
 				trial, _, ok := guard.Begin(t.Context(), incarnation(2), suspect)
 				assert.Assert(t, ok && trial.Alone)
 				trial.Sent()
 				go func() {
 					time.Sleep(time.Second)
 					if c.crashed {
-						guard.ServerCrashed(incarnation(2))
+						guard.ServerCrashed(incarnation(2), Discovery)
 					}
 					trial.End(c.result)
 				}()
@@ -233,7 +233,7 @@
 // connection broke before, count as run beside others.
 func TestRequestsSentAfterACrashDoNotCountAsConcurrent(t *testing.T) {
 	store := NewEvidenceStore(bounds)
-	store.Import(start, []Record{{Fingerprint: suspect, Death: incarnation(1)}})
+	store.Import(start, []Record{{Fingerprint: suspect, Death: incarnation(1)}}, OtherHost)
 	tracker := NewTracker(store)
 	number, allowed := tracker.Begin(start, incarnation(2), suspect)
 	assert.Assert(t, allowed.Alone)
@@ -241,7 +241,7 @@
 	tracker.End(start, incarnation(2), number, Broken)
 	later, _ := tracker.Begin(start, incarnation(2), Fingerprint{2})
 	tracker.Sent(incarnation(2), later, false)
-	tracker.ServerCrashed(start, incarnation(2))
+	tracker.ServerCrashed(start, incarnation(2), Discovery)
 	assert.Equal(t, store.Check(start, suspect), Blocked)
 }
 
@@ -253,7 +253,7 @@
 		tracker := NewTracker(NewEvidenceStore(bounds))
 		number, _ := tracker.Begin(start, incarnation(1), suspect)
 		tracker.Sent(incarnation(1), number, false)
-		tracker.ServerCrashed(start, incarnation(1))
+		tracker.ServerCrashed(start, incarnation(1), Discovery)
 		tracker.End(start, incarnation(1), number, result)
 		_, again := tracker.Begin(start, incarnation(2), suspect)
 		assert.Assert(t, again.Allowed && again.Alone, "%+v", again)
@@ -274,7 +274,7 @@
 			tracker.Sent(server, number, true)
 			tracker.End(start, server, number, result)
 		}
-		tracker.ServerCrashed(start, server)
+		tracker.ServerCrashed(start, server, Discovery)
 	}
 	assert.Equal(t, store.Check(start, f), Blocked)
 }
@@ -286,7 +286,7 @@
 	f := Fingerprint{1}
 	for n := range 3 {
 		assert.Equal(t, store.Check(start, f) == Blocked, false)
-		store.Add(start, f, incarnation(n), false)
+		store.Add(start, f, incarnation(n), false, Discovery)
 	}
 	assert.Equal(t, store.Check(start, f), Blocked)
 }
@@ -297,12 +297,12 @@
 	bounds := Bounds{CrashLimit: 3, SharedCrashLimit: 3, Retention: time.Minute}
 	first, second := NewEvidenceStore(bounds), NewEvidenceStore(bounds)
 	f := Fingerprint{1}
-	first.Add(start, f, incarnation(1), false)
+	first.Add(start, f, incarnation(1), false, Discovery)
 	records, _ := first.Export(start, 0)
-	second.Import(start, records)
+	second.Import(start, records, OtherHost)
 	records, _ = second.Export(start, 0)
 	assert.Equal(t, len(records), 0)
-	second.Add(start, f, incarnation(2), false)
+	second.Add(start, f, incarnation(2), false, Discovery)
 	records, next := second.Export(start, 0)
 	assert.Equal(t, len(records), 2)
 	kept, _ := second.ExportDurable(start, 0, false)
@@ -310,7 +310,7 @@
 
 	// What comes from others is kept again only on demand.
 	third := NewEvidenceStore(bounds)
-	third.Import(start, records)
+	third.Import(start, records, OtherHost)
 	kept, _ = third.ExportDurable(start, 0, false)
 	assert.Equal(t, len(kept), 0)
 	kept, _ = third.ExportDurable(start, 0, true)
@@ -355,5 +355,27 @@
 	assert.Assert(t, ok)
 	attempt.SentShared()
 	attempt.End(Broken)
-	guard.ServerCrashed(server)
+	guard.ServerCrashed(server, Discovery)
+}
+
+// TestChangesOfEvidenceAreReported checks that each change of the number of crashes that count is
+// reported once, with its source.
+func TestChangesOfEvidenceAreReported(t *testing.T) {
+	guard := NewGuard(bounds)
+	var changes []Change
+	guard.Observe(func(c Change) { changes = append(changes, c) })
+	first, second := incarnation(1), incarnation(2)
+	records := []Record{{Fingerprint: suspect, Death: first}}
+	guard.Import(records, OtherHost)
+	guard.Import(records, SharedState)
+	attempt, _, ok := guard.Begin(t.Context(), second, suspect)
+	assert.Assert(t, ok)
+	attempt.SentShared()
+	guard.ServerCrashed(second, ConnectionRefused)
+	attempt.End(Finished)
+	assert.DeepEqual(t, changes, []Change{
+		{Fingerprint: suspect, Server: first, Source: OtherHost, Before: 0, After: 1},
+		{Fingerprint: suspect, Server: second, Source: ConnectionRefused, Before: 1, After: 2},
+		{Fingerprint: suspect, Before: 2, After: 0},
+	})
 }
--- a/internal/poison/simulation_test.go
+++ b/internal/poison/simulation_test.go
@@ -107,7 +107,7 @@
 	index := func(s Server) int { return int(s.Addr[0] - 'a') }
 	noticeCrashes := func() {
 		for _, server := range m.unnoticed {
-			m.tracker.ServerCrashed(m.now, server)
+			m.tracker.ServerCrashed(m.now, server, Discovery)
 		}
 		m.unnoticed = nil
 	}
--- a/internal/poison/tracker.go
+++ b/internal/poison/tracker.go
@@ -162,7 +162,7 @@
 	}
 	switch result {
 	case Finished:
-		t.store.Clear(r.fingerprint)
+		t.store.Clear(now, r.fingerprint)
 		t.removeUnanswered(r.fingerprint)
 	case Broken, TimedOut:
 		t.addUnanswered(server, unansweredRequest{trackedRequest: r, at: now, broken: result == Broken})
@@ -171,7 +171,7 @@
 
 // ServerCrashed records that a server's incarnation has crashed. Every request that was
 // in flight on it, or ended on it without an answer shortly before, becomes a suspect.
-func (t *Tracker) ServerCrashed(now time.Time, server Server) {
+func (t *Tracker) ServerCrashed(now time.Time, server Server, source Source) {
 	var involved []trackedRequest
 	for _, unanswered := range t.unanswered[server] {
 		if now.Sub(unanswered.at) < unansweredWindow {
@@ -188,7 +188,7 @@
 	}
 	for i, r := range involved {
 		alone := r.trial && !r.sharedServer && !overlapsAny(involved, i)
-		t.store.Add(now, r.fingerprint, server, alone)
+		t.store.Add(now, r.fingerprint, server, alone, source)
 	}
 }
 
--- a/internal/route/keyed_test.go
+++ b/internal/route/keyed_test.go
@@ -249,7 +249,7 @@
 	read := poison.FingerprintOf(poison.Request{Service: "revize", Key: "k", Method: http.MethodGet, Path: "/revize/k"})
 	for _, fingerprint := range []poison.Fingerprint{named, read} {
 		for _, crashed := range []string{"a", "b", "c"} {
-			host.guard.Import([]poison.Record{{Fingerprint: fingerprint, Death: poison.Server{Addr: "10.0.0.1:1", Incarnation: crashed}, Alone: true}})
+			host.guard.Import([]poison.Record{{Fingerprint: fingerprint, Death: poison.Server{Addr: "10.0.0.1:1", Incarnation: crashed}, Alone: true}}, poison.OtherHost)
 		}
 	}
 	got := host.call(t, http.MethodPost, "/v1/revize/k", "b", backend.HeaderIdempotencyKey, "i")
--- a/internal/route/keyless.go
+++ b/internal/route/keyless.go
@@ -210,7 +210,7 @@
 	}
 	set.setIncarnation(addr, seen, now)
 	if former != "" {
-		k.guard.ServerCrashed(poison.Server{Addr: addr, Incarnation: former})
+		k.guard.ServerCrashed(poison.Server{Addr: addr, Incarnation: former}, poison.Discovery)
 	}
 }
 
--- a/internal/route/server_limiter.go
+++ b/internal/route/server_limiter.go
@@ -52,5 +52,5 @@
 		return
 	}
 	l.slots.Close(refusal)
-	l.guard.ServerCrashed(l.server)
+	l.guard.ServerCrashed(l.server, poison.Discovery)
 }
