poison, front: an accepted connection is no proof that the server has not crashed

Class: a weak sign taken for a proof. Change: an accepted connection only ends the wait for a decision (the request is no longer undecided); the try stays known for the usual 10 s, and counts if the service discovery tells that the incarnation has ended. In the product's own interface the server names its incarnation, which stays a proof. Evidence: TestCrashThatAProbeTookForLifeCounts failed before (with the call that the probe made then, ServerAlive) and passes now; packages poison, front and route pass. Price: a request whose answer was lost and that was not answered elsewhere becomes a suspect if its server crashes within 10 s.

--- a/internal/front/probe.go
+++ b/internal/front/probe.go
@@ -43,8 +43,8 @@
 }
 
 // probe opens a connection to a server and tells the guard the result: a server whose host refuses
-// the connection has ended, and one that accepts and keeps it lives. It does nothing while the server is
-// being probed already.
+// the connection has ended, and one that accepts and keeps it lives, or has been replaced by another
+// process. It does nothing while the server is being probed already.
 func (p *probes) probe(probed *fleet.Server) {
 	entry := probed.Entry()
 	server := GuardServer(entry)
@@ -60,7 +60,7 @@
 	case err == nil:
 		defer conn.Close()
 		if staysOpen(conn) {
-			p.guard.ServerAlive(started, server)
+			p.guard.AddressAccepts(started, server)
 		}
 	case errors.IsAny(err, syscall.ECONNREFUSED, syscall.ECONNRESET):
 		p.log.Event("server", "id", string(entry.ID), "addr", entry.Addr, "born", entry.Born, "outcome", "refuses connections after one broke")
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -117,6 +117,14 @@
 	g.tracker.ServerAlive(queriedAt, server)
 }
 
+// AddressAccepts records that a process accepted a connection at the server's address that was opened
+// at openedAt.
+func (g *Guard) AddressAccepts(openedAt time.Time, server Server) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.tracker.AddressAccepts(openedAt, server)
+}
+
 // Export returns the records that changed after the given sequence number, and the
 // sequence number to pass to the next call.
 func (g *Guard) Export(since uint64) ([]Record, uint64) {
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -418,3 +418,19 @@
 	crashes, _ := store.countCrashes(start, suspect)
 	assert.Equal(t, crashes, 1)
 }
+
+// TestCrashThatAProbeTookForLifeCounts is a regression test (BUDGET on Riga): a new process that accepted
+// the probe's connection was taken for the one whose connection broke, and the crash was forgotten
+// before the service discovery told of it.
+func TestCrashThatAProbeTookForLifeCounts(t *testing.T) {
+	store := NewEvidenceStore(bounds)
+	tracker := NewTracker(store)
+	server := incarnation(1)
+	number, _ := tracker.Begin(start, server, suspect)
+	tracker.Sent(server, number, true)
+	tracker.End(start, server, number, Broken)
+	tracker.AddressAccepts(at(time.Second), server)
+	assert.Equal(t, tracker.countUndecided(at(time.Second), suspect), 0)
+	tracker.ServerCrashed(at(3*time.Second), server, Discovery)
+	assert.Equal(t, store.Check(at(3*time.Second), suspect), Suspect)
+}
--- a/internal/poison/tracker.go
+++ b/internal/poison/tracker.go
@@ -86,8 +86,9 @@
 	trackedRequest
 	// at is when the request ended.
 	at time.Time
-	// broken means that the connection broke; otherwise the host stopped waiting.
-	broken bool
+	// undecided means that the connection broke and nothing has been heard since at the server's
+	// address. Otherwise the host stopped waiting, or the address accepts connections again.
+	undecided bool
 }
 
 // recordedCrashes is the number of crashes recorded under one incarnation, and the time of the last one.
@@ -177,7 +178,7 @@
 		t.store.Clear(now, r.fingerprint)
 		t.removeUnanswered(r.fingerprint)
 	case Broken, TimedOut:
-		t.addUnanswered(server, unansweredRequest{trackedRequest: r, at: now, broken: result == Broken})
+		t.addUnanswered(server, unansweredRequest{trackedRequest: r, at: now, undecided: result == Broken})
 	}
 }
 
@@ -240,7 +241,20 @@
 // ServerAlive records that a server's incarnation answered a query sent at queriedAt. A
 // request whose connection broke before then has not crashed it.
 func (t *Tracker) ServerAlive(queriedAt time.Time, server Server) {
-	t.keepUnanswered(server, func(r unansweredRequest) bool { return !r.broken || !r.at.Before(queriedAt) })
+	t.keepUnanswered(server, func(r unansweredRequest) bool { return !r.undecided || !r.at.Before(queriedAt) })
+}
+
+// AddressAccepts records that a process accepted a connection at the server's address that was opened
+// at openedAt. It is likely the same incarnation, so a request whose connection broke before then is no
+// longer undecided. It may be a newer one, so the request is still a suspect if the incarnation is found
+// crashed.
+func (t *Tracker) AddressAccepts(openedAt time.Time, server Server) {
+	requests := t.unanswered[server]
+	for i := range requests {
+		if requests[i].at.Before(openedAt) {
+			requests[i].undecided = false
+		}
+	}
 }
 
 // Expire removes expired evidence and unanswered requests. It is called periodically.
@@ -276,7 +290,7 @@
 	count := 0
 	for _, requests := range t.unanswered {
 		if slices.ContainsFunc(requests, func(r unansweredRequest) bool {
-			return r.fingerprint == f && r.broken && now.Sub(r.at) < unansweredWindow
+			return r.fingerprint == f && r.undecided && now.Sub(r.at) < unansweredWindow
 		}) {
 			count++
 		}
