poison: cleared crashes leave room for others

Class: a bound that drops what it should keep. Change: a new crash replaces the oldest cleared one. Evidence: TestClearedCrashesLeaveRoomForOthers failed before (clean instead of blocked) and passes now.

--- a/internal/poison/evidence.go
+++ b/internal/poison/evidence.go
@@ -216,7 +216,7 @@
 	}
 	c, known := e.crashes[record.Death]
 	if !known {
-		if len(e.crashes) >= maxCrashes {
+		if len(e.crashes) >= maxCrashes && (record.Cleared || !e.removeCleared()) {
 			return
 		}
 		c.at = now.Add(-record.Age)
@@ -231,6 +231,19 @@
 	}
 }
 
+// removeCleared removes the oldest cleared crash. It returns false if there is none.
+func (e *evidence) removeCleared() bool {
+	var oldest Server
+	found := false
+	for server, c := range e.crashes {
+		if c.cleared && (!found || c.at.Before(e.crashes[oldest].at)) {
+			oldest, found = server, true
+		}
+	}
+	delete(e.crashes, oldest)
+	return found
+}
+
 // Export returns the records that changed after the given sequence number, and the
 // sequence number to pass to the next call. Zero returns all records. Imported records of a
 // request are left out until it has crashed durableCrashes servers: the host that they come
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -434,3 +434,17 @@
 	tracker.ServerCrashed(at(3*time.Second), server, Discovery)
 	assert.Equal(t, store.Check(at(3*time.Second), suspect), Suspect)
 }
+
+// TestClearedCrashesLeaveRoomForOthers is a regression test (BUDGET on Riga): crashes that a success had
+// cleared took all places of a request, and further ones were not stored.
+func TestClearedCrashesLeaveRoomForOthers(t *testing.T) {
+	store := NewEvidenceStore(bounds)
+	for n := range maxCrashes {
+		store.Add(start, suspect, incarnation(n), false, Discovery)
+		store.Clear(start, suspect)
+	}
+	for n := range 3 {
+		store.Add(start, suspect, incarnation(100+n), false, Discovery)
+	}
+	assert.Equal(t, store.Check(start, suspect), Blocked)
+}
