--- a/internal/edge/evidence.go
+++ b/internal/edge/evidence.go
@@ -124,12 +124,17 @@
 	}
 }
 
-// logEvidence logs a change of the number of crashes that count against a request.
+// logEvidence logs a change of the number of crashes that count against a request. A server that ends
+// may leave many requests with one crash, of which each host learns, so these lines are routine.
 func (h *Host) logEvidence(c poison.Change) {
-	if c.Server == (poison.Server{}) {
-		h.log.Event("evidence", "fingerprint", c.Fingerprint.String(), "outcome", "cleared", "before", c.Before, "after", c.After)
-		return
+	outcome := "crash"
+	if c.After < c.Before {
+		outcome = "cleared"
+	}
+	write := h.log.Event
+	if max(c.Before, c.After) == 1 && c.Source == poison.OtherHost {
+		write = h.log.Routine
 	}
-	h.log.Event("evidence", "fingerprint", c.Fingerprint.String(), "server", c.Server.Incarnation, "addr", c.Server.Addr,
-		"source", string(c.Source), "outcome", "crash", "before", c.Before, "after", c.After)
+	write("evidence", "fingerprint", c.Fingerprint.String(), "server", c.Server.Incarnation, "addr", c.Server.Addr,
+		"source", string(c.Source), "outcome", outcome, "before", c.Before, "after", c.After)
 }
--- a/internal/poison/evidence.go
+++ b/internal/poison/evidence.go
@@ -51,11 +51,10 @@
 // Change is a change of the number of crashes that count against a request.
 type Change struct {
 	Fingerprint Fingerprint
-	// Server is the server incarnation whose crash was added. It is empty if a success of the request
-	// has cleared it.
+	// Server is the server incarnation whose crash was added or cleared. It is empty if a success of
+	// the request on this host has cleared all.
 	Server Server
-	// Source says how this host has learned of the change. It is empty if the request was cleared by
-	// an answer that this host got.
+	// Source says how this host has learned of the change. It is empty after a success on this host.
 	Source Source
 	// Before and After are the numbers of crashes that count.
 	Before, After int
