edge, poison: evidence of a crash is sent at once, also while the store is away

Class: what must last waits in a process. Change: the guard announces new evidence and the host sends it then; keeping it in the shared state is a loop of its own. Evidence: TestEvidenceIsSentAtOnce (interval of an hour) fails without the announcement, passes now; edge and poison three times under the race detector.

--- a/internal/edge/evidence.go
+++ b/internal/edge/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/poplarcroft/poplarcroft/internal/assign"
@@ -11,7 +12,8 @@
 )
 
 const (
-	// evidenceInterval is the time between two checks for new evidence.
+	// evidenceInterval is the time between two checks for evidence that was not taken and for expired
+	// evidence. New evidence is sent at once.
 	evidenceInterval = 250 * time.Millisecond
 	// evidenceRetryInterval is the time until evidence is sent again to a host that did not take it.
 	evidenceRetryInterval = time.Second
@@ -38,6 +40,8 @@
 	// lost is set if a restore may have lost evidence that no living host has recorded itself.
 	lost      bool
 	expiredAt time.Time
+	// interval is evidenceInterval, except in tests.
+	interval time.Duration
 
 	deliveries *poison.Deliveries
 }
@@ -45,18 +49,33 @@
 func newEvidenceSharing(self assign.Host, guard *poison.Guard, plan func() assign.Plan, s *state, p *peers, log *eventlog.Log) *evidenceSharing {
 	return &evidenceSharing{
 		self: self, guard: guard, plan: plan, state: s, peers: p, log: log,
-		deliveries: poison.NewDeliveries(guard, evidenceRetryInterval),
+		deliveries: poison.NewDeliveries(guard, evidenceRetryInterval), interval: evidenceInterval,
 	}
 }
 
-// run shares new evidence until the context ends.
+// run shares evidence until the context ends: at once when there is new evidence, because a host that
+// is killed takes with it what it has not shared.
 func (e *evidenceSharing) run(ctx context.Context) {
-	loop.Every(ctx, evidenceInterval, func(ctx context.Context) {
+	var keeping sync.WaitGroup
+	defer keeping.Wait()
+	// Keeping waits for the store, which must not hold up the messages to the other hosts.
+	keeping.Go(func() {
+		loop.Every(ctx, e.interval, func(ctx context.Context) {
+			e.keep(ctx)
+			e.removeExpired(ctx)
+		})
+	})
+	ticker := time.NewTicker(e.interval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
 		e.guard.Expire()
 		e.deliverAll(ctx)
-		e.keep(ctx)
-		e.removeExpired(ctx)
-	})
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		case <-e.guard.Changed():
+		}
+	}
 }
 
 // deliverAll starts a message to each host that lacks evidence.
@@ -75,8 +94,15 @@
 	e.deliveries.Retain(listed)
 }
 
-// deliver sends evidence to one host and records whether it has taken it.
+// deliver sends evidence to one host, and goes on while the host takes it and there is more.
 func (e *evidenceSharing) deliver(ctx context.Context, host assign.Host, id string, records []poison.Record) {
+	for due := true; due; records, due = e.deliveries.Begin(id) {
+		e.deliverOnce(ctx, host, id, records)
+	}
+}
+
+// deliverOnce sends evidence to one host and records whether it has taken it.
+func (e *evidenceSharing) deliverOnce(ctx context.Context, host assign.Host, id string, records []poison.Record) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	err := e.peers.suspects(ctx, host, SuspectsArgs{From: e.self.Name, Records: records})
--- a/internal/edge/evidence_test.go
+++ b/internal/edge/evidence_test.go
@@ -64,14 +64,7 @@
 // TestEvidenceIsSentUntilItIsTaken is a regression test (BUDGET on Moravia): evidence was sent once, so a
 // host that was cut off or started later sent a request on that had crashed three servers.
 func TestEvidenceIsSentUntilItIsTaken(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer listener.Close()
-	receiver := &rpcService{guard: poison.NewGuard(testBounds), log: eventlog.Discard()}
-	calls := rpc.NewServer()
-	assert.NilError(t, calls.RegisterName(rpcName, receiver))
-	go http.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { peer.ServeRPC(t.Context(), calls, w) }))
-
+	receiver, addr := startReceiver(t)
 	reachable := make(chan bool, 1)
 	reachable <- false
 	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -80,7 +73,7 @@
 		}
 		return (&net.Dialer{}).DialContext(ctx, network, addr)
 	}
-	plan := assign.Plan{Hosts: []assign.Host{{Name: "b", Incarnation: "b", Addr: listener.Addr().String()}}}
+	plan := assign.Plan{Hosts: []assign.Host{{Name: "b", Incarnation: "b", Addr: addr}}}
 	sharing, guard := evidenceHost(&memoryState{}, "a", func() assign.Plan { return plan }, dial)
 	f := poison.Fingerprint{1}
 	crashServers(t, guard, f, "s1", "s2", "s3")
@@ -88,13 +81,48 @@
 	defer cancel()
 	go sharing.run(ctx)
 	reachable <- true
+	awaitBlocked(t, receiver.guard, f)
+}
+
+// startReceiver starts a host that takes evidence, and returns it with its address.
+func startReceiver(t *testing.T) (*rpcService, string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	receiver := &rpcService{guard: poison.NewGuard(testBounds), log: eventlog.Discard()}
+	calls := rpc.NewServer()
+	assert.NilError(t, calls.RegisterName(rpcName, receiver))
+	go http.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { peer.ServeRPC(t.Context(), calls, w) }))
+	return receiver, listener.Addr().String()
+}
+
+// awaitBlocked waits until the guard blocks a request.
+func awaitBlocked(t *testing.T, guard *poison.Guard, f poison.Fingerprint) {
+	t.Helper()
 	deadline := time.Now().Add(10 * time.Second)
-	for receiver.guard.Check(f) != poison.Blocked {
+	for guard.Check(f) != poison.Blocked {
 		assert.Assert(t, time.Now().Before(deadline), "the evidence has not arrived")
 		time.Sleep(10 * time.Millisecond)
 	}
 }
 
+// TestEvidenceIsSentAtOnce is a regression test (BUDGET on Riga): evidence waited for the next interval,
+// so a host that was killed soon after a crash took it along.
+func TestEvidenceIsSentAtOnce(t *testing.T) {
+	receiver, addr := startReceiver(t)
+	plan := assign.Plan{Hosts: []assign.Host{{Name: "b", Incarnation: "b", Addr: addr}}}
+	sharing, guard := evidenceHost(&memoryState{}, "a", func() assign.Plan { return plan }, (&net.Dialer{}).DialContext)
+	sharing.interval = time.Hour
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go sharing.run(ctx)
+	time.Sleep(50 * time.Millisecond)
+	f := poison.Fingerprint{1}
+	crashServers(t, guard, f, "s1", "s2", "s3")
+	awaitBlocked(t, receiver.guard, f)
+}
+
 // TestEvidenceOutlastsTheLossOfAllHosts is a regression test (BUDGET on Moravia): evidence was kept by
 // the hosts alone, so the loss of all of them gave a request that crashes servers a new start.
 func TestEvidenceOutlastsTheLossOfAllHosts(t *testing.T) {
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -14,6 +14,8 @@
 	mu      sync.Mutex
 	store   *EvidenceStore
 	tracker *Tracker
+	// changed gets a value when there may be new evidence.
+	changed chan struct{}
 	// trialEnded is closed and replaced whenever a suspect that ran alone has ended.
 	trialEnded chan struct{}
 }
@@ -21,7 +23,21 @@
 // NewGuard returns a guard without evidence.
 func NewGuard(bounds Bounds) *Guard {
 	store := NewEvidenceStore(bounds)
-	return &Guard{store: store, tracker: NewTracker(store), trialEnded: make(chan struct{})}
+	return &Guard{store: store, tracker: NewTracker(store), changed: make(chan struct{}, 1), trialEnded: make(chan struct{})}
+}
+
+// Changed returns a channel that gets a value when there may be new evidence to export. Only one
+// goroutine may receive from it.
+func (g *Guard) Changed() <-chan struct{} {
+	return g.changed
+}
+
+// signalChange announces that there may be new evidence.
+func (g *Guard) signalChange() {
+	select {
+	case g.changed <- struct{}{}:
+	default:
+	}
 }
 
 // Observe sets a function that is called with each change of the number of crashes that count
@@ -108,6 +124,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.tracker.ServerCrashed(time.Now(), server, source)
+	g.signalChange()
 }
 
 // ServerAlive records that the server answered a query sent at queriedAt.
@@ -153,6 +170,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.store.Import(time.Now(), records, source)
+	g.signalChange()
 }
 
 // Configure changes the bounds.
