front, fleet, assign: hosts together keep the limit that a server names

Cause: no code read Server-Limit. Class: something that a server says in its answers is read by nobody. Ruled out: a limit divided wrongly (none was known); grants and renewals among the requests (they come more often than the counted ones). Change: a limit is a fact about one incarnation, read from the header of any answer, also of failures and rejections. It ends with an answer without it to a request that was sent after it was last named. The primary of a server with keys sends alone and uses three quarters, one request at a time; hosts that send each by itself have slots at random times whose sum is half of the limit whatever the number of hosts, 0.4 of it for the hosts of the server's zone; slots are not kept. What does not fit goes to another server where there are no keys, and is refused at once otherwise, with times to come back that are apart. The host that learns of the end tells the others. The leader moves keys away from a server that has more load than three quarters of its limit. Weighed: a bucket on each host (full buckets of 59 hosts are a burst of 59), a share of each host in whole requests (0 or 59 a second), one sender for servers without keys (its loss would have to be noticed by all). Cold servers keep their allowance: that rule counts hosts that are cut off too, which random slots could not promise.

--- a/internal/assign/reconcile.go
+++ b/internal/assign/reconcile.go
@@ -13,6 +13,9 @@
 	Server
 	// Capacity is the weight of the server relative to the other candidates, above zero.
 	Capacity float64
+	// Limit is the number of requests per second that the server says it takes, or zero if it names
+	// no limit.
+	Limit float64
 }
 
 // Proof shows that the former owner of a releasing range no longer holds it. It exists if
@@ -62,6 +65,10 @@
 	// minMoveRatio and maxMoveRatio bound the load of a moved range relative to the load to be moved.
 	minMoveRatio = 0.25
 	maxMoveRatio = 1.3
+	// limitedLoadRatio is the load of a server relative to its limit above which keys are moved away from it,
+	// and limitTargetRatio the load that it keeps. What it keeps tells when the limit ends.
+	limitedLoadRatio = 0.75
+	limitTargetRatio = 0.5
 	// minRebalanceLoad is the load of the service, in requests per second, below which nothing is rebalanced.
 	minRebalanceLoad = 5.0
 )
@@ -70,6 +77,7 @@
 // leader knows. Changed assignments get the given fencing token. It returns false if nothing changes.
 func Reconcile(current []Assignment, snapshot Snapshot, fence Fence) ([]Assignment, bool) {
 	rc := &reconciler{snapshot: snapshot, fence: fence, next: slices.Clone(current)}
+	rc.applyLimits()
 	if len(rc.next) == 0 {
 		rc.assignInitially()
 	} else {
@@ -90,6 +98,37 @@
 	next     []Assignment
 }
 
+// applyLimits lowers the capacities of servers that name a limit, so that their fair share of the load
+// is the part of the limit that they should keep.
+func (rc *reconciler) applyLimits() {
+	unlimited := 0.0
+	for _, c := range rc.snapshot.Candidates {
+		if c.Limit == 0 {
+			unlimited += c.Capacity
+		}
+	}
+	if unlimited == 0 || rc.snapshot.Load == nil {
+		return
+	}
+	fair := rc.loadOf(keyrange.All) / unlimited
+	rc.snapshot.Candidates = slices.Clone(rc.snapshot.Candidates)
+	for i, c := range rc.snapshot.Candidates {
+		if c.Limit > 0 {
+			rc.snapshot.Candidates[i].Capacity = min(c.Capacity, limitTargetRatio*c.Limit/fair)
+		}
+	}
+}
+
+// receivers returns the candidates to which keys may be moved to balance the load: those that name no
+// limit or, if all do, all.
+func (rc *reconciler) receivers() []Candidate {
+	unlimited := slices.DeleteFunc(slices.Clone(rc.snapshot.Candidates), func(c Candidate) bool { return c.Limit > 0 })
+	if len(unlimited) == 0 {
+		return rc.snapshot.Candidates
+	}
+	return unlimited
+}
+
 // assignInitially assigns all keys for the first time, in ranges of equal width.
 func (rc *reconciler) assignInitially() {
 	candidates := slices.Clone(rc.snapshot.Candidates)
@@ -201,7 +240,7 @@
 		a := &rc.next[i]
 		server, ok := rc.candidate(a.Next)
 		if !ok {
-			server = rc.leastLoaded(loads, rc.loadOf(a.Range))
+			server = leastLoaded(rc.snapshot.Candidates, loads, rc.loadOf(a.Range))
 		}
 		loads[server.ID] += rc.loadOf(a.Range) / server.Capacity
 		a.Phase = Held
@@ -219,19 +258,42 @@
 	}
 	for range movesPerStep {
 		loads := rc.relativeLoads()
-		if !rc.rebalanceOnce(loads) {
+		if !rc.relieveOnce(loads) && !rc.rebalanceOnce(loads) {
 			return
 		}
 	}
 }
 
+// relieveOnce starts one move from a server that has more load than its limit allows. It returns false if
+// there is none that has a suitable range.
+func (rc *reconciler) relieveOnce(loads map[string]float64) bool {
+	to := leastLoaded(rc.receivers(), loads, 0)
+	if to.Limit > 0 {
+		return false
+	}
+	for _, from := range rc.byLoad(loads) {
+		load := loads[from.ID] * from.Capacity
+		if from.Limit == 0 || load <= limitedLoadRatio*from.Limit {
+			continue
+		}
+		if m, ok := rc.bestMove(from.ID, load-limitTargetRatio*from.Limit); ok {
+			rc.splitAndRelease(m.at, m.keys, to.ID)
+			return true
+		}
+	}
+	return false
+}
+
 // rebalanceOnce starts one move from the most loaded server that has a suitable range. It returns
 // false if no overloaded server has one.
 func (rc *reconciler) rebalanceOnce(loads map[string]float64) bool {
 	fair := rc.fairLoad()
-	to := rc.leastLoaded(loads, 0)
+	to := leastLoaded(rc.receivers(), loads, 0)
 	for _, from := range rc.byLoad(loads) {
 		most := loads[from.ID]
+		if from.Limit > 0 {
+			continue
+		}
 		if most < overloadRatio*fair+noiseSigmas*math.Sqrt(most*from.Capacity)/from.Capacity {
 			return false
 		}
@@ -392,8 +454,8 @@
 }
 
 // leastLoaded returns the server whose load relative to capacity is the lowest after the extra load is added to it.
-func (rc *reconciler) leastLoaded(loads map[string]float64, extra float64) Candidate {
-	return slices.MinFunc(rc.snapshot.Candidates, func(a, b Candidate) int {
+func leastLoaded(candidates []Candidate, loads map[string]float64, extra float64) Candidate {
+	return slices.MinFunc(candidates, func(a, b Candidate) int {
 		return cmp.Or(
 			cmp.Compare(loads[a.ID]+extra/a.Capacity, loads[b.ID]+extra/b.Capacity),
 			cmp.Compare(a.ID, b.ID))
--- a/internal/assign/reconcile_test.go
+++ b/internal/assign/reconcile_test.go
@@ -145,3 +145,30 @@
 	assert.Assert(t, width < keyrange.Count/10, "the owner of the hot key keeps %d keys", width)
 	assert.Assert(t, moves <= 6, "%d moves", moves)
 }
+
+// TestKeysLeaveAServerThatNamesALimit checks that a server with a low limit keeps a part of its keys within the limit,
+// and that no other server gets too many.
+func TestKeysLeaveAServerThatNamesALimit(t *testing.T) {
+	rng := rand.New(rand.NewPCG(3, 3))
+	servers := testServers(8)
+	snapshot := testSnapshot(servers)
+	assignments, _ := Reconcile(nil, snapshot, 1)
+	snapshot.Load = sampledLoad(rng, 80, 0, 0, 1)
+	limited := servers[2].ID
+	snapshot.Candidates[2].Limit = 2
+	for fence := Fence(2); fence < 30; fence++ {
+		snapshot.Proofs = make(map[keyrange.Key]Proof)
+		proveReleases(assignments, &snapshot)
+		assignments, _ = Reconcile(assignments, snapshot, fence)
+	}
+	loads := make(map[string]float64)
+	for _, a := range assignments {
+		assert.Equal(t, a.Phase, Held)
+		loads[a.Server.ID] += snapshot.Load.Of(a.Range)
+	}
+	assert.Assert(t, loads[limited] <= limitedLoadRatio*2, "%v requests per second", loads[limited])
+	for id, load := range loads {
+		assert.Assert(t, load <= 20, "%s has %v requests per second", id, load)
+	}
+	assert.Assert(t, coverAllKeys(assignments))
+}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -8,6 +8,7 @@
 
 	"github.com/poplarcroft/poplarcroft/internal/assign"
 	"github.com/poplarcroft/poplarcroft/internal/eventlog"
+	"github.com/poplarcroft/poplarcroft/internal/fleet"
 	"github.com/poplarcroft/poplarcroft/internal/keyrange"
 	"github.com/poplarcroft/poplarcroft/internal/leader"
 	"github.com/poplarcroft/poplarcroft/internal/peer"
@@ -72,6 +73,8 @@
 	// Slowness holds, by ID, the slowness in hundredths of the servers of which the host has
 	// recent samples.
 	Slowness map[string]int
+	// Limits holds, by ID, the limits that servers name, in requests per second.
+	Limits map[string]float64
 }
 
 // SuspectsArgs carries evidence against suspect requests.
@@ -81,6 +84,15 @@
 	Records []poison.Record
 }
 
+// LimitEndedArgs tells that a server's limit on requests per second has ended.
+type LimitEndedArgs struct {
+	// From is the name of the host whose request was answered without a limit.
+	From string
+	// ID and Born identify the incarnation of the server.
+	ID   fleet.ID
+	Born int64
+}
+
 // Empty is a reply without content.
 type Empty struct{}
 
@@ -91,6 +103,7 @@
 	renewer *renew.Renewer
 	leader  *leader.Leader
 	guard   *poison.Guard
+	fleet   *fleet.Fleet
 	relay   *relay.Relay
 	log     *eventlog.Log
 }
@@ -156,7 +169,7 @@
 
 // Report passes a host's report on to the leader.
 func (s *rpcService) Report(args ReportArgs, _ *Empty) error {
-	s.leader.Report(args.Host, leader.Report{Rates: args.Rates, Slowness: args.Slowness}, args.Lost)
+	s.leader.Report(args.Host, leader.Report{Rates: args.Rates, Slowness: args.Slowness, Limits: args.Limits}, args.Lost)
 	return nil
 }
 
@@ -167,6 +180,16 @@
 	return nil
 }
 
+// LimitEnded ends a server's limit here too. With a small share of a limit it may take this host long
+// to learn by itself that it has ended.
+func (s *rpcService) LimitEnded(args LimitEndedArgs, _ *Empty) error {
+	server, ok := s.fleet.Server(args.ID)
+	if ok && server.Entry().Born == args.Born && server.ClearLimit() {
+		s.log.Event("limit", "server", args.ID, "born", args.Born, "from", args.From, "outcome", "ended")
+	}
+	return nil
+}
+
 // peers calls other hosts.
 type peers struct {
 	pool *peer.Pool
@@ -215,6 +238,11 @@
 	return p.pool.Call(ctx, host.Addr, rpcName+".Report", args, &Empty{})
 }
 
+// limitEnded tells a host that a server's limit has ended.
+func (p *peers) limitEnded(ctx context.Context, host assign.Host, args LimitEndedArgs) error {
+	return p.pool.Call(ctx, host.Addr, rpcName+".LimitEnded", args, &Empty{})
+}
+
 // suspects sends evidence against suspect requests to a host.
 func (p *peers) suspects(ctx context.Context, host assign.Host, args SuspectsArgs) error {
 	return p.pool.Call(ctx, host.Addr, rpcName+".Suspects", args, &Empty{})
--- a/internal/edge/peers_test.go
+++ b/internal/edge/peers_test.go
@@ -14,9 +14,11 @@
 	"github.com/poplarcroft/poplarcroft/internal/assign"
 	"github.com/poplarcroft/poplarcroft/internal/clock"
 	"github.com/poplarcroft/poplarcroft/internal/eventlog"
+	"github.com/poplarcroft/poplarcroft/internal/fleet"
 	"github.com/poplarcroft/poplarcroft/internal/grants"
 	"github.com/poplarcroft/poplarcroft/internal/peer"
 	"github.com/poplarcroft/poplarcroft/internal/renew"
+	"github.com/poplarcroft/poplarcroft/internal/transport"
 )
 
 func newTestService() *rpcService {
@@ -76,3 +78,19 @@
 	assert.NilError(t, p.Adopt(context.Background(), host, plan))
 	assert.DeepEqual(t, s.current.Plan(), plan)
 }
+
+// TestEndOfALimitIsTakenFromOtherHosts checks that a host ends the limit of the incarnation that another
+// host names, and of no other.
+func TestEndOfALimitIsTakenFromOtherHosts(t *testing.T) {
+	s := newTestService()
+	s.log = eventlog.Discard()
+	s.fleet = fleet.New(fleet.Options{Target: func(string) *transport.Target { return nil }})
+	s.fleet.Set([]fleet.Entry{{ID: "a", Born: 2}}, 0)
+	server, _ := s.fleet.Server("a")
+	server.NameLimit(1, fleet.SoleShare, 0)
+	assert.NilError(t, s.LimitEnded(LimitEndedArgs{ID: "a", Born: 1}, &Empty{}))
+	assert.Equal(t, server.Limit(), 1.0)
+	assert.NilError(t, s.LimitEnded(LimitEndedArgs{ID: "b", Born: 2}, &Empty{}))
+	assert.NilError(t, s.LimitEnded(LimitEndedArgs{ID: "a", Born: 2}, &Empty{}))
+	assert.Equal(t, server.Limit(), 0.0)
+}
--- a/internal/edge/reports.go
+++ b/internal/edge/reports.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/poplarcroft/poplarcroft/internal/clock"
@@ -11,7 +12,7 @@
 
 const (
 	// reportInterval is the time between two load reports to the leader. While requests wait for a
-	// slot at a server, it is queuedReportInterval.
+	// slot at a server, or a server has named a new limit, it is queuedReportInterval.
 	reportInterval       = 2 * time.Second
 	queuedReportInterval = 300 * time.Millisecond
 	// reportTimeout is the timeout of one message to another host.
@@ -21,21 +22,23 @@
 // reportLoad is the loop that reports load, lost grants and slow servers to the leader.
 func (h *Host) reportLoad(ctx context.Context) {
 	var lastReport time.Duration
+	var reportedLimits map[string]float64
 	loop.Every(ctx, queuedReportInterval, func(ctx context.Context) {
 		now := clock.Monotonic()
-		if now-lastReport < reportInterval && !h.ingress.Queued() {
+		limits := h.fleet.Limits(now)
+		if now-lastReport < reportInterval && !h.ingress.Queued() && maps.Equal(limits, reportedLimits) {
 			return
 		}
-		lastReport = now
+		lastReport, reportedLimits = now, limits
 		h.report(ctx)
 	})
 }
 
 // report sends one report to the leader, or takes it over directly if this host is the leader.
 func (h *Host) report(ctx context.Context) {
-	args := ReportArgs{Host: h.self.Name, Rates: h.ingress.KeyRates(), Lost: h.renewer.Lost(), Slowness: h.fleet.Slowness(clock.Monotonic())}
+	args := ReportArgs{Host: h.self.Name, Rates: h.ingress.KeyRates(), Lost: h.renewer.Lost(), Slowness: h.fleet.Slowness(clock.Monotonic()), Limits: h.fleet.Limits(clock.Monotonic())}
 	if h.leader.IsLeader() {
-		h.leader.Report(args.Host, leader.Report{Rates: args.Rates, Slowness: args.Slowness}, args.Lost)
+		h.leader.Report(args.Host, leader.Report{Rates: args.Rates, Slowness: args.Slowness, Limits: args.Limits}, args.Lost)
 		return
 	}
 	to := h.current.Plan().Leader
--- a/internal/experiment/placing.go
+++ b/internal/experiment/placing.go
@@ -222,8 +222,8 @@
 	now := h.run.clock.now
 	switch h.policy {
 	case PolicyFleet:
-		server, ok := h.fleet.Choose("archiv", r.excluded, now)
-		if !ok || !server.Begin(fleet.Allowance{}, now) {
+		server, ok := h.fleet.Choose("archiv", r.excluded, nil, now)
+		if !ok || server.Begin(fleet.Allowance{}, fleet.SoleShare, now) != fleet.NotRefused {
 			return 0, false
 		}
 		var index int
--- a/internal/fleet/average_test.go
+++ b/internal/fleet/average_test.go
@@ -21,7 +21,7 @@
 	s := newServer(Entry{Slots: 4}, nil, 0)
 	restingCost := s.cost(0)
 	for range 8 {
-		assert.Assert(t, s.Begin(Allowance{}, 0))
+		assert.Equal(t, s.Begin(Allowance{}, SoleShare, 0), NotRefused)
 		s.End(Answered, 6, 0)
 	}
 	assert.Assert(t, s.cost(0) > 3*restingCost)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -142,12 +142,35 @@
 	return slowness
 }
 
-// Choose returns a server of the service that is not excluded, and false if there is none. Cold
-// servers are chosen only if there are no warm ones, and paused or missing ones last.
-func (f *Fleet) Choose(service string, excluded []ID, now time.Duration) (*Server, bool) {
+// Limits returns the limits that servers have named lately, by ID, in requests per second. A server that
+// has lost all its keys gets no requests and cannot tell that its limit has ended.
+func (f *Fleet) Limits(now time.Duration) map[string]float64 {
+	limits := make(map[string]float64)
+	for id, server := range f.snapshot.Load().byID {
+		if limit, fresh := server.freshLimit(now); fresh {
+			limits[string(id)] = limit
+		}
+	}
+	return limits
+}
+
+// Limited returns a server of the service whose limit allows no request now, and false if there is none.
+func (f *Fleet) Limited(service string, shareOf func(*Server) Share, now time.Duration) (*Server, bool) {
+	for _, server := range f.Servers(service) {
+		if f.Usable(server) && !server.LimitOpen(shareOf(server), now) {
+			return server, true
+		}
+	}
+	return nil, false
+}
+
+// Choose returns a server of the service that is not excluded, and false if there is none. Servers whose
+// limit allows no request by the host's share now are left out. Cold servers are chosen only if there are no warm
+// ones, and paused or missing ones last.
+func (f *Fleet) Choose(service string, excluded []ID, shareOf func(*Server) Share, now time.Duration) (*Server, bool) {
 	var warm, cold, paused []*Server
 	for _, server := range f.Servers(service) {
-		if !f.Usable(server) || slices.Contains(excluded, server.Entry().ID) {
+		if !f.Usable(server) || slices.Contains(excluded, server.Entry().ID) || server.Limit() > 0 && !server.LimitOpen(shareOf(server), now) {
 			continue
 		}
 		switch {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -28,7 +28,7 @@
 
 func chosen(t *testing.T, f *Fleet, now time.Duration, excluded ...ID) ID {
 	t.Helper()
-	server, ok := f.Choose("archiv", excluded, now)
+	server, ok := f.Choose("archiv", excluded, nil, now)
 	assert.Assert(t, ok)
 	return server.Entry().ID
 }
@@ -37,7 +37,7 @@
 	f := newTestFleet(entry("far", "brno"), entry("near", "zlin"))
 	assert.Equal(t, chosen(t, f, 0), ID("near"))
 	for range 12 {
-		assert.Assert(t, mustServer(t, f, "near").Begin(Allowance{}, 0))
+		assert.Equal(t, mustServer(t, f, "near").Begin(Allowance{}, SoleShare, 0), NotRefused)
 	}
 	assert.Equal(t, chosen(t, f, 0), ID("far"))
 }
@@ -48,7 +48,7 @@
 	f := newTestFleet(leaving, entry("closed", "brno"))
 	coldFor := func(string) time.Duration { return 3 * time.Second }
 	f.EvacuateZones(map[string]bool{"brno": true}, coldFor, 0)
-	_, ok := f.Choose("archiv", nil, 0)
+	_, ok := f.Choose("archiv", nil, nil, 0)
 	assert.Assert(t, !ok)
 	f.EvacuateZones(nil, coldFor, time.Second)
 	assert.Equal(t, chosen(t, f, time.Second), ID("closed"))
@@ -75,13 +75,13 @@
 			f := newTestFleet(entry("bad", "zlin"), entry("good", "zlin"))
 			for range 4 {
 				bad := mustServer(t, f, "bad")
-				bad.Begin(Allowance{}, 0)
+				bad.Begin(Allowance{}, SoleShare, 0)
 				bad.End(ending, 8, 0)
 			}
 			assert.Equal(t, chosen(t, f, 0), ID("good"))
 			fresh := mustServer(t, f, "good")
 			for range 2 {
-				fresh.Begin(Allowance{}, 0)
+				fresh.Begin(Allowance{}, SoleShare, 0)
 			}
 			assert.Equal(t, chosen(t, f, 30*time.Second), ID("bad"))
 		})
@@ -91,11 +91,11 @@
 func TestUnreachableServerIsSkippedLongerEachTime(t *testing.T) {
 	f := newTestFleet(entry("dead", "zlin"), entry("live", "brno"))
 	dead := mustServer(t, f, "dead")
-	dead.Begin(Allowance{}, 0)
+	dead.Begin(Allowance{}, SoleShare, 0)
 	dead.End(Unreachable, 0, 0)
 	assert.Equal(t, chosen(t, f, 100*time.Millisecond), ID("live"))
 	assert.Equal(t, chosen(t, f, 200*time.Millisecond), ID("dead"))
-	dead.Begin(Allowance{}, 0)
+	dead.Begin(Allowance{}, SoleShare, 0)
 	dead.End(Unreachable, 0, 200*time.Millisecond)
 	assert.Equal(t, chosen(t, f, 400*time.Millisecond), ID("live"))
 }
@@ -103,7 +103,7 @@
 func TestNewIncarnationHasNoHealthHistory(t *testing.T) {
 	f := newTestFleet(entry("a", "zlin"))
 	old := mustServer(t, f, "a")
-	old.Begin(Allowance{}, 0)
+	old.Begin(Allowance{}, SoleShare, 0)
 	restarted := entry("a", "zlin")
 	restarted.Born = 2
 	f.Set([]Entry{restarted}, time.Second)
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -24,6 +24,18 @@
 	Cancelled
 )
 
+// Refusal says why a server may get no request now.
+type Refusal int
+
+const (
+	// NotRefused means that the request may be sent.
+	NotRefused Refusal = iota
+	// RefusedCold means that the server is cold and this host's allowance for it is used up.
+	RefusedCold
+	// RefusedLimit means that the server has named a limit and this host's share of it is used up.
+	RefusedLimit
+)
+
 const (
 	// sampleWeight is the weight of a new observation in a moving average.
 	sampleWeight = 0.25
@@ -59,6 +71,8 @@
 	// requests to the server.
 	coldUntil time.Duration
 	bucket    bucket
+	// limit is the limit that the server names in its answers.
+	limit serverLimit
 	// inFlight is the number of this host's requests at the server.
 	inFlight int
 	// otherRequests is the number of other hosts' requests at the server as of reportedAt, the time
@@ -116,16 +130,76 @@
 	return now < s.coldUntil
 }
 
-// Begin counts a request that is about to be sent; End must follow. It returns false, and counts
-// nothing, if the server is cold and this host's allowance for it is used up.
-func (s *Server) Begin(allowance Allowance, now time.Duration) bool {
+// Begin counts a request that is about to be sent; End must follow. It counts nothing if it
+// returns a refusal.
+func (s *Server) Begin(allowance Allowance, share Share, now time.Duration) Refusal {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.limit.open(share, now) {
+		return RefusedLimit
+	}
 	if now < s.coldUntil && !s.bucket.take(allowance, now) {
-		return false
+		return RefusedCold
 	}
+	s.limit.take(share, now)
 	s.inFlight++
-	return true
+	return NotRefused
+}
+
+// Limit returns the limit that the server names, in requests per second from all hosts together, or
+// zero if it names none.
+func (s *Server) Limit() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.limit.perSecond
+}
+
+// freshLimit returns the limit, and false if there is none or it was last named longer than limitFreshFor
+// ago.
+func (s *Server) freshLimit(now time.Duration) (float64, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.limit.perSecond, s.limit.perSecond > 0 && now-s.limit.namedAt <= limitFreshFor
+}
+
+// NameLimit records that an answer of the server has named a limit, in requests per second. It returns
+// true if the limit changes.
+func (s *Server) NameLimit(perSecond float64, share Share, now time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.limit.name(perSecond, share, now)
+}
+
+// EndLimit records that an answer to a request that was sent at sentAt named no limit. It returns true
+// if this ends the limit. An answer to a request that was sent before the limit was last named may
+// be older than that.
+func (s *Server) EndLimit(sentAt time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return sentAt > s.limit.namedAt && s.limit.clear()
+}
+
+// ClearLimit records that another host has learned that the limit has ended. It returns true if there
+// was one.
+func (s *Server) ClearLimit() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.limit.clear()
+}
+
+// ReturnAfter returns the time after which a caller should come back that was refused because of the
+// limit.
+func (s *Server) ReturnAfter(share Share, now time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.limit.returnAfter(share, now)
+}
+
+// LimitOpen reports whether this host's share of the limit allows a request now.
+func (s *Server) LimitOpen(share Share, now time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.limit.open(share, now)
 }
 
 // End updates the estimates with the end of an attempt. Ratio is its latency divided by the
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -95,6 +95,9 @@
 		Body:       r.Body,
 		Idempotent: r.Route.Idempotent,
 	})
+	if result.Sent == transport.Answered {
+		in.readLimit(r, server, result.Response.Header, started)
+	}
 	a := in.interpret(r, result)
 	ending := a.guardEnding(ctx)
 	guarded.End(ending)
--- a/internal/front/keyed.go
+++ b/internal/front/keyed.go
@@ -94,6 +94,9 @@
 	if !ok || !k.ingress.fleet.Usable(server) {
 		return k.awaitPlan(ctx, changed, k.ownerWaitEnd(), reasonNoOwner)
 	}
+	if share := k.ingress.shareOf(k.r, server); !server.LimitOpen(share, k.ingress.clock()) {
+		return k.ingress.refusedBy(fleet.RefusedLimit, server, share), false
+	}
 	return k.acquireAndSend(ctx, server, changed)
 }
 
@@ -138,8 +141,9 @@
 	if k.reachedServer && !k.ingress.budgets.take(k.r.Service.Name, began) {
 		return attempt{}, notRun(reasonBudget, defaultRetryAfter), false
 	}
-	if !server.Begin(k.ingress.allowance(k.r), began) {
-		return attempt{}, notRun(reasonCold, defaultRetryAfter), false
+	share := k.ingress.shareOf(k.r, server)
+	if refusal := server.Begin(k.ingress.allowance(k.r), share, began); refusal != fleet.NotRefused {
+		return attempt{}, k.ingress.refusedBy(refusal, server, share), false
 	}
 	a := k.ingress.send(ctx, k.r, server)
 	k.record(a)
--- a/internal/front/keyless.go
+++ b/internal/front/keyless.go
@@ -30,13 +30,17 @@
 			return k.finalResult(k.last)
 		}
 		now := in.clock()
-		server, ok := in.fleet.Choose(r.Service.Name, k.excluded, now)
+		server, ok := in.fleet.Choose(r.Service.Name, k.excluded, in.sharedWithHosts, now)
 		if !ok {
+			if limited, ok := in.fleet.Limited(r.Service.Name, in.sharedWithHosts, now); ok && !k.reachedServer {
+				k.last = in.refusedBy(fleet.RefusedLimit, limited, in.sharedWithHosts(limited))
+			}
 			return k.finalResult(k.last)
 		}
 		k.excluded = append(k.excluded, server.Entry().ID)
-		if !server.Begin(in.allowance(r), now) {
-			k.last = notRun(reasonCold, defaultRetryAfter)
+		share := in.shareOf(r, server)
+		if refusal := server.Begin(in.allowance(r), share, now); refusal != fleet.NotRefused {
+			k.last = in.refusedBy(refusal, server, share)
 			continue
 		}
 		a := in.send(ctx, r, server)
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -32,9 +32,10 @@
 	// RequestID carries the request's ID, and in answers the ID of the answered request.
 	// DeadlineMS carries the time until the deadline in milliseconds, and Key the key of a keyed
 	// request. ExpectInstance tells a server which one the request is meant for. In answers,
-	// Digest marks a successful answer as the server's own, Load carries the server's load, and
-	// NotExecuted says that the server did not execute the request.
-	RequestID, DeadlineMS, Digest, ExpectInstance, Load, NotExecuted, Key string
+	// Digest marks a successful answer as the server's own, Load carries the server's load,
+	// NotExecuted says that the server did not execute the request, and Limit carries the number of
+	// requests per second that the server takes from all hosts together.
+	RequestID, DeadlineMS, Digest, ExpectInstance, Load, NotExecuted, Key, Limit string
 }
 
 // Request is a caller's request, read completely into memory.
--- a/internal/front/result.go
+++ b/internal/front/result.go
@@ -61,6 +61,7 @@
 	reasonNotOwner    = "the server does not hold the key"
 	reasonFull        = "servers are full"
 	reasonCold        = "server is cold"
+	reasonLimited     = "server takes no more requests now"
 	reasonUnreachable = "server is unreachable"
 	reasonAnswerLost  = "the answer was lost"
 	reasonBudget      = "no retry is left"
--- a/internal/leader/reports.go
+++ b/internal/leader/reports.go
@@ -21,6 +21,8 @@
 	Rates map[string]map[keyrange.Key]keyrange.CentiRate
 	// Slowness holds the latency of servers relative to the baseline, in hundredths, by server ID.
 	Slowness map[string]int
+	// Limits holds the limits that servers name, in requests per second, by server ID.
+	Limits map[string]float64
 }
 
 // timedReport is a report and the time of its arrival.
@@ -58,6 +60,19 @@
 	return min(max(float64(sum)/float64(n)/100, minSlowness), maxSlowness)
 }
 
+// limit returns the limit that a server names, in requests per second, or zero if no recent report has
+// one. The caller holds the lock.
+func (l *Leader) limit(id string, now time.Duration) float64 {
+	lowest := 0.0
+	for _, report := range l.reports {
+		value, ok := report.Limits[id]
+		if ok && now-report.at <= reportTTL && (lowest == 0 || value < lowest) {
+			lowest = value
+		}
+	}
+	return lowest
+}
+
 // load returns the load on the keys of a service, or nil if no recent report has it. The caller holds the lock.
 func (l *Leader) load(service string, now time.Duration) *keyrange.Load {
 	var rates []map[keyrange.Key]keyrange.CentiRate
--- a/internal/leader/snapshot.go
+++ b/internal/leader/snapshot.go
@@ -25,7 +25,9 @@
 		if entry.Draining || l.ZoneEvacuated(entry.Zone) {
 			continue
 		}
-		candidate := assign.Candidate{Server: known, Capacity: float64(max(entry.Slots, 1)) / l.slowness(known.ID, now)}
+		candidate := assign.Candidate{
+			Server: known, Capacity: float64(max(entry.Slots, 1)) / l.slowness(known.ID, now), Limit: l.limit(known.ID, now),
+		}
 		if server.Cold(now) {
 			cold = append(cold, candidate)
 		} else {
