front, fleet, edge: a server that tells in its answers that it leaves gets no new requests

Change: a fact about one incarnation, read from the header of any answer; the host stops at once, tells all others, and the leader moves the keys as for a draining server.

--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -148,7 +148,7 @@
 			Dial: h.dial, Connections: peerConnections, IdleTimeout: idleTimeout, RequestIDHeader: config.Headers.RequestID,
 		}),
 		Headers: config.Headers, Fleet: h.fleet, Guard: h.guard, Dial: h.dial, Current: h.current, Table: h.operatorRecords.Table,
-		ColdRateLimit: h.coldRateLimit, OnLimitEnded: h.tellLimitEnded,
+		ColdRateLimit: h.coldRateLimit, OnFact: h.tellFact,
 		Budget: front.BudgetConfig{
 			Ratio: config.RetryRatio, Extra: config.RetryExtra, Window: config.RetryWindow, Hosts: h.hostCount,
 		},
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -9,6 +9,7 @@
 	"github.com/poplarcroft/poplarcroft/internal/assign"
 	"github.com/poplarcroft/poplarcroft/internal/eventlog"
 	"github.com/poplarcroft/poplarcroft/internal/fleet"
+	"github.com/poplarcroft/poplarcroft/internal/front"
 	"github.com/poplarcroft/poplarcroft/internal/keyrange"
 	"github.com/poplarcroft/poplarcroft/internal/leader"
 	"github.com/poplarcroft/poplarcroft/internal/peer"
@@ -84,13 +85,14 @@
 	Records []poison.Record
 }
 
-// LimitEndedArgs tells that a server's limit on requests per second has ended.
-type LimitEndedArgs struct {
-	// From is the name of the host whose request was answered without a limit.
+// FactArgs tells what an answer has shown about a server.
+type FactArgs struct {
+	// From is the name of the host that got the answer.
 	From string
 	// ID and Born identify the incarnation of the server.
 	ID   fleet.ID
 	Born int64
+	Fact front.Fact
 }
 
 // Empty is a reply without content.
@@ -180,12 +182,24 @@
 	return nil
 }
 
-// LimitEnded ends a server's limit here too. With a small share of a limit it may take this host long
-// to learn by itself that it has ended.
-func (s *rpcService) LimitEnded(args LimitEndedArgs, _ *Empty) error {
+// Fact takes over what an answer to another host has shown about a server. A host that leads moves the
+// keys of a server that is leaving; a host with a small share of a limit might not learn for long that it has
+// ended.
+func (s *rpcService) Fact(args FactArgs, _ *Empty) error {
 	server, ok := s.fleet.Server(args.ID)
-	if ok && server.Entry().Born == args.Born && server.ClearLimit() {
-		s.log.Event("limit", "server", args.ID, "born", args.Born, "from", args.From, "outcome", "ended")
+	if !ok || server.Entry().Born != args.Born {
+		return nil
+	}
+	changed := false
+	switch args.Fact {
+	case front.LimitEnded:
+		changed = server.ClearLimit()
+	case front.Leaving:
+		changed = server.MarkLeaving()
+		s.leader.Wake()
+	}
+	if changed {
+		s.log.Event("server", "id", args.ID, "born", args.Born, "from", args.From, "outcome", args.Fact.String())
 	}
 	return nil
 }
@@ -238,9 +252,9 @@
 	return p.pool.Call(ctx, host.Addr, rpcName+".Report", args, &Empty{})
 }
 
-// limitEnded tells a host that a server's limit has ended.
-func (p *peers) limitEnded(ctx context.Context, host assign.Host, args LimitEndedArgs) error {
-	return p.pool.Call(ctx, host.Addr, rpcName+".LimitEnded", args, &Empty{})
+// fact tells a host what an answer has shown about a server.
+func (p *peers) fact(ctx context.Context, host assign.Host, args FactArgs) error {
+	return p.pool.Call(ctx, host.Addr, rpcName+".Fact", args, &Empty{})
 }
 
 // suspects sends evidence against suspect requests to a host.
--- a/internal/edge/peers_test.go
+++ b/internal/edge/peers_test.go
@@ -15,7 +15,9 @@
 	"github.com/poplarcroft/poplarcroft/internal/clock"
 	"github.com/poplarcroft/poplarcroft/internal/eventlog"
 	"github.com/poplarcroft/poplarcroft/internal/fleet"
+	"github.com/poplarcroft/poplarcroft/internal/front"
 	"github.com/poplarcroft/poplarcroft/internal/grants"
+	"github.com/poplarcroft/poplarcroft/internal/leader"
 	"github.com/poplarcroft/poplarcroft/internal/peer"
 	"github.com/poplarcroft/poplarcroft/internal/renew"
 	"github.com/poplarcroft/poplarcroft/internal/transport"
@@ -79,18 +81,24 @@
 	assert.DeepEqual(t, s.current.Plan(), plan)
 }
 
-// TestEndOfALimitIsTakenFromOtherHosts checks that a host ends the limit of the incarnation that another
-// host names, and of no other.
-func TestEndOfALimitIsTakenFromOtherHosts(t *testing.T) {
+// TestFactsAreTakenFromOtherHosts checks that a host takes over what another one tells about an
+// incarnation of a server, and about no other.
+func TestFactsAreTakenFromOtherHosts(t *testing.T) {
 	s := newTestService()
 	s.log = eventlog.Discard()
+	s.leader = leader.New(leader.Config{})
 	s.fleet = fleet.New(fleet.Options{Target: func(string) *transport.Target { return nil }})
 	s.fleet.Set([]fleet.Entry{{ID: "a", Born: 2}}, 0)
 	server, _ := s.fleet.Server("a")
 	server.NameLimit(1, fleet.SoleShare, 0)
-	assert.NilError(t, s.LimitEnded(LimitEndedArgs{ID: "a", Born: 1}, &Empty{}))
+	for _, fact := range []front.Fact{front.LimitEnded, front.Leaving} {
+		assert.NilError(t, s.Fact(FactArgs{ID: "a", Born: 1, Fact: fact}, &Empty{}))
+		assert.NilError(t, s.Fact(FactArgs{ID: "b", Born: 2, Fact: fact}, &Empty{}))
+	}
 	assert.Equal(t, server.Limit(), 1.0)
-	assert.NilError(t, s.LimitEnded(LimitEndedArgs{ID: "b", Born: 2}, &Empty{}))
-	assert.NilError(t, s.LimitEnded(LimitEndedArgs{ID: "a", Born: 2}, &Empty{}))
+	assert.Assert(t, s.fleet.Usable(server))
+	assert.NilError(t, s.Fact(FactArgs{ID: "a", Born: 2, Fact: front.LimitEnded}, &Empty{}))
 	assert.Equal(t, server.Limit(), 0.0)
+	assert.NilError(t, s.Fact(FactArgs{ID: "a", Born: 2, Fact: front.Leaving}, &Empty{}))
+	assert.Assert(t, !s.fleet.Usable(server))
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -109,10 +109,9 @@
 	return server, ok
 }
 
-// Usable reports whether the server may get requests: it isn't draining and its zone isn't evacuated.
+// Usable reports whether the server may get requests: it isn't leaving and its zone isn't evacuated.
 func (f *Fleet) Usable(s *Server) bool {
-	entry := s.Entry()
-	return !entry.Draining && !f.snapshot.Load().evacuated[entry.Zone]
+	return !s.Leaving() && !f.snapshot.Load().evacuated[s.Entry().Zone]
 }
 
 // Servers returns all servers of a service. The caller must not change the list.
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -71,8 +71,10 @@
 	// requests to the server.
 	coldUntil time.Duration
 	bucket    bucket
-	// limit is the limit that the server names in its answers.
-	limit serverLimit
+	// limit is the limit that the server names in its answers, and leaving says that an answer has
+	// told that it is shutting down.
+	limit   serverLimit
+	leaving bool
 	// inFlight is the number of this host's requests at the server.
 	inFlight int
 	// otherRequests is the number of other hosts' requests at the server as of reportedAt, the time
@@ -116,6 +118,23 @@
 	return s.entry
 }
 
+// Leaving reports whether the server is shutting down, by its entry or by one of its answers.
+func (s *Server) Leaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving || s.entry.Draining
+}
+
+// MarkLeaving records that the server has told in an answer that it is shutting down. It returns
+// true if that is news.
+func (s *Server) MarkLeaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	news := !s.leaving
+	s.leaving = true
+	return news
+}
+
 // MarkCold marks the server as cold for at least the given time from now on.
 func (s *Server) MarkCold(d, now time.Duration) {
 	s.mu.Lock()
--- a/internal/front/fixture_test.go
+++ b/internal/front/fixture_test.go
@@ -26,7 +26,7 @@
 
 var testHeaders = Headers{
 	RequestID: "X-Id", DeadlineMS: "X-Left", Digest: "X-Digest", ExpectInstance: "X-Expect",
-	Load: "X-Load", NotExecuted: "X-Not-Run", Key: "X-Key", Limit: "X-Limit",
+	Load: "X-Load", NotExecuted: "X-Not-Run", Key: "X-Key", Limit: "X-Limit", Leaving: "X-Leaving",
 }
 
 // backendServer is a server whose answers a test sets. It writes raw bytes, so that it can
@@ -170,9 +170,9 @@
 		Hosts: transport.NewPool(transport.Options{Dial: dial, Connections: 8, RequestIDHeader: testHeaders.RequestID}),
 		Guard: poison.NewGuard(poison.Bounds{CrashLimit: 3, SharedCrashLimit: 3, Retention: time.Minute}), Dial: dial,
 		Table: func() *routetable.Table { return table }, ColdRateLimit: func(routetable.Service) float64 { return 10 },
-		OnLimitEnded: func(fleet.Entry) {},
-		Budget:       BudgetConfig{Ratio: 0.2, Extra: 60, Window: 10 * time.Second, Hosts: func() int { return 1 }},
-		Clock:        clock.Monotonic, Log: eventlog.Discard(),
+		OnFact: func(fleet.Entry, Fact) {},
+		Budget: BudgetConfig{Ratio: 0.2, Extra: 60, Window: 10 * time.Second, Hosts: func() int { return 1 }},
+		Clock:  clock.Monotonic, Log: eventlog.Discard(),
 	})
 	s.callers = httptest.NewServer(s.ingress)
 	t.Cleanup(s.callers.Close)
--- a/internal/front/ingress.go
+++ b/internal/front/ingress.go
@@ -36,8 +36,9 @@
 	// ColdRateLimit returns the maximum number of requests per second, from all hosts together,
 	// to one cold server of the service.
 	ColdRateLimit func(service routetable.Service) float64
-	// OnLimitEnded is called when an answer shows that a server's limit has ended. It must not block.
-	OnLimitEnded func(entry fleet.Entry)
+	// OnFact is called when an answer shows something about a server that other hosts should know. It
+	// must not block.
+	OnFact func(entry fleet.Entry, fact Fact)
 	// Budget is the retry budget of each service over all hosts.
 	Budget BudgetConfig
 	// Clock is a monotonic clock; all times in this package are readings of it.
--- a/internal/front/limit.go
+++ b/internal/front/limit.go
@@ -49,7 +49,7 @@
 			"per_second", perSecond, "before", before, "alone", in.shareInLimit(r, server).Alone)
 	case !named && err == nil && server.EndLimit(sentAt):
 		in.log.Event("limit", "server", entry.ID, "born", entry.Born, "id", r.ID, "outcome", "ended", "before", before)
-		in.config.OnLimitEnded(entry)
+		in.config.OnFact(entry, LimitEnded)
 	}
 }
 
--- a/internal/front/limit_test.go
+++ b/internal/front/limit_test.go
@@ -107,7 +107,10 @@
 			assert.Equal(t, server.Limit(), 5.0)
 			named := s.ingress.clock()
 			ended := 0
-			s.ingress.config.OnLimitEnded = func(fleet.Entry) { ended++ }
+			s.ingress.config.OnFact = func(_ fleet.Entry, fact Fact) {
+				assert.Equal(t, fact, LimitEnded)
+				ended++
+			}
 			r := &Request{ID: "r"}
 			s.ingress.readLimit(r, server, nil, named-time.Minute)
 			assert.Equal(t, server.Limit(), 5.0, "the answer may be older than the limit")
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -33,9 +33,10 @@
 	// DeadlineMS carries the time until the deadline in milliseconds, and Key the key of a keyed
 	// request. ExpectInstance tells a server which one the request is meant for. In answers,
 	// Digest marks a successful answer as the server's own, Load carries the server's load,
-	// NotExecuted says that the server did not execute the request, and Limit carries the number of
-	// requests per second that the server takes from all hosts together.
-	RequestID, DeadlineMS, Digest, ExpectInstance, Load, NotExecuted, Key, Limit string
+	// NotExecuted says that the server did not execute the request, Limit carries the number of
+	// requests per second that the server takes from all hosts together, and Leaving is "1" if the
+	// server is shutting down.
+	RequestID, DeadlineMS, Digest, ExpectInstance, Load, NotExecuted, Key, Limit, Leaving string
 }
 
 // Request is a caller's request, read completely into memory.
--- a/internal/leader/snapshot.go
+++ b/internal/leader/snapshot.go
@@ -7,7 +7,7 @@
 	"github.com/poplarcroft/poplarcroft/internal/fleet"
 )
 
-// snapshot collects what this host knows about a service. Servers that are draining or in an
+// snapshot collects what this host knows about a service. Servers that are leaving or in an
 // evacuated zone get no keys. Cold servers (warming up after their start) get keys only if there
 // are no others. The caller holds the lock.
 func (l *Leader) snapshot(service string, now time.Duration) assign.Snapshot {
@@ -22,7 +22,7 @@
 		entry := server.Entry()
 		known := serverOf(entry)
 		snapshot.NewestByID[known.ID] = known
-		if entry.Draining || l.ZoneEvacuated(entry.Zone) {
+		if server.Leaving() || l.ZoneEvacuated(entry.Zone) {
 			continue
 		}
 		candidate := assign.Candidate{
