front, fleet: a server that answers 503 with Retry-After gets nothing from that host for so long

Change: read from each 503 of a server, whatever else it holds; the longest of several counts, malformed ones are logged. Requests go to another server where there are no keys, and are refused at once with the time that is left otherwise; if that is longer than a second, the leader moves the server's keys as for the lowest limit. TestServerThatWantsNothingGetsNothing failed in 5 of 8 cases.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -153,23 +153,23 @@
 	return limits
 }
 
-// Limited returns a server of the service whose limit allows no request now, and false if there is none.
+// Limited returns a server of the service that takes no request of this host now, and false if there is none.
 func (f *Fleet) Limited(service string, shareOf func(*Server) Share, now time.Duration) (*Server, bool) {
 	for _, server := range f.Servers(service) {
-		if f.Usable(server) && !server.LimitOpen(shareOf(server), now) {
+		if f.Usable(server) && server.Restricted(now) && !server.Open(shareOf(server), now) {
 			return server, true
 		}
 	}
 	return nil, false
 }
 
-// Choose returns a server of the service that is not excluded, and false if there is none. Servers whose
-// limit allows no request by the host's share now are left out. Cold servers are chosen only if there are no warm
+// Choose returns a server of the service that is not excluded, and false if there is none. Servers that
+// take no request of this host now are left out. Cold servers are chosen only if there are no warm
 // ones, and paused or missing ones last.
 func (f *Fleet) Choose(service string, excluded []ID, shareOf func(*Server) Share, now time.Duration) (*Server, bool) {
 	var warm, cold, paused []*Server
 	for _, server := range f.Servers(service) {
-		if !f.Usable(server) || slices.Contains(excluded, server.Entry().ID) || server.Limit() > 0 && !server.LimitOpen(shareOf(server), now) {
+		if !f.Usable(server) || slices.Contains(excluded, server.Entry().ID) || server.Restricted(now) && !server.Open(shareOf(server), now) {
 			continue
 		}
 		switch {
--- a/internal/fleet/limit.go
+++ b/internal/fleet/limit.go
@@ -21,6 +21,8 @@
 	minLimit = 0.05
 	// limitFreshFor is how long after the last answer that named it a limit is reported to the leader.
 	limitFreshFor = 5 * time.Second
+	// minUnwanted is how much longer a server must want no requests for its keys to be moved away.
+	minUnwanted = time.Second
 	// maxReturn is the longest time after which a refused caller is asked to come back.
 	maxReturn = 2 * time.Second
 )
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -32,7 +32,8 @@
 	NotRefused Refusal = iota
 	// RefusedCold means that the server is cold and this host's allowance for it is used up.
 	RefusedCold
-	// RefusedLimit means that the server has named a limit and this host's share of it is used up.
+	// RefusedLimit means that the server has named a limit and this host's share of it is used up, or that it
+	// wants nothing from this host for some time.
 	RefusedLimit
 )
 
@@ -75,6 +76,8 @@
 	// told that it is shutting down.
 	limit   serverLimit
 	leaving bool
+	// unwantedUntil is the time until which the server wants no requests from this host.
+	unwantedUntil time.Duration
 	// inFlight is the number of this host's requests at the server.
 	inFlight int
 	// otherRequests is the number of other hosts' requests at the server as of reportedAt, the time
@@ -154,7 +157,7 @@
 func (s *Server) Begin(allowance Allowance, share Share, now time.Duration) Refusal {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.limit.open(share, now) {
+	if !s.open(share, now) {
 		return RefusedLimit
 	}
 	if now < s.coldUntil && !s.bucket.take(allowance, now) {
@@ -174,10 +177,13 @@
 }
 
 // freshLimit returns the limit, and false if there is none or it was last named longer than limitFreshFor
-// ago.
+// ago. A server that wants nothing for long counts as one with the lowest limit.
 func (s *Server) freshLimit(now time.Duration) (float64, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if now < s.unwantedUntil-minUnwanted {
+		return minLimit, true
+	}
 	return s.limit.perSecond, s.limit.perSecond > 0 && now-s.limit.namedAt <= limitFreshFor
 }
 
@@ -206,19 +212,38 @@
 	return s.limit.clear()
 }
 
-// ReturnAfter returns the time after which a caller should come back that was refused because of the
-// limit.
+// ReturnAfter returns the time after which a caller should come back that was refused with RefusedLimit.
 func (s *Server) ReturnAfter(share Share, now time.Duration) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.limit.returnAfter(share, now)
+	return max(s.limit.returnAfter(share, now), s.unwantedUntil-now)
+}
+
+// Restricted reports whether the server names a limit or wants no requests from this host, so that Open has to
+// be asked.
+func (s *Server) Restricted(now time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.limit.perSecond > 0 || now < s.unwantedUntil
+}
+
+// Open reports whether the server takes a request of this host now, by the host's share of its limit.
+func (s *Server) Open(share Share, now time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.open(share, now)
+}
+
+// open is Open for callers that hold the lock.
+func (s *Server) open(share Share, now time.Duration) bool {
+	return now >= s.unwantedUntil && s.limit.open(share, now)
 }
 
-// LimitOpen reports whether this host's share of the limit allows a request now.
-func (s *Server) LimitOpen(share Share, now time.Duration) bool {
+// Unwanted records that the server wants no requests from this host until the given time.
+func (s *Server) Unwanted(until time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.limit.open(share, now)
+	s.unwantedUntil = max(s.unwantedUntil, until)
 }
 
 // End updates the estimates with the end of an attempt. Ratio is its latency divided by the
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -96,7 +96,7 @@
 		Idempotent: r.Route.Idempotent,
 	})
 	if result.Sent == transport.Answered {
-		in.readFacts(r, server, result.Response.Header, started)
+		in.readFacts(r, server, result.Response.StatusCode, result.Response.Header, started)
 	}
 	a := in.interpret(r, result)
 	ending := a.guardEnding(ctx)
--- a/internal/front/facts.go
+++ b/internal/front/facts.go
@@ -1,7 +1,10 @@
 package front
 
 import (
+	"math"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/poplarcroft/poplarcroft/internal/fleet"
@@ -22,13 +25,19 @@
 	return [...]string{"", "limit ended", "leaving"}[f]
 }
 
+// maxUnwanted is the longest time for which a server is believed to want no requests.
+const maxUnwanted = time.Hour
+
 // leavingValue is the value of the header Leaving in the answers of a server that is shutting down.
 const leavingValue = "1"
 
 // readFacts reads what an answer to a request that was sent at sentAt says about its server, whatever the
 // answer's status.
-func (in *Ingress) readFacts(r *Request, server *fleet.Server, header http.Header, sentAt time.Duration) {
+func (in *Ingress) readFacts(r *Request, server *fleet.Server, status int, header http.Header, sentAt time.Duration) {
 	in.readLimit(r, server, header, sentAt)
+	if status == http.StatusServiceUnavailable {
+		in.readRetryAfter(r, server, header)
+	}
 	if header.Get(in.headers.Leaving) != leavingValue || !server.MarkLeaving() {
 		return
 	}
@@ -36,3 +45,23 @@
 	in.log.Event("server", "id", entry.ID, "born", entry.Born, "request", r.ID, "outcome", Leaving.String())
 	in.config.OnFact(entry, Leaving)
 }
+
+// readRetryAfter reads for how long a server that has rejected a request wants no more from this host. A
+// malformed time is ignored.
+func (in *Ingress) readRetryAfter(r *Request, server *fleet.Server, header http.Header) {
+	longest := 0.0
+	for _, value := range header.Values("Retry-After") {
+		wait, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+		if err != nil || math.IsNaN(wait) || wait < 0 {
+			in.log.Routine("server", "id", server.Entry().ID, "request", r.ID, "outcome", "rejected", "err", "malformed Retry-After", "value", value)
+			continue
+		}
+		longest = max(longest, wait)
+	}
+	if longest == 0 {
+		return
+	}
+	wait := time.Duration(min(longest, maxUnwanted.Seconds()) * float64(time.Second))
+	server.Unwanted(in.clock() + wait)
+	in.log.Event("server", "id", server.Entry().ID, "request", r.ID, "outcome", "wants no requests", "for_ms", wait.Milliseconds())
+}
--- a/internal/front/facts_test.go
+++ b/internal/front/facts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -47,3 +48,45 @@
 		})
 	}
 }
+
+// TestServerThatWantsNothingGetsNothing is a regression test (BUDGET): a server that answered 503 with a time to
+// come back got further requests within that time.
+func TestServerThatWantsNothingGetsNothing(t *testing.T) {
+	for name, c := range map[string]struct {
+		header  string
+		refuses bool
+	}{
+		"seconds":            {"Retry-After: 30\r\n", true},
+		"with a fraction":    {"Retry-After: 30.5\r\n", true},
+		"the longest counts": {"Retry-After: 0\r\nRetry-After: 30\r\n", true},
+		"very long":          {"Retry-After: 1e300\r\n", true},
+		"infinite":           {"Retry-After: Inf\r\n", true},
+		"none":               {"", false},
+		"negative":           {"Retry-After: -3\r\n", false},
+		"malformed":          {"Retry-After: soon\r\n", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := startServer(t, rawAnswer(503, "", "X-Not-Run: 1\r\n", c.header))
+			for _, path := range []string{"/keyed/x", "/any/x"} {
+				s := newSystem(t, server)
+				before := len(server.seen())
+				_, _, err := s.call(t, "GET", path, "")
+				assert.NilError(t, err)
+				first := len(server.seen())
+				assert.Assert(t, first > before)
+				began := time.Now()
+				response, _, err := s.call(t, "GET", path, "")
+				assert.NilError(t, err)
+				assert.Equal(t, response.StatusCode, 503)
+				assert.Assert(t, response.Header.Get("Retry-After") != "")
+				if c.refuses {
+					assert.Equal(t, len(server.seen()), first)
+					assert.Equal(t, first, before+1)
+					assert.Assert(t, time.Since(began) < time.Second, "refused at once")
+				} else {
+					assert.Assert(t, len(server.seen()) > first)
+				}
+			}
+		})
+	}
+}
--- a/internal/front/keyed.go
+++ b/internal/front/keyed.go
@@ -94,7 +94,7 @@
 	if !ok || !k.ingress.fleet.Usable(server) {
 		return k.awaitPlan(ctx, changed, k.ownerWaitEnd(), reasonNoOwner)
 	}
-	if share := k.ingress.shareOf(k.r, server); !server.LimitOpen(share, k.ingress.clock()) {
+	if share := k.ingress.shareOf(k.r, server); !server.Open(share, k.ingress.clock()) {
 		return k.ingress.refusedBy(fleet.RefusedLimit, server, share), false
 	}
 	return k.acquireAndSend(ctx, server, changed)
