idempotency: a claim of a former term hides no run

A non-idempotent request could run twice (a doubled sign-off) in the product's own interface. Cause: attempt numbers of two hosts were compared though neither knew of the other's claim. The third claim of a host that was the primary before, whose second was released, hid the second claim of another host under which the request had run; the old claim was still local and was taken by a quorum in a later term. Class: an order taken from numbers that two parties gave independently. Ruled out as the cause: a claim that survives the loss of the role (it does, and is harmless once it hides nothing: a quorum must take it in the present term). Change: an entry holds the last claim of each host; the join keeps, for each host, the later one. A request is sent only while all claims of other hosts are released, here and at a quorum. The estimated size of an entry rises by 48 bytes.

--- a/internal/idempotency/entry.go
+++ b/internal/idempotency/entry.go
@@ -22,6 +22,7 @@
 package idempotency
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/binary"
 	"slices"
@@ -69,11 +70,11 @@
 	Omitted bool `json:"omitted,omitempty"`
 }
 
-// State is what is known about one attempt to run a request. States are ordered: of two
-// states of the same attempt, the greater one replaces the other.
+// State is what is known about one claim. States are ordered: of two states of the same claim, the
+// greater one replaces the other.
 type State int
 
-// States of an attempt.
+// States of a claim.
 const (
 	// StateRunning is a claim whose result is not known yet.
 	StateRunning State = iota + 1
@@ -85,70 +86,136 @@
 	StateDone
 )
 
-// Entry is one stored ID, in the form in which hosts exchange it.
+// Claim is the last claim of an ID that is known of one host.
+type Claim struct {
+	// Claimant is the host that made the claim.
+	Claimant string `json:"claimant"`
+	// Attempt numbers the claims of the ID, from 1. A host makes a new claim only after it has
+	// released its former one.
+	Attempt int   `json:"attempt"`
+	State   State `json:"state"`
+}
+
+// Entry is one stored ID, in the form in which hosts exchange it. Entries are not changed once made.
 type Entry struct {
 	ID     ID     `json:"id"`
 	Digest Digest `json:"digest"`
-	// Attempt numbers the claims of the ID, from 1. A new claim is possible only after
-	// the previous one was released.
-	Attempt int `json:"attempt"`
-	// Claimant is the host that made the claim, or contested.
-	Claimant string `json:"claimant"`
-	State    State  `json:"state"`
-	Answer   Answer `json:"answer"`
+	// Claims holds the last claim of each host that has claimed the ID, by claimant in ascending order. A later
+	// claim of a host tells that its former ones were released, and nothing of the claims of other
+	// hosts, of which it may not have known.
+	Claims []Claim `json:"claims"`
+	// Answer is the answer under the claim that is done, if there is one.
+	Answer Answer `json:"answer"`
 	// Age is the time since the entry's last change, on the clock of the host that sent it.
 	Age time.Duration `json:"age"`
 }
 
-// contested is the claimant of an attempt that two hosts claimed without knowing of each
-// other. Whatever state one of them reports for its own claim, the request may have run
-// under the other's.
-const contested = "*"
+// claimOf returns the claim of a host.
+func (e Entry) claimOf(claimant string) (Claim, bool) {
+	for _, c := range e.Claims {
+		if c.Claimant == claimant {
+			return c, true
+		}
+	}
+	return Claim{}, false
+}
 
-// join returns the least upper bound of two entries of the same ID. The later attempt
-// wins, then the greater state. Claims of the same attempt by two hosts become contested,
-// and their state at least unknown.
-func (e Entry) join(other Entry) Entry {
-	if e.Attempt != other.Attempt {
-		return later(e, other, e.Attempt < other.Attempt)
+// withClaim returns the entry with a claim in place of any other of its claimant.
+func (e Entry) withClaim(claim Claim) Entry {
+	claims := make([]Claim, 0, len(e.Claims)+1)
+	for _, c := range e.Claims {
+		if c.Claimant != claim.Claimant {
+			claims = append(claims, c)
+		}
+	}
+	claims = append(claims, claim)
+	slices.SortFunc(claims, func(a, b Claim) int { return cmp.Compare(a.Claimant, b.Claimant) })
+	e.Claims = claims
+	return e
+}
+
+// lastAttempt returns the highest number of a claim, or zero if there is none.
+func (e Entry) lastAttempt() int {
+	last := 0
+	for _, c := range e.Claims {
+		last = max(last, c.Attempt)
+	}
+	return last
+}
+
+// othersReleased reports whether the request did not run under any claim of another host.
+func (e Entry) othersReleased(claimant string) bool {
+	return !slices.ContainsFunc(e.Claims, func(c Claim) bool { return c.Claimant != claimant && c.State != StateReleased })
+}
+
+// mayRun reports whether the request did not run under any claim.
+func (e Entry) mayRun() bool {
+	return len(e.Claims) > 0 && !slices.ContainsFunc(e.Claims, func(c Claim) bool { return c.State != StateReleased })
+}
+
+// doneClaim returns the claim under which the request ran, of several the one with the highest number.
+func (e Entry) doneClaim() (Claim, bool) {
+	done, found := Claim{}, false
+	for _, c := range e.Claims {
+		if c.State == StateDone && (!found || c.Attempt > done.Attempt) {
+			done, found = c, true
+		}
 	}
-	if e.Claimant == other.Claimant && e.Claimant != contested {
-		return later(e, other, e.State < other.State)
+	return done, found
+}
+
+// join returns the least upper bound of two entries of the same ID: for each host its later claim or,
+// of two states of the same claim, the greater one.
+func (e Entry) join(other Entry) Entry {
+	joined := e
+	for _, c := range other.Claims {
+		if known, ok := e.claimOf(c.Claimant); !ok || known.before(c) {
+			joined = joined.withClaim(c)
+		}
 	}
-	joined := later(e, other, e.State < other.State)
-	if slices.Compare(e.Digest[:], other.Digest[:]) > 0 {
-		joined.Digest = e.Digest
-	} else {
+	if slices.Compare(e.Digest[:], other.Digest[:]) < 0 {
 		joined.Digest = other.Digest
 	}
-	joined.Claimant = contested
-	joined.State = max(joined.State, StateUnknown)
-	joined.Age = min(e.Age, other.Age)
+	if done, ok := joined.doneClaim(); ok && !slices.Contains(e.Claims, done) {
+		joined.Answer = other.Answer
+	}
+	switch {
+	case joined.sameClaims(e):
+		joined.Age = e.Age
+	case joined.sameClaims(other):
+		joined.Age = other.Age
+	default:
+		joined.Age = min(e.Age, other.Age)
+	}
 	return joined
 }
 
-// later returns other if otherIsLater is true, and e otherwise.
-func later(e, other Entry, otherIsLater bool) Entry {
-	if otherIsLater {
-		return other
-	}
-	return e
+// before reports whether another claim of the same host replaces this one.
+func (c Claim) before(other Claim) bool {
+	return c.Attempt < other.Attempt || c.Attempt == other.Attempt && c.State < other.State
 }
 
-// sameClaim reports whether two entries describe the same claim in the same state.
-func (e Entry) sameClaim(other Entry) bool {
-	return e.Digest == other.Digest &&
-		e.Attempt == other.Attempt &&
-		e.Claimant == other.Claimant &&
-		e.State == other.State
+// sameClaims reports whether two entries hold the same claims in the same states.
+func (e Entry) sameClaims(other Entry) bool {
+	return e.Digest == other.Digest && slices.Equal(e.Claims, other.Claims)
 }
 
-// entryOverhead is the estimated size of an entry without its strings and answer, in bytes.
-const entryOverhead = 256
+// entryOverhead is the estimated size of an entry with one claim, without its strings and answer, and
+// claimOverhead that of one more claim, in bytes.
+const (
+	entryOverhead = 304
+	claimOverhead = 48
+)
 
 // size returns the estimated size of the entry in memory, in bytes.
 func (e Entry) size() int {
-	size := entryOverhead + len(e.ID.Service) + len(e.ID.Key) + len(e.ID.Request) + len(e.Claimant) + len(e.Answer.Body)
+	size := entryOverhead + len(e.ID.Service) + len(e.ID.Key) + len(e.ID.Request) + len(e.Answer.Body)
+	for i, c := range e.Claims {
+		size += len(c.Claimant)
+		if i > 0 {
+			size += claimOverhead
+		}
+	}
 	for _, header := range e.Answer.Headers {
 		size += len(header.Name) + len(header.Value)
 	}
--- a/internal/idempotency/store.go
+++ b/internal/idempotency/store.go
@@ -134,8 +134,8 @@
 		return Decision{Kind: KindNew, Attempt: 1}
 	case known.entry.Digest != digest:
 		return Decision{Kind: KindMismatch}
-	case known.entry.State == StateReleased:
-		return Decision{Kind: KindNew, Attempt: known.entry.Attempt + 1}
+	case known.entry.mayRun():
+		return Decision{Kind: KindNew, Attempt: known.entry.lastAttempt() + 1}
 	default:
 		return known.decision()
 	}
@@ -148,7 +148,11 @@
 	if decision.Kind != KindNew {
 		return decision
 	}
-	entry := Entry{ID: id, Digest: digest, Attempt: decision.Attempt, Claimant: s.host, State: StateRunning}
+	entry := Entry{ID: id, Digest: digest}
+	if known, ok := s.index[id]; ok {
+		entry = known.entry
+	}
+	entry = entry.withClaim(Claim{Claimant: s.host, Attempt: decision.Attempt, State: StateRunning})
 	if !s.hasRoomFor(entry) {
 		return Decision{Kind: KindFull, RetryAfter: s.untilNextExpiry(now)}
 	}
@@ -160,8 +164,8 @@
 // the request did not run and never will under this claim. Finish returns false if this
 // host does not have the claim.
 func (s *Store) Finish(now time.Time, id ID, attempt int, result Result) bool {
-	known, ok := s.index[id]
-	if !ok || !known.local || known.entry.Attempt != attempt {
+	known, ok := s.localEntry(id, attempt)
+	if !ok {
 		return false
 	}
 	switch result.State {
@@ -173,8 +177,7 @@
 		s.remove(known)
 		return true
 	}
-	entry := known.entry
-	entry.State = result.State
+	entry := known.entry.withClaim(Claim{Claimant: s.host, Attempt: attempt, State: result.State})
 	if result.State == StateDone {
 		entry.Answer = result.Answer
 	}
@@ -183,15 +186,26 @@
 }
 
 // LocalClaim returns the entry of a claim, for replication to another host, and true while
-// the claim is this host's own.
+// the claim is this host's own and the request is not known to have run, or to be running, under the claim of
+// another host.
 func (s *Store) LocalClaim(now time.Time, id ID, attempt int) (Entry, bool) {
-	known, ok := s.index[id]
-	if !ok || !known.local || known.entry.Attempt != attempt {
+	known, ok := s.localEntry(id, attempt)
+	if !ok || !known.entry.othersReleased(s.host) {
 		return Entry{}, false
 	}
 	return known.export(now), true
 }
 
+// localEntry returns the entry of a claim that this host made and has not ended.
+func (s *Store) localEntry(id ID, attempt int) (*storedEntry, bool) {
+	known, ok := s.index[id]
+	if !ok || !known.local {
+		return nil, false
+	}
+	own, ok := known.entry.claimOf(s.host)
+	return known, ok && own.Attempt == attempt
+}
+
 // Get returns the entry of an ID, for replication to another host.
 func (s *Store) Get(now time.Time, id ID) (Entry, bool) {
 	known, ok := s.index[id]
@@ -201,15 +215,21 @@
 	return known.export(now), true
 }
 
-// StoreReplica merges another host's claim and reports whether it is stored here now, so
-// that no host which merges this store will run the request. If StoreReplica returns
+// StoreReplica merges another host's entry and reports whether the claim in it that is not released is
+// stored here now and no other host's claim may have run the request, so that no host which merges this
+// store will run the request. If StoreReplica returns
 // false, this copy does not count towards the quorum that the claim needs: without the
 // quorum the other host must not run the request under this claim.
-func (s *Store) StoreReplica(now time.Time, claim Entry) bool {
-	s.Merge(now, []Entry{claim})
-	known, ok := s.index[claim.ID]
-	return ok && known.entry.State != StateReleased &&
-		known.entry.Attempt == claim.Attempt && known.entry.Claimant == claim.Claimant
+func (s *Store) StoreReplica(now time.Time, entry Entry) bool {
+	s.Merge(now, []Entry{entry})
+	known, ok := s.index[entry.ID]
+	claimed := slices.IndexFunc(entry.Claims, func(c Claim) bool { return c.State != StateReleased })
+	if !ok || claimed < 0 {
+		return false
+	}
+	claim := entry.Claims[claimed]
+	stored, ok := known.entry.claimOf(claim.Claimant)
+	return ok && stored.Attempt == claim.Attempt && stored.State != StateReleased && known.entry.othersReleased(claim.Claimant)
 }
 
 // Snapshot returns the entries whose IDs match, oldest change first. A nil match selects all.
@@ -244,12 +264,17 @@
 	if entry.Age >= s.bounds.Retention {
 		return true
 	}
+	if len(entry.Claims) == 0 {
+		// Hosts of an older version send entries without claims. The request may have run.
+		entry = entry.withClaim(Claim{Attempt: 1, State: StateUnknown})
+	}
+	local := false
 	if known, ok := s.index[entry.ID]; ok {
 		joined := known.entry.join(entry)
-		if joined.sameClaim(known.entry) {
+		if joined.sameClaims(known.entry) {
 			return true
 		}
-		entry = joined
+		entry, local = joined, known.local
 	}
 	entry = s.limitBody(entry)
 	if !s.hasRoomFor(entry.withoutBody()) {
@@ -257,7 +282,7 @@
 	}
 	changed := now.Add(-entry.Age)
 	entry.Age = 0
-	s.put(&storedEntry{entry: entry, changed: changed, knownElsewhere: true})
+	s.put(&storedEntry{entry: entry, local: local, changed: changed, knownElsewhere: true})
 	return true
 }
 
@@ -274,7 +299,7 @@
 // decision returns the decision on a repeated request.
 func (e *storedEntry) decision() Decision {
 	switch {
-	case e.entry.State == StateDone:
+	case e.isDone():
 		return Decision{Kind: KindDone, Answer: e.entry.Answer}
 	case e.local:
 		return Decision{Kind: KindRunning}
@@ -283,6 +308,12 @@
 	}
 }
 
+// isDone reports whether the request ran and its answer is known.
+func (e *storedEntry) isDone() bool {
+	_, done := e.entry.doneClaim()
+	return done
+}
+
 // export returns the entry in the form for other hosts, and marks it as known to them.
 func (e *storedEntry) export(now time.Time) Entry {
 	e.knownElsewhere = true
--- a/internal/idempotency/store_test.go
+++ b/internal/idempotency/store_test.go
@@ -66,7 +66,7 @@
 	assert.DeepEqual(t, rejected, Decision{Kind: KindFull, RetryAfter: 15 * time.Second})
 	assert.Equal(t, store.Claim(at(45*time.Second), numberedID(0), digest).Kind, KindDone)
 	assert.Equal(t, store.Claim(at(60*time.Second), numberedID(9), digest).Kind, KindNew)
-	assert.Equal(t, store.Merge(at(60*time.Second), []Entry{{ID: numberedID(8), Attempt: 1, State: StateRunning}}), 1)
+	assert.Equal(t, store.Merge(at(60*time.Second), []Entry{{ID: numberedID(8), Claims: []Claim{{Claimant: "b", Attempt: 1, State: StateRunning}}}}), 1)
 }
 
 func TestBytesAreBoundedByDroppingTheOldestBodies(t *testing.T) {
@@ -115,10 +115,10 @@
 }
 
 func TestReplicaIsNotStoredForAClaimThatOthersMayRun(t *testing.T) {
-	claim := Entry{ID: requestID, Digest: digest, Attempt: 2, Claimant: "a", State: StateRunning}
 	newEntry := func(attempt int, claimant string, state State) Entry {
-		return Entry{ID: requestID, Digest: digest, Attempt: attempt, Claimant: claimant, State: state}
+		return Entry{ID: requestID, Digest: digest, Claims: []Claim{{claimant, attempt, state}}}
 	}
+	claim := newEntry(2, "a", StateRunning)
 	for name, c := range map[string]struct {
 		known Entry
 		want  bool
@@ -143,11 +143,13 @@
 		entries := rapid.SliceOf(rapid.Custom(func(t *rapid.T) Entry {
 			claimant := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "claimant")
 			return Entry{
-				ID:       numberedID(rapid.IntRange(0, 3).Draw(t, "id")),
-				Digest:   DigestOf(claimant, "", nil),
-				Attempt:  rapid.IntRange(1, 3).Draw(t, "attempt"),
-				Claimant: claimant,
-				State:    rapid.SampledFrom([]State{StateRunning, StateReleased, StateUnknown, StateDone}).Draw(t, "state"),
+				ID:     numberedID(rapid.IntRange(0, 3).Draw(t, "id")),
+				Digest: DigestOf(claimant, "", nil),
+				Claims: []Claim{{
+					Claimant: claimant,
+					Attempt:  rapid.IntRange(1, 3).Draw(t, "attempt"),
+					State:    rapid.SampledFrom([]State{StateRunning, StateReleased, StateUnknown, StateDone}).Draw(t, "state"),
+				}},
 			}
 		})).Draw(t, "entries")
 		order := rapid.Permutation(append(entries, entries...)).Draw(t, "order")
@@ -191,3 +193,75 @@
 		})
 	}
 }
+
+// TestClaimOfAFormerTermHidesNoRun is a regression test: a host that was the primary before claimed an ID for
+// the third time while another one, which knew only the release of the first claim, ran the request under its
+// second. The higher number hid the claim under which it had run, and the request ran twice.
+func TestClaimOfAFormerTermHidesNoRun(t *testing.T) {
+	a, b, c := NewStore("a", Bounds{Retention: retention}), NewStore("b", Bounds{Retention: retention}), NewStore("c", Bounds{Retention: retention})
+	release := func(attempt int) {
+		assert.Assert(t, b.Finish(start, requestID, attempt, Result{State: StateReleased}))
+	}
+	claim := func(store *Store) Entry {
+		decision := store.Claim(start, requestID, digest)
+		assert.Equal(t, decision.Kind, KindNew)
+		entry, own := store.LocalClaim(start, requestID, decision.Attempt)
+		assert.Assert(t, own)
+		return entry
+	}
+	takeOver := func(store *Store) { assert.Equal(t, store.Merge(start, c.Snapshot(start, nil)), 0) }
+
+	assert.Assert(t, c.StoreReplica(start, claim(b)))
+	release(1)
+	released, _ := b.Get(start, requestID)
+	a.Merge(start, []Entry{released})
+	takeOver(b)
+	claim(b)
+	release(2)
+	former := claim(b)
+	takeOver(a)
+	assert.Assert(t, c.StoreReplica(start, claim(a)), "the request runs under the claim of a")
+
+	takeOver(b)
+	_, own := b.LocalClaim(start, requestID, 3)
+	assert.Assert(t, !own, "b has learned that the request may have run")
+	assert.Assert(t, !c.StoreReplica(start, former), "c knows that the request may have run")
+	assert.Equal(t, c.Lookup(start, requestID, digest).Kind, KindUnknown)
+	assert.Equal(t, a.Finish(start, requestID, 2, Result{StateDone, answer}), true)
+	done, _ := a.Get(start, requestID)
+	b.Merge(start, []Entry{done})
+	assert.Assert(t, b.Finish(start, requestID, 3, Result{State: StateReleased}))
+	assert.DeepEqual(t, b.Lookup(start, requestID, digest), Decision{Kind: KindDone, Answer: answer})
+}
+
+// drawEntry draws an entry with claims of some hosts.
+func drawEntry(t *rapid.T, label string) Entry {
+	entry := Entry{ID: requestID, Digest: digest}
+	for _, claimant := range []string{"a", "b", "c"} {
+		if rapid.Bool().Draw(t, label+" "+claimant) {
+			entry = entry.withClaim(Claim{
+				Claimant: claimant,
+				Attempt:  rapid.IntRange(1, 3).Draw(t, "attempt"),
+				State:    rapid.SampledFrom([]State{StateRunning, StateReleased, StateUnknown, StateDone}).Draw(t, "state"),
+			})
+		}
+	}
+	return entry
+}
+
+// TestJoinKeepsWhatMayHaveRun checks that join is commutative, associative and idempotent, and that a claim
+// under which the request may have run is replaced by claims of the same host only.
+func TestJoinKeepsWhatMayHaveRun(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, c := drawEntry(t, "first"), drawEntry(t, "second"), drawEntry(t, "third")
+		assert.DeepEqual(t, a.join(b).Claims, b.join(a).Claims)
+		assert.DeepEqual(t, a.join(b).join(c).Claims, a.join(b.join(c)).Claims)
+		assert.Assert(t, a.join(a).sameClaims(a))
+		assert.Assert(t, a.join(b).join(b).sameClaims(a.join(b)))
+		joined := a.join(b)
+		for _, claim := range append(append([]Claim{}, a.Claims...), b.Claims...) {
+			kept, ok := joined.claimOf(claim.Claimant)
+			assert.Assert(t, ok && (kept == claim || claim.before(kept)))
+		}
+	})
+}
