route: a retry at the only server of a service without keys is made

Cause: the router knew only the decision to retry at another server; one to retry at the same was taken for the end, with a refusal that is set only when giving up. The same for a retry that was decided when the caller's time had just ended. Change: a retry at the same server forgets the excluded ones; the end by the caller's time keeps the attempt's own refusal. Evidence: TestRetryAtTheOnlyServer failed before in both cases (outcome empty), passes now: one retry, as a budget of 100 percent allows.

--- a/internal/route/keyless.go
+++ b/internal/route/keyless.go
@@ -76,8 +76,13 @@
 				OtherServer: set.hasOther(excluded),
 			},
 			budget.Take, rand.Float64())
-		if decision.Action != retry.RetryOther || ctx.Err() != nil {
+		switch {
+		case decision.Action == retry.GiveUp:
 			return unknownIfMayHaveRun(Result{Refusal: decision.Refusal}, mayHaveRun)
+		case ctx.Err() != nil:
+			return unknownIfMayHaveRun(Result{Refusal: result.Refusal}, mayHaveRun)
+		case decision.Action == retry.RetrySame:
+			excluded = nil
 		}
 	}
 }
--- a/internal/route/keyless_test.go
+++ b/internal/route/keyless_test.go
@@ -68,6 +68,40 @@
 	}
 }
 
+// TestRetryAtTheOnlyServer is a regression test: a GET to a service whose only server broke the connection
+// ended without an outcome, because a retry at the same server was taken for the end.
+func TestRetryAtTheOnlyServer(t *testing.T) {
+	for name, c := range map[string]struct {
+		script  func() http.HandlerFunc
+		outcome outcome.Outcome
+		sent    int64
+	}{
+		"answers the second time": {func() http.HandlerFunc { return inTurn(writeRaw(""), answerWith("yes")) }, outcome.Done, 2},
+		"breaks each time":        {func() http.HandlerFunc { return writeRaw("") }, outcome.Unknown, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			host, servers := keylessHost(t, func(v *settings.Values) { v.RetryPercent = 100 }, c.script())
+			got := host.call(t, http.MethodGet, "/v1/archiv/k", "")
+			assert.Equal(t, got.outcome, c.outcome, got.body)
+			assert.Equal(t, received(servers), c.sent)
+		})
+	}
+}
+
+// inTurn answers each request with the next script; the last one is repeated.
+func inTurn(scripts ...http.HandlerFunc) http.HandlerFunc {
+	var mu sync.Mutex
+	return func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		script := scripts[0]
+		if len(scripts) > 1 {
+			scripts = scripts[1:]
+		}
+		mu.Unlock()
+		script(w, r)
+	}
+}
+
 // TestRetriedReadThatIsShedIsUnknown checks that the outcome is unknown if the first
 // attempt may have run and the second is refused as not-run.
 func TestRetriedReadThatIsShedIsUnknown(t *testing.T) {
