front: a probe whose connection is reset proves no crash

Found on reading: since crashes under one identity are numbered, a wrong sign of a crash counts each time, and three stop an innocent request. A server that is full may reset connections. Cause: a reset while connecting was taken for a refusal. Class: a weak sign taken for a proof. Change: only a refused connection is a crash. Evidence: TestResetProbeProvesNoCrash failed before for the reset.

--- a/internal/front/probe.go
+++ b/internal/front/probe.go
@@ -62,7 +62,7 @@
 		if staysOpen(conn) {
 			p.guard.AddressAccepts(started, server)
 		}
-	case errors.IsAny(err, syscall.ECONNREFUSED, syscall.ECONNRESET):
+	case errors.Is(err, syscall.ECONNREFUSED):
 		p.log.Event("server", "id", string(entry.ID), "addr", entry.Addr, "born", entry.Born, "outcome", "refuses connections after one broke")
 		probed.Target.Close()
 		p.guard.ServerCrashed(server, poison.ConnectionRefused)
--- a/internal/front/probe_test.go
+++ b/internal/front/probe_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"context"
 	"net"
 	"net/http"
 	"strconv"
+	"syscall"
 	"testing"
 	"time"
 
@@ -79,6 +81,25 @@
 	assert.Equal(t, guard.Check(f), poison.Suspect)
 }
 
+// TestResetProbeProvesNoCrash is a regression test: a probe whose connection was reset, as by a server that is
+// full, counted as a crash.
+func TestResetProbeProvesNoCrash(t *testing.T) {
+	for err, want := range map[syscall.Errno]poison.Suspicion{
+		syscall.ECONNRESET: poison.Clean, syscall.ETIMEDOUT: poison.Clean, syscall.ECONNREFUSED: poison.Suspect,
+	} {
+		entry := fleet.Entry{ID: "a", Addr: "10.0.0.1:80", Born: 1}
+		guard := poison.NewGuard(poison.Bounds{CrashLimit: 3, SharedCrashLimit: 3, Retention: time.Minute})
+		f := poison.Fingerprint{1}
+		attempt, _, ok := guard.Begin(t.Context(), GuardServer(entry), f)
+		assert.Assert(t, ok)
+		attempt.SentShared()
+		attempt.End(poison.Broken)
+		dial := func(context.Context, string, string) (net.Conn, error) { return nil, err }
+		newProbes(dial, guard, eventlog.Discard()).probe(fleetServer(entry))
+		assert.Equal(t, guard.Check(f), want, "%v", err)
+	}
+}
+
 // TestBlockedRequestGetsItsAnswerAtOnce is a regression test: a request that the guard did not allow
 // was taken for one that could not be sent, and was tried again until its goal had nearly passed. A
 // host that forwards a request may lack the evidence that the primary has.
