poison: late news of a crash does not count requests at the next process

Found on reading, from the numbering of crashes: the service discovery tells late that an incarnation has ended whose crash is known from a refused connection; requests that were in flight at the process that has replaced it counted as run under another crash. Class: late information taken for new. Change: they stay in flight; their own break decides. Evidence: TestLateNewsOfACrashDoesNotCountTheNextProcess failed before (2 crashes, 1 happened), passes now.

--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -473,3 +473,24 @@
 	assert.Equal(t, store.Check(at(43*time.Second), during), Suspect)
 	assert.Equal(t, store.Check(at(43*time.Second), old), Clean, "ended 11 s before, without the outage")
 }
+
+// TestLateNewsOfACrashDoesNotCountTheNextProcess checks that a request that is in flight at a process that has
+// replaced a crashed one does not count as run under a second crash when the service discovery tells of the first.
+func TestLateNewsOfACrashDoesNotCountTheNextProcess(t *testing.T) {
+	store := NewEvidenceStore(Bounds{CrashLimit: 3, SharedCrashLimit: 3, Retention: time.Minute})
+	tracker := NewTracker(store)
+	server := incarnation(1)
+	number, _ := tracker.Begin(start, server, suspect)
+	tracker.Sent(server, number, true)
+	tracker.End(start, server, number, Broken)
+	tracker.ServerCrashed(start, server, ConnectionRefused)
+	number, _ = tracker.Begin(at(3*time.Second), server, suspect)
+	tracker.Sent(server, number, true)
+	tracker.ServerCrashed(at(4*time.Second), server, Discovery)
+	crashes, _ := store.countCrashes(at(4*time.Second), suspect)
+	assert.Equal(t, crashes, 1)
+	tracker.End(at(5*time.Second), server, number, Broken)
+	tracker.ServerCrashed(at(5*time.Second), server, ConnectionRefused)
+	crashes, _ = store.countCrashes(at(5*time.Second), suspect)
+	assert.Equal(t, crashes, 2)
+}
--- a/internal/poison/tracker.go
+++ b/internal/poison/tracker.go
@@ -198,8 +198,11 @@
 		}
 	}
 	delete(t.unanswered, server)
+	// The service discovery tells late of the first crash under an identity. What is in flight since then is at
+	// another process.
+	toldLate := source == Discovery && t.recordedCrashes[server].count > 0
 	for number, r := range t.tracked[server] {
-		if r.sentAt != 0 && !r.crashCounted {
+		if r.sentAt != 0 && !r.crashCounted && !toldLate {
 			involved = append(involved, r)
 			r.crashCounted = true
 			t.tracked[server][number] = r
