poison: evidence from other hosts is not announced

Suspected cause, by reading: since evidence is sent at once, each message with evidence from another host woke the loop that looks through all evidence once for each host, so that a crash of many servers cost hosts x hosts x requests on each host. Nothing of it had to be sent: each host sends its own. Test: TestEvidenceOfOthersIsNotAnnounced (failed before).

--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -14,7 +14,7 @@
 	mu      sync.Mutex
 	store   *EvidenceStore
 	tracker *Tracker
-	// changed gets a value when there may be new evidence.
+	// changed gets a value when this host may have recorded new evidence.
 	changed chan struct{}
 	// trialEnded is closed and replaced whenever a suspect that ran alone has ended.
 	trialEnded chan struct{}
@@ -26,13 +26,13 @@
 	return &Guard{store: store, tracker: NewTracker(store), changed: make(chan struct{}, 1), trialEnded: make(chan struct{})}
 }
 
-// Changed returns a channel that gets a value when there may be new evidence to export. Only one
-// goroutine may receive from it.
+// Changed returns a channel that gets a value when this host may have recorded new evidence itself. What
+// other hosts send is not announced: each exports its own. Only one goroutine may receive from it.
 func (g *Guard) Changed() <-chan struct{} {
 	return g.changed
 }
 
-// signalChange announces that there may be new evidence.
+// signalChange announces that this host may have recorded new evidence.
 func (g *Guard) signalChange() {
 	select {
 	case g.changed <- struct{}{}:
@@ -170,7 +170,6 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.store.Import(time.Now(), records, source)
-	g.signalChange()
 }
 
 // Configure changes the bounds.
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -494,3 +494,13 @@
 	crashes, _ = store.countCrashes(at(5*time.Second), suspect)
 	assert.Equal(t, crashes, 2)
 }
+
+// TestEvidenceOfOthersIsNotAnnounced is a regression test: evidence that came from other hosts made each host look
+// through all evidence for each other one, with each message.
+func TestEvidenceOfOthersIsNotAnnounced(t *testing.T) {
+	guard := NewGuard(bounds)
+	guard.Import([]Record{{Fingerprint: suspect, Death: incarnation(1)}}, OtherHost)
+	assert.Equal(t, len(guard.Changed()), 0)
+	guard.ServerCrashed(incarnation(2), Discovery)
+	assert.Equal(t, len(guard.Changed()), 1)
+}
