--- a/internal/fleet/limit.go
+++ b/internal/fleet/limit.go
@@ -63,6 +63,8 @@
 	nextAt time.Duration
 	// returnAt is the time at which the caller that was refused last was asked to come back.
 	returnAt time.Duration
+	// random returns an exponentially distributed number with mean 1; nil stands for rand.ExpFloat64.
+	random func() float64
 }
 
 // name records that an answer has named the limit. It returns true if the limit changes.
@@ -85,7 +87,7 @@
 // clear ends the limit. It returns false if there was none.
 func (l *serverLimit) clear() bool {
 	limited := l.perSecond > 0
-	*l = serverLimit{}
+	*l = serverLimit{random: l.random}
 	return limited
 }
 
@@ -121,7 +123,11 @@
 	if share.Alone {
 		return l.interval(soleUsable)
 	}
-	return time.Duration(rand.ExpFloat64() * float64(l.interval(share.Part)))
+	random := l.random
+	if random == nil {
+		random = rand.ExpFloat64
+	}
+	return time.Duration(random() * float64(l.interval(share.Part)))
 }
 
 // returnAfter returns the time after which a refused caller should come back, above zero. Callers that
--- a/internal/fleet/limit_test.go
+++ b/internal/fleet/limit_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -8,17 +9,18 @@
 )
 
 // requestsUnderLimit returns when requests go to a server that names a limit, if each of the hosts has a
-// request for it at each interval from start on, for a minute.
-func requestsUnderLimit(limit float64, hosts int, start, interval time.Duration) []time.Duration {
+// request for it at each interval from start on, for some time.
+func requestsUnderLimit(rng *rand.Rand, limit float64, hosts int, start, interval, length time.Duration) []time.Duration {
 	limits := make([]serverLimit, hosts)
 	// A third of the hosts is in the server's zone.
 	inZone := hosts / 3
 	share := func(i int) Share { return SharedBy(inZone, hosts-inZone, i < inZone) }
 	for i := range limits {
+		limits[i].random = rng.ExpFloat64
 		limits[i].name(limit, share(i), 0)
 	}
 	var sent []time.Duration
-	for now := start; now < start+time.Minute; now += interval {
+	for now := start; now < start+length; now += interval {
 		for i := range limits {
 			if limits[i].take(share(i), now) {
 				sent = append(sent, now)
@@ -32,11 +34,12 @@
 // one and a half times the limit and five requests in 4 s, whatever their number, also
 // when all begin at the same time after none had a request.
 func TestHostsTogetherKeepALimit(t *testing.T) {
-	const window = 4 * time.Second
+	const window, length = 4 * time.Second, 10 * time.Minute
+	rng := rand.New(rand.NewPCG(1, 1))
 	for _, limit := range []float64{0.5, 1, 1.5, 4, 20} {
 		for _, hosts := range []int{1, 2, 9, 12, 59, 300} {
 			for _, start := range []time.Duration{0, 30 * time.Second} {
-				sent := requestsUnderLimit(limit, hosts, start, 20*time.Millisecond)
+				sent := requestsUnderLimit(rng, limit, hosts, start, 20*time.Millisecond, length)
 				first := 0
 				for last := range sent {
 					for sent[last]-sent[first] > window {
@@ -45,7 +48,7 @@
 					inWindow, allowed := last-first+1, 1.5*limit*window.Seconds()+5
 					assert.Assert(t, float64(inWindow) <= allowed, "limit %v, %d hosts: %d in %v", limit, hosts, inWindow, window)
 				}
-				assert.Assert(t, float64(len(sent)) > 0.25*limit*60, "limit %v, %d hosts: only %d in a minute", limit, hosts, len(sent))
+				assert.Assert(t, float64(len(sent)) > 0.25*limit*length.Seconds(), "limit %v, %d hosts: only %d in %v", limit, hosts, len(sent), length)
 			}
 		}
 	}
