--- /dev/null
+++ b/internal/poison/crashes_test.go
@@ -0,0 +1,133 @@
+package poison
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestSecondCrashOfAnIncarnationCounts is a regression test (BUDGET on Riga): a server that was back at its
+// address before the service discovery told of it crashed again under the same identity, and both
+// crashes counted as one.
+func TestSecondCrashOfAnIncarnationCounts(t *testing.T) {
+	store := NewEvidenceStore(Bounds{CrashLimit: 3, SharedCrashLimit: 3, Retention: time.Minute})
+	tracker := NewTracker(store)
+	server := incarnation(1)
+	for n := range 3 {
+		now := at(time.Duration(n) * 3 * time.Second)
+		number, decision := tracker.Begin(now, server, suspect)
+		assert.Assert(t, decision.Allowed, "after %d crashes", n)
+		tracker.Sent(server, number, true)
+		tracker.End(now, server, number, Broken)
+		tracker.ServerCrashed(now, server, ConnectionRefused)
+	}
+	assert.Equal(t, store.Check(at(9*time.Second), suspect), Blocked)
+}
+
+// TestOneCrashIsCountedOnce checks that a crash that a host learns of several times, for one request
+// or for several at the same time, counts once.
+func TestOneCrashIsCountedOnce(t *testing.T) {
+	store := NewEvidenceStore(Bounds{CrashLimit: 3, SharedCrashLimit: 3, Retention: time.Minute})
+	tracker := NewTracker(store)
+	server := incarnation(1)
+	var numbers []uint64
+	for range 3 {
+		number, _ := tracker.Begin(start, server, suspect)
+		numbers = append(numbers, number)
+		tracker.Sent(server, number, true)
+	}
+	for _, number := range numbers {
+		tracker.End(start, server, number, Broken)
+		tracker.ServerCrashed(start, server, ConnectionRefused)
+	}
+	tracker.ServerCrashed(start, server, Discovery)
+	crashes, _ := store.countCrashes(start, suspect)
+	assert.Equal(t, crashes, 1)
+}
+
+// TestCrashThatAProbeTookForLifeCounts is a regression test (BUDGET on Riga): a new process that accepted
+// the probe's connection was taken for the one whose connection broke, and the crash was forgotten
+// before the service discovery told of it.
+func TestCrashThatAProbeTookForLifeCounts(t *testing.T) {
+	store := NewEvidenceStore(bounds)
+	tracker := NewTracker(store)
+	server := incarnation(1)
+	number, _ := tracker.Begin(start, server, suspect)
+	tracker.Sent(server, number, true)
+	tracker.End(start, server, number, Broken)
+	tracker.AddressAccepts(at(time.Second), server)
+	assert.Equal(t, tracker.countUndecided(at(time.Second), suspect), 0)
+	tracker.ServerCrashed(at(3*time.Second), server, Discovery)
+	assert.Equal(t, store.Check(at(3*time.Second), suspect), Suspect)
+}
+
+// TestClearedCrashesLeaveRoomForOthers is a regression test (BUDGET on Riga): crashes that a success had
+// cleared took all places of a request, and further ones were not stored.
+func TestClearedCrashesLeaveRoomForOthers(t *testing.T) {
+	store := NewEvidenceStore(bounds)
+	for n := range maxCrashes {
+		store.Add(start, suspect, incarnation(n), false, Discovery)
+		store.Clear(start, suspect)
+	}
+	for n := range 3 {
+		store.Add(start, suspect, incarnation(100+n), false, Discovery)
+	}
+	assert.Equal(t, store.Check(start, suspect), Blocked)
+}
+
+// TestCrashInALongOutageCounts is a regression test (BUDGET on Riga): a server that fell silent under a
+// request while the service discovery was away for long left no evidence, because the request had been
+// forgotten by the time at which the crash was learned of.
+func TestCrashInALongOutageCounts(t *testing.T) {
+	store := NewEvidenceStore(bounds)
+	tracker := NewTracker(store)
+	end := func(now time.Time, f Fingerprint) {
+		number, _ := tracker.Begin(now, incarnation(1), f)
+		tracker.Sent(incarnation(1), number, true)
+		tracker.End(now, incarnation(1), number, TimedOut)
+	}
+	before, during, old := Fingerprint{1}, Fingerprint{2}, Fingerprint{3}
+	end(start, old)
+	end(at(6*time.Second), before)
+	tracker.SetBlind(at(8*time.Second), true)
+	end(at(20*time.Second), during)
+	tracker.Expire(at(30 * time.Second))
+	tracker.SetBlind(at(40*time.Second), false)
+	tracker.Expire(at(43 * time.Second))
+	tracker.ServerCrashed(at(43*time.Second), incarnation(1), Discovery)
+	assert.Equal(t, store.Check(at(43*time.Second), before), Suspect)
+	assert.Equal(t, store.Check(at(43*time.Second), during), Suspect)
+	assert.Equal(t, store.Check(at(43*time.Second), old), Clean, "ended 11 s before, without the outage")
+}
+
+// TestLateNewsOfACrashDoesNotCountTheNextProcess checks that a request that is in flight at a process that has
+// replaced a crashed one does not count as run under a second crash when the service discovery tells of the first.
+func TestLateNewsOfACrashDoesNotCountTheNextProcess(t *testing.T) {
+	store := NewEvidenceStore(Bounds{CrashLimit: 3, SharedCrashLimit: 3, Retention: time.Minute})
+	tracker := NewTracker(store)
+	server := incarnation(1)
+	number, _ := tracker.Begin(start, server, suspect)
+	tracker.Sent(server, number, true)
+	tracker.End(start, server, number, Broken)
+	tracker.ServerCrashed(start, server, ConnectionRefused)
+	number, _ = tracker.Begin(at(3*time.Second), server, suspect)
+	tracker.Sent(server, number, true)
+	tracker.ServerCrashed(at(4*time.Second), server, Discovery)
+	crashes, _ := store.countCrashes(at(4*time.Second), suspect)
+	assert.Equal(t, crashes, 1)
+	tracker.End(at(5*time.Second), server, number, Broken)
+	tracker.ServerCrashed(at(5*time.Second), server, ConnectionRefused)
+	crashes, _ = store.countCrashes(at(5*time.Second), suspect)
+	assert.Equal(t, crashes, 2)
+}
+
+// TestEvidenceOfOthersIsNotAnnounced is a regression test: evidence that came from other hosts made each host look
+// through all evidence for each other one, with each message.
+func TestEvidenceOfOthersIsNotAnnounced(t *testing.T) {
+	guard := NewGuard(bounds)
+	guard.Import([]Record{{Fingerprint: suspect, Death: incarnation(1)}}, OtherHost)
+	assert.Equal(t, len(guard.Changed()), 0)
+	guard.ServerCrashed(incarnation(2), Discovery)
+	assert.Equal(t, len(guard.Changed()), 1)
+}
