--- a/internal/front/limit.go
+++ b/internal/front/limit.go
@@ -85,9 +85,7 @@
 	if !r.Service.Keyed {
 		return in.sharedWithHosts(server)
 	}
-	entry := server.Entry()
-	known := assign.Server{ID: string(entry.ID), Addr: entry.Addr, Zone: entry.Zone, Born: entry.Born}
-	primary, ok := in.primaries.get(in.config.Current.Plan(), known)
+	primary, ok := in.primaries.get(in.config.Current.Plan(), assign.ServerOf(server.Entry()))
 	if ok && primary.Name == in.config.Self {
 		return fleet.SoleShare
 	}
--- a/internal/front/probe_test.go
+++ b/internal/front/probe_test.go
@@ -29,6 +29,15 @@
 	return server
 }
 
+// breakUnder makes the connection to a server break under a request.
+func breakUnder(t *testing.T, guard *poison.Guard, entry fleet.Entry, f poison.Fingerprint) {
+	t.Helper()
+	attempt, _, ok := guard.Begin(t.Context(), GuardServer(entry), f)
+	assert.Assert(t, ok)
+	attempt.SentShared()
+	attempt.End(poison.Broken)
+}
+
 // TestProbeTellsACrashFromALostAnswer checks that a request whose connection broke is suspect at once
 // if its server refuses connections, and no longer if the server accepts them.
 func TestProbeTellsACrashFromALostAnswer(t *testing.T) {
@@ -72,10 +81,7 @@
 	entry := fleet.Entry{ID: "a", Addr: listener.Addr().String(), Born: 1}
 	guard := poison.NewGuard(poison.Bounds{CrashLimit: 3, SharedCrashLimit: 3, Retention: time.Minute})
 	f := poison.Fingerprint{1}
-	attempt, _, ok := guard.Begin(t.Context(), GuardServer(entry), f)
-	assert.Assert(t, ok)
-	attempt.SentShared()
-	attempt.End(poison.Broken)
+	breakUnder(t, guard, entry, f)
 	newProbes(transport.Dialer(""), guard, eventlog.Discard()).probe(fleetServer(entry))
 	guard.ServerCrashed(GuardServer(entry), poison.Discovery)
 	assert.Equal(t, guard.Check(f), poison.Suspect)
@@ -90,10 +96,7 @@
 		entry := fleet.Entry{ID: "a", Addr: "10.0.0.1:80", Born: 1}
 		guard := poison.NewGuard(poison.Bounds{CrashLimit: 3, SharedCrashLimit: 3, Retention: time.Minute})
 		f := poison.Fingerprint{1}
-		attempt, _, ok := guard.Begin(t.Context(), GuardServer(entry), f)
-		assert.Assert(t, ok)
-		attempt.SentShared()
-		attempt.End(poison.Broken)
+		breakUnder(t, guard, entry, f)
 		dial := func(context.Context, string, string) (net.Conn, error) { return nil, err }
 		newProbes(dial, guard, eventlog.Discard()).probe(fleetServer(entry))
 		assert.Equal(t, guard.Check(f), want, "%v", err)
--- a/internal/leader/snapshot.go
+++ b/internal/leader/snapshot.go
@@ -20,7 +20,7 @@
 	var cold []assign.Candidate
 	for _, server := range l.Fleet.Servers(service) {
 		entry := server.Entry()
-		known := serverOf(entry)
+		known := assign.ServerOf(entry)
 		snapshot.NewestByID[known.ID] = known
 		if server.Leaving() || l.ZoneEvacuated(entry.Zone) {
 			continue
@@ -57,15 +57,10 @@
 	reused = make(map[string]int64)
 	for addr, entry := range newest {
 		if entry.Service == service {
-			servers[addr] = serverOf(entry)
+			servers[addr] = assign.ServerOf(entry)
 		} else {
 			reused[addr] = entry.Born
 		}
 	}
 	return servers, reused
 }
-
-// serverOf converts a registration entry of the service discovery.
-func serverOf(entry fleet.Entry) assign.Server {
-	return assign.Server{ID: string(entry.ID), Addr: entry.Addr, Zone: entry.Zone, Born: entry.Born}
-}
