transport: silence on one connection closes the idle ones of its age

Cause: an idempotent request on a kept connection that has gone silent waits until its caller leaves. A caller that leaves cancels the attempt, and a cancelled attempt was taken as no evidence against the target's other idle connections.

Change: a target knows its open connections. When a reused connection delivers no byte for 150 ms while a request waits on it, the idle connections that have delivered nothing since that request began are closed. The request itself waits on, and connections that have delivered meanwhile are kept, so that a slow server costs at most the redial of connections that nobody used.

--- a/internal/transport/attempt.go
+++ b/internal/transport/attempt.go
@@ -13,12 +13,15 @@
 // attempt tracks one round trip: the connections that the HTTP library took for it, and
 // whether the request was written on any of them.
 type attempt struct {
+	target     *Target
 	cancel     context.CancelCauseFunc
 	needsFresh bool
 	freshFor   time.Duration
 
 	conns  []*trackedConn
 	reused bool
+	// silence runs while the request waits for an answer on a reused connection.
+	silence *time.Timer
 }
 
 // gotConn decides whether the request may be written on a connection. The HTTP
@@ -36,10 +39,40 @@
 		return
 	}
 	a.reused = info.Reused || info.WasIdle
-	conn.beginRequest()
+	conn.beginRequest(a)
 	a.conns = append(a.conns, conn)
 	if a.needsFresh && a.stale(conn) {
 		conn.blockWrites()
+		return
+	}
+	if a.reused {
+		a.watchForSilence(conn)
+	}
+}
+
+// watchForSilence closes the target's idle connections that are as likely half-open as conn once conn has delivered
+// nothing for silentAfter. The request itself waits on: its server may be slow.
+func (a *attempt) watchForSilence(conn *trackedConn) {
+	a.stopWatching()
+	since := a.target.clock()
+	a.silence = time.AfterFunc(silentAfter, func() {
+		if conn.silentSince(since) {
+			a.target.closeSilent(since)
+		}
+	})
+}
+
+// stopWatching ends the watch for silence, if there is one.
+func (a *attempt) stopWatching() {
+	if a.silence != nil {
+		a.silence.Stop()
+	}
+}
+
+// end marks the attempt's connections as idle.
+func (a *attempt) end() {
+	for _, conn := range a.conns {
+		conn.endRequest(a)
 	}
 }
 
@@ -65,9 +98,9 @@
 
 // answerBody is the body of an answer. Closing it before its end closes the connection.
 type answerBody struct {
-	body   io.ReadCloser
-	cancel context.CancelCauseFunc
-	once   sync.Once
+	body    io.ReadCloser
+	attempt *attempt
+	once    sync.Once
 }
 
 // Read implements io.Reader. An answer that ends before its declared end gives ErrIncompleteAnswer.
@@ -82,6 +115,9 @@
 // Close implements io.Closer.
 func (b *answerBody) Close() error {
 	err := b.body.Close()
-	b.once.Do(func() { b.cancel(nil) })
+	b.once.Do(func() {
+		b.attempt.cancel(nil)
+		b.attempt.end()
+	})
 	return err
 }
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -18,7 +18,7 @@
 type trackedConn struct {
 	net.Conn
 	clock  func() time.Duration
-	closed func()
+	closed func(*trackedConn)
 	once   sync.Once
 	// lastRead is the clock's reading when bytes last arrived, or when the connection was opened.
 	lastRead atomic.Int64
@@ -26,10 +26,12 @@
 	mu            sync.Mutex
 	written       bool
 	writesBlocked bool
+	// user is the attempt that uses the connection; nil while the connection is idle.
+	user *attempt
 }
 
 // track wraps a connection that has just been opened. closed is called once when it is closed.
-func track(conn net.Conn, clock func() time.Duration, closed func()) *trackedConn {
+func track(conn net.Conn, clock func() time.Duration, closed func(*trackedConn)) *trackedConn {
 	c := &trackedConn{Conn: conn, clock: clock, closed: closed}
 	c.lastRead.Store(int64(clock()))
 	return c
@@ -40,6 +42,11 @@
 	return c.clock() - time.Duration(c.lastRead.Load())
 }
 
+// silentSince reports whether no byte has arrived since the given reading of the clock.
+func (c *trackedConn) silentSince(since time.Duration) bool {
+	return time.Duration(c.lastRead.Load()) < since
+}
+
 // Read implements net.Conn.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
@@ -49,11 +56,35 @@
 	return n, err
 }
 
-// beginRequest marks the start of a request on the connection: nothing of it is written yet.
-func (c *trackedConn) beginRequest() {
+// beginRequest marks the start of an attempt's request on the connection: nothing of it is written yet.
+func (c *trackedConn) beginRequest(user *attempt) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.written = false
+	c.user = user
+}
+
+// endRequest marks the connection as idle, unless a later attempt uses it already.
+func (c *trackedConn) endRequest(user *attempt) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.user == user {
+		c.user = nil
+	}
+}
+
+// closeIfIdleAndSilent closes the connection if no request uses it and no byte has arrived on it since the given
+// reading of the clock. A request that is given the connection just then fails unwritten.
+func (c *trackedConn) closeIfIdleAndSilent(since time.Duration) {
+	c.mu.Lock()
+	closing := c.user == nil && c.silentSince(since)
+	if closing {
+		c.writesBlocked = true
+	}
+	c.mu.Unlock()
+	if closing {
+		c.Close()
+	}
 }
 
 // blockWrites blocks all further writes and reports whether any of the present
@@ -88,6 +119,6 @@
 // Close implements net.Conn.
 func (c *trackedConn) Close() error {
 	err := c.Conn.Close()
-	c.once.Do(c.closed)
+	c.once.Do(func() { c.closed(c) })
 	return err
 }
--- a/internal/transport/target.go
+++ b/internal/transport/target.go
@@ -10,6 +10,7 @@
 	"net/http/httptrace"
 	"net/url"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -97,6 +98,10 @@
 
 	requestIDHeader string
 	undelimited     bool
+
+	mu sync.Mutex
+	// conns holds the open connections.
+	conns map[*trackedConn]struct{}
 }
 
 // NewTarget returns a target for an IP address and port.
@@ -119,6 +124,7 @@
 
 		requestIDHeader: cmp.Or(options.RequestIDHeader, backend.HeaderRequestID),
 		undelimited:     options.Undelimited,
+		conns:           make(map[*trackedConn]struct{}),
 	}
 	t.http = t.newTransport(options)
 	t.fresh = t.newTransport(options)
@@ -201,7 +207,7 @@
 // sendOnce makes one round trip and reports whether it was on a reused connection.
 func (t *Target) sendOnce(ctx context.Context, req Request, target *url.URL) (result Result, reused bool) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	a := &attempt{cancel: cancel, needsFresh: !req.Idempotent, freshFor: t.freshFor}
+	a := &attempt{target: t, cancel: cancel, needsFresh: !req.Idempotent, freshFor: t.freshFor}
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: a.gotConn})
 	out := &http.Request{
 		Method:        req.Method,
@@ -221,13 +227,14 @@
 		transport = t.fresh
 	}
 	resp, err := transport.RoundTrip(out.WithContext(traced))
+	a.stopWatching()
 	if err == nil {
 		err = t.checkHeader(req, resp)
 	}
 	if err != nil {
 		return t.failedAttempt(ctx, a, resp, err), a.reused
 	}
-	resp.Body = &answerBody{body: resp.Body, cancel: cancel}
+	resp.Body = &answerBody{body: resp.Body, attempt: a}
 	return Result{Sent: Answered, Response: resp}, a.reused
 }
 
@@ -268,7 +275,9 @@
 		t.limiter.release()
 		return nil, err
 	}
-	return track(conn, t.clock, t.limiter.release), nil
+	tracked := track(conn, t.clock, t.connClosed)
+	t.addConn(tracked)
+	return tracked, nil
 }
 
 // checkHeader rejects an answer whose end could not be recognised or that belongs to
