edge: hosts compare their configuration with the leader's

Cause: the restore lost versions 9 and 10; the operator wrote version 11 and then, writing again what was lost, 10.

Change: each host compares its version with the leader's once a second. Whoever has the older one takes over the record of the other's; the record is decoded like one from the topic, and versions never go back. A change of the configuration can now come from two goroutines, so a lock covers each change and the call that follows it.

--- /dev/null
+++ b/internal/edge/config_sharing_test.go
@@ -0,0 +1,73 @@
+package edge
+
+import (
+	"net"
+	"net/http"
+	"net/rpc"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/poplarcroft/poplarcroft/internal/assign"
+	"github.com/poplarcroft/poplarcroft/internal/eventlog"
+	"github.com/poplarcroft/poplarcroft/internal/follow"
+	"github.com/poplarcroft/poplarcroft/internal/peer"
+	"github.com/poplarcroft/poplarcroft/internal/routetable"
+)
+
+// serveRecords serves the given records to other hosts and returns the host that does.
+func serveRecords(t *testing.T, records *operatorRecords) assign.Host {
+	t.Helper()
+	calls := rpc.NewServer()
+	assert.NilError(t, calls.RegisterName(rpcName, &rpcService{records: records}))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	go http.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { peer.ServeRPC(t.Context(), calls, w) }))
+	return assign.Host{Name: "leader", Incarnation: "1", Addr: listener.Addr().String()}
+}
+
+// sharing returns the configuration sharing of a host with the given configuration, or none if empty.
+func sharing(t *testing.T, version string) *configSharing {
+	t.Helper()
+	records := newTestOperatorRecords()
+	if version != "" {
+		records.apply(follow.Change{Records: []follow.Record{record("config", version)}})
+	}
+	p := &peers{pool: peer.NewPool((&net.Dialer{}).DialContext)}
+	t.Cleanup(p.pool.Close)
+	return &configSharing{self: assign.Host{Name: "h1", Incarnation: "1"}, records: records, peers: p, log: eventlog.Discard()}
+}
+
+// TestOlderConfigurationWrittenAgainIsOverruled guards against hosts that stay apart after a restore of
+// the log: an older version is written again after a newer one, and hosts that read only a snapshot
+// never learn of the newer one.
+func TestOlderConfigurationWrittenAgainIsOverruled(t *testing.T) {
+	atLeader := newTestOperatorRecords()
+	atLeader.apply(follow.Change{Records: []follow.Record{record("config", "5")}, Snapshot: true})
+	leader := serveRecords(t, atLeader)
+	newer, older, none := sharing(t, "6"), sharing(t, "5"), sharing(t, "")
+
+	assert.NilError(t, newer.exchange(t.Context(), leader))
+	assert.Equal(t, atLeader.Table().Version, routetable.Version(6))
+	for _, host := range []*configSharing{older, none, newer} {
+		assert.NilError(t, host.exchange(t.Context(), leader))
+		assert.Equal(t, host.records.Table().Version, routetable.Version(6))
+	}
+}
+
+// TestHostsTakeOverOnlyConfigurations checks that a record of another kind, or a malformed one, changes
+// nothing.
+func TestHostsTakeOverOnlyConfigurations(t *testing.T) {
+	records := newTestOperatorRecords()
+	changes := 0
+	records.onChange = func() { changes++ }
+	assert.ErrorContains(t, records.adoptConfig(record("zlin", "1"), "h2"), "not a configuration")
+	assert.ErrorContains(t, records.adoptConfig(record("config", "!"), "h2"), "malformed")
+	assert.Assert(t, records.Table() == nil && !records.Evacuated("zlin"))
+	assert.Equal(t, changes, 0)
+	for range 2 {
+		assert.NilError(t, records.adoptConfig(record("config", "4"), "h2"))
+	}
+	assert.Equal(t, changes, 1)
+}
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -94,6 +94,7 @@
 	relay           *relay.Relay
 	guard           *poison.Guard
 	evidence        *evidenceSharing
+	configSharing   *configSharing
 	dial            transport.DialFunc
 
 	// leaving says that the host is shutting down.
@@ -135,6 +136,7 @@
 		h.fleet.EvacuateZones(*h.operatorRecords.evacuated.Load(), h.coldFor, clock.Monotonic())
 		wakeLeader()
 	})
+	h.configSharing = &configSharing{self: h.self, plan: h.current.Plan, records: h.operatorRecords, peers: h.peers, log: log}
 	h.renewer = renew.New(h.self, h.current, platform.Granter(), config.Timing, clock.Monotonic, log)
 	h.leader = leader.New(leader.Config{
 		Self: h.self, Current: h.current, Store: h.state, Elector: platform.Elector(), Peers: h.peers,
@@ -222,7 +224,7 @@
 	var loops sync.WaitGroup
 	for _, run := range []func(context.Context){
 		h.followOperatorRecords, h.followState, h.followServers, h.renewer.Run,
-		h.leader.RunElection, h.leader.Run, h.reportLoad, h.evidence.run,
+		h.leader.RunElection, h.leader.Run, h.reportLoad, h.evidence.run, h.configSharing.run,
 	} {
 		loops.Go(func() { run(running) })
 	}
--- a/internal/edge/listen.go
+++ b/internal/edge/listen.go
@@ -53,7 +53,8 @@
 	go h.serveOn("readiness", &http.Server{Handler: ready}, l.ready)
 	rpcServer := rpc.NewServer()
 	err := rpcServer.RegisterName(rpcName, &rpcService{
-		self: h.self, current: h.current, renewer: h.renewer, leader: h.leader, guard: h.guard, fleet: h.fleet, relay: h.relay, log: h.log,
+		self: h.self, current: h.current, renewer: h.renewer, leader: h.leader, guard: h.guard, fleet: h.fleet, relay: h.relay,
+		records: h.operatorRecords, log: h.log,
 	})
 	if err != nil {
 		panic(errors.NewAssertionErrorWithWrappedErrf(err, "register RPC methods"))
--- a/internal/edge/operator_records.go
+++ b/internal/edge/operator_records.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"maps"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/poplarcroft/poplarcroft/internal/eventlog"
 	"github.com/poplarcroft/poplarcroft/internal/follow"
 	"github.com/poplarcroft/poplarcroft/internal/loop"
@@ -28,8 +31,8 @@
 const rewriteGrace = 3 * time.Second
 
 // operatorRecords follows the operators' records: the configuration and the evacuated zones. One
-// goroutine calls read; Table, Evacuated, Next and checkProgress are safe for concurrent use. Log
-// lines call a record "order".
+// goroutine calls read; the exported methods, newestConfig, adoptConfig and checkProgress are safe for
+// concurrent use. Log lines call a record "order".
 type operatorRecords struct {
 	platform Platform
 	log      *eventlog.Log
@@ -42,6 +45,11 @@
 	next   atomic.Uint64
 	behind chan struct{}
 	clock  func() time.Duration
+
+	// mu is held during each change and the call of onChange that follows it.
+	mu sync.Mutex
+	// configRecord is the record of the configuration in force.
+	configRecord follow.Record
 	// evacuations holds the records of the evacuated zones by key. ended holds those that have been
 	// removed: a restore of the log can bring them back.
 	evacuations, ended map[string]evacuation
@@ -140,6 +148,8 @@
 
 // apply applies a change of the topic. A record without a value has been removed.
 func (o *operatorRecords) apply(change follow.Change) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	present := make(map[string]bool, len(change.Records))
 	for _, record := range change.Records {
 		present[record.Key] = true
@@ -206,7 +216,7 @@
 		return
 	}
 	if decoded.Config != nil {
-		o.applyConfig(decoded.Config, record.Offset, age)
+		o.applyConfig(decoded.Config, record, "relayed", age.Relayed, "age_ms", age.Arrived.Milliseconds())
 	}
 	if decoded.EvacuatedZone != "" {
 		o.evacuations[record.Key] = evacuation{zone: decoded.EvacuatedZone, offset: record.Offset}
@@ -215,17 +225,50 @@
 	}
 }
 
-// applyConfig puts a configuration in force unless the same or a newer version already is.
-func (o *operatorRecords) applyConfig(config *routetable.Config, offset uint64, age follow.Age) {
+// applyConfig puts a configuration in force unless the same or a newer version already is, and reports
+// whether it did. source holds fields for the log line.
+func (o *operatorRecords) applyConfig(config *routetable.Config, record follow.Record, source ...any) bool {
+	fields := append([]any{"version", uint64(config.Version), "offset", record.Offset}, source...)
 	if current := o.table.Load(); current != nil && config.Version <= current.Version {
 		if config.Version < current.Version {
-			o.log.Event("config", "version", uint64(config.Version), "in_force", uint64(current.Version), "offset", offset, "outcome", "older, ignored")
+			o.log.Event("config", append(fields, "in_force", uint64(current.Version), "outcome", "older, ignored")...)
 		}
-		return
+		return false
 	}
 	o.table.Store(routetable.New(*config))
-	o.log.Event("config", "version", uint64(config.Version), "routes", len(config.Routes), "offset", offset,
-		"relayed", age.Relayed, "age_ms", age.Arrived.Milliseconds(), "outcome", "in force")
+	o.configRecord = record
+	o.log.Event("config", append(fields, "routes", len(config.Routes), "outcome", "in force")...)
+	return true
+}
+
+// newestConfig returns the version and the record of the configuration in force, or version zero if
+// there is none.
+func (o *operatorRecords) newestConfig() (routetable.Version, follow.Record) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	current := o.table.Load()
+	if current == nil {
+		return 0, follow.Record{}
+	}
+	return current.Version, o.configRecord
+}
+
+// adoptConfig puts another host's configuration in force if it is newer. It fails if the record holds
+// none.
+func (o *operatorRecords) adoptConfig(record follow.Record, from string) error {
+	decoded, err := o.platform.DecodeOperatorRecord(record)
+	if err != nil {
+		return err
+	}
+	if decoded.Config == nil {
+		return errors.Newf("edge: the record with key %q of host %s is not a configuration", record.Key, from)
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.applyConfig(decoded.Config, record, "from", from) {
+		o.onChange()
+	}
+	return nil
 }
 
 // removeKey ends the evacuation whose record had the given key, if there is one.
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -107,6 +107,7 @@
 	guard   *poison.Guard
 	fleet   *fleet.Fleet
 	relay   *relay.Relay
+	records *operatorRecords
 	log     *eventlog.Log
 }
 
