edge: a report reads the servers' limits once

The loop that decides whether to report computed the limits, and the report computed them again: twice the work, and a report could tell other limits than the ones that it was sent for.

--- a/internal/edge/reports.go
+++ b/internal/edge/reports.go
@@ -30,13 +30,14 @@
 			return
 		}
 		lastReport, reportedLimits = now, limits
-		h.report(ctx)
+		h.report(ctx, ReportArgs{
+			Host: h.self.Name, Rates: h.ingress.KeyRates(), Lost: h.renewer.Lost(), Slowness: h.fleet.Slowness(now), Limits: limits,
+		})
 	})
 }
 
 // report sends one report to the leader, or takes it over directly if this host is the leader.
-func (h *Host) report(ctx context.Context) {
-	args := ReportArgs{Host: h.self.Name, Rates: h.ingress.KeyRates(), Lost: h.renewer.Lost(), Slowness: h.fleet.Slowness(clock.Monotonic()), Limits: h.fleet.Limits(clock.Monotonic())}
+func (h *Host) report(ctx context.Context, args ReportArgs) {
 	if h.leader.IsLeader() {
 		h.leader.Report(args.Host, leader.Report{Rates: args.Rates, Slowness: args.Slowness, Limits: args.Limits}, args.Lost)
 		return
