front: a retry that no server gets takes no token of the retry budget

What callers see: after an answer with an error, a request that any server may run tries the others; each that refuses it (cold, or its limit used up) took a token of the service's retry budget, and so did the look for a server that did not exist. Three tokens of 18 for one request with three servers, two of them cold; with servers in short supply the budget is used up by retries that were never sent, and later requests are not retried.

Cause: the token was taken at the top of the loop, before it was known whether there is anything to send to. Class: a resource that is taken for an act and not returned when the act does not happen. Elsewhere: the cold allowance and a limit's slot are taken in Begin; an attempt that the guard then blocks keeps them. That errs on the server's side and stays.

Change: one function for both kinds of services takes the token right before the server is asked, and gives it back if the server or the guard refuses.

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -64,6 +64,33 @@
 	refusal Result
 }
 
+// sendIfAllowed makes one attempt at a server if the server takes it and, for a retry, the service's
+// retry budget allows it. Otherwise it returns false and the result of the request. A retry that no
+// server gets costs nothing of the budget.
+func (in *Ingress) sendIfAllowed(ctx context.Context, r *Request, server *fleet.Server, retry bool) (attempt, Result, bool) {
+	now := in.clock()
+	if retry && !in.budgets.take(r.Service.Name, now) {
+		return attempt{}, notRun(reasonBudget, defaultRetryAfter), false
+	}
+	share := in.shareOf(r, server)
+	if refusal := server.Begin(in.allowance(r), share, now); refusal != fleet.NotRefused {
+		in.giveBack(r, retry)
+		return attempt{}, in.refusedBy(refusal, server, share), false
+	}
+	a := in.send(ctx, r, server)
+	if a.outcome == attemptBlocked {
+		in.giveBack(r, retry)
+	}
+	return a, Result{}, true
+}
+
+// giveBack returns the token of a retry that was not sent.
+func (in *Ingress) giveBack(r *Request, retry bool) {
+	if retry {
+		in.budgets.giveBack(r.Service.Name, in.clock())
+	}
+}
+
 // send makes one attempt at a server and updates the server's health estimate and the guard's
 // evidence with it. The caller has called server.Begin; send calls server.End.
 func (in *Ingress) send(ctx context.Context, r *Request, server *fleet.Server) attempt {
--- a/internal/front/budget.go
+++ b/internal/front/budget.go
@@ -80,3 +80,11 @@
 	bucket.tokens--
 	return true
 }
+
+// giveBack returns the token of a retry that was not sent.
+func (b *budgets) giveBack(service string, now time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	bucket := b.get(service, now)
+	bucket.tokens = min(bucket.tokens+1, b.burst()+1)
+}
--- a/internal/front/fixture_test.go
+++ b/internal/front/fixture_test.go
@@ -41,6 +41,8 @@
 	answers []string
 	// delay is the time before each answer.
 	delay time.Duration
+	// answering, if set, is called before each answer.
+	answering func()
 }
 
 // startServer starts a server that gives the answers in order and runs until the test ends.
@@ -98,6 +100,9 @@
 		s.answers = s.answers[1:]
 	}
 	time.Sleep(s.delay)
+	if s.answering != nil {
+		s.answering()
+	}
 	return answer
 }
 
--- a/internal/front/keyed.go
+++ b/internal/front/keyed.go
@@ -132,22 +132,16 @@
 // nothing was sent: with a refusal, or with an empty result if the server no longer owns the key
 // and the owner must be looked up again.
 func (k *keyedRequest) send(ctx context.Context, server *fleet.Server) (attempt, Result, bool) {
-	began := k.ingress.clock()
 	// The key may have moved to another server while the request waited at the gate.
 	current, found := k.ingress.config.Current.Plan().Lookup(k.r.Service.Name, k.r.Key)
 	if !found || current.Phase != assign.Held || current.Server.ID != string(server.Entry().ID) {
 		return attempt{}, Result{}, false
 	}
-	if k.reachedServer && !k.ingress.budgets.take(k.r.Service.Name, began) {
-		return attempt{}, notRun(reasonBudget, defaultRetryAfter), false
+	a, refusal, sent := k.ingress.sendIfAllowed(ctx, k.r, server, k.reachedServer)
+	if sent {
+		k.record(a)
 	}
-	share := k.ingress.shareOf(k.r, server)
-	if refusal := server.Begin(k.ingress.allowance(k.r), share, began); refusal != fleet.NotRefused {
-		return attempt{}, k.ingress.refusedBy(refusal, server, share), false
-	}
-	a := k.ingress.send(ctx, k.r, server)
-	k.record(a)
-	return a, Result{}, true
+	return a, refusal, sent
 }
 
 // afterAttempt waits as long as the outcome of an attempt requires. It returns true if another
--- a/internal/front/keyless.go
+++ b/internal/front/keyless.go
@@ -26,9 +26,6 @@
 func (in *Ingress) serveKeyless(ctx context.Context, r *Request) Result {
 	k := &keylessRequest{last: notRun(reasonNoServer, defaultRetryAfter)}
 	for ctx.Err() == nil {
-		if k.reachedServer && !in.budgets.take(r.Service.Name, in.clock()) {
-			return k.finalResult(k.last)
-		}
 		now := in.clock()
 		server, ok := in.fleet.Choose(r.Service.Name, k.excluded, in.sharedWithHosts, now)
 		if !ok {
@@ -38,12 +35,14 @@
 			return k.finalResult(k.last)
 		}
 		k.excluded = append(k.excluded, server.Entry().ID)
-		share := in.shareOf(r, server)
-		if refusal := server.Begin(in.allowance(r), share, now); refusal != fleet.NotRefused {
-			k.last = in.refusedBy(refusal, server, share)
+		a, refusal, sent := in.sendIfAllowed(ctx, r, server, k.reachedServer)
+		if !sent && refusal.Reason == reasonBudget {
+			return k.finalResult(k.last)
+		}
+		if !sent {
+			k.last = refusal
 			continue
 		}
-		a := in.send(ctx, r, server)
 		if a.outcome == attemptBlocked {
 			return k.finalResult(a.refusal)
 		}
