transport: connections of a slow server are kept

Cause: one request that waited 150 ms for its first byte closed the idle connections of its age, also where the server answered other requests and was only slow or full. A server accepts fewer connections while its queue is long, so the next ones that were opened in their place were turned away. No rule breaks by this and no test failed; callers lose an attempt to each reset.

--- a/internal/transport/attempt.go
+++ b/internal/transport/attempt.go
@@ -45,13 +45,13 @@
 		conn.blockWrites()
 		return
 	}
-	if a.reused {
+	if a.reused && !a.needsFresh {
 		a.watchForSilence(conn)
 	}
 }
 
-// watchForSilence closes the target's idle connections that are as likely half-open as conn once conn has delivered
-// nothing for silentAfter. The request itself waits on: its server may be slow.
+// watchForSilence closes the target's idle connections if neither conn nor another one has delivered anything after
+// silentAfter. The request itself waits on: its server may be slow.
 func (a *attempt) watchForSilence(conn *trackedConn) {
 	a.stopWatching()
 	since := a.target.clock()
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -22,6 +22,8 @@
 	once   sync.Once
 	// lastRead is the clock's reading when bytes last arrived, or when the connection was opened.
 	lastRead atomic.Int64
+	// fresh says that the connection serves non-idempotent requests.
+	fresh atomic.Bool
 
 	mu            sync.Mutex
 	written       bool
@@ -62,6 +64,7 @@
 	defer c.mu.Unlock()
 	c.written = false
 	c.user = user
+	c.fresh.Store(user.needsFresh)
 }
 
 // endRequest marks the connection as idle, unless a later attempt uses it already.
--- a/internal/transport/dialer.go
+++ b/internal/transport/dialer.go
@@ -8,8 +8,8 @@
 // therefore never sent on a connection that has been idle for longer than FreshFor,
 // idle connections are closed early, and a connection with unacknowledged data ends
 // after userTimeout. When one reused connection fails, the other idle ones of the
-// target are closed too; when one delivers nothing for silentAfter while a request
-// waits on it, those that have delivered nothing meanwhile are.
+// target are closed too, and so they are when none has delivered anything for
+// silentAfter while a request waits on one of them.
 //
 // A connection whose request was cancelled, or whose answer was not read to its
 // end, is closed and never reused, so that a late answer cannot be taken for the
