loop: Sleep of no time starts no timer

Cause: a goroutine of a bubble that selects a timer which is already due runs it in maybeRunChan; with the race detector on, that corrupts the detector's state (Go 1.26.8). Sleep made a timer for negative times too, here of -93 ms: the relay sleeps until the next read may start, which is often past.

Change: Sleep returns at once if the time is not positive, as its comment says. Elsewhere: no other timer in packages that use bubbles is set to no time before a select (renew waits a millisecond at least).

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -10,6 +10,9 @@
 
 // Sleep returns after d, or earlier if the context ends. It returns at once if d is not positive.
 func Sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,6 +22,25 @@
 	})
 }
 
+// TestSleepOfNoTimeUnderTheRaceDetector guards against a crash of the test process: a timer that is due when a
+// goroutine of a synctest bubble selects it corrupts the state of the race detector (Go 1.26).
+func TestSleepOfNoTimeUnderTheRaceDetector(t *testing.T) {
+	for range 200 {
+		synctest.Test(t, func(t *testing.T) {
+			var group sync.WaitGroup
+			for range 20 {
+				group.Go(func() {
+					for range 200 {
+						Sleep(t.Context(), -time.Second)
+					}
+					Sleep(t.Context(), time.Millisecond)
+				})
+			}
+			group.Wait()
+		})
+	}
+}
+
 func TestEvery(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithTimeout(t.Context(), 3500*time.Millisecond)
