front: the test of faulty answers tells the reason of a wrong status

The message now has the reason that the caller got and the number of requests at the server. The checks are the same.

--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -51,9 +51,9 @@
 		t.Run(name, func(t *testing.T) {
 			for _, path := range []string{"/unsafe/x", "/post/x"} {
 				server := startServer(t, answer, answerOK)
-				response, _, err := newSystem(t, server).call(t, "POST", path, "signed")
+				response, reason, err := newSystem(t, server).call(t, "POST", path, "signed")
 				assert.NilError(t, err)
-				assert.Equal(t, response.StatusCode, http.StatusBadGateway, path)
+				assert.Equal(t, response.StatusCode, http.StatusBadGateway, "%s: %q, requests at the server: %d", path, reason, len(server.seen()))
 				assert.Equal(t, len(server.seen()), 1, path)
 			}
 			for _, path := range []string{"/keyed/x", "/any/x"} {
