--- a/internal/edge/config_sharing_test.go
+++ b/internal/edge/config_sharing_test.go
@@ -1,9 +1,6 @@
 package edge
 
 import (
-	"net"
-	"net/http"
-	"net/rpc"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -11,22 +8,9 @@
 	"github.com/poplarcroft/poplarcroft/internal/assign"
 	"github.com/poplarcroft/poplarcroft/internal/eventlog"
 	"github.com/poplarcroft/poplarcroft/internal/follow"
-	"github.com/poplarcroft/poplarcroft/internal/peer"
 	"github.com/poplarcroft/poplarcroft/internal/routetable"
 )
 
-// serveRecords serves the given records to other hosts and returns the host that does.
-func serveRecords(t *testing.T, records *operatorRecords) assign.Host {
-	t.Helper()
-	calls := rpc.NewServer()
-	assert.NilError(t, calls.RegisterName(rpcName, &rpcService{records: records}))
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { listener.Close() })
-	go http.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { peer.ServeRPC(t.Context(), calls, w) }))
-	return assign.Host{Name: "leader", Incarnation: "1", Addr: listener.Addr().String()}
-}
-
 // sharing returns the configuration sharing of a host with the given configuration, or none if empty.
 func sharing(t *testing.T, version string) *configSharing {
 	t.Helper()
@@ -34,9 +18,9 @@
 	if version != "" {
 		records.apply(follow.Change{Records: []follow.Record{record("config", version)}})
 	}
-	p := &peers{pool: peer.NewPool((&net.Dialer{}).DialContext)}
-	t.Cleanup(p.pool.Close)
-	return &configSharing{self: assign.Host{Name: "h1", Incarnation: "1"}, records: records, peers: p, log: eventlog.Discard()}
+	return &configSharing{
+		self: assign.Host{Name: "h1", Incarnation: "1"}, records: records, peers: newTestPeers(t), log: eventlog.Discard(),
+	}
 }
 
 // TestOlderConfigurationWrittenAgainIsOverruled guards against hosts that stay apart after a restore of
@@ -45,7 +29,7 @@
 func TestOlderConfigurationWrittenAgainIsOverruled(t *testing.T) {
 	atLeader := newTestOperatorRecords()
 	atLeader.apply(follow.Change{Records: []follow.Record{record("config", "5")}, Snapshot: true})
-	leader := serveRecords(t, atLeader)
+	leader := assign.Host{Name: "leader", Incarnation: "1", Addr: serveRPC(t, &rpcService{records: atLeader})}
 	newer, older, none := sharing(t, "6"), sharing(t, "5"), sharing(t, "")
 
 	assert.NilError(t, newer.exchange(t.Context(), leader))
--- a/internal/edge/peers_test.go
+++ b/internal/edge/peers_test.go
@@ -32,6 +32,25 @@
 	}
 }
 
+// serveRPC serves the RPC methods of a host until the test ends, and returns the address.
+func serveRPC(t *testing.T, s *rpcService) string {
+	t.Helper()
+	calls := rpc.NewServer()
+	assert.NilError(t, calls.RegisterName(rpcName, s))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	go http.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { peer.ServeRPC(t.Context(), calls, w) }))
+	return listener.Addr().String()
+}
+
+// newTestPeers returns a client for calls to other hosts, which is closed at the end of the test.
+func newTestPeers(t *testing.T) *peers {
+	p := &peers{pool: peer.NewPool((&net.Dialer{}).DialContext)}
+	t.Cleanup(p.pool.Close)
+	return p
+}
+
 func TestHostThatReadsThePlanIsNotSentIt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newTestService()
@@ -67,15 +86,8 @@
 // TestPlanReachesAHostOverTheWire checks that a plan sent over RPC keeps its version and content.
 func TestPlanReachesAHostOverTheWire(t *testing.T) {
 	s := newTestService()
-	calls := rpc.NewServer()
-	assert.NilError(t, calls.RegisterName(rpcName, s))
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer listener.Close()
-	go http.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { peer.ServeRPC(t.Context(), calls, w) }))
-	p := &peers{pool: peer.NewPool((&net.Dialer{}).DialContext)}
-	defer p.pool.Close()
-	host := assign.Host{Name: "h1", Incarnation: "1", Addr: listener.Addr().String()}
+	p := newTestPeers(t)
+	host := assign.Host{Name: "h1", Incarnation: "1", Addr: serveRPC(t, s)}
 	plan := assign.Plan{Version: 7, Hosts: []assign.Host{host}}
 	assert.NilError(t, p.Adopt(context.Background(), host, plan))
 	assert.DeepEqual(t, s.current.Plan(), plan)
