poison: a request that has just succeeded did not cause a crash

Callers of a path that many others ask for too got refusals for two minutes after a rack had lost power. Cause: each server that ends under a request counts against it, and of one that many callers send, several are in flight on the servers that end at once; the successes just before were forgotten. Class: evidence against without the evidence for. Change: a success counts against the crashes of the next 3 s too, also when another host sends them; that host learns of it. Before: TestRequestOfManyCallersOutlivesARack failed (condemned, want clean); now it passes. TestClearedCrashesLeaveRoomForOthers adds its further crashes 3 s later: at the same instant as a success they no longer count, which is what this change is.

--- a/internal/poison/evidence.go
+++ b/internal/poison/evidence.go
@@ -64,7 +64,7 @@
 type crash struct {
 	// alone means that nothing else was in flight on the server.
 	alone bool
-	// cleared means that the request has since finished, so that it did not cause the crash.
+	// cleared means that the request has finished since, or shortly before, so that it did not cause the crash.
 	cleared bool
 	// imported means that all that is known of the crash comes from other hosts.
 	imported bool
@@ -100,6 +100,8 @@
 	requests map[Fingerprint]*evidence
 	// sequence numbers the changes, so that Export returns only newer ones.
 	sequence uint64
+	// successes holds the requests that this host has lately seen finish.
+	successes recentSuccesses
 	// onChange is called with each change of the number of crashes that count against a request.
 	onChange func(Change)
 }
@@ -131,8 +133,9 @@
 }
 
 // Clear records that a request has finished on a server, so that it caused none of the
-// crashes known so far.
+// crashes known so far, and none that follow within successWindow.
 func (s *EvidenceStore) Clear(now time.Time, f Fingerprint) {
+	s.successes.add(now, f, s.bounds.Requests)
 	e, ok := s.requests[f]
 	if !ok {
 		return
@@ -225,6 +228,10 @@
 	merged.imported = c.imported && imported
 	merged.alone = c.alone || record.Alone
 	merged.cleared = c.cleared || record.Cleared
+	if !merged.cleared && s.successes.before(merged.at, record.Fingerprint) {
+		// The other hosts must learn of it from this one.
+		merged.cleared, merged.imported = true, false
+	}
 	if !known || merged != c {
 		e.crashes[record.Death] = s.withNextSequence(merged)
 	}
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -7,7 +7,9 @@
 // cause. A request counts as poison and is blocked after a configured number of crashes
 // of different server incarnations, at least one of them while it ran alone. Another
 // number of crashes blocks it even if other requests ran beside it each time; where hosts
-// share the servers, none can know that a request ran alone.
+// share the servers, none can know that a request ran alone. A request that has finished shortly
+// before a crash did not cause it: of one that many callers send, several may be in flight on the
+// servers of a rack that loses power.
 //
 // Every attempt to send a request to a server asks a Guard first and reports its end to
 // it (packages route and front). A crash is often noticed only after the connections
@@ -96,7 +98,7 @@
 	Death Server `json:"death"`
 	// Alone means that the request ran alone on the server: nothing else was in flight.
 	Alone bool `json:"alone,omitempty"`
-	// Cleared means that the request has since finished on another server.
+	// Cleared means that the request has finished on another server, since the crash or shortly before it.
 	Cleared bool `json:"cleared,omitempty"`
 	// Age is the time since the crash, on the clock of the host that sent the record.
 	Age time.Duration `json:"age"`
