front: the caller's address is no part of a request's identity

Callers saw (Riga, Moravia): a request that crashed servers went on crashing them, 23 in 12 s; all other callers of the service got 502 and 503 for seconds, since up to all of its servers were down at once. Cause: the fingerprint under which crashes count held the address of the caller. The same request came from 20 addresses, and each had three crashes of its own. Class: an identity made of something that changes between repeats (as the service was). Ruled out: cleared evidence, late evidence. Change: contents and credentials identify a request. Credentials stay: where they make a request crash, those of others must not clear it, nor be stopped with it.

--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -262,7 +262,7 @@
 	} {
 		t.Run(strconv.Itoa(status), func(t *testing.T) {
 			s := newSystem(t, startServer(t, rawAnswer(status, "", "Location: /\r\n")))
-			r := &Request{Caller: "127.0.0.1", Method: "GET", Host: "a.example", Path: "/any/x"}
+			r := &Request{Method: "GET", Host: "a.example", Path: "/any/x"}
 			f := fingerprint(r, "4711")
 			s.ingress.config.Guard.Import([]poison.Record{{Fingerprint: f, Death: poison.Server{Incarnation: "gone"}}}, poison.OtherHost)
 			_, _, err := s.call(t, "GET", "/any/x", "")
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -18,6 +18,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -52,22 +53,30 @@
 	// Header holds the end-to-end headers only.
 	Header http.Header
 	Body   []byte
-	// Caller is the address at the other end of the connection, without its port. It is empty if
-	// another host forwards the request.
+	// Caller is the address at the other end of the connection, without its port, for the log. It is
+	// empty if another host forwards the request.
 	Caller string
-	// Fingerprint is the same whenever the caller repeats the request; the ID is not.
+	// Fingerprint is the same whenever the caller repeats the request, from any address; the ID is not.
 	Fingerprint poison.Fingerprint
 	// Arrived is when this host received the request. Deadline is when the caller stops waiting or
 	// the route's timeout ends, whichever is earlier.
 	Arrived, Deadline time.Duration
 }
 
-// fingerprint identifies the request by the caller's address and the request's contents. The
-// request ID is left out because a caller that repeats a request gives it a new one, and the service
-// because a route can lead to several.
+// credentialHeaders are the headers that say on whose behalf a request is made.
+var credentialHeaders = []string{"Authorization", "Cookie"}
+
+// fingerprint identifies the request by its contents and the caller's credentials. The request ID is
+// left out because a caller that repeats a request gives it a new one, the service because a route can
+// lead to several, and the caller's address because one caller can have several.
 func fingerprint(r *Request, key string) poison.Fingerprint {
+	identity := []string{key}
+	for _, name := range credentialHeaders {
+		identity = append(identity, r.Header.Values(name)...)
+		identity = append(identity, "")
+	}
 	return poison.FingerprintOf(poison.Request{
-		Key: key + "\x00" + r.Caller, Method: r.Method, Path: r.Host + "\x00" + r.Path, Body: r.Body,
+		Key: strings.Join(identity, "\x00"), Method: r.Method, Path: r.Host + "\x00" + r.Path, Body: r.Body,
 	})
 }
 
