--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -45,6 +45,8 @@
 	Timing grants.Timing
 	// Capacity is this host's share of a processor.
 	Capacity float64
+	// DialServer opens the connections to backend servers.
+	DialServer transport.DialFunc
 }
 
 const (
@@ -95,7 +97,6 @@
 	guard           *poison.Guard
 	evidence        *evidenceSharing
 	configSharing   *configSharing
-	dial            transport.DialFunc
 
 	// leaving says that the host is shutting down.
 	leaving atomic.Bool
@@ -105,13 +106,14 @@
 
 // New returns a host. Run starts it.
 func New(config Config, platform Platform, log *eventlog.Log) *Host {
-	h := &Host{config: config, platform: platform, log: log, dial: transport.Dialer("")}
+	h := &Host{config: config, platform: platform, log: log}
+	dialHost := transport.Dialer("")
 	h.self = assign.Host{
 		Name: config.Name, Incarnation: uuid.NewString(), Zone: config.Zone, Addr: config.PeerAddr, Capacity: config.Capacity,
 	}
 	h.current = assign.NewCurrent()
 	h.fleet = fleet.New(fleet.Options{Zone: config.Zone, Target: h.target})
-	h.peers = &peers{pool: peer.NewPool(peer.DialFunc(h.dial))}
+	h.peers = &peers{pool: peer.NewPool(peer.DialFunc(dialHost))}
 	h.relay = relay.New(relay.Config{
 		Hosts:            func() ([]relay.Host, int) { return relayOrder(h.current.Plan(), h.self) },
 		MustReadDirectly: func() bool { return h.leader.IsLeader() },
@@ -147,9 +149,9 @@
 	h.ingress = front.New(front.Config{
 		Self: config.Name,
 		Hosts: transport.NewPool(transport.Options{
-			Dial: h.dial, Connections: peerConnections, IdleTimeout: idleTimeout, RequestIDHeader: config.Headers.RequestID,
+			Dial: dialHost, Connections: peerConnections, IdleTimeout: idleTimeout, RequestIDHeader: config.Headers.RequestID,
 		}),
-		Headers: config.Headers, Fleet: h.fleet, Guard: h.guard, Dial: h.dial, Current: h.current, Table: h.operatorRecords.Table,
+		Headers: config.Headers, Fleet: h.fleet, Guard: h.guard, Dial: config.DialServer, Current: h.current, Table: h.operatorRecords.Table,
 		ColdRateLimit: h.coldRateLimit, OnFact: h.tellFact,
 		Budget: front.BudgetConfig{
 			Ratio: config.RetryRatio, Extra: config.RetryExtra, Window: config.RetryWindow, Hosts: h.hostCount,
@@ -183,7 +185,7 @@
 // target returns a new set of connections to the server at an address.
 func (h *Host) target(addr string) *transport.Target {
 	return transport.NewTarget(addr, transport.Options{
-		Dial:            h.dial,
+		Dial:            h.config.DialServer,
 		Connections:     h.connections(),
 		FreshFor:        freshFor,
 		IdleTimeout:     idleTimeout,
