front, reach: a host that reaches no server serves through another host

Cause: such a request had one way, from the host that the caller reached to a server. Class: each host takes what it sees from its own place for the state of the servers, and acts alone on it. Change: a Monitor (package reach) finds out whether this host reaches any server: a connection that fails, is slow or breaks makes it try servers of several zones twice; if none accepts a connection, the host is cut off until one does. It tells all other hosts, each second. A host that is cut off forwards requests without a key to one of its zone that is not, else to another zone's; that one forwards nothing. If it is cut off too it says so (not run), and the next is asked, at most twice. Requests count for the retry budget and the cold allowance of the host that sends. Weighed: a host that is cut off reports not ready (open connections stay, and with most of a zone cut off all are used); trying each server first and forwarding after failures (a silent cut costs each request a second).

--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -18,6 +18,7 @@
 	"github.com/poplarcroft/poplarcroft/internal/leader"
 	"github.com/poplarcroft/poplarcroft/internal/peer"
 	"github.com/poplarcroft/poplarcroft/internal/poison"
+	"github.com/poplarcroft/poplarcroft/internal/reach"
 	"github.com/poplarcroft/poplarcroft/internal/relay"
 	"github.com/poplarcroft/poplarcroft/internal/renew"
 	"github.com/poplarcroft/poplarcroft/internal/routetable"
@@ -97,6 +98,7 @@
 	guard           *poison.Guard
 	evidence        *evidenceSharing
 	configSharing   *configSharing
+	reach           *reachSharing
 
 	// leaving says that the host is shutting down.
 	leaving atomic.Bool
@@ -140,6 +142,11 @@
 	})
 	h.configSharing = &configSharing{self: h.self, plan: h.current.Plan, records: h.operatorRecords, peers: h.peers, log: log}
 	h.renewer = renew.New(h.self, h.current, platform.Granter(), config.Timing, clock.Monotonic, log)
+	h.reach = newReachSharing(h.self, h.current.Plan, h.peers, clock.Monotonic, log, wakeLeader)
+	h.reach.monitor = reach.New(reach.Config{
+		Zone: config.Zone, Dial: config.DialServer, Servers: func() []reach.Server { return reachableServers(h.fleet) },
+		OnChange: h.reach.wake, Clock: clock.Monotonic, Log: log,
+	})
 	h.leader = leader.New(leader.Config{
 		Self: h.self, Current: h.current, Store: h.state, Elector: platform.Elector(), Peers: h.peers,
 		Granter: platform.Granter(), Timing: config.Timing, Fleet: h.fleet,
@@ -151,7 +158,7 @@
 		Hosts: transport.NewPool(transport.Options{
 			Dial: dialHost, Connections: peerConnections, IdleTimeout: idleTimeout, RequestIDHeader: config.Headers.RequestID,
 		}),
-		Headers: config.Headers, Fleet: h.fleet, Guard: h.guard, Dial: config.DialServer, Current: h.current, Table: h.operatorRecords.Table,
+		Headers: config.Headers, Fleet: h.fleet, Guard: h.guard, Dial: config.DialServer, Reach: h.reach, Current: h.current, Table: h.operatorRecords.Table,
 		ColdRateLimit: h.coldRateLimit, OnFact: h.tellFact,
 		Budget: front.BudgetConfig{
 			Ratio: config.RetryRatio, Extra: config.RetryExtra, Window: config.RetryWindow, Hosts: h.hostCount,
@@ -185,7 +192,7 @@
 // target returns a new set of connections to the server at an address.
 func (h *Host) target(addr string) *transport.Target {
 	return transport.NewTarget(addr, transport.Options{
-		Dial:            h.config.DialServer,
+		Dial:            h.reach.monitor.DialContext,
 		Connections:     h.connections(),
 		FreshFor:        freshFor,
 		IdleTimeout:     idleTimeout,
@@ -227,6 +234,7 @@
 	for _, run := range []func(context.Context){
 		h.followOperatorRecords, h.followState, h.followServers, h.renewer.Run,
 		h.leader.RunElection, h.leader.Run, h.reportLoad, h.evidence.run, h.configSharing.run,
+		h.reach.monitor.Run, h.reach.run,
 	} {
 		loops.Go(func() { run(running) })
 	}
--- a/internal/edge/listen.go
+++ b/internal/edge/listen.go
@@ -54,7 +54,7 @@
 	rpcServer := rpc.NewServer()
 	err := rpcServer.RegisterName(rpcName, &rpcService{
 		self: h.self, current: h.current, renewer: h.renewer, leader: h.leader, guard: h.guard, fleet: h.fleet, relay: h.relay,
-		records: h.operatorRecords, log: h.log,
+		records: h.operatorRecords, reach: h.reach, log: h.log,
 	})
 	if err != nil {
 		panic(errors.NewAssertionErrorWithWrappedErrf(err, "register RPC methods"))
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -108,6 +108,7 @@
 	fleet   *fleet.Fleet
 	relay   *relay.Relay
 	records *operatorRecords
+	reach   *reachSharing
 	log     *eventlog.Log
 }
 
--- /dev/null
+++ b/internal/edge/reach.go
@@ -0,0 +1,162 @@
+package edge
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/poplarcroft/poplarcroft/internal/assign"
+	"github.com/poplarcroft/poplarcroft/internal/eventlog"
+	"github.com/poplarcroft/poplarcroft/internal/fleet"
+	"github.com/poplarcroft/poplarcroft/internal/reach"
+)
+
+const (
+	// reachInterval is the time between two messages of a host that is cut off from all servers.
+	reachInterval = time.Second
+	// cutOffFor is how long such a message holds.
+	cutOffFor = 2500 * time.Millisecond
+)
+
+// ReachArgs says whether a host is cut off from all servers.
+type ReachArgs struct {
+	// Host and Incarnation identify the host. Number orders its messages.
+	Host, Incarnation string
+	Number            uint64
+	CutOff            bool
+}
+
+// reachSharing makes known to all hosts which ones are cut off from all servers. It is safe for concurrent use.
+type reachSharing struct {
+	self    assign.Host
+	monitor *reach.Monitor
+	plan    func() assign.Plan
+	peers   *peers
+	clock   func() time.Duration
+	log     *eventlog.Log
+	// onChange is called when it becomes known that a host is cut off, or no longer is.
+	onChange func()
+	// changed gets a value when this host is found to be cut off, or no longer is.
+	changed chan struct{}
+
+	mu sync.Mutex
+	// number is that of this host's last message.
+	number uint64
+	// others holds the last message of each other host, by name.
+	others map[string]receivedReach
+}
+
+// receivedReach is a message and the time until which it holds.
+type receivedReach struct {
+	ReachArgs
+	until time.Duration
+}
+
+func newReachSharing(self assign.Host, plan func() assign.Plan, p *peers, clock func() time.Duration, log *eventlog.Log, onChange func()) *reachSharing {
+	return &reachSharing{
+		self: self, plan: plan, peers: p, clock: clock, log: log, onChange: onChange,
+		changed: make(chan struct{}, 1), others: make(map[string]receivedReach),
+	}
+}
+
+// reachableServers returns all servers of a fleet.
+func reachableServers(f *fleet.Fleet) []reach.Server {
+	var servers []reach.Server
+	for _, service := range f.Services() {
+		for _, server := range f.Servers(service) {
+			entry := server.Entry()
+			servers = append(servers, reach.Server{Addr: entry.Addr, Zone: entry.Zone})
+		}
+	}
+	return servers
+}
+
+// CutOff implements front.Reach.
+func (r *reachSharing) CutOff(host string) bool {
+	if host == r.self.Name {
+		return r.monitor.CutOff()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	last, ok := r.others[host]
+	return ok && last.CutOff && r.clock() < last.until
+}
+
+// Suspect implements front.Reach.
+func (r *reachSharing) Suspect() {
+	r.monitor.Suspect()
+}
+
+// wake makes the loop tell the other hosts of a change.
+func (r *reachSharing) wake() {
+	r.onChange()
+	select {
+	case r.changed <- struct{}{}:
+	default:
+	}
+}
+
+// run tells the other hosts of each change, and again while this host is cut off.
+func (r *reachSharing) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		var again <-chan time.Time
+		if r.monitor.CutOff() {
+			again = time.After(reachInterval)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.changed:
+		case <-again:
+		}
+		r.tellAll(ctx)
+	}
+}
+
+// tellAll sends one message to each other host.
+func (r *reachSharing) tellAll(ctx context.Context) {
+	r.mu.Lock()
+	r.number++
+	args := ReachArgs{Host: r.self.Name, Incarnation: r.self.Incarnation, Number: r.number, CutOff: r.monitor.CutOff()}
+	r.mu.Unlock()
+	for _, host := range r.plan().Hosts {
+		if host.SameIncarnation(r.self) || host.Retired {
+			continue
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+			defer cancel()
+			if err := r.peers.reach(ctx, host, args); err != nil {
+				r.log.Routine("reach", "to", host.Name, "outcome", "not sent", "cut_off", args.CutOff, "err", err.Error())
+			}
+		}()
+	}
+}
+
+// receive takes a message of another host.
+func (r *reachSharing) receive(args ReachArgs) {
+	before := r.CutOff(args.Host)
+	r.mu.Lock()
+	last := r.others[args.Host]
+	if last.Incarnation == args.Incarnation && args.Number < last.Number {
+		r.mu.Unlock()
+		return
+	}
+	r.others[args.Host] = receivedReach{args, r.clock() + cutOffFor}
+	r.mu.Unlock()
+	if before != args.CutOff {
+		r.log.Event("reach", "host", args.Host, "cut_off", args.CutOff)
+		r.onChange()
+	}
+}
+
+// Reach takes another host's message of whether it reaches servers.
+func (s *rpcService) Reach(args ReachArgs, _ *Empty) error {
+	s.reach.receive(args)
+	return nil
+}
+
+// reach tells a host whether this one reaches servers.
+func (p *peers) reach(ctx context.Context, host assign.Host, args ReachArgs) error {
+	return p.pool.Call(ctx, host.Addr, rpcName+".Reach", args, &Empty{})
+}
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -123,6 +123,7 @@
 		Idempotent: r.Route.Idempotent,
 	})
 	if result.Sent == transport.Answered {
+		in.answeredAt.Store(int64(in.clock()))
 		in.readFacts(r, server, result.Response.StatusCode, result.Response.Header, started)
 	}
 	a := in.interpret(r, result)
@@ -131,6 +132,9 @@
 	if ending == poison.Broken {
 		go in.probes.probe(server)
 	}
+	if ending == poison.Broken || ending == poison.TimedOut && time.Duration(in.answeredAt.Load()) < started {
+		in.config.Reach.Suspect()
+	}
 	now := in.clock()
 	if a.outcome == attemptAnswered || a.outcome == attemptFailed {
 		a.took = now - started
--- a/internal/front/fixture_test.go
+++ b/internal/front/fixture_test.go
@@ -123,9 +123,35 @@
 	answerShed = rawAnswer(503, "", "X-Not-Run: 1\r\n")
 )
 
+// fakeReach says that some hosts, by name, reach no server.
+type fakeReach struct {
+	mu     sync.Mutex
+	cutOff map[string]bool
+}
+
+func (r *fakeReach) set(host string, cutOff bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cutOff == nil {
+		r.cutOff = make(map[string]bool)
+	}
+	r.cutOff[host] = cutOff
+}
+
+// CutOff implements Reach.
+func (r *fakeReach) CutOff(host string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cutOff[host]
+}
+
+// Suspect implements Reach.
+func (r *fakeReach) Suspect() {}
+
 // system is an Ingress with servers behind it and an HTTP server for callers in front.
 type system struct {
 	ingress *Ingress
+	reach   *fakeReach
 	fleet   *fleet.Fleet
 	current *assign.Current
 	callers *httptest.Server
@@ -139,7 +165,7 @@
 // service without keys, which all servers run.
 func newSystem(t *testing.T, servers ...*backendServer) *system {
 	t.Helper()
-	s := &system{current: assign.NewCurrent(), timeoutMS: "20000"}
+	s := &system{current: assign.NewCurrent(), timeoutMS: "20000", reach: &fakeReach{}}
 	dial := transport.Dialer("")
 	s.fleet = fleet.New(fleet.Options{Zone: "zlin", RandIntN: func(int) int { return 0 }, Target: func(addr string) *transport.Target {
 		return transport.NewTarget(addr, transport.Options{
@@ -175,7 +201,7 @@
 		Hosts: transport.NewPool(transport.Options{Dial: dial, Connections: 8, RequestIDHeader: testHeaders.RequestID}),
 		Guard: poison.NewGuard(poison.Bounds{CrashLimit: 3, SharedCrashLimit: 3, Retention: time.Minute}), Dial: dial,
 		Table: func() *routetable.Table { return table }, ColdRateLimit: func(routetable.Service) float64 { return 10 },
-		OnFact: func(fleet.Entry, Fact) {},
+		OnFact: func(fleet.Entry, Fact) {}, Reach: s.reach,
 		Budget: BudgetConfig{Ratio: 0.2, Extra: 60, Window: 10 * time.Second, Hosts: func() int { return 1 }},
 		Clock:  clock.Monotonic, Log: eventlog.Discard(),
 	})
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -27,18 +27,18 @@
 )
 
 // reasonLeaving is the reason with which a host that shuts down refuses forwarded requests. The
-// forwarding host compares the text, so hosts of all versions must agree on it.
+// forwarding host compares this text and reasonCutOff, so hosts of all versions must agree on them.
 const reasonLeaving = "host is leaving"
 
-// forward sends a request to the primary of its server. It returns false if the result is not
-// final, so that this host may send the request again: the primary did not execute the request,
-// or its answer was lost and the request is idempotent.
-func (in *Ingress) forward(ctx context.Context, r *Request, primary assign.Host) (Result, bool) {
+// forward sends a request to another host, such as the primary of its server. It returns false if the
+// result is not final, so that this host may send the request again: the other host did not execute the
+// request, or its answer was lost and the request is idempotent.
+func (in *Ingress) forward(ctx context.Context, r *Request, to assign.Host) (Result, bool) {
 	left := r.Deadline - in.clock()
 	header := r.Header.Clone()
 	header.Set(in.headers.DeadlineMS, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
 	header.Set(HeaderForward, encodeForward(r, in.clock()))
-	sent := in.config.Hosts.Target(primary.Addr).Send(ctx, transport.Request{
+	sent := in.config.Hosts.Target(to.Addr).Send(ctx, transport.Request{
 		Method:     r.Method,
 		Path:       r.Path,
 		Host:       r.Host,
@@ -47,30 +47,30 @@
 		Idempotent: r.Route.Idempotent,
 	})
 	if sent.Sent == transport.NotSent {
-		in.forwardFailed(ctx, r, primary, sent.Sent.String(), errorText(sent.Err))
+		in.forwardFailed(ctx, r, to, sent.Sent.String(), errorText(sent.Err))
 		return Result{}, false
 	}
 	answer, err := completeAnswer(sent)
 	if err != nil {
-		in.forwardFailed(ctx, r, primary, "lost", err.Error())
+		in.forwardFailed(ctx, r, to, "lost", err.Error())
 		return unknown(reasonAnswerLost), !r.Route.Idempotent
 	}
 	result := decodeForwardResult(answer)
-	if result.Reason == reasonLeaving {
-		in.forwardFailed(ctx, r, primary, "refused", reasonLeaving)
+	if result.Kind == NotRun && (result.Reason == reasonLeaving || result.Reason == reasonCutOff) {
+		in.forwardFailed(ctx, r, to, "refused", result.Reason)
 		return Result{}, false
 	}
 	return result, true
 }
 
-// forwardFailed avoids the primary for a while and logs why, unless the failure is due to the
+// forwardFailed avoids the host for a while and logs why, unless the failure is due to the
 // request's own context having ended.
-func (in *Ingress) forwardFailed(ctx context.Context, r *Request, primary assign.Host, outcome, detail string) {
+func (in *Ingress) forwardFailed(ctx context.Context, r *Request, to assign.Host, outcome, detail string) {
 	if ctx.Err() != nil {
 		return
 	}
-	in.primaries.markUnreachable(primary)
-	in.log.Event("hop", "id", r.ID, "lead", primary.Name, "outcome", outcome, "detail", detail)
+	in.primaries.markUnreachable(to)
+	in.log.Event("hop", "id", r.ID, "lead", to.Name, "outcome", outcome, "detail", detail)
 }
 
 // The fields of HeaderForward, in order. Their names are not sent, which saves
@@ -82,14 +82,20 @@
 	forwardGoal
 	forwardAttempts
 	forwardPriority
-	forwardIdempotent
+	forwardFlags
 	forwardFields
 )
 
+// The flags in the field forwardFlags.
+const (
+	flagIdempotent = "1"
+	flagKeyless    = "n"
+)
+
 // forwardSeparator separates the fields. Escaped fields don't contain it.
 const forwardSeparator = "&"
 
-// encodeForward returns the value of HeaderForward. It carries what the primary may not know
+// encodeForward returns the value of HeaderForward. It carries what the other host may not know
 // because its configuration can be another version: the chosen service, whether the request may be
 // retried and how often, and the time left until the latency goal, in milliseconds. The time is
 // relative because the hosts' monotonic clocks can't be compared.
@@ -102,7 +108,10 @@
 	fields[forwardAttempts] = strconv.Itoa(r.Route.Attempts)
 	fields[forwardPriority] = strconv.Itoa(r.Route.Priority)
 	if r.Route.Idempotent {
-		fields[forwardIdempotent] = "1"
+		fields[forwardFlags] += flagIdempotent
+	}
+	if !r.Service.Keyed {
+		fields[forwardFlags] += flagKeyless
 	}
 	return strings.Join(fields, forwardSeparator)
 }
@@ -113,8 +122,8 @@
 	if len(fields) != forwardFields {
 		return nil, errors.Newf("forward header has %d fields, want %d", len(fields), forwardFields)
 	}
-	r := &Request{Route: &routetable.Route{Idempotent: fields[forwardIdempotent] != ""}, Arrived: now}
-	r.Service.Keyed = true
+	r := &Request{Route: &routetable.Route{Idempotent: strings.Contains(fields[forwardFlags], flagIdempotent)}, Arrived: now}
+	r.Service.Keyed = !strings.Contains(fields[forwardFlags], flagKeyless)
 	var err error
 	if r.Route.Name, err = url.QueryUnescape(fields[forwardRoute]); err != nil {
 		return nil, errors.Wrap(err, "forward header: route")
@@ -152,8 +161,9 @@
 	return decoded, nil
 }
 
-// ServeForwarded handles a request that another host forwards to this one, the primary of the
-// request's server. It replies with the server's answer, or with headerResult.
+// ServeForwarded handles a request that another host forwards to this one: the primary of the
+// request's server, or a host that reaches servers when the other one does not. It forwards nothing
+// itself. It replies with the server's answer, or with headerResult.
 func (in *Ingress) ServeForwarded(w http.ResponseWriter, hr *http.Request) {
 	now := in.clock()
 	w.Header().Set(in.headers.RequestID, hr.Header.Get(in.headers.RequestID))
@@ -171,7 +181,11 @@
 	}
 	ctx, cancel := in.contextOf(hr, r)
 	defer cancel()
-	result := in.sendKeyed(ctx, r)
+	send := in.sendKeyless
+	if r.Service.Keyed {
+		send = in.sendKeyed
+	}
+	result := send(ctx, r)
 	in.recordResult(r, result, 0)
 	if result.Kind == Done {
 		writeAnswer(w, result.Answer)
@@ -187,15 +201,19 @@
 	if err != nil {
 		return nil, err
 	}
+	keyed := r.Service.Keyed
 	if table := in.config.Table(); table != nil {
 		if service, ok := table.Services[r.Service.Name]; ok {
 			r.Service = service
 		}
 	}
+	r.Service.Keyed = keyed
 	r.ID = hr.Header.Get(in.headers.RequestID)
 	r.Method, r.Path, r.Host = hr.Method, hr.RequestURI, hr.Host
-	if r.Key, err = parseKey(hr.Header.Get(in.headers.Key)); err != nil {
-		return nil, err
+	if keyed {
+		if r.Key, err = parseKey(hr.Header.Get(in.headers.Key)); err != nil {
+			return nil, err
+		}
 	}
 	if r.Body, err = readBody(hr, 0); err != nil {
 		return nil, err
--- a/internal/front/forward_test.go
+++ b/internal/front/forward_test.go
@@ -15,7 +15,7 @@
 	return &Request{
 		Fingerprint: poison.FingerprintOf(poison.Request{Method: "GET"}),
 		Route:       &routetable.Route{Name: "r&1 x", Idempotent: true, Goal: 500 * time.Millisecond, Attempts: 3, Priority: 2},
-		Service:     routetable.Service{Name: "revize=ü"},
+		Service:     routetable.Service{Name: "revize=ü", Keyed: true},
 		Arrived:     time.Second,
 	}
 }
@@ -33,6 +33,15 @@
 	assert.DeepEqual(t, *got.Route, want)
 }
 
+func TestForwardOfARequestWithoutAKey(t *testing.T) {
+	sent := forwardedRequest()
+	sent.Service.Keyed = false
+	got, err := decodeForward(encodeForward(sent, 0), 0)
+	assert.NilError(t, err)
+	assert.Assert(t, !got.Service.Keyed)
+	assert.Assert(t, got.Route.Idempotent)
+}
+
 func TestForwardOfARequestPastItsGoal(t *testing.T) {
 	got, err := decodeForward(encodeForward(forwardedRequest(), 3*time.Second), 0)
 	assert.NilError(t, err)
--- a/internal/front/ingress.go
+++ b/internal/front/ingress.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,6 +19,14 @@
 	"github.com/poplarcroft/poplarcroft/internal/transport"
 )
 
+// Reach tells which hosts reach backend servers.
+type Reach interface {
+	// CutOff reports whether the host with the name is known to reach no server at all.
+	CutOff(host string) bool
+	// Suspect is called after an attempt that got no answer. It must not block.
+	Suspect()
+}
+
 // Config holds the dependencies and settings of an Ingress.
 type Config struct {
 	Headers Headers
@@ -31,6 +40,8 @@
 	// server has crashed.
 	Guard *poison.Guard
 	Dial  transport.DialFunc
+	// Reach tells which hosts reach servers.
+	Reach Reach
 	// Table returns the configuration in force, or nil if none has been received yet.
 	Table func() *routetable.Table
 	// ColdRateLimit returns the maximum number of requests per second, from all hosts together,
@@ -60,6 +71,8 @@
 	primaries *primaries
 	gates     admissionGates
 	probes    *probes
+	// answeredAt is the clock's reading when a server last answered an attempt.
+	answeredAt atomic.Int64
 	// Counters are published on the metrics endpoint.
 	Counters Counters
 
@@ -77,7 +90,7 @@
 		clock:     config.Clock,
 		log:       config.Log,
 		budgets:   budgets{config: config.Budget},
-		primaries: newPrimaries(config.Self, config.Clock),
+		primaries: newPrimaries(config.Self, config.Reach, config.Clock),
 		gates:     admissionGates{clock: config.Clock},
 		probes:    newProbes(config),
 	}
@@ -208,10 +221,14 @@
 	if r.Service.Keyed {
 		return in.serveKeyed(ctx, r)
 	}
-	in.budgets.recordRequest(r.Service.Name, in.clock())
 	return in.serveKeyless(ctx, r)
 }
 
+// cutOff reports whether this host reaches no server, so that requests have to go through another host.
+func (in *Ingress) cutOff() bool {
+	return in.config.Reach.CutOff(in.config.Self)
+}
+
 // allowance returns how many requests per second this host may send to a cold server of the
 // request's service.
 func (in *Ingress) allowance(r *Request) fleet.Allowance {
--- a/internal/front/keyless.go
+++ b/internal/front/keyless.go
@@ -20,12 +20,38 @@
 	last Result
 }
 
-// serveKeyless sends a request to any server of its service. It retries on other servers while
+// serveKeyless sends a request to any server of its service, through another host if this one reaches
+// no server.
+func (in *Ingress) serveKeyless(ctx context.Context, r *Request) Result {
+	result := in.sendKeyless(ctx, r)
+	for range maxForwards {
+		if result.Kind != NotRun || result.Reason != reasonCutOff {
+			break
+		}
+		helper, ok := in.primaries.helper(in.config.Current.Plan())
+		if !ok {
+			break
+		}
+		forwarded, final := in.forward(ctx, r, helper)
+		if final || forwarded.Kind == Unknown {
+			return forwarded
+		}
+	}
+	return result
+}
+
+// sendKeyless sends a request to any server of its service. It retries on other servers while
 // the deadline, the retry budget and the route's number of attempts allow. Requests that are not
 // idempotent are only retried while no server may have executed them.
-func (in *Ingress) serveKeyless(ctx context.Context, r *Request) Result {
+func (in *Ingress) sendKeyless(ctx context.Context, r *Request) Result {
 	k := &keylessRequest{last: notRun(reasonNoServer, defaultRetryAfter)}
+	if !in.cutOff() {
+		in.budgets.recordRequest(r.Service.Name, in.clock())
+	}
 	for ctx.Err() == nil {
+		if in.cutOff() {
+			return k.finalResult(notRun(reasonCutOff, defaultRetryAfter))
+		}
 		now := in.clock()
 		server, ok := in.fleet.Choose(r.Service.Name, k.excluded, in.sharedWithHosts, now)
 		if !ok {
--- a/internal/front/primary.go
+++ b/internal/front/primary.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -16,6 +17,7 @@
 // primaries is safe for concurrent use.
 type primaries struct {
 	self  string
+	reach Reach
 	clock func() time.Duration
 
 	mu sync.Mutex
@@ -24,8 +26,8 @@
 	unreachableUntil map[string]time.Duration
 }
 
-func newPrimaries(self string, clock func() time.Duration) *primaries {
-	return &primaries{self: self, clock: clock, unreachableUntil: make(map[string]time.Duration)}
+func newPrimaries(self string, reach Reach, clock func() time.Duration) *primaries {
+	return &primaries{self: self, reach: reach, clock: clock, unreachableUntil: make(map[string]time.Duration)}
 }
 
 // get returns the primary of a server. It returns false if the server's zone has no reachable host.
@@ -40,6 +42,36 @@
 	return candidates[0], true
 }
 
+// helper returns another host through which this one may send requests while it reaches no server itself:
+// one of its own zone, drawn at random, or else of another zone. It returns false if there is none.
+func (p *primaries) helper(plan assign.Plan) (assign.Host, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock()
+	zone := ""
+	for _, host := range plan.Hosts {
+		if host.Name == p.self {
+			zone = host.Zone
+		}
+	}
+	var near, far []assign.Host
+	for _, host := range plan.Hosts {
+		switch {
+		case host.Name == p.self, host.Retired, now < p.unreachableUntil[host.Name], p.reach.CutOff(host.Name):
+		case host.Zone == zone:
+			near = append(near, host)
+		default:
+			far = append(far, host)
+		}
+	}
+	for _, hosts := range [][]assign.Host{near, far} {
+		if len(hosts) > 0 {
+			return hosts[rand.IntN(len(hosts))], true
+		}
+	}
+	return assign.Host{}, false
+}
+
 // markUnreachable records that a host could not be reached.
 func (p *primaries) markUnreachable(host assign.Host) {
 	p.mu.Lock()
--- a/internal/front/result.go
+++ b/internal/front/result.go
@@ -63,6 +63,7 @@
 	reasonCold        = "server is cold"
 	reasonLimited     = "server takes no more requests now"
 	reasonUnreachable = "server is unreachable"
+	reasonCutOff      = "host reaches no server"
 	reasonAnswerLost  = "the answer was lost"
 	reasonBudget      = "no retry is left"
 	reasonPoison      = "servers crash that run this request"
