front: a primary that reaches no server is passed over

Cause: a primary that could not reach its server answered "unreachable", and the forwarding host passed this on as the last word; a host that was itself primary had nobody else to ask. Change: hosts that are known to be cut off are no primaries; if all of a zone are, the first of all zones is, the same for every host, so that a server still has one queue. A host that finds out while it sends says so, and the next one is asked. Weighed: every host sends by itself then (full servers reset connections: several queues for one server).

--- a/internal/assign/plan.go
+++ b/internal/assign/plan.go
@@ -201,9 +201,14 @@
 // order of preference. The order comes from rendezvous hashing, so the loss of a host changes the
 // first choice only of the servers for which that host was first.
 func (p Plan) RankedHosts(server Server, eligible func(Host) bool) []Host {
+	return p.RankedInAllZones(server, func(host Host) bool { return host.Zone == server.Zone && eligible(host) })
+}
+
+// RankedInAllZones is RankedHosts for the hosts of all zones.
+func (p Plan) RankedInAllZones(server Server, eligible func(Host) bool) []Host {
 	var ranked []Host
 	for _, host := range p.Hosts {
-		if host.Zone == server.Zone && !host.Retired && eligible(host) {
+		if !host.Retired && eligible(host) {
 			ranked = append(ranked, host)
 		}
 	}
--- a/internal/front/cut_off_test.go
+++ b/internal/front/cut_off_test.go
@@ -25,9 +25,9 @@
 }
 
 // TestCutOffHostServesThroughAnother is a regression test (RECOVER on Riga): a host that reached no server refused all
-// requests without a key, though other hosts reached servers.
+// requests that were for it to send, though other hosts reached servers.
 func TestCutOffHostServesThroughAnother(t *testing.T) {
-	for _, path := range []string{"/any/x", "/post/x"} {
+	for _, path := range []string{"/any/x", "/post/x", "/keyed/x", "/unsafe/x"} {
 		t.Run(path, func(t *testing.T) {
 			s, _, _, server := cutOffSystem(t)
 			for range 3 {
@@ -44,7 +44,7 @@
 
 // TestCutOffHostRefusesAtOnceWithoutAnother checks that a request is refused, and not run, if all hosts are cut off.
 func TestCutOffHostRefusesAtOnceWithoutAnother(t *testing.T) {
-	for _, path := range []string{"/any/x", "/post/x"} {
+	for _, path := range []string{"/any/x", "/post/x", "/keyed/x", "/unsafe/x"} {
 		s, _, serving, server := cutOffSystem(t)
 		serving.reach.set("h1", true)
 		response, body, err := s.call(t, "POST", path, "signed")
@@ -55,3 +55,24 @@
 		assert.Equal(t, len(server.seen()), 0)
 	}
 }
+
+// TestPrimaryThatIsCutOffIsAvoided is a regression test (RECOVER on Riga): a primary that reached no server refused the
+// requests of all hosts for its server's keys. Now another host of the zone, or of any zone if there is none, is the primary.
+func TestPrimaryThatIsCutOffIsAvoided(t *testing.T) {
+	server := startServer(t, answerOK)
+	s, primary := newSystem(t, server), newSystem(t, server)
+	primary.reach.set("h1", true)
+	other := assign.Host{Name: "h3", Zone: "brno", Addr: servePeers(t, newSystem(t, server).ingress)}
+	s.assignAllKeys("revize-0", server.addr, 2, assign.Host{Name: "h2", Zone: "zlin", Addr: servePeers(t, primary.ingress)}, other)
+	response, _, err := s.call(t, "POST", "/unsafe/x", "signed")
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusOK, "the primary says that it is cut off")
+	s.reach.set("h2", true)
+	owner := assign.Server{ID: "revize-0", Addr: server.addr, Zone: "zlin", Born: 1}
+	got, ok := s.ingress.primaries.get(s.current.Plan(), owner)
+	assert.Assert(t, ok)
+	assert.Equal(t, got.Name, other.Name, "all hosts of the zone are known to be cut off")
+	s.reach.set("h3", true)
+	_, ok = s.ingress.primaries.get(s.current.Plan(), owner)
+	assert.Assert(t, !ok, "all hosts are cut off")
+}
--- a/internal/front/keyed.go
+++ b/internal/front/keyed.go
@@ -40,27 +40,44 @@
 func (in *Ingress) serveKeyed(ctx context.Context, r *Request) Result {
 	mayHaveExecuted := false
 	for range maxForwards {
-		plan := in.config.Current.Plan()
-		assignment, found := plan.Lookup(r.Service.Name, r.Key)
-		if !found || assignment.Phase != assign.Held {
+		to, ok := in.forwardTarget(r)
+		if !ok {
 			break
 		}
-		primary, ok := in.primaries.get(plan, assignment.Server)
-		if !ok || primary.Name == in.config.Self {
-			break
-		}
-		result, final := in.forward(ctx, r, primary)
+		result, final := in.forward(ctx, r, to)
 		if final {
 			return unknownIfExecuted(result, mayHaveExecuted)
 		}
 		mayHaveExecuted = mayHaveExecuted || result.Kind == Unknown
 	}
-	return unknownIfExecuted(in.sendKeyed(ctx, r), mayHaveExecuted)
+	result := in.sendKeyed(ctx, r)
+	if to, ok := in.forwardTarget(r); ok && result.Kind == NotRun && result.Reason == reasonCutOff {
+		// This host has found out only now that it reaches no server.
+		if forwarded, final := in.forward(ctx, r, to); final || forwarded.Kind == Unknown {
+			result = forwarded
+		}
+	}
+	return unknownIfExecuted(result, mayHaveExecuted)
+}
+
+// forwardTarget returns the host through which a request for a key has to go, and false if this host
+// should send it to the server itself.
+func (in *Ingress) forwardTarget(r *Request) (assign.Host, bool) {
+	plan := in.config.Current.Plan()
+	assignment, found := plan.Lookup(r.Service.Name, r.Key)
+	if !found || assignment.Phase != assign.Held {
+		return assign.Host{}, false
+	}
+	primary, ok := in.primaries.get(plan, assignment.Server)
+	return primary, ok && primary.Name != in.config.Self
 }
 
 // sendKeyed sends a request to the server that owns its key, and retries while that may help.
 // While the key has no owner, as during a handover, the request waits.
 func (in *Ingress) sendKeyed(ctx context.Context, r *Request) Result {
+	if in.cutOff() {
+		return notRun(reasonCutOff, defaultRetryAfter)
+	}
 	in.budgets.recordRequest(r.Service.Name, in.clock())
 	in.keyRates.add(r.Service.Name, r.Key, in.clock())
 	k := &keyedRequest{ingress: in, r: r}
@@ -85,6 +102,9 @@
 // attemptOnce looks up the owner of the key and makes one attempt at it. It returns true if
 // another call may help.
 func (k *keyedRequest) attemptOnce(ctx context.Context) (Result, bool) {
+	if k.ingress.cutOff() {
+		return notRun(reasonCutOff, defaultRetryAfter), false
+	}
 	plan, changed := k.ingress.config.Current.Watch()
 	assignment, found := plan.Lookup(k.r.Service.Name, k.r.Key)
 	if !found || assignment.Phase != assign.Held {
--- a/internal/front/primary.go
+++ b/internal/front/primary.go
@@ -13,7 +13,8 @@
 
 // primaries finds the primary of each server that owns keys: the host through which all requests
 // for the server go, so that one host knows how many the server has. Log lines call it "lead". The
-// primary is in the server's zone, so that a forwarded request crosses zones at most once.
+// primary is in the server's zone, so that a forwarded request crosses zones at most once, unless no host
+// of that zone reaches a server.
 // primaries is safe for concurrent use.
 type primaries struct {
 	self  string
@@ -30,12 +31,23 @@
 	return &primaries{self: self, reach: reach, clock: clock, unreachableUntil: make(map[string]time.Duration)}
 }
 
-// get returns the primary of a server. It returns false if the server's zone has no reachable host.
+// get returns the primary of a server: the first host in its zone that can be reached and reaches servers.
+// If the hosts of the zone reach no server, it is the first such host of all zones. It returns false if
+// there is none, and if the zone has none that can be reached.
 func (p *primaries) get(plan assign.Plan, server assign.Server) (assign.Host, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock()
-	candidates := plan.RankedHosts(server, func(host assign.Host) bool { return now >= p.unreachableUntil[host.Name] })
+	zoneIsCutOff := false
+	usable := func(host assign.Host) bool {
+		cutOff := p.reach.CutOff(host.Name)
+		zoneIsCutOff = zoneIsCutOff || cutOff
+		return !cutOff && now >= p.unreachableUntil[host.Name]
+	}
+	candidates := plan.RankedHosts(server, usable)
+	if len(candidates) == 0 && zoneIsCutOff {
+		candidates = plan.RankedInAllZones(server, usable)
+	}
 	if len(candidates) == 0 {
 		return assign.Host{}, false
 	}
