assign, leader: grants are renewed by hosts that reach servers

Requests for the keys of a zone's servers failed everywhere after 4 s while the renewers of the zone were cut off (RECOVER on Riga). Cause: the first three hosts of a server's zone renew its grants; others do only if the zone has no host at all. Three that reach no server renew nothing, and report their grants as lost, which costs a new fence each second and gives it to the same three. Change: the plan marks hosts that reach no server; they renew nothing. If a zone has no other, the leader renews, or, if it is cut off too, a host that the plan allows to renew in all zones (as former leaders are). Ranges that get another renewer get a new fence, since a host renews no grant whose server it has not heard from since it was issued. What hosts that are cut off report as lost does not count. If all are cut off, the servers are down, and nobody is marked. Safe: a release waits for the hosts of the zone and all that may renew everywhere, and Renewers names no other (TestSomeHostRenewsWhileOthersAreCutOff). TestOneOwnerWhileHostsAreCutOff has hosts that are cut off, unnoticed, or believed to be by mistake, among the faults.

--- a/internal/assign/plan.go
+++ b/internal/assign/plan.go
@@ -64,8 +64,11 @@
 	// Era is the number of the era of the log in which this incarnation registered last. A restored
 	// log may bring back the registration of an older incarnation, which is of an older era.
 	Era uint64 `json:"era,omitempty"`
-	// Led is set if this incarnation has been leader and may therefore have renewed grants in all zones.
+	// Led is set if this incarnation may have renewed grants in all zones, since it has been leader or
+	// has stood in for one that was cut off.
 	Led bool `json:"led,omitempty"`
+	// CutOff is set while the host reaches no server. It renews no grants then, but may have done so before.
+	CutOff bool `json:"cut_off,omitempty"`
 	// Capacity is the CPU capacity of the host, in cores. Larger hosts are preferred as relays.
 	Capacity float64 `json:"capacity,omitempty"`
 	// Retired is set if the host may no longer renew grants. A retired host stays listed until
@@ -169,7 +172,7 @@
 }
 
 // PossibleRenewers returns the hosts that may have renewed grants of servers in the zone: the
-// hosts of the zone, and all hosts that have been leader.
+// hosts of the zone, and all hosts that may have renewed in all zones.
 func (p Plan) PossibleRenewers(zone string) []Host {
 	var renewers []Host
 	for _, host := range p.Hosts {
@@ -183,18 +186,27 @@
 // renewersPerServer is the number of hosts that renew the grants of one server.
 const renewersPerServer = 3
 
-// ShouldRenew reports whether the host is one of those that renew the grant of the assignment:
-// the first renewersPerServer hosts of the server's zone, or the leader if the zone has no host
-// that may renew it.
+// ShouldRenew reports whether the host is one of the Renewers of the assignment's grant.
 func (p Plan) ShouldRenew(host Host, a Assignment) bool {
 	if a.Phase != Held || !p.MayRenew(host, a.Fence) {
 		return false
 	}
-	ranked := p.RankedHosts(a.Server, func(h Host) bool { return h.Since <= a.Fence })
+	return slices.ContainsFunc(p.Renewers(a), host.SameIncarnation)
+}
+
+// Renewers returns the hosts that renew the grant of an assignment: the first renewersPerServer hosts of
+// the server's zone that may renew it and reach servers. If the zone has none, it is the leader or, if that
+// reaches no server either, hosts that may renew in all zones.
+func (p Plan) Renewers(a Assignment) []Host {
+	eligible := func(h Host) bool { return h.Since <= a.Fence && !h.CutOff }
+	ranked := p.RankedHosts(a.Server, eligible)
 	if len(ranked) == 0 {
-		return p.Leader.SameIncarnation(host)
+		ranked = p.RankedInAllZones(a.Server, func(h Host) bool { return h.Led && eligible(h) })
+		if i := slices.IndexFunc(ranked, p.Leader.SameIncarnation); i >= 0 {
+			return ranked[i : i+1]
+		}
 	}
-	return slices.ContainsFunc(ranked[:min(renewersPerServer, len(ranked))], host.SameIncarnation)
+	return ranked[:min(renewersPerServer, len(ranked))]
 }
 
 // RankedHosts returns the eligible hosts of a server's zone that are not retired, in the server's
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -151,6 +151,7 @@
 		Self: h.self, Current: h.current, Store: h.state, Elector: platform.Elector(), Peers: h.peers,
 		Granter: platform.Granter(), Timing: config.Timing, Fleet: h.fleet,
 		Table: h.operatorRecords.Table, Hosts: h.state.list, OperatorOffset: h.operatorRecords.Next, ZoneEvacuated: h.operatorRecords.Evacuated,
+		CutOff:       h.reach.CutOff,
 		ServersKnown: h.seenServers.Load, Clock: clock.Monotonic, Log: log,
 	})
 	h.ingress = front.New(front.Config{
--- a/internal/leader/hosts.go
+++ b/internal/leader/hosts.go
@@ -41,6 +41,7 @@
 	for name, host := range byName {
 		l.updateRetired(byName, name, host, now)
 	}
+	l.markCutOff(byName)
 	return slices.SortedFunc(maps.Values(byName), func(a, b assign.Host) int {
 		if a.Name < b.Name {
 			return -1
@@ -49,6 +50,33 @@
 	})
 }
 
+// markCutOff marks the hosts that reach no server, unless that is so for all of them: then the servers are
+// down. If this host is one of them, another one is allowed to renew grants in all zones in its place.
+func (l *Leader) markCutOff(byName map[string]assign.Host) {
+	var reaching []string
+	standIn := false
+	for name, host := range byName {
+		host.CutOff = l.CutOff(name)
+		byName[name] = host
+		if !host.CutOff && !host.Retired {
+			reaching = append(reaching, name)
+			standIn = standIn || host.Led
+		}
+	}
+	if len(reaching) == 0 {
+		for name, host := range byName {
+			host.CutOff = false
+			byName[name] = host
+		}
+		return
+	}
+	if !standIn {
+		host := byName[slices.Min(reaching)]
+		host.Led = true
+		byName[host.Name] = host
+	}
+}
+
 // updateRetired marks a host as retired if it has stopped reporting, and removes it once it has been
 // retired for so long that it must have stopped renewing and its last grants have expired. A
 // retired host that reports again is reinstated.
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -89,6 +89,8 @@
 	// ZoneEvacuated reports whether the operators have evacuated the zone, so that its servers
 	// get no keys.
 	ZoneEvacuated func(zone string) bool
+	// CutOff reports whether a host, given by name, is known to reach no server.
+	CutOff func(host string) bool
 	// ServersKnown reports whether the list of servers is complete enough to act on.
 	ServersKnown func() bool
 	// Clock returns a monotonic reading that includes the time in which the machine is suspended.
@@ -304,7 +306,8 @@
 
 // rangesToRegrant returns the first keys of the ranges that need a new fencing token: all ranges if
 // the leader is new or the log has been restored, the ranges of servers in zones with a new host (a host renews no grants older
-// than itself), and the ranges whose server has stopped answering a renewer.
+// than itself), the ranges that get another renewer (a host renews no grant whose server it has not heard from since it was
+// issued), and the ranges whose server has stopped answering a renewer.
 func (l *Leader) rangesToRegrant(service string, plan, next assign.Plan, all bool, now time.Duration) map[keyrange.Key]bool {
 	zonesWithNewHosts := make(map[string]bool)
 	for _, host := range next.Hosts {
@@ -312,6 +315,7 @@
 			zonesWithNewHosts[host.Zone] = true
 		}
 	}
+	hostsChanged := !slices.Equal(next.Hosts, plan.Hosts)
 	retry := now-l.regrantedAt >= regrantInterval
 	if retry {
 		// Grants that are still lost will be reported again.
@@ -323,13 +327,19 @@
 		if lost {
 			l.regrantedAt = now
 		}
-		if all || lost || zonesWithNewHosts[a.Server.Zone] {
+		if all || lost || zonesWithNewHosts[a.Server.Zone] || hostsChanged && getsRenewer(plan, next, a) {
 			keys[a.First] = true
 		}
 	}
 	return keys
 }
 
+// getsRenewer reports whether a host renews the grant of the assignment by the next plan that does not by the present one.
+func getsRenewer(plan, next assign.Plan, a assign.Assignment) bool {
+	before := plan.Renewers(a)
+	return slices.ContainsFunc(next.Renewers(a), func(host assign.Host) bool { return !slices.ContainsFunc(before, host.SameIncarnation) })
+}
+
 // logChanges logs each assignment that changed with the new plan, and a change of the hosts.
 func (l *Leader) logChanges(before, after assign.Plan) {
 	for service, assignments := range after.Services {
--- a/internal/leader/reports.go
+++ b/internal/leader/reports.go
@@ -32,8 +32,11 @@
 }
 
 // Report stores the report of a host, and the grants that the host has stopped renewing because
-// their server does not answer.
+// their server does not answer. To a host that is cut off no server answers, so its grants are not lost.
 func (l *Leader) Report(host string, report Report, lost []renew.Lost) {
+	if l.CutOff(host) {
+		lost = nil
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.lastReport[host] = l.Clock()
--- a/internal/leader/simulation_test.go
+++ b/internal/leader/simulation_test.go
@@ -73,6 +73,8 @@
 	// server incarnation that got it.
 	highestFence      [simServers]assign.Fence
 	highestFenceOwner [simServers]string
+	// cutOff holds the hosts that are believed to reach no server, rightly or not, with the end of that belief.
+	cutOff map[string]time.Duration
 	// hidePlans makes hosts answer that they have no newer plan.
 	hidePlans bool
 	// faults describes the injected faults; violation is the first violated invariant.
@@ -113,6 +115,13 @@
 
 func (sim *simulation) now() time.Duration { return time.Since(sim.started) }
 
+// isCutOff reports whether a host is believed to reach no server.
+func (sim *simulation) isCutOff(host string) bool {
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
+	return sim.now() < sim.cutOff[host]
+}
+
 func (sim *simulation) chance(p float64) bool { return sim.rng.Float64() < p }
 
 // connected reports whether a and b can reach each other.
@@ -209,6 +218,19 @@
 	}
 }
 
+// heldCells counts the cells that have an owner. The caller holds sim.mu.
+func (sim *simulation) heldCells() int {
+	held := 0
+	for cell := range simServers {
+		for _, s := range sim.servers {
+			if s.up && s.grantedUntil[cell] > sim.now() {
+				held++
+			}
+		}
+	}
+	return held
+}
+
 func (sim *simulation) recordViolation(format string, args ...any) {
 	if sim.violation == "" {
 		sim.violation = fmt.Sprintf("%v: ", sim.now()) + fmt.Sprintf(format, args...)
@@ -315,8 +337,8 @@
 	h.leader = New(Config{
 		Self: h.self, Current: h.current, Store: h, Elector: h, Peers: h, Granter: h, Timing: h.sim.assumed, Fleet: h.fleet,
 		Table: func() *routetable.Table { return table }, Hosts: h.sim.registered,
-		OperatorOffset: func() uint64 { return 0 },
-		ZoneEvacuated:  func(string) bool { return false }, ServersKnown: func() bool { return true }, Clock: h.sim.now, Log: log,
+		OperatorOffset: func() uint64 { return 0 }, CutOff: h.sim.isCutOff,
+		ZoneEvacuated: func(string) bool { return false }, ServersKnown: func() bool { return true }, Clock: h.sim.now, Log: log,
 	})
 	h.relay = relay.New(relay.Config{Hosts: h.zoneHosts, Others: h.otherHosts, MustReadDirectly: h.leader.IsLeader, Ask: h.askRelay, Clock: h.sim.now, Log: log})
 	h.stop = cancel
@@ -334,6 +356,7 @@
 			era: 1, plans: make(map[string]assign.Plan),
 			registrations: make(map[string]assign.Host), olderRegistrations: make(map[string]assign.Host),
 			members: make(map[string]time.Duration), partitions: make(map[[2]string]time.Duration),
+			cutOff: make(map[string]time.Duration),
 		}
 		zones := []string{"brno", "zlin"}
 		for i := range simServers {
@@ -361,13 +384,7 @@
 		if violation != "" {
 			violation += fmt.Sprintf("\n%v", sim.faults)
 		}
-		for cell := range simServers {
-			for _, s := range sim.servers {
-				if s.up && s.grantedUntil[cell] > sim.now() {
-					held++
-				}
-			}
-		}
+		held = sim.heldCells()
 		for _, h := range sim.hosts {
 			if h.stop != nil {
 				h.stop()
@@ -403,6 +420,53 @@
 	checkOneOwner(t, (*simulation).injectFaultOrRestore)
 }
 
+// TestOneOwnerWhileHostsAreCutOff has hosts among the faults that reach no server, are believed to reach none, or both.
+func TestOneOwnerWhileHostsAreCutOff(t *testing.T) {
+	checkOneOwner(t, (*simulation).injectFaultOrCut)
+}
+
+// TestKeysStayHeldWhileAZoneReachesNoServer is a regression test (RECOVER on Riga): the hosts of a zone reached no server,
+// and since no other host renewed the grants of the zone's servers, all their keys lapsed.
+func TestKeysStayHeldWhileAZoneReachesNoServer(t *testing.T) {
+	const length, known, settled = 12 * time.Second, time.Second, 4500 * time.Millisecond
+	for seed := range uint64(10) {
+		lapsed, injected := 0, false
+		simulate(t, seed, grants.DefaultTiming(), grants.DefaultTiming(), func(sim *simulation) {
+			if injected {
+				return
+			}
+			injected = true
+			time.Sleep(2 * time.Second)
+			sim.mu.Lock()
+			for _, host := range sim.hosts {
+				if host.self.Zone == sim.hosts[0].self.Zone {
+					sim.cutFromServers(host, sim.now()+length)
+				}
+			}
+			sim.mu.Unlock()
+			time.Sleep(known)
+			sim.mu.Lock()
+			for _, host := range sim.hosts {
+				if host.self.Zone == sim.hosts[0].self.Zone {
+					sim.cutOff[host.self.Name] = sim.now() + length
+				}
+			}
+			sim.mu.Unlock()
+			time.Sleep(settled)
+			for range 12 {
+				time.Sleep(500 * time.Millisecond)
+				sim.mu.Lock()
+				if held := sim.heldCells(); held < simServers {
+					lapsed++
+				}
+				sim.mu.Unlock()
+			}
+		})
+		assert.Assert(t, injected)
+		assert.Equal(t, lapsed, 0, "seed %d: half seconds in which a cell had no owner", seed)
+	}
+}
+
 // TestSimulationDetectsMissingWaits disables one safety rule at a time and checks that the simulation
 // finds a violation; otherwise TestOneOwnerUnderRandomFaults would prove nothing about that rule.
 func TestSimulationDetectsMissingWaits(t *testing.T) {
