front, bounded: an answer that is too large is no answer

Cause: the reader of answers took the first 64 MiB of a body for the whole (a limited reader ends without an error), and twelve at once hold 768 MiB on a host that has 284 MB. Class: a part taken for the whole; a bound for one and none for all together. An answer may have 16 MiB; beyond 1 MiB each, all that are being read may have 16 MiB together, so that usual answers are read beside endless ones. The connection is closed, the request counts as lost. Heads were bounded before (64 KiB, interim answers and trailers by the library). Before: TestEndlessBytesAreNoAnswer failed for chunks, a body without length and one of 1 TB (status 200, more bytes than allowed). After: passes, all eight cases.

--- a/internal/admin/client.go
+++ b/internal/admin/client.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -12,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/poplarcroft/poplarcroft/internal/bounded"
 	"github.com/poplarcroft/poplarcroft/internal/logservice"
 	"github.com/poplarcroft/poplarcroft/internal/publish"
 	"github.com/poplarcroft/poplarcroft/internal/record"
@@ -169,7 +169,7 @@
 		return errors.Wrap(err, "admin: send request")
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	data, err := bounded.ReadAll(resp.Body, maxReplyBytes)
 	if err != nil {
 		return errors.Wrap(err, "admin: read reply")
 	}
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -4,10 +4,11 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/poplarcroft/poplarcroft/internal/bounded"
 )
 
 // maxControlReplyBytes bounds the body of a control answer of a backend server.
@@ -67,7 +68,7 @@
 		return errors.Wrap(err, "backend: call")
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxControlReplyBytes))
+	data, err := bounded.ReadAll(resp.Body, maxControlReplyBytes)
 	if err != nil {
 		return errors.Wrap(err, "backend: read answer")
 	}
--- /dev/null
+++ b/internal/bounded/bounded.go
@@ -0,0 +1,25 @@
+// Package bounded reads what another process sends without holding more of it in memory than a limit. A
+// server in trouble may send bytes without end, and a part of an answer must not pass for the whole.
+package bounded
+
+import (
+	"io"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrTooLarge reports a body that is longer than its limit, or never ends.
+var ErrTooLarge = errors.New("bounded: body is too large")
+
+// ReadAll reads a body to its end. One of more than limit bytes gives ErrTooLarge; the caller closes it,
+// which ends its connection.
+func ReadAll(body io.Reader, limit int64) ([]byte, error) {
+	content, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(content)) > limit {
+		return nil, errors.Wrapf(ErrTooLarge, "over %d bytes", limit)
+	}
+	return content, nil
+}
--- /dev/null
+++ b/internal/front/answer_memory.go
@@ -0,0 +1,62 @@
+package front
+
+import (
+	"io"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/poplarcroft/poplarcroft/internal/bounded"
+)
+
+const (
+	// maxAnswerBytes is the maximum size of an answer's body, which is held in memory until it is complete.
+	maxAnswerBytes = 16 << 20
+	// smallAnswerBytes is the part of each answer that does not count towards maxLargeBytes, so that answers
+	// of the usual size are read also while others do not end.
+	smallAnswerBytes = 1 << 20
+	// maxLargeBytes is the maximum number of further bytes of all answers that are read at the same time.
+	maxLargeBytes = 16 << 20
+)
+
+// answerMemory bounds the memory for answers that are being read. It is safe for concurrent use.
+type answerMemory struct {
+	// large counts the bytes beyond smallAnswerBytes of all answers that are being read.
+	large atomic.Int64
+}
+
+// read reads a body to its end. One that is too large, by itself or together with others, gives
+// bounded.ErrTooLarge.
+func (m *answerMemory) read(body io.Reader) ([]byte, error) {
+	counted := &countedReader{Reader: body, memory: m}
+	defer counted.release()
+	return bounded.ReadAll(counted, maxAnswerBytes)
+}
+
+// countedReader is an answer's body that is being read.
+type countedReader struct {
+	io.Reader
+	memory *answerMemory
+	// size is the number of bytes read, and large the number that count towards maxLargeBytes.
+	size, large int64
+}
+
+// Read implements io.Reader.
+func (r *countedReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	r.size += int64(n)
+	if r.size <= smallAnswerBytes {
+		return n, err
+	}
+	more := r.size - smallAnswerBytes - r.large
+	r.large += more
+	if held := r.memory.large.Add(more); held > maxLargeBytes {
+		return n, errors.Wrapf(bounded.ErrTooLarge, "%d bytes, all that are being read have %d beyond %d each", r.size, held, smallAnswerBytes)
+	}
+	return n, err
+}
+
+// release ends the counting of the answer.
+func (r *countedReader) release() {
+	r.memory.large.Add(-r.large)
+}
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -14,14 +13,9 @@
 	"github.com/poplarcroft/poplarcroft/internal/transport"
 )
 
-const (
-	// deadlineMargin is subtracted from the remaining time that a server is given, so that its
-	// answer still reaches the caller in time.
-	deadlineMargin = 10 * time.Millisecond
-	// maxAnswerBytes is the maximum size of an answer's body, which is held in memory until it is
-	// complete. The rest of a longer body is not read.
-	maxAnswerBytes = 64 << 20
-)
+// deadlineMargin is subtracted from the remaining time that a server is given, so that its
+// answer still reaches the caller in time.
+const deadlineMargin = 10 * time.Millisecond
 
 // attemptOutcome is the outcome of one attempt at a server.
 type attemptOutcome int
@@ -199,20 +193,20 @@
 	if result.Sent != transport.Answered {
 		return attempt{outcome: attemptLost, detail: errorText(result.Err)}
 	}
-	answer, err := completeAnswer(result)
+	answer, err := in.completeAnswer(result)
 	if err != nil {
 		return attempt{outcome: attemptLost, detail: errorText(err)}
 	}
 	return in.classify(r, answer)
 }
 
-// completeAnswer reads an answer to its end, or up to maxAnswerBytes of its body.
-func completeAnswer(result transport.Result) (*Answer, error) {
+// completeAnswer reads an answer to its end. One that is too large is no answer.
+func (in *Ingress) completeAnswer(result transport.Result) (*Answer, error) {
 	if result.Sent != transport.Answered {
 		return nil, result.Err
 	}
 	response := result.Response
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	body, err := in.answers.read(response.Body)
 	response.Body.Close()
 	if err != nil {
 		return nil, err
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -50,7 +50,7 @@
 		in.forwardFailed(ctx, r, to, sent.Sent.String(), errorText(sent.Err))
 		return Result{}, false
 	}
-	answer, err := completeAnswer(sent)
+	answer, err := in.completeAnswer(sent)
 	if err != nil {
 		in.forwardFailed(ctx, r, to, "lost", err.Error())
 		return unknown(reasonAnswerLost), !r.Route.Idempotent
--- a/internal/front/ingress.go
+++ b/internal/front/ingress.go
@@ -71,6 +71,7 @@
 	primaries *primaries
 	gates     admissionGates
 	probes    *probes
+	answers   answerMemory
 	// answeredAt is the clock's reading when a server last answered an attempt.
 	answeredAt atomic.Int64
 	// Counters are published on the metrics endpoint.
--- a/internal/logservice/client.go
+++ b/internal/logservice/client.go
@@ -5,12 +5,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/poplarcroft/poplarcroft/internal/bounded"
 )
 
 // maxReplyBytes is the largest size of a reply that is read. A longer one is cut off
@@ -119,7 +120,7 @@
 		return 0, errors.Wrap(err, "logservice: send request")
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	data, err := bounded.ReadAll(resp.Body, maxReplyBytes)
 	if err != nil {
 		return 0, errors.Wrap(err, "logservice: read reply")
 	}
--- a/internal/route/exchange.go
+++ b/internal/route/exchange.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/poplarcroft/poplarcroft/internal/bounded"
 	"github.com/poplarcroft/poplarcroft/internal/transport"
 )
 
@@ -19,9 +19,6 @@
 	maybeSent bool
 }
 
-// errAnswerTooLarge reports an answer body above maxAnswerBytes.
-var errAnswerTooLarge = errors.New("route: answer too large")
-
 // send sends the request once and reads the whole answer. A truncated answer is an
 // error.
 func send(ctx context.Context, pool *transport.Pool, req *http.Request) exchange {
@@ -30,12 +27,9 @@
 		return exchange{err: err, maybeSent: !errors.Is(err, transport.ErrNotSent)}
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	body, err := bounded.ReadAll(resp.Body, maxAnswerBytes)
 	if err != nil {
 		return exchange{err: err, maybeSent: true}
 	}
-	if len(body) > maxAnswerBytes {
-		return exchange{err: errAnswerTooLarge, maybeSent: true}
-	}
 	return exchange{answer: &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}}
 }
