reach, edge, poison: a wrong or late belief about a cut does little harm

(2) A host that stood still or starved while it tried servers would have counted as cut off; rounds that took too long prove nothing. (3) Where there is one zone only two servers were tried, and a request that crashes many could have hit both; eight are tried in any case. (4) Requests whose connections broke in a cut stayed in doubt for 10 s, ran alone, and three of them in doubt were refused; a cut ends the doubt.

--- a/internal/edge/reach.go
+++ b/internal/edge/reach.go
@@ -12,9 +12,10 @@
 )
 
 const (
-	// reachInterval is the time between two messages of a host that is cut off from all servers.
+	// reachInterval is the time between two messages of a host that is cut off from all servers, or has been
+	// within cutOffFor.
 	reachInterval = time.Second
-	// cutOffFor is how long such a message holds.
+	// cutOffFor is how long a message that a host is cut off holds.
 	cutOffFor = 2500 * time.Millisecond
 )
 
@@ -87,7 +88,7 @@
 	r.monitor.Suspect()
 }
 
-// wake makes the loop tell the other hosts of a change.
+// wake makes the loop send a change to the other hosts.
 func (r *reachSharing) wake() {
 	r.onChange()
 	select {
@@ -96,25 +97,27 @@
 	}
 }
 
-// run tells the other hosts of each change, and again while this host is cut off.
+// run sends each change to the other hosts, and the same again while a former message holds that says otherwise.
 func (r *reachSharing) run(ctx context.Context) {
+	changedAt := -cutOffFor
 	for ctx.Err() == nil {
 		var again <-chan time.Time
-		if r.monitor.CutOff() {
+		if r.monitor.CutOff() || r.clock()-changedAt < cutOffFor {
 			again = time.After(reachInterval)
 		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-r.changed:
+			changedAt = r.clock()
 		case <-again:
 		}
-		r.tellAll(ctx)
+		r.sendAll(ctx)
 	}
 }
 
-// tellAll sends one message to each other host.
-func (r *reachSharing) tellAll(ctx context.Context) {
+// sendAll sends one message to each other host.
+func (r *reachSharing) sendAll(ctx context.Context) {
 	r.mu.Lock()
 	r.number++
 	args := ReachArgs{Host: r.self.Name, Incarnation: r.self.Incarnation, Number: r.number, CutOff: r.monitor.CutOff()}
@@ -156,7 +159,7 @@
 	return nil
 }
 
-// reach tells a host whether this one reaches servers.
+// reach sends a message of whether this host reaches servers.
 func (p *peers) reach(ctx context.Context, host assign.Host, args ReachArgs) error {
 	return p.pool.Call(ctx, host.Addr, rpcName+".Reach", args, &Empty{})
 }
--- a/internal/front/probe.go
+++ b/internal/front/probe.go
@@ -72,6 +72,7 @@
 		}
 	case errors.Is(err, syscall.ECONNREFUSED) && !p.reachesOthers(probed):
 		p.log.Event("server", "id", string(entry.ID), "addr", entry.Addr, "born", entry.Born, "outcome", "refuses connections, as others do")
+		p.guard.CutOff(server)
 	case errors.Is(err, syscall.ECONNREFUSED):
 		p.log.Event("server", "id", string(entry.ID), "addr", entry.Addr, "born", entry.Born, "outcome", "refuses connections after one broke")
 		probed.Target.Close()
--- a/internal/front/probe_test.go
+++ b/internal/front/probe_test.go
@@ -138,6 +138,9 @@
 			}
 			probeServer(dial, guard, append([]fleet.Entry{broken}, c.others...)...)
 			assert.Equal(t, guard.Check(f), c.want)
+			next, _, ok := guard.Begin(t.Context(), GuardServer(server("d", "zlin", reached)), f)
+			assert.Assert(t, ok)
+			assert.Equal(t, next.Alone, c.want == poison.Suspect, "the request does not run alone for what is no doubt")
 		})
 	}
 }
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -142,6 +142,13 @@
 	g.tracker.AddressAccepts(openedAt, server)
 }
 
+// CutOff records that this host's connections break because it is cut off from the server.
+func (g *Guard) CutOff(server Server) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.tracker.CutOff(time.Now(), server)
+}
+
 // SetBlind records whether this host cannot learn of crashes, as while the service discovery is away.
 func (g *Guard) SetBlind(blind bool) {
 	g.mu.Lock()
--- a/internal/poison/tracker.go
+++ b/internal/poison/tracker.go
@@ -256,9 +256,20 @@
 // longer undecided. It may be a newer one, so the request is still a suspect if the incarnation is found
 // crashed.
 func (t *Tracker) AddressAccepts(openedAt time.Time, server Server) {
+	t.endDoubt(openedAt, server)
+}
+
+// CutOff records that this host's connections break because it is cut off from the server. A request whose
+// connection broke before then is no longer undecided, but a suspect if the incarnation is found crashed.
+func (t *Tracker) CutOff(now time.Time, server Server) {
+	t.endDoubt(now, server)
+}
+
+// endDoubt marks the requests as no longer undecided whose connections to the server broke before a time.
+func (t *Tracker) endDoubt(before time.Time, server Server) {
 	requests := t.unanswered[server]
 	for i := range requests {
-		if requests[i].at.Before(openedAt) {
+		if requests[i].at.Before(before) {
 			requests[i].undecided = false
 		}
 	}
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -14,6 +14,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -33,9 +34,13 @@
 	recentConnect = 100 * time.Millisecond
 	// checkInterval is the least time between two checks. A host that is cut off checks all the time.
 	checkInterval = 200 * time.Millisecond
-	// serversPerZone and maxServers bound the number of connections that are tried in one round.
-	serversPerZone = 2
+	// maxDelay is how much longer than its timeouts a round may take. A host whose rounds take longer was frozen
+	// or starved, and they prove nothing.
+	maxDelay = 100 * time.Millisecond
+	// maxServers is the number of servers to which connections are tried in one round: serversPerZone of each
+	// zone if there are so many, and then any.
 	maxServers     = 8
+	serversPerZone = 2
 )
 
 // Server is a backend server to which a connection can be tried.
@@ -131,6 +136,9 @@
 		}
 		tried += len(servers)
 	}
+	if m.config.Clock()-started > rounds*(2*tryTimeout+maxDelay) {
+		return
+	}
 	if ctx.Err() == nil {
 		m.set(true, tried, started)
 	}
@@ -155,20 +163,20 @@
 func (m *Monitor) draw() []Server {
 	servers := m.config.Servers()
 	rand.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
-	var own, others []Server
+	var own, others, more []Server
 	taken := make(map[string]int)
 	for _, server := range servers {
-		if taken[server.Zone] >= serversPerZone {
-			continue
-		}
 		taken[server.Zone]++
-		if server.Zone == m.config.Zone {
+		switch {
+		case taken[server.Zone] > serversPerZone:
+			more = append(more, server)
+		case server.Zone == m.config.Zone:
 			own = append(own, server)
-		} else {
+		default:
 			others = append(others, server)
 		}
 	}
-	drawn := append(own, others...)
+	drawn := slices.Concat(own, others, more)
 	return drawn[:min(maxServers, len(drawn))]
 }
 
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -132,3 +132,32 @@
 		assert.Assert(t, n.dials <= serversPerZone*int(time.Second/checkInterval+1), "%d connections", n.dials)
 	})
 }
+
+// TestServersOfOneZoneAreDrawnInNumber checks that a round tries more than serversPerZone servers where there is only one zone.
+func TestServersOfOneZoneAreDrawnInNumber(t *testing.T) {
+	m := New(Config{Zone: "a", Clock: func() time.Duration { return 0 }, Servers: func() (servers []Server) {
+		for i := range 20 {
+			servers = append(servers, Server{Addr: fmt.Sprint("a", i), Zone: "a"})
+		}
+		return servers
+	}})
+	assert.Equal(t, len(m.draw()), maxServers)
+}
+
+// TestFrozenHostIsNotCutOff checks that connections that failed only because the host stood still prove nothing.
+func TestFrozenHostIsNotCutOff(t *testing.T) {
+	started := time.Now()
+	frozen := 0
+	m := New(Config{
+		Zone: "a", Servers: func() []Server { return []Server{{Addr: "a1", Zone: "a"}} }, Log: eventlog.Discard(),
+		Dial: func(context.Context, string, string) (net.Conn, error) {
+			frozen++
+			return nil, context.DeadlineExceeded
+		},
+		OnChange: func() { t.Error("the host counts as cut off") },
+		Clock:    func() time.Duration { return time.Since(started) + time.Duration(frozen)*3*time.Second },
+	})
+	m.check(t.Context())
+	assert.Equal(t, frozen, rounds)
+	assert.Assert(t, !m.CutOff())
+}
