--- a/internal/transport/dialer.go
+++ b/internal/transport/dialer.go
@@ -31,13 +31,15 @@
 const (
 	// dialTimeout bounds the opening of a connection, the wait for the connection limit included.
 	dialTimeout = time.Second
-	// userTimeout is how long sent data may stay unacknowledged before the kernel ends the connection.
+	// userTimeout is how long sent data may stay unacknowledged before the kernel ends the connection. It also
+	// decides when unanswered keep-alive probes end one: at the first probe that is due after that time, so an
+	// idle connection ends after keepAliveIdle + keepAliveInterval.
 	userTimeout = time.Second
 	// keepAliveIdle is how long a connection is idle before the kernel probes it.
 	keepAliveIdle = time.Second
 	// keepAliveInterval is the time between two probes.
 	keepAliveInterval = time.Second
-	// keepAliveCount is the number of unanswered probes that ends a connection.
+	// keepAliveCount is the number of unanswered probes that would end a connection without userTimeout.
 	keepAliveCount = 2
 )
 
