front, fleet, edge, platform: plain words for pauses, announced shutdowns and broadcasts

A server asks for a pause (Retry-After) and announces its shutdown; a host skips a server that it found unreachable or full; a fact is broadcast. The texts "wants no requests" and "not told" in logs became "asked for a pause" and "not sent". No behaviour changes.

--- a/internal/edge/config_sharing.go
+++ b/internal/edge/config_sharing.go
@@ -25,7 +25,7 @@
 	Record *follow.Record
 }
 
-// ConfigReply tells the configuration of the called host.
+// ConfigReply holds the configuration of the called host.
 type ConfigReply struct {
 	// Version is the host's version, zero if it has none. Record is the record of that
 	// configuration if it is newer than the caller's, and otherwise nil.
--- a/internal/edge/facts.go
+++ b/internal/edge/facts.go
@@ -7,9 +7,9 @@
 	"github.com/poplarcroft/poplarcroft/internal/front"
 )
 
-// tellFact tells all other hosts what an answer has shown about a server. A host that does not get the
+// broadcastFact sends to all other hosts what an answer has shown about a server. A host that does not get the
 // message learns it from the server's next answer to itself.
-func (h *Host) tellFact(entry fleet.Entry, fact front.Fact) {
+func (h *Host) broadcastFact(entry fleet.Entry, fact front.Fact) {
 	if fact == front.Leaving {
 		h.leader.Wake()
 	}
@@ -22,7 +22,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 			defer cancel()
 			if err := h.peers.fact(ctx, host, args); err != nil {
-				h.log.Routine("server", "id", entry.ID, "to", host.Name, "outcome", "not told: "+fact.String(), "err", err.Error())
+				h.log.Routine("server", "id", entry.ID, "to", host.Name, "outcome", "not sent: "+fact.String(), "err", err.Error())
 			}
 		}()
 	}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -85,7 +85,7 @@
 	Records []poison.Record
 }
 
-// FactArgs tells what an answer has shown about a server.
+// FactArgs says what an answer has shown about a server.
 type FactArgs struct {
 	// From is the name of the host that got the answer.
 	From string
@@ -254,7 +254,7 @@
 	return p.pool.Call(ctx, host.Addr, rpcName+".Report", args, &Empty{})
 }
 
-// fact tells a host what an answer has shown about a server.
+// fact sends to a host what an answer has shown about a server.
 func (p *peers) fact(ctx context.Context, host assign.Host, args FactArgs) error {
 	return p.pool.Call(ctx, host.Addr, rpcName+".Fact", args, &Empty{})
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -130,13 +130,13 @@
 		j := i + f.options.RandIntN(len(others)-i)
 		others[i], others[j] = others[j], others[i]
 	}
-	paused := func(s *Server) int {
-		if s.Paused(now) {
+	skipped := func(s *Server) int {
+		if s.Skipped(now) {
 			return 1
 		}
 		return 0
 	}
-	slices.SortStableFunc(others, func(a, b *Server) int { return cmp.Compare(paused(a), paused(b)) })
+	slices.SortStableFunc(others, func(a, b *Server) int { return cmp.Compare(skipped(a), skipped(b)) })
 	return others[:min(n, len(others))]
 }
 
@@ -173,7 +173,7 @@
 }
 
 // Limits returns the limits that servers have named lately, by ID, in requests per second. A server that
-// has lost all its keys gets no requests and cannot tell that its limit has ended.
+// has lost all its keys gets no requests and cannot report that its limit has ended.
 func (f *Fleet) Limits(now time.Duration) map[string]float64 {
 	limits := make(map[string]float64)
 	for id, server := range f.snapshot.Load().byID {
@@ -196,23 +196,23 @@
 
 // Choose returns a server of the service that is not excluded, and false if there is none. Servers that
 // take no request of this host now are left out. Cold servers are chosen only if there are no warm
-// ones, and paused or missing ones last.
+// ones, and skipped or missing ones last.
 func (f *Fleet) Choose(service string, excluded []ID, shareOf func(*Server) Share, now time.Duration) (*Server, bool) {
-	var warm, cold, paused []*Server
+	var warm, cold, skipped []*Server
 	for _, server := range f.Servers(service) {
 		if !f.Usable(server) || slices.Contains(excluded, server.Entry().ID) || server.Restricted(now) && !server.Open(shareOf(server), now) {
 			continue
 		}
 		switch {
-		case server.Paused(now), server.Entry().Missing:
-			paused = append(paused, server)
+		case server.Skipped(now), server.Entry().Missing:
+			skipped = append(skipped, server)
 		case server.Cold(now):
 			cold = append(cold, server)
 		default:
 			warm = append(warm, server)
 		}
 	}
-	for _, candidates := range [][]*Server{warm, cold, paused} {
+	for _, candidates := range [][]*Server{warm, cold, skipped} {
 		if len(candidates) > 0 {
 			return f.best(candidates, now), true
 		}
--- a/internal/fleet/limit.go
+++ b/internal/fleet/limit.go
@@ -17,12 +17,12 @@
 	// kept for later would add up to a burst.
 	slotLifetime = time.Second
 	// minLimit is the lowest limit that is applied, in requests per second. A server that takes less still
-	// gets a request at times, because only its answers tell when the limit has ended.
+	// gets a request at times, because only its answers show when the limit has ended.
 	minLimit = 0.05
 	// limitFreshFor is how long after the last answer that named it a limit is reported to the leader.
 	limitFreshFor = 5 * time.Second
-	// minUnwanted is how much longer a server must want no requests for its keys to be moved away.
-	minUnwanted = time.Second
+	// minLongPause is how much longer a pause must last for the keys of the server to be moved away.
+	minLongPause = time.Second
 	// maxReturn is the longest time after which a refused caller is asked to come back.
 	maxReturn = 2 * time.Second
 )
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -33,7 +33,7 @@
 	// RefusedCold means that the server is cold and this host's allowance for it is used up.
 	RefusedCold
 	// RefusedLimit means that the server has named a limit and this host's share of it is used up, or that it
-	// wants nothing from this host for some time.
+	// has asked this host for a pause.
 	RefusedLimit
 )
 
@@ -47,12 +47,12 @@
 	selectionDecay = 500 * time.Millisecond
 	// loadReportDecay is the time in which a load report's weight falls to 1/e.
 	loadReportDecay = 250 * time.Millisecond
-	// minPause and maxPause are the shortest and longest time for which an unreachable server is
+	// minSkip and maxSkip are the shortest and longest time for which an unreachable server is
 	// skipped. The time doubles with each failed connection in a row.
-	minPause = 150 * time.Millisecond
-	maxPause = time.Second
-	// shedPause is how long a server that was full is skipped.
-	shedPause = 60 * time.Millisecond
+	minSkip = 150 * time.Millisecond
+	maxSkip = time.Second
+	// shedSkip is how long a server that was full is skipped.
+	shedSkip = 60 * time.Millisecond
 	// failureWeight is the cost that is added for a server that always fails, in multiples of the
 	// route's baseline latency.
 	failureWeight = 8.0
@@ -73,11 +73,11 @@
 	coldUntil time.Duration
 	bucket    bucket
 	// limit is the limit that the server names in its answers, and leaving says that an answer has
-	// told that it is shutting down.
+	// announced its shutdown.
 	limit   serverLimit
 	leaving bool
-	// unwantedUntil is the time until which the server wants no requests from this host.
-	unwantedUntil time.Duration
+	// pausedUntil is the end of the pause for which the server has asked this host.
+	pausedUntil time.Duration
 	// inFlight is the number of this host's requests at the server.
 	inFlight int
 	// otherRequests is the number of other hosts' requests at the server as of reportedAt, the time
@@ -90,8 +90,8 @@
 	slowness, recentSlowness, failures decayingAverage
 	// sampledAt is the time of the last sample of the slowness.
 	sampledAt time.Duration
-	// Until pauseUntil the server is skipped. connectFailures counts failed connections in a row.
-	pauseUntil      time.Duration
+	// Until skipUntil the server is skipped. connectFailures counts failed connections in a row.
+	skipUntil       time.Duration
 	connectFailures int
 }
 
@@ -128,7 +128,7 @@
 	return s.leaving || s.entry.Draining
 }
 
-// MarkLeaving records that the server has told in an answer that it is shutting down. It returns
+// MarkLeaving records that the server has announced its shutdown in an answer. It returns
 // true if that is news.
 func (s *Server) MarkLeaving() bool {
 	s.mu.Lock()
@@ -177,11 +177,11 @@
 }
 
 // freshLimit returns the limit, and false if there is none or it was last named longer than limitFreshFor
-// ago. A server that wants nothing for long counts as one with the lowest limit.
+// ago. A server that has asked for a long pause counts as one with the lowest limit.
 func (s *Server) freshLimit(now time.Duration) (float64, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if now < s.unwantedUntil-minUnwanted {
+	if now < s.pausedUntil-minLongPause {
 		return minLimit, true
 	}
 	return s.limit.perSecond, s.limit.perSecond > 0 && now-s.limit.namedAt <= limitFreshFor
@@ -216,15 +216,15 @@
 func (s *Server) ReturnAfter(share Share, now time.Duration) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return max(s.limit.returnAfter(share, now), s.unwantedUntil-now)
+	return max(s.limit.returnAfter(share, now), s.pausedUntil-now)
 }
 
-// Restricted reports whether the server names a limit or wants no requests from this host, so that Open has to
+// Restricted reports whether the server names a limit or has asked this host for a pause, so that Open has to
 // be asked.
 func (s *Server) Restricted(now time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.limit.perSecond > 0 || now < s.unwantedUntil
+	return s.limit.perSecond > 0 || now < s.pausedUntil
 }
 
 // Open reports whether the server takes a request of this host now, by the host's share of its limit.
@@ -236,14 +236,14 @@
 
 // open is Open for callers that hold the lock.
 func (s *Server) open(share Share, now time.Duration) bool {
-	return now >= s.unwantedUntil && s.limit.open(share, now)
+	return now >= s.pausedUntil && s.limit.open(share, now)
 }
 
-// Unwanted records that the server wants no requests from this host until the given time.
-func (s *Server) Unwanted(until time.Duration) {
+// Pause records that the server has asked this host for a pause until the given time.
+func (s *Server) Pause(until time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.unwantedUntil = max(s.unwantedUntil, until)
+	s.pausedUntil = max(s.pausedUntil, until)
 }
 
 // End updates the estimates with the end of an attempt. Ratio is its latency divided by the
@@ -267,10 +267,10 @@
 	case Failed:
 		s.failures.sample(1, now)
 	case Shed:
-		s.pauseUntil = now + shedPause
+		s.skipUntil = now + shedSkip
 	case Unreachable:
 		s.connectFailures++
-		s.pauseUntil = now + min(minPause<<min(s.connectFailures-1, 8), maxPause)
+		s.skipUntil = now + min(minSkip<<min(s.connectFailures-1, 8), maxSkip)
 	}
 }
 
@@ -296,11 +296,11 @@
 	return (others + float64(s.inFlight)) / float64(max(s.entry.Slots, 1))
 }
 
-// Paused reports whether the server is to be skipped because it was unreachable or full.
-func (s *Server) Paused(now time.Duration) bool {
+// Skipped reports whether the server is to be skipped because it was unreachable or full.
+func (s *Server) Skipped(now time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return now < s.pauseUntil
+	return now < s.skipUntil
 }
 
 // Slowness returns the average latency at the server divided by the routes' baselines; 1 is normal.
--- a/internal/front/facts.go
+++ b/internal/front/facts.go
@@ -25,8 +25,8 @@
 	return [...]string{"", "limit ended", "leaving"}[f]
 }
 
-// maxUnwanted is the longest time for which a server is believed to want no requests.
-const maxUnwanted = time.Hour
+// maxPause is the longest pause that a server can ask for.
+const maxPause = time.Hour
 
 // leavingValue is the value of the header Leaving in the answers of a server that is shutting down.
 const leavingValue = "1"
@@ -46,7 +46,7 @@
 	in.config.OnFact(entry, Leaving)
 }
 
-// readRetryAfter reads for how long a server that has rejected a request wants no more from this host. A
+// readRetryAfter reads the pause for which a server that has rejected a request asks this host. A
 // malformed time is ignored.
 func (in *Ingress) readRetryAfter(r *Request, server *fleet.Server, header http.Header) {
 	longest := 0.0
@@ -61,7 +61,7 @@
 	if longest == 0 {
 		return
 	}
-	wait := time.Duration(min(longest, maxUnwanted.Seconds()) * float64(time.Second))
-	server.Unwanted(in.clock() + wait)
-	in.log.Event("server", "id", server.Entry().ID, "request", r.ID, "outcome", "wants no requests", "for_ms", wait.Milliseconds())
+	wait := time.Duration(min(longest, maxPause.Seconds()) * float64(time.Second))
+	server.Pause(in.clock() + wait)
+	in.log.Event("server", "id", server.Entry().ID, "request", r.ID, "outcome", "asked for a pause", "for_ms", wait.Milliseconds())
 }
--- a/internal/front/facts_test.go
+++ b/internal/front/facts_test.go
@@ -49,9 +49,9 @@
 	}
 }
 
-// TestServerThatWantsNothingGetsNothing is a regression test (BUDGET): a server that answered 503 with a time to
+// TestPausedServerGetsNothing is a regression test (BUDGET): a server that answered 503 with a time to
 // come back got further requests within that time.
-func TestServerThatWantsNothingGetsNothing(t *testing.T) {
+func TestPausedServerGetsNothing(t *testing.T) {
 	for name, c := range map[string]struct {
 		header  string
 		refuses bool
--- a/internal/front/ingress.go
+++ b/internal/front/ingress.go
@@ -19,7 +19,7 @@
 	"github.com/poplarcroft/poplarcroft/internal/transport"
 )
 
-// Reach tells which hosts reach backend servers.
+// Reach knows which hosts reach backend servers.
 type Reach interface {
 	// CutOff reports whether the host with the name is known to reach no server at all.
 	CutOff(host string) bool
@@ -36,11 +36,11 @@
 	// Self is the name of this host. Hosts holds the connections to the other hosts.
 	Self  string
 	Hosts *transport.Pool
-	// Guard detects requests that crash servers. Dial opens the connections that tell whether a
+	// Guard detects requests that crash servers. Dial opens the connections that show whether a
 	// server has crashed.
 	Guard *poison.Guard
 	Dial  transport.DialFunc
-	// Reach tells which hosts reach servers.
+	// Reach knows which hosts reach servers.
 	Reach Reach
 	// Table returns the configuration in force, or nil if none has been received yet.
 	Table func() *routetable.Table
--- a/internal/front/limit.go
+++ b/internal/front/limit.go
@@ -17,7 +17,7 @@
 var errBadLimit = errors.New("the limit is no finite number of zero or more")
 
 // parseLimit parses the values of the limit header, in requests per second. Of several limits the lowest
-// counts. named is false if there is none. The error tells of a malformed limit, which is ignored.
+// counts. named is false if there is none. The error reports a malformed limit, which is ignored.
 func parseLimit(values []string) (perSecond float64, named bool, err error) {
 	perSecond = math.Inf(1)
 	for _, value := range values {
--- a/internal/front/probe.go
+++ b/internal/front/probe.go
@@ -28,7 +28,7 @@
 )
 
 // probes find out whether a server has crashed when a connection to it breaks under a request. The
-// service discovery tells of a crash only seconds later, and not at all while it is away; until then
+// service discovery shows a crash only seconds later, and not at all while it is away; until then
 // the request could crash one server after the other.
 type probes struct {
 	dial  transport.DialFunc
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -2,8 +2,8 @@
 //
 // A host can lose all servers while callers, the log and the other hosts still reach it. What it then
 // sees of a server says nothing about the server, and its requests have to go through another host.
-// Package edge runs a Monitor, opens all connections to servers through it, and tells the other hosts
-// when the host is cut off; package front asks it before it sends a request.
+// Package edge runs a Monitor, opens all connections to servers through it, and sends to the other hosts
+// whether the host is cut off; package front asks it before it sends a request.
 //
 // A failed, slow or broken connection makes the Monitor suspicious. Then it tries to connect to some
 // servers of several zones, twice, and believes that the host is cut off if none accepts. It goes on
