edge: a cut wakes no leader

Each host that is found to be cut off woke the leader, which wrote a plan each time: where 40 of 59 hosts lose all servers, that is some 40 plans and as many rounds of new fences within a second. The leader asks in each of its steps, five a second.

--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -142,7 +142,7 @@
 	})
 	h.configSharing = &configSharing{self: h.self, plan: h.current.Plan, records: h.operatorRecords, peers: h.peers, log: log}
 	h.renewer = renew.New(h.self, h.current, platform.Granter(), config.Timing, clock.Monotonic, log)
-	h.reach = newReachSharing(h.self, h.current.Plan, h.peers, clock.Monotonic, log, wakeLeader)
+	h.reach = newReachSharing(h.self, h.current.Plan, h.peers, clock.Monotonic, log)
 	h.reach.monitor = reach.New(reach.Config{
 		Zone: config.Zone, Dial: config.DialServer, Servers: func() []reach.Server { return reachableServers(h.fleet) },
 		OnChange: h.reach.wake, Clock: clock.Monotonic, Log: log,
--- a/internal/edge/reach.go
+++ b/internal/edge/reach.go
@@ -27,7 +27,8 @@
 	CutOff            bool
 }
 
-// reachSharing makes known to all hosts which ones are cut off from all servers. It is safe for concurrent use.
+// reachSharing makes known to all hosts which ones are cut off from all servers. The leader asks it in each of its
+// steps; it is not woken, so that many hosts that are cut off at once cause few plans. It is safe for concurrent use.
 type reachSharing struct {
 	self    assign.Host
 	monitor *reach.Monitor
@@ -35,8 +36,6 @@
 	peers   *peers
 	clock   func() time.Duration
 	log     *eventlog.Log
-	// onChange is called when it becomes known that a host is cut off, or no longer is.
-	onChange func()
 	// changed gets a value when this host is found to be cut off, or no longer is.
 	changed chan struct{}
 
@@ -53,9 +52,9 @@
 	until time.Duration
 }
 
-func newReachSharing(self assign.Host, plan func() assign.Plan, p *peers, clock func() time.Duration, log *eventlog.Log, onChange func()) *reachSharing {
+func newReachSharing(self assign.Host, plan func() assign.Plan, p *peers, clock func() time.Duration, log *eventlog.Log) *reachSharing {
 	return &reachSharing{
-		self: self, plan: plan, peers: p, clock: clock, log: log, onChange: onChange,
+		self: self, plan: plan, peers: p, clock: clock, log: log,
 		changed: make(chan struct{}, 1), others: make(map[string]receivedReach),
 	}
 }
@@ -90,7 +89,6 @@
 
 // wake makes the loop send a change to the other hosts.
 func (r *reachSharing) wake() {
-	r.onChange()
 	select {
 	case r.changed <- struct{}{}:
 	default:
@@ -149,7 +147,6 @@
 	r.mu.Unlock()
 	if before != args.CutOff {
 		r.log.Event("reach", "host", args.Host, "cut_off", args.CutOff)
-		r.onChange()
 	}
 }
 
--- a/internal/edge/reach_test.go
+++ b/internal/edge/reach_test.go
@@ -22,13 +22,13 @@
 // TestCutOffHostIsKnownToOthers checks that another host learns that one reaches no server, and that it does again.
 func TestCutOffHostIsKnownToOthers(t *testing.T) {
 	log := eventlog.Discard()
-	other := newReachSharing(assign.Host{Name: "b", Incarnation: "1"}, nil, nil, clock.Monotonic, log, func() {})
+	other := newReachSharing(assign.Host{Name: "b", Incarnation: "1"}, nil, nil, clock.Monotonic, log)
 	other.monitor = reach.New(reach.Config{Clock: clock.Monotonic, Log: log})
 	plan := assign.Plan{Hosts: []assign.Host{
 		{Name: "a", Incarnation: "1"}, {Name: "b", Incarnation: "1", Addr: serveRPC(t, &rpcService{reach: other, log: log})},
 	}}
 	var cut atomic.Bool
-	r := newReachSharing(plan.Hosts[0], func() assign.Plan { return plan }, &peers{pool: peer.NewPool(peer.DialFunc(transport.Dialer("")))}, clock.Monotonic, log, func() {})
+	r := newReachSharing(plan.Hosts[0], func() assign.Plan { return plan }, &peers{pool: peer.NewPool(peer.DialFunc(transport.Dialer("")))}, clock.Monotonic, log)
 	r.monitor = reach.New(reach.Config{
 		Servers: func() []reach.Server { return []reach.Server{{Addr: "10.0.0.1:1"}} }, OnChange: r.wake, Clock: clock.Monotonic, Log: log,
 		Dial: func(context.Context, string, string) (net.Conn, error) {
@@ -58,7 +58,7 @@
 // incarnation is replaced, and that a message ends by itself.
 func TestLateMessageDoesNotCutAHostOff(t *testing.T) {
 	now := time.Hour
-	r := newReachSharing(assign.Host{Name: "b"}, nil, nil, func() time.Duration { return now }, eventlog.Discard(), func() {})
+	r := newReachSharing(assign.Host{Name: "b"}, nil, nil, func() time.Duration { return now }, eventlog.Discard())
 	r.receive(ReachArgs{Host: "a", Incarnation: "1", Number: 2})
 	r.receive(ReachArgs{Host: "a", Incarnation: "1", Number: 1, CutOff: true})
 	assert.Assert(t, !r.CutOff("a"))
