front: a host that is cut off waits for the owner of a key that moves

A request at a host that is cut off, for a key that was just then moved between servers, was refused at once ("host reaches no server"); at any other host it waits for the new owner. The host now looks for the owner first, and forwards when there is one, to the next host too if the first does not take it. Before: TestCutOffHostWaitsForAnOwner failed (503, want 200). After: passes.

--- a/internal/front/cut_off_test.go
+++ b/internal/front/cut_off_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -76,3 +77,22 @@
 	_, ok = s.ingress.primaries.get(s.current.Plan(), owner)
 	assert.Assert(t, !ok, "all hosts are cut off")
 }
+
+// TestCutOffHostWaitsForAnOwner checks that a host that is cut off does not refuse a request for a key that is being moved, and
+// sends it through another host when the key has an owner.
+func TestCutOffHostWaitsForAnOwner(t *testing.T) {
+	s, _, _, server := cutOffSystem(t)
+	held := s.current.Plan().Clone()
+	moving := held.Clone()
+	moving.Version = 3
+	moving.Services["revize"][0].Phase = assign.Free
+	s.current.Adopt(moving, 0)
+	time.AfterFunc(100*time.Millisecond, func() {
+		held.Version = 4
+		s.current.Adopt(held, 0)
+	})
+	response, body, err := s.call(t, "POST", "/unsafe/x", "signed")
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusOK, body)
+	assert.Equal(t, len(server.seen()), 1)
+}
--- a/internal/front/keyed.go
+++ b/internal/front/keyed.go
@@ -38,7 +38,27 @@
 // serveKeyed forwards a request to the primary of the server that owns its key. If this host is
 // the primary, or no primary takes the request, it sends the request to the server itself.
 func (in *Ingress) serveKeyed(ctx context.Context, r *Request) Result {
-	mayHaveExecuted := false
+	result, final := in.forwardToPrimary(ctx, r)
+	if final {
+		return result
+	}
+	mayHaveExecuted := result.Kind == Unknown
+	result = in.sendKeyed(ctx, r)
+	if result.Kind == NotRun && result.Reason == reasonCutOff {
+		// The host has found out only now that it reaches no server, or the key has only now got an owner.
+		forwarded, final := in.forwardToPrimary(ctx, r)
+		if final || forwarded.Kind == Unknown {
+			result = forwarded
+		}
+	}
+	return unknownIfExecuted(result, mayHaveExecuted)
+}
+
+// forwardToPrimary forwards a request to the primary of its server, and to the next one if that does not
+// take it. It returns false if the result is not final; its kind is Unknown if the request, which is
+// idempotent then, may have been executed.
+func (in *Ingress) forwardToPrimary(ctx context.Context, r *Request) (Result, bool) {
+	last := Result{}
 	for range maxForwards {
 		to, ok := in.forwardTarget(r)
 		if !ok {
@@ -46,18 +66,13 @@
 		}
 		result, final := in.forward(ctx, r, to)
 		if final {
-			return unknownIfExecuted(result, mayHaveExecuted)
+			return unknownIfExecuted(result, last.Kind == Unknown), true
 		}
-		mayHaveExecuted = mayHaveExecuted || result.Kind == Unknown
-	}
-	result := in.sendKeyed(ctx, r)
-	if to, ok := in.forwardTarget(r); ok && result.Kind == NotRun && result.Reason == reasonCutOff {
-		// This host has found out only now that it reaches no server.
-		if forwarded, final := in.forward(ctx, r, to); final || forwarded.Kind == Unknown {
-			result = forwarded
+		if result.Kind == Unknown {
+			last = result
 		}
 	}
-	return unknownIfExecuted(result, mayHaveExecuted)
+	return last, false
 }
 
 // forwardTarget returns the host through which a request for a key has to go, and false if this host
@@ -75,11 +90,10 @@
 // sendKeyed sends a request to the server that owns its key, and retries while that may help.
 // While the key has no owner, as during a handover, the request waits.
 func (in *Ingress) sendKeyed(ctx context.Context, r *Request) Result {
-	if in.cutOff() {
-		return notRun(reasonCutOff, defaultRetryAfter)
+	if !in.cutOff() {
+		in.budgets.recordRequest(r.Service.Name, in.clock())
+		in.keyRates.add(r.Service.Name, r.Key, in.clock())
 	}
-	in.budgets.recordRequest(r.Service.Name, in.clock())
-	in.keyRates.add(r.Service.Name, r.Key, in.clock())
 	k := &keyedRequest{ingress: in, r: r}
 	for ctx.Err() == nil {
 		result, again := k.attemptOnce(ctx)
@@ -102,14 +116,14 @@
 // attemptOnce looks up the owner of the key and makes one attempt at it. It returns true if
 // another call may help.
 func (k *keyedRequest) attemptOnce(ctx context.Context) (Result, bool) {
-	if k.ingress.cutOff() {
-		return notRun(reasonCutOff, defaultRetryAfter), false
-	}
 	plan, changed := k.ingress.config.Current.Watch()
 	assignment, found := plan.Lookup(k.r.Service.Name, k.r.Key)
 	if !found || assignment.Phase != assign.Held {
 		return k.awaitPlan(ctx, changed, k.ownerWaitEnd(), reasonNoOwner)
 	}
+	if k.ingress.cutOff() {
+		return notRun(reasonCutOff, defaultRetryAfter), false
+	}
 	server, ok := k.ingress.fleet.Server(fleet.ID(assignment.Server.ID))
 	if !ok || !k.ingress.fleet.Usable(server) {
 		return k.awaitPlan(ctx, changed, k.ownerWaitEnd(), reasonNoOwner)
