--- a/internal/front/probe.go
+++ b/internal/front/probe.go
@@ -90,24 +90,13 @@
 	if len(others) == 0 {
 		return true
 	}
+	addrs := make([]string, len(others))
+	for i, other := range others {
+		addrs[i] = other.Entry().Addr
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	connected := make(chan bool, len(others))
-	for _, other := range others {
-		go func() {
-			conn, err := p.dial(ctx, "tcp", other.Entry().Addr)
-			if err == nil {
-				conn.Close()
-			}
-			connected <- err == nil
-		}()
-	}
-	for range others {
-		if <-connected {
-			return true
-		}
-	}
-	return false
+	return transport.AnyAccepts(ctx, p.dial, addrs)
 }
 
 // staysOpen reports whether the other end keeps a connection open for probeHold.
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -189,23 +189,15 @@
 
 // connects reports whether one of the servers accepts a connection within tryTimeout.
 func (m *Monitor) connects(ctx context.Context, servers []Server) bool {
+	addrs := make([]string, len(servers))
+	for i, server := range servers {
+		addrs[i] = server.Addr
+	}
 	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
 	defer cancel()
-	accepted := make(chan bool, len(servers))
-	for _, server := range servers {
-		go func() {
-			conn, err := m.config.Dial(ctx, "tcp", server.Addr)
-			if err == nil {
-				m.connectedAt.Store(int64(m.config.Clock()))
-				conn.Close()
-			}
-			accepted <- err == nil
-		}()
+	if !transport.AnyAccepts(ctx, m.config.Dial, addrs) {
+		return false
 	}
-	for range servers {
-		if <-accepted {
-			return true
-		}
-	}
-	return false
+	m.connectedAt.Store(int64(m.config.Clock()))
+	return true
 }
--- a/internal/transport/dialer.go
+++ b/internal/transport/dialer.go
@@ -70,6 +70,29 @@
 	}
 }
 
+// AnyAccepts reports whether one of the addresses accepts a connection before the context ends. It tries all at
+// the same time, and closes the connections.
+func AnyAccepts(ctx context.Context, dial DialFunc, addrs []string) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	accepted := make(chan bool, len(addrs))
+	for _, addr := range addrs {
+		go func() {
+			conn, err := dial(ctx, "tcp", addr)
+			if err == nil {
+				conn.Close()
+			}
+			accepted <- err == nil
+		}()
+	}
+	for range addrs {
+		if <-accepted {
+			return true
+		}
+	}
+	return false
+}
+
 // control sets the socket options of a new connection.
 func control(_, _ string, raw syscall.RawConn) error {
 	var failed error
