--- a/internal/assign/plan.go
+++ b/internal/assign/plan.go
@@ -65,7 +65,7 @@
 	// log may bring back the registration of an older incarnation, which is of an older era.
 	Era uint64 `json:"era,omitempty"`
 	// Led is set if this incarnation may have renewed grants in all zones, since it has been leader or
-	// has stood in for one that was cut off.
+	// has renewed in place of a leader that was cut off.
 	Led bool `json:"led,omitempty"`
 	// CutOff is set while the host reaches no server. It renews no grants then, but may have done so before.
 	CutOff bool `json:"cut_off,omitempty"`
--- a/internal/leader/hosts.go
+++ b/internal/leader/hosts.go
@@ -51,16 +51,16 @@
 }
 
 // markCutOff marks the hosts that reach no server, unless that is so for all of them: then the servers are
-// down. If this host is one of them, another one is allowed to renew grants in all zones in its place.
+// down. If this host is one of them, another one may renew grants in all zones in its place.
 func (l *Leader) markCutOff(byName map[string]assign.Host) {
 	var reaching []string
-	standIn := false
+	allowed := false
 	for name, host := range byName {
 		host.CutOff = l.CutOff(name)
 		byName[name] = host
 		if !host.CutOff && !host.Retired {
 			reaching = append(reaching, name)
-			standIn = standIn || host.Led
+			allowed = allowed || host.Led
 		}
 	}
 	if len(reaching) == 0 {
@@ -70,7 +70,7 @@
 		}
 		return
 	}
-	if !standIn {
+	if !allowed {
 		host := byName[slices.Min(reaching)]
 		host.Led = true
 		byName[host.Name] = host
