--- a/internal/front/endless_test.go
+++ b/internal/front/endless_test.go
@@ -21,18 +21,7 @@
 // closes the connection. "{id}" stands for the request's ID.
 func startEndlessServer(t *testing.T, head, repeated string) *backendServer {
 	t.Helper()
-	listener := listen(t)
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go sendWithoutEnd(conn, head, repeated)
-		}
-	}()
-	return &backendServer{addr: listener.Addr().String()}
+	return &backendServer{addr: serveConns(t, func(conn net.Conn) { sendWithoutEnd(conn, head, repeated) })}
 }
 
 func sendWithoutEnd(conn net.Conn, head, repeated string) {
--- a/internal/front/fixture_test.go
+++ b/internal/front/fixture_test.go
@@ -49,9 +49,16 @@
 
 // startServer starts a server that gives the answers in order and runs until the test ends.
 func startServer(t *testing.T, answers ...string) *backendServer {
+	t.Helper()
+	s := &backendServer{answers: answers}
+	s.addr = serveConns(t, s.serve)
+	return s
+}
+
+// serveConns accepts connections until the test ends, and returns the address.
+func serveConns(t *testing.T, serve func(net.Conn)) string {
 	t.Helper()
 	listener := listen(t)
-	s := &backendServer{addr: listener.Addr().String(), answers: answers}
 	t.Cleanup(func() { listener.Close() })
 	go func() {
 		for {
@@ -59,10 +66,10 @@
 			if err != nil {
 				return
 			}
-			go s.serve(conn)
+			go serve(conn)
 		}
 	}()
-	return s
+	return listener.Addr().String()
 }
 
 func listen(t *testing.T) net.Listener {
