front: try lines say how long a request waited and whether it was sent as a suspect

BUDGET (suspects): tells a copy that waited for an owner from one that came when its key had one, and a trial from a request whose host had no evidence yet.

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -144,7 +144,8 @@
 	if a.outcome != attemptAnswered || guarded.Crashes > 0 {
 		in.log.Event("try", "id", r.ID, "route", r.Route.Name, "server", entry.ID, "addr", entry.Addr,
 			"outcome", a.outcome.String(), "detail", a.detail, "ms", (now - started).Milliseconds(),
-			"caller", r.Caller, "path", r.Path, "fingerprint", r.Fingerprint.String(), "crashes_known", guarded.Crashes)
+			"waited_ms", (started - r.Arrived).Milliseconds(), "caller", r.Caller, "path", r.Path,
+			"fingerprint", r.Fingerprint.String(), "crashes_known", guarded.Crashes, "trial", guarded.Alone)
 	}
 	return a
 }
