--- a/internal/front/fixture_test.go
+++ b/internal/front/fixture_test.go
@@ -175,6 +175,16 @@
 // keyed service whose keys the first server owns; /any/ (idempotent) and /post/ lead to a
 // service without keys, which all servers run.
 func newSystem(t *testing.T, servers ...*backendServer) *system {
+	t.Helper()
+	var addrs []string
+	for _, server := range servers {
+		addrs = append(addrs, server.addr)
+	}
+	return newHost(t, "h1", addrs...)
+}
+
+// newHost is newSystem for a host with a name and servers at the given addresses.
+func newHost(t *testing.T, name string, servers ...string) *system {
 	t.Helper()
 	s := &system{current: assign.NewCurrent(), timeoutMS: "20000", reach: &fakeReach{}}
 	dial := s.dialCounted
@@ -184,15 +194,15 @@
 		})
 	}})
 	var entries []fleet.Entry
-	for i, server := range servers {
+	for i, addr := range servers {
 		for _, service := range []string{"revize", "archiv"} {
 			entries = append(entries, fleet.Entry{
-				ID: fleet.ID(fmt.Sprintf("%s-%d", service, i)), Service: service, Addr: server.addr, Zone: "zlin", Slots: 4, Born: 1,
+				ID: fleet.ID(fmt.Sprintf("%s-%d", service, i)), Service: service, Addr: addr, Zone: "zlin", Slots: 4, Born: 1,
 			})
 		}
 	}
 	s.fleet.Set(entries, 0)
-	s.assignAllKeys("revize-0", servers[0].addr, 1)
+	s.assignAllKeys("revize-0", servers[0], 1)
 	route := func(name, service string, idempotent bool) routetable.Route {
 		return routetable.Route{
 			Name: name, Host: "a.example", Prefix: "/" + name + "/", Idempotent: idempotent, Attempts: 2,
@@ -208,7 +218,7 @@
 		Limits:   routetable.Limits{BodyBytes: 1000},
 	})
 	s.ingress = New(Config{
-		Headers: testHeaders, Fleet: s.fleet, Current: s.current, Self: "h1",
+		Headers: testHeaders, Fleet: s.fleet, Current: s.current, Self: name,
 		Hosts: transport.NewPool(transport.Options{Dial: dial, Connections: 8, RequestIDHeader: testHeaders.RequestID}),
 		Guard: poison.NewGuard(poison.Bounds{CrashLimit: 3, SharedCrashLimit: 3, Retention: time.Minute}), Dial: dial,
 		Table: func() *routetable.Table { return table }, ColdRateLimit: func(routetable.Service) float64 { return 10 },
