front: requests that waited for an owner of their key go through its primary

Cause: serveKeyed looked for the primary once, before the wait for an owner. While the key has none there is no primary, so each host waited by itself and then sent by itself; a forwarded request that waited on the former primary was sent by that one. Class: a decision that rests on state is made before a wait and kept after it. Whatever rests on one host sending to a server (one trial of a suspect at a time, the gate, shares of a limit) failed after each move of a key. Evidence: eight try lines within 3 ms, seven with a caller (not forwarded), crashes_known=1. Change: before a request reaches a server its host is asked again whether it may send; if not, the request goes on to the primary. A forwarded request that has to wait goes back to its host when the key gets an owner elsewhere. The retry budget and the key's rate count a request where it is sent. Ruled out: always refusing forwarded requests whose server has another primary by the receiver's view. A host that helps a zone that is cut off may not know of the cut yet; it takes what it gets for the server that owns the key on arrival. Remains: a request that has reached a server once (421, shed) goes on from where it is, as a retry.

--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -26,13 +26,17 @@
 	headerResult = "Poplarcroft-End"
 )
 
-// reasonLeaving is the reason with which a host that shuts down refuses forwarded requests. The
-// forwarding host compares this text and reasonCutOff, so hosts of all versions must agree on them.
-const reasonLeaving = "host is leaving"
+// Reasons with which a host refuses forwarded requests: it shuts down, or by its plan other hosts send to the
+// server that owns the key now. The forwarding host compares these texts and reasonCutOff, so hosts of all versions
+// must agree on them. A host that does not know one of them passes the refusal on to the caller.
+const (
+	reasonLeaving    = "host is leaving"
+	reasonNotPrimary = "host is not the primary of the server"
+)
 
 // forward sends a request to another host, such as the primary of its server. It returns false if the
 // result is not final, so that this host may send the request again: the other host did not execute the
-// request, or its answer was lost and the request is idempotent.
+// request, or its answer was lost and the request is idempotent. The kind is Unknown in the latter case.
 func (in *Ingress) forward(ctx context.Context, r *Request, to assign.Host) (Result, bool) {
 	left := r.Deadline - in.clock()
 	header := r.Header.Clone()
@@ -56,6 +60,10 @@
 		return unknown(reasonAnswerLost), !r.Route.Idempotent
 	}
 	result := decodeForwardResult(answer)
+	if result.Kind == NotRun && result.Reason == reasonNotPrimary {
+		in.log.Routine("hop", "id", r.ID, "lead", to.Name, "outcome", "refused", "detail", result.Reason)
+		return result, false
+	}
 	if result.Kind == NotRun && (result.Reason == reasonLeaving || result.Reason == reasonCutOff) {
 		in.forwardFailed(ctx, r, to, "refused", result.Reason)
 		return Result{}, false
@@ -181,11 +189,7 @@
 	}
 	ctx, cancel := in.contextOf(hr, r)
 	defer cancel()
-	send := in.sendKeyless
-	if r.Service.Keyed {
-		send = in.sendKeyed
-	}
-	result := send(ctx, r)
+	result := in.sendForwarded(ctx, r)
 	in.recordResult(r, result, 0)
 	if result.Kind == Done {
 		writeAnswer(w, result.Answer)
@@ -194,6 +198,19 @@
 	writeForwardResult(w, result)
 }
 
+// sendForwarded sends a request that another host has forwarded. This host takes it for the server that owns the key
+// when it arrives, since the other host may know better which hosts reach the server. If the key moves on, it
+// goes on only if this host sends to the new owner too.
+func (in *Ingress) sendForwarded(ctx context.Context, r *Request) Result {
+	if !r.Service.Keyed {
+		return in.sendKeyless(ctx, r)
+	}
+	owner, _ := in.config.Current.Plan().Lookup(r.Service.Name, r.Key)
+	return in.sendKeyed(ctx, r, func(plan assign.Plan, server assign.Server) bool {
+		return owner.Phase == assign.Held && server.SameIncarnation(owner.Server) || in.primaries.mayStandIn(plan, server)
+	})
+}
+
 // readForwarded parses a forwarded request. The settings of its service come from this host's own
 // configuration if that contains the service.
 func (in *Ingress) readForwarded(hr *http.Request, now time.Duration) (*Request, error) {
--- a/internal/front/keyed.go
+++ b/internal/front/keyed.go
@@ -15,8 +15,11 @@
 	grantDelay = 15 * time.Millisecond
 	// notOwnerBackoff is the time between two attempts at an owner that has no grant for the key yet.
 	notOwnerBackoff = 40 * time.Millisecond
-	// maxForwards is the maximum number of times that a request is forwarded to a primary.
-	maxForwards = 2
+	// maxForwards is the maximum number of times that a request is forwarded.
+	maxForwards = 3
+	// planLag is how long a request waits for the next plan when the host that the plan names as primary says
+	// that it is not: one of the two has an older plan.
+	planLag = 20 * time.Millisecond
 	// maxNotOwner is the maximum number of retries after a server's answer that it does not own
 	// the key.
 	maxNotOwner = 6
@@ -31,48 +34,52 @@
 	attemptHistory
 	ingress *Ingress
 	r       *Request
+	// maySend reports whether this host may send the request to the server. It is asked until the request
+	// has reached a server.
+	maySend func(assign.Plan, assign.Server) bool
+	// recorded says that the request counts for the retry budget and the key's rate.
+	recorded bool
 	// notOwner counts the servers' answers that they do not own the key.
 	notOwner int
 }
 
 // serveKeyed forwards a request to the primary of the server that owns its key. If this host is
-// the primary, or no primary takes the request, it sends the request to the server itself.
+// the primary, or no primary takes the request, it sends the request to the server itself. While the key has
+// no owner the request waits here; its primary is known only afterwards.
 func (in *Ingress) serveKeyed(ctx context.Context, r *Request) Result {
-	result, final := in.forwardToPrimary(ctx, r)
-	if final {
-		return result
-	}
-	mayHaveExecuted := result.Kind == Unknown
-	result = in.sendKeyed(ctx, r)
-	if result.Kind == NotRun && result.Reason == reasonCutOff {
-		// The host has found out only now that it reaches no server, or the key has only now got an owner.
-		forwarded, final := in.forwardToPrimary(ctx, r)
-		if final || forwarded.Kind == Unknown {
-			result = forwarded
-		}
-	}
-	return unknownIfExecuted(result, mayHaveExecuted)
-}
-
-// forwardToPrimary forwards a request to the primary of its server, and to the next one if that does not
-// take it. It returns false if the result is not final; its kind is Unknown if the request, which is
-// idempotent then, may have been executed.
-func (in *Ingress) forwardToPrimary(ctx context.Context, r *Request) (Result, bool) {
-	last := Result{}
-	for range maxForwards {
-		to, ok := in.forwardTarget(r)
-		if !ok {
-			break
+	mayHaveExecuted := false
+	forwards := 0
+	for {
+		_, changed := in.config.Current.Watch()
+		if to, ok := in.forwardTarget(r); ok && forwards < maxForwards {
+			forwards++
+			result, final := in.forward(ctx, r, to)
+			if final {
+				return unknownIfExecuted(result, mayHaveExecuted)
+			}
+			mayHaveExecuted = mayHaveExecuted || result.Kind == Unknown
+			if result.Reason == reasonNotPrimary {
+				waitFor(ctx, changed, planLag)
+			}
+			continue
 		}
-		result, final := in.forward(ctx, r, to)
-		if final {
-			return unknownIfExecuted(result, last.Kind == Unknown), true
+		maySend := in.primaries.isPrimary
+		if forwards == maxForwards {
+			maySend = anyHost
 		}
-		if result.Kind == Unknown {
-			last = result
+		result := in.sendKeyed(ctx, r, maySend)
+		if _, ok := in.forwardTarget(r); !ok || forwards == maxForwards || !needsOtherHost(result) {
+			return unknownIfExecuted(result, mayHaveExecuted)
 		}
 	}
-	return last, false
+}
+
+// anyHost lets any host send a request to a server: no primary has taken the request.
+func anyHost(assign.Plan, assign.Server) bool { return true }
+
+// needsOtherHost reports whether this host has not sent a request that another one may send.
+func needsOtherHost(result Result) bool {
+	return result.Kind == NotRun && (result.Reason == reasonNotPrimary || result.Reason == reasonCutOff)
 }
 
 // forwardTarget returns the host through which a request for a key has to go, and false if this host
@@ -88,25 +95,38 @@
 }
 
 // sendKeyed sends a request to the server that owns its key, and retries while that may help.
-// While the key has no owner, as during a handover, the request waits.
-func (in *Ingress) sendKeyed(ctx context.Context, r *Request) Result {
-	if !in.cutOff() {
-		in.budgets.recordRequest(r.Service.Name, in.clock())
-		in.keyRates.add(r.Service.Name, r.Key, in.clock())
-	}
-	k := &keyedRequest{ingress: in, r: r}
+// While the key has no owner, as during a handover, the request waits. It is refused with reasonNotPrimary if
+// maySend does not allow this host to send it.
+func (in *Ingress) sendKeyed(ctx context.Context, r *Request, maySend func(assign.Plan, assign.Server) bool) Result {
+	k := &keyedRequest{ingress: in, r: r, maySend: maySend}
 	for ctx.Err() == nil {
 		result, again := k.attemptOnce(ctx)
 		if !again {
+			if !needsOtherHost(result) {
+				k.recordOnce()
+			}
 			if result.Kind == Done {
 				return result
 			}
 			return k.finalResult(result)
 		}
 	}
+	k.recordOnce()
 	return k.finalResult(in.deadlineResult(k.mayHaveExecuted))
 }
 
+// recordOnce counts the request for the retry budget and the key's rate, on its first call. A request that
+// another host sends counts there.
+func (k *keyedRequest) recordOnce() {
+	if k.recorded {
+		return
+	}
+	k.recorded = true
+	now := k.ingress.clock()
+	k.ingress.budgets.recordRequest(k.r.Service.Name, now)
+	k.ingress.keyRates.add(k.r.Service.Name, k.r.Key, now)
+}
+
 // ownerWaitEnd returns the time until which the request waits for an owner of its key.
 func (k *keyedRequest) ownerWaitEnd() time.Duration {
 	maxWait := time.Duration(ownerWaitShare * float64(k.r.Route.Goal))
@@ -124,6 +144,10 @@
 	if k.ingress.cutOff() {
 		return notRun(reasonCutOff, defaultRetryAfter), false
 	}
+	if !k.reachedServer && !k.maySend(plan, assignment.Server) {
+		return notRun(reasonNotPrimary, defaultRetryAfter), false
+	}
+	k.recordOnce()
 	server, ok := k.ingress.fleet.Server(fleet.ID(assignment.Server.ID))
 	if !ok || !k.ingress.fleet.Usable(server) {
 		return k.awaitPlan(ctx, changed, k.ownerWaitEnd(), reasonNoOwner)
@@ -218,18 +242,22 @@
 	if now >= k.ownerWaitEnd() {
 		return refusal, false
 	}
-	timer := time.NewTimer(max(until-now, time.Millisecond))
+	if waitFor(ctx, changed, max(until-now, time.Millisecond)) {
+		waitFor(ctx, nil, grantDelay)
+	}
+	return refusal, ctx.Err() == nil
+}
+
+// waitFor waits until the time is over, the channel is closed or the context ends. It returns true if the channel
+// was closed.
+func waitFor(ctx context.Context, changed <-chan struct{}, d time.Duration) bool {
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
-		return refusal, false
 	case <-timer.C:
 	case <-changed:
-		timer.Reset(grantDelay)
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		}
+		return true
 	}
-	return refusal, true
+	return false
 }
--- a/internal/front/primary.go
+++ b/internal/front/primary.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,6 +32,9 @@
 	return &primaries{self: self, reach: reach, clock: clock, unreachableUntil: make(map[string]time.Duration)}
 }
 
+// standIns is the number of hosts that may take the place of a primary that some hosts cannot reach.
+const standIns = 1
+
 // get returns the primary of a server: the first host in its zone that can be reached and reaches servers.
 // If the hosts of the zone reach no server, it is the first such host of all zones. It returns false if
 // there is none, and if the zone has none that can be reached.
@@ -38,20 +42,41 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock()
+	candidates := p.ranked(plan, server, func(host assign.Host) bool { return now >= p.unreachableUntil[host.Name] })
+	if len(candidates) == 0 {
+		return assign.Host{}, false
+	}
+	return candidates[0], true
+}
+
+// ranked returns the usable hosts of a server's zone that reach servers, in the server's order of preference. If there
+// is none since hosts of the zone reach no server, it returns those of all zones.
+func (p *primaries) ranked(plan assign.Plan, server assign.Server, usable func(assign.Host) bool) []assign.Host {
 	zoneIsCutOff := false
-	usable := func(host assign.Host) bool {
+	eligible := func(host assign.Host) bool {
 		cutOff := p.reach.CutOff(host.Name)
 		zoneIsCutOff = zoneIsCutOff || cutOff
-		return !cutOff && now >= p.unreachableUntil[host.Name]
+		return !cutOff && usable(host)
 	}
-	candidates := plan.RankedHosts(server, usable)
+	candidates := plan.RankedHosts(server, eligible)
 	if len(candidates) == 0 && zoneIsCutOff {
-		candidates = plan.RankedInAllZones(server, usable)
+		candidates = plan.RankedInAllZones(server, eligible)
 	}
-	if len(candidates) == 0 {
-		return assign.Host{}, false
-	}
-	return candidates[0], true
+	return candidates
+}
+
+// isPrimary reports whether this host is the primary of a server, or none can be reached.
+func (p *primaries) isPrimary(plan assign.Plan, server assign.Server) bool {
+	primary, ok := p.get(plan, server)
+	return !ok || primary.Name == p.self
+}
+
+// mayStandIn reports whether another host may take this one for the primary of a server. Hosts that this one can
+// reach may be out of the other's reach.
+func (p *primaries) mayStandIn(plan assign.Plan, server assign.Server) bool {
+	candidates := p.ranked(plan, server, func(assign.Host) bool { return true })
+	candidates = candidates[:min(1+standIns, len(candidates))]
+	return slices.ContainsFunc(candidates, func(host assign.Host) bool { return host.Name == p.self })
 }
 
 // helper returns another host through which this one may send requests while it reaches no server itself:
--- a/internal/front/probe_test.go
+++ b/internal/front/probe_test.go
@@ -164,7 +164,7 @@
 			Fingerprint: f, Arrived: now, Deadline: now + time.Minute,
 		}
 	}
-	assert.DeepEqual(t, s.ingress.sendKeyed(t.Context(), request("revize", true)), unknown(reasonPoison))
+	assert.DeepEqual(t, s.ingress.sendKeyed(t.Context(), request("revize", true), anyHost), unknown(reasonPoison))
 	assert.DeepEqual(t, s.ingress.serveKeyless(t.Context(), request("archiv", false)), unknown(reasonPoison))
 	assert.Assert(t, s.ingress.clock()-now < time.Second)
 	assert.Equal(t, len(server.seen()), 0)
