front, poison: one host sends the copies of a request that has crashed a server

Cause: a suspect ran alone on each host (poison.Tracker.activeTrials), not over all hosts. Class: a limit for the whole system that each host keeps by itself, as the servers' own limits and the allowance of cold servers were. Change: a host may send a suspect only if it is the primary of the server (keys), or the first host that reaches servers in the order of the request's fingerprint (no keys). Others forward the copy; if neither the first host nor the one stand-in can be reached, it is refused at once as not run, with when to come back. So at most two hosts send copies, whatever the number of hosts. A suspect gets one attempt: its repeat on the next server, or after a 421 or 503, would be another arrival. poison.Guard.BeginUnlessSuspect decides under the guard's lock. A request whose connection broke and of which nothing more is known yet stays a matter of its host: others know of it only with the crash. Ruled out: counting each copy that is lost with a server as a crash (one popular path would be stopped by a rack's loss); a lock in the store (a call and 4 ms for each suspect, none while it is away).

--- a/internal/assign/plan.go
+++ b/internal/assign/plan.go
@@ -218,6 +218,12 @@
 
 // RankedInAllZones is RankedHosts for the hosts of all zones.
 func (p Plan) RankedInAllZones(server Server, eligible func(Host) bool) []Host {
+	return p.RankedFor(server.ID, eligible)
+}
+
+// RankedFor returns the eligible hosts of all zones that are not retired, in the order of preference of
+// whatever the ID names.
+func (p Plan) RankedFor(id string, eligible func(Host) bool) []Host {
 	var ranked []Host
 	for _, host := range p.Hosts {
 		if !host.Retired && eligible(host) {
@@ -225,14 +231,14 @@
 		}
 	}
 	slices.SortFunc(ranked, func(a, b Host) int {
-		return cmp.Compare(rendezvousHash(b, server), rendezvousHash(a, server))
+		return cmp.Compare(rendezvousHash(b, id), rendezvousHash(a, id))
 	})
 	return ranked
 }
 
-// rendezvousHash returns the rendezvous hash of a host for a server; the highest is preferred.
-func rendezvousHash(host Host, server Server) uint64 {
-	return xxhash.Sum64String(host.Name + "\x00" + server.ID)
+// rendezvousHash returns the rendezvous hash of a host for an ID; the highest is preferred.
+func rendezvousHash(host Host, id string) uint64 {
+	return xxhash.Sum64String(host.Name + "\x00" + id)
 }
 
 // Valid reports whether the assignments of each service cover all keys exactly once, in ascending order.
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -56,6 +56,8 @@
 	took time.Duration
 	// refusal is the result of the request if the attempt was blocked.
 	refusal Result
+	// suspect says that the request had crashed servers when it was sent.
+	suspect bool
 }
 
 // sendIfAllowed makes one attempt at a server if the server takes it and, for a retry, the service's
@@ -121,6 +123,7 @@
 		in.readFacts(r, server, result.Response.StatusCode, result.Response.Header, started)
 	}
 	a := in.interpret(r, result)
+	a.suspect = guarded.Crashes > 0
 	ending := a.guardEnding(ctx)
 	guarded.End(ending)
 	if ending == poison.Broken {
@@ -153,13 +156,20 @@
 // begin asks the guard whether the request may be sent to the server, and registers the attempt
 // with it. It returns false, and the result of the request, if the request may crash the server.
 func (in *Ingress) begin(ctx context.Context, r *Request, entry fleet.Entry) (*poison.Attempt, Result, bool) {
-	guarded, refusal, ok := in.config.Guard.Begin(ctx, GuardServer(entry), r.Fingerprint)
-	if ok {
+	begin := in.config.Guard.BeginUnlessSuspect
+	maySendSuspect := in.isSuspect(r) && in.maySendSuspect(r, entry)
+	if maySendSuspect {
+		begin = in.config.Guard.Begin
+	}
+	guarded, refusal, ok := begin(ctx, GuardServer(entry), r.Fingerprint)
+	switch {
+	case ok:
 		guarded.SentShared()
 		return guarded, Result{}, true
-	}
-	if refusal.Reason == outcome.ReasonPoison {
+	case refusal.Reason == outcome.ReasonPoison:
 		return nil, unknown(reasonPoison), false
+	case !maySendSuspect && in.isSuspect(r):
+		return nil, notRun(reasonTrialElsewhere, refusal.RetryAfter), false
 	}
 	return nil, notRun(reasonSuspect, refusal.RetryAfter), false
 }
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -130,7 +130,7 @@
 	if len(fields) != forwardFields {
 		return nil, errors.Newf("forward header has %d fields, want %d", len(fields), forwardFields)
 	}
-	r := &Request{Route: &routetable.Route{Idempotent: strings.Contains(fields[forwardFlags], flagIdempotent)}, Arrived: now}
+	r := &Request{Route: &routetable.Route{Idempotent: strings.Contains(fields[forwardFlags], flagIdempotent)}, Forwarded: true, Arrived: now}
 	r.Service.Keyed = !strings.Contains(fields[forwardFlags], flagKeyless)
 	var err error
 	if r.Route.Name, err = url.QueryUnescape(fields[forwardRoute]); err != nil {
--- a/internal/front/keyed.go
+++ b/internal/front/keyed.go
@@ -205,23 +205,27 @@
 // afterAttempt waits as long as the outcome of an attempt requires. It returns true if another
 // attempt may help, and otherwise the result of the request.
 func (k *keyedRequest) afterAttempt(ctx context.Context, a attempt, changed <-chan struct{}) (Result, bool) {
+	again := !a.suspect
 	switch a.outcome {
 	case attemptAnswered:
 		return Result{Kind: Done, Answer: a.answer}, false
 	case attemptNotOwner:
 		k.notOwner++
-		if k.notOwner > maxNotOwner {
+		if !again || k.notOwner > maxNotOwner {
 			return notRun(reasonNotOwner, defaultRetryAfter), false
 		}
 		return k.awaitPlan(ctx, changed, k.ingress.clock()+notOwnerBackoff, reasonNotOwner)
 	case attemptShed:
+		if !again {
+			return notRun(reasonFull, defaultRetryAfter), false
+		}
 		return k.backoff(ctx, retryBackoff, reasonFull)
 	case attemptNotSent:
 		return k.backoff(ctx, retryBackoff, reasonUnreachable)
 	case attemptBlocked:
 		return a.refusal, false
 	}
-	again := k.r.Route.Idempotent && k.executions < k.r.Route.Attempts && k.ingress.timeLeft(k.r)
+	again = again && k.r.Route.Idempotent && k.executions < k.r.Route.Attempts && k.ingress.timeLeft(k.r)
 	return k.finalResult(unknown(reasonAnswerLost)), again
 }
 
--- a/internal/front/keyless.go
+++ b/internal/front/keyless.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/poplarcroft/poplarcroft/internal/assign"
 	"github.com/poplarcroft/poplarcroft/internal/fleet"
 )
 
@@ -20,19 +21,16 @@
 	last Result
 }
 
-// serveKeyless sends a request to any server of its service, through another host if this one reaches
-// no server.
+// serveKeyless sends a request to any server of its service, or through another host that may do so: this one
+// reaches no server, or the request is a suspect.
 func (in *Ingress) serveKeyless(ctx context.Context, r *Request) Result {
 	result := in.sendKeyless(ctx, r)
 	for range maxForwards {
-		if result.Kind != NotRun || result.Reason != reasonCutOff {
-			break
-		}
-		helper, ok := in.primaries.helper(in.config.Current.Plan())
+		to, ok := in.keylessForwardTarget(r, result)
 		if !ok {
 			break
 		}
-		forwarded, final := in.forward(ctx, r, helper)
+		forwarded, final := in.forward(ctx, r, to)
 		if final || forwarded.Kind == Unknown {
 			return forwarded
 		}
@@ -40,15 +38,35 @@
 	return result
 }
 
+// keylessForwardTarget returns the host through which a request that ended here with the given result has to go. It
+// returns false if there is none.
+func (in *Ingress) keylessForwardTarget(r *Request, result Result) (assign.Host, bool) {
+	if result.Kind != NotRun {
+		return assign.Host{}, false
+	}
+	plan := in.config.Current.Plan()
+	switch result.Reason {
+	case reasonTrialElsewhere:
+		to, ok := in.primaries.trialHost(plan, r.Fingerprint)
+		return to, ok && to.Name != in.config.Self
+	case reasonCutOff:
+		return in.primaries.helper(plan)
+	}
+	return assign.Host{}, false
+}
+
 // sendKeyless sends a request to any server of its service. It retries on other servers while
 // the deadline, the retry budget and the route's number of attempts allow. Requests that are not
 // idempotent are only retried while no server may have executed them.
 func (in *Ingress) sendKeyless(ctx context.Context, r *Request) Result {
 	k := &keylessRequest{last: notRun(reasonNoServer, defaultRetryAfter)}
-	if !in.cutOff() {
+	if !in.cutOff() && !in.tryElsewhere(r) {
 		in.budgets.recordRequest(r.Service.Name, in.clock())
 	}
 	for ctx.Err() == nil {
+		if in.tryElsewhere(r) {
+			return k.finalResult(notRun(reasonTrialElsewhere, suspectRetryAfter))
+		}
 		if in.cutOff() {
 			return k.finalResult(notRun(reasonCutOff, defaultRetryAfter))
 		}
@@ -76,6 +94,9 @@
 		if k.last.Kind == Done {
 			return k.last
 		}
+		if a.suspect && k.reachedServer {
+			return k.finalResult(k.last)
+		}
 		if mayHaveExecuted && (!r.Route.Idempotent || k.executions >= r.Route.Attempts || !in.timeLeft(r)) {
 			return k.finalResult(k.last)
 		}
--- a/internal/front/primary.go
+++ b/internal/front/primary.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/poplarcroft/poplarcroft/internal/assign"
+	"github.com/poplarcroft/poplarcroft/internal/poison"
 )
 
 // unreachableFor is how long a host that could not be reached gets no forwarded requests.
@@ -71,12 +72,45 @@
 	return !ok || primary.Name == p.self
 }
 
-// mayStandIn reports whether another host may take this one for the primary of a server. Hosts that this one can
-// reach may be out of the other's reach.
+// mayStandIn reports whether another host may take this one for the primary of a server, because it cannot reach
+// those that come before, or no host is known.
 func (p *primaries) mayStandIn(plan assign.Plan, server assign.Server) bool {
 	candidates := p.ranked(plan, server, func(assign.Host) bool { return true })
 	candidates = candidates[:min(1+standIns, len(candidates))]
-	return slices.ContainsFunc(candidates, func(host assign.Host) bool { return host.Name == p.self })
+	return len(plan.Hosts) == 0 || slices.ContainsFunc(candidates, func(host assign.Host) bool { return host.Name == p.self })
+}
+
+// trialHosts returns the hosts that may send a suspect without a key, in order: those that reach servers, by the
+// request's fingerprint.
+func (p *primaries) trialHosts(plan assign.Plan, f poison.Fingerprint) []assign.Host {
+	ranked := plan.RankedFor(f.String(), func(host assign.Host) bool { return !p.reach.CutOff(host.Name) })
+	return ranked[:min(1+standIns, len(ranked))]
+}
+
+// trialHost returns the first of the trial hosts that can be reached, and false if there is none.
+func (p *primaries) trialHost(plan assign.Plan, f poison.Fingerprint) (assign.Host, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock()
+	for _, host := range p.trialHosts(plan, f) {
+		if host.Name == p.self || now >= p.unreachableUntil[host.Name] {
+			return host, true
+		}
+	}
+	return assign.Host{}, false
+}
+
+// mayTry reports whether this host may send a suspect without a key: it is the trial host or, for one that another host
+// forwards, a stand-in. Without a plan no other host is known.
+func (p *primaries) mayTry(plan assign.Plan, f poison.Fingerprint, forwarded bool) bool {
+	if len(plan.Hosts) == 0 {
+		return true
+	}
+	if forwarded {
+		return slices.ContainsFunc(p.trialHosts(plan, f), func(host assign.Host) bool { return host.Name == p.self })
+	}
+	host, ok := p.trialHost(plan, f)
+	return ok && host.Name == p.self
 }
 
 // helper returns another host through which this one may send requests while it reaches no server itself:
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -56,6 +56,8 @@
 	// Caller is the address at the other end of the connection, without its port, for the log. It is
 	// empty if another host forwards the request.
 	Caller string
+	// Forwarded says that another host forwards the request.
+	Forwarded bool
 	// Fingerprint is the same whenever the caller repeats the request, from any address; the ID is not.
 	Fingerprint poison.Fingerprint
 	// Arrived is when this host received the request. Deadline is when the caller stops waiting or
--- a/internal/front/result.go
+++ b/internal/front/result.go
@@ -68,7 +68,9 @@
 	reasonBudget      = "no retry is left"
 	reasonPoison      = "servers crash that run this request"
 	reasonSuspect     = "servers crashed that ran this request, and it is tried on another one"
-	reasonCallerGone  = "the caller has gone"
+	// reasonTrialElsewhere: only another host may send the request now.
+	reasonTrialElsewhere = "servers crashed that ran this request, and another host tries it"
+	reasonCallerGone     = "the caller has gone"
 )
 
 // writeResult answers the caller and returns the HTTP status.
--- a/internal/front/suspect_test.go
+++ b/internal/front/suspect_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -259,3 +260,52 @@
 		}
 	}
 }
+
+// TestSuspectWhoseHostsAreOutOfReach checks that a suspect goes through a stand-in, and is refused as not run if that cannot
+// be reached either, while other requests are served.
+func TestSuspectWhoseHostsAreOutOfReach(t *testing.T) {
+	for _, c := range []struct {
+		path        string
+		unreachable int
+		want        int
+	}{
+		{"/post/x", standIns, http.StatusOK},
+		{"/post/x", standIns + 1, http.StatusServiceUnavailable},
+		{"/unsafe/x", standIns, http.StatusOK},
+		{"/unsafe/x", standIns + 1, http.StatusServiceUnavailable},
+	} {
+		t.Run(fmt.Sprintf("%s_%d", c.path[1:], c.unreachable), func(t *testing.T) {
+			server := startServer(t, answerOK)
+			cluster := startCluster(t, 8, server.addr)
+			suspect(t, cluster, "POST", c.path, "signed")
+			plan := cluster[0].current.Plan().Clone()
+			plan.Version++
+			f := fingerprint(&Request{Method: "POST", Host: "a.example", Path: c.path, Body: []byte("signed")}, "4711")
+			ranked := cluster[0].ingress.primaries.trialHosts(plan, f)
+			if c.path == "/unsafe/x" {
+				ranked = plan.RankedHosts(plan.Services["revize"][0].Server, func(assign.Host) bool { return true })
+			}
+			var caller *system
+			for i, host := range plan.Hosts {
+				rank := slices.Index(ranked, host)
+				switch {
+				case rank >= 0 && rank < c.unreachable:
+					plan.Hosts[i].Addr = "127.0.0.1:1"
+				case rank < 0 || rank > standIns:
+					caller = cluster[i]
+				}
+			}
+			caller.current.Adopt(plan, 0)
+			response, body, err := caller.call(t, "POST", c.path, "signed")
+			assert.NilError(t, err)
+			assert.Equal(t, response.StatusCode, c.want, body)
+			if c.want != http.StatusOK {
+				assert.Assert(t, response.Header.Get("Retry-After") != "")
+				assert.Equal(t, len(server.seen()), 0)
+			}
+			response, _, err = caller.call(t, "POST", c.path, "another")
+			assert.NilError(t, err)
+			assert.Equal(t, response.StatusCode, http.StatusOK)
+		})
+	}
+}
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -63,9 +63,22 @@
 // Begin asks whether a request may be sent to a server. It returns an attempt and true,
 // or a refusal and false. While the same request runs alone elsewhere, Begin
 // waits until that run, whose result decides, has ended or the context is done.
+//
+// A trial runs alone only among the requests that are sent through this guard. Where several hosts may send to a
+// server, one of them calls Begin and the others BeginUnlessSuspect.
 func (g *Guard) Begin(ctx context.Context, server Server, f Fingerprint) (*Attempt, outcome.Refusal, bool) {
+	return g.awaitBegin(ctx, func() (*Attempt, Decision, <-chan struct{}) { return g.begin(server, f, true) })
+}
+
+// BeginUnlessSuspect is Begin for a host that may not send suspects. It refuses a request that has crashed a server.
+func (g *Guard) BeginUnlessSuspect(ctx context.Context, server Server, f Fingerprint) (*Attempt, outcome.Refusal, bool) {
+	return g.awaitBegin(ctx, func() (*Attempt, Decision, <-chan struct{}) { return g.begin(server, f, false) })
+}
+
+// awaitBegin calls begin until its decision is not to wait.
+func (g *Guard) awaitBegin(ctx context.Context, begin func() (*Attempt, Decision, <-chan struct{})) (*Attempt, outcome.Refusal, bool) {
 	for {
-		attempt, decision, trialEnded := g.begin(server, f)
+		attempt, decision, trialEnded := begin()
 		if !decision.Wait {
 			return attempt, decision.Refusal, decision.Allowed
 		}
@@ -77,10 +90,14 @@
 	}
 }
 
-func (g *Guard) begin(server Server, f Fingerprint) (*Attempt, Decision, <-chan struct{}) {
+func (g *Guard) begin(server Server, f Fingerprint, maySendSuspect bool) (*Attempt, Decision, <-chan struct{}) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	number, decision := g.tracker.Begin(time.Now(), server, f)
+	now := time.Now()
+	if !maySendSuspect && g.store.Check(now, f) == Suspect {
+		return nil, rejection(outcome.ReasonTooManySuspects, trialRetryAfter), nil
+	}
+	number, decision := g.tracker.Begin(now, server, f)
 	return &Attempt{guard: g, server: server, number: number, Alone: decision.Alone, Crashes: decision.Crashes}, decision, g.trialEnded
 }
 
