--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -140,3 +140,34 @@
 		}
 	}
 }
+
+// TestWhatAServerSaidOutlastsItsEntry is a regression test (BUDGET, DRAIN, LIMIT): a pause, a limit and the announced shutdown
+// of a server were forgotten when its entry was away for a moment, as while it was cut off from the store.
+func TestWhatAServerSaidOutlastsItsEntry(t *testing.T) {
+	said := entry("a", "zlin")
+	f := newTestFleet(said)
+	server := mustServer(t, f, "a")
+	server.Pause(30 * time.Second)
+	server.NameLimit(2, SoleShare, 0)
+	f.Set(nil, time.Second)
+	_, ok := f.Server("a")
+	assert.Assert(t, !ok)
+	said.Sequence++
+	f.Set([]Entry{said}, 4*time.Second)
+	server = mustServer(t, f, "a")
+	assert.Equal(t, server.Begin(Allowance{}, SoleShare, 5*time.Second), RefusedLimit)
+	assert.Equal(t, server.Limit(), 2.0)
+	assert.Assert(t, f.Usable(server))
+	server.MarkLeaving()
+	f.Set(nil, 6*time.Second)
+	f.Set([]Entry{said}, 7*time.Second)
+	assert.Assert(t, !f.Usable(mustServer(t, f, "a")))
+
+	restarted := said
+	restarted.Born++
+	f.Set(nil, 8*time.Second)
+	f.Set([]Entry{restarted}, 9*time.Second)
+	server = mustServer(t, f, "a")
+	assert.Assert(t, f.Usable(server))
+	assert.Equal(t, server.Begin(Allowance{}, SoleShare, 9*time.Second), NotRefused)
+}
