fleet: what a server has said of itself outlasts its entry

Callers: a server that had asked for a pause, named a limit or announced its shutdown could get everything that came for it (BUDGET, LIMIT, DRAIN) once its entry had been away for a moment. That this is what the users saw is not shown; their record names no entry. Cause: these facts lived in fleet.Server, which Fleet.Set made anew when the last Set had not held the entry. An entry lapses while its server is cut off from the store, and a malformed record removes it; the next one brings the same incarnation back. Class: a fact about an incarnation that lives as long as something else that comes and goes. Change: Fleet keeps the servers whose entries have gone for ten minutes and takes them back if the start time is the same. A new incarnation starts without facts, as before. A zone that returns from an evacuation makes these servers cold too. Before and after: TestWhatAServerSaidOutlastsItsEntry failed (a request was allowed in the pause), now passes.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -38,8 +39,20 @@
 	mu sync.Mutex
 	// evacuated holds the zones whose servers get no requests.
 	evacuated map[string]bool
+	// former holds the servers whose entries are gone. An entry can come back although its incarnation has gone on
+	// serving, and what that has said of itself still holds then.
+	former map[ID]formerServer
 }
 
+// formerServer is a server whose entry is gone since a time.
+type formerServer struct {
+	*Server
+	since time.Duration
+}
+
+// formerRetention is how long a server is remembered after its entry has gone.
+const formerRetention = 10 * time.Minute
+
 // snapshot is an immutable list of the servers and evacuated zones.
 type snapshot struct {
 	byID      map[ID]*Server
@@ -52,13 +65,13 @@
 	if options.RandIntN == nil {
 		options.RandIntN = rand.IntN
 	}
-	f := &Fleet{options: options}
+	f := &Fleet{options: options, former: make(map[ID]formerServer)}
 	f.snapshot.Store(&snapshot{})
 	return f
 }
 
-// Set replaces the entries of all servers. It keeps the health estimates of incarnations
-// that are still present.
+// Set replaces the entries of all servers. It keeps what is known of incarnations that are still present, or come
+// back within formerRetention.
 func (f *Fleet) Set(entries []Entry, now time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -69,9 +82,9 @@
 		evacuated: f.evacuated,
 	}
 	for _, entry := range entries {
-		server, ok := previous.byID[entry.ID]
+		server := f.known(previous, entry)
 		switch {
-		case !ok || !server.Entry().SameIncarnation(entry):
+		case server == nil:
 			server = newServer(entry, f.options.Target(entry.Addr), now)
 		case server.Entry() != entry:
 			server.update(entry, now)
@@ -82,21 +95,54 @@
 	for _, servers := range next.byService {
 		slices.SortFunc(servers, func(a, b *Server) int { return cmp.Compare(a.Entry().ID, b.Entry().ID) })
 	}
+	f.updateFormer(previous, next, now)
 	f.snapshot.Store(next)
 }
 
+// known returns the server of the entry's incarnation, or nil if it is new. The caller holds the lock.
+func (f *Fleet) known(previous *snapshot, entry Entry) *Server {
+	server := previous.byID[entry.ID]
+	if server == nil {
+		server = f.former[entry.ID].Server
+	}
+	if server == nil || !server.Entry().SameIncarnation(entry) {
+		return nil
+	}
+	return server
+}
+
+// updateFormer remembers the servers whose entries have gone and forgets those that are back or gone for long. The
+// caller holds the lock.
+func (f *Fleet) updateFormer(previous, next *snapshot, now time.Duration) {
+	for id, server := range previous.byID {
+		if _, present := next.byID[id]; !present {
+			f.former[id] = formerServer{server, now}
+		}
+	}
+	maps.DeleteFunc(f.former, func(id ID, former formerServer) bool {
+		_, present := next.byID[id]
+		return present || now-former.since >= formerRetention
+	})
+}
+
 // EvacuateZones sets the zones whose servers get no requests. Servers of a zone that is no longer
 // evacuated count as cold for the time that coldFor returns for their service, unless a newer entry
 // says otherwise.
 func (f *Fleet) EvacuateZones(zones map[string]bool, coldFor func(service string) time.Duration, now time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, server := range f.snapshot.Load().byID {
+	markReturned := func(server *Server) {
 		entry := server.Entry()
 		if f.evacuated[entry.Zone] && !zones[entry.Zone] {
 			server.MarkCold(coldFor(entry.Service), now)
 		}
 	}
+	for _, server := range f.snapshot.Load().byID {
+		markReturned(server)
+	}
+	for _, former := range f.former {
+		markReturned(former.Server)
+	}
 	f.evacuated = zones
 	next := *f.snapshot.Load()
 	next.evacuated = zones
