--- a/internal/front/facts_test.go
+++ b/internal/front/facts_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/poplarcroft/poplarcroft/internal/assign"
 	"github.com/poplarcroft/poplarcroft/internal/fleet"
 )
 
@@ -90,3 +91,28 @@
 		})
 	}
 }
+
+// TestPauseHoldsForRequestsThatWait checks that requests that wait for a slot of a server, and those whose key moves to
+// it, are refused at once when it asks for a pause.
+func TestPauseHoldsForRequestsThatWait(t *testing.T) {
+	server := startServer(t, rawAnswer(503, "", "X-Not-Run: 1\r\n", "Retry-After: 30\r\n"))
+	server.delay = 50 * time.Millisecond
+	s := newSystem(t, server)
+	for _, status := range callAll(t, []*system{s}, 40, "GET", "/keyed/x", "")() {
+		assert.Equal(t, status, 503)
+	}
+	entry := s.fleet.Servers("revize")[0].Entry()
+	assert.Assert(t, len(server.seen()) <= entry.Slots+extraSlots, "%d requests", len(server.seen()))
+	sent := len(server.seen())
+	moving := s.current.Plan().Clone()
+	moving.Version = 2
+	moving.Services["revize"][0].Phase = assign.Free
+	s.current.Adopt(moving, 0)
+	answers := callAll(t, []*system{s}, 10, "POST", "/unsafe/x", "signed")
+	time.Sleep(50 * time.Millisecond)
+	s.assignAllKeys("revize-0", server.addr, 3)
+	for _, status := range answers() {
+		assert.Equal(t, status, 503)
+	}
+	assert.Equal(t, len(server.seen()), sent)
+}
