--- /dev/null
+++ b/internal/edge/builds_test.go
@@ -0,0 +1,76 @@
+package edge
+
+import (
+	"bytes"
+	"encoding/gob"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/poplarcroft/poplarcroft/internal/assign"
+	"github.com/poplarcroft/poplarcroft/internal/clock"
+	"github.com/poplarcroft/poplarcroft/internal/eventlog"
+	"github.com/poplarcroft/poplarcroft/internal/follow"
+	"github.com/poplarcroft/poplarcroft/internal/front"
+	"github.com/poplarcroft/poplarcroft/internal/keyrange"
+	"github.com/poplarcroft/poplarcroft/internal/poison"
+)
+
+// withUnknownField adds a field that this build does not know to a record and to all objects in it, but for the map of
+// services.
+func withUnknownField(t *testing.T, record any) []byte {
+	t.Helper()
+	encoded, err := json.Marshal(record)
+	assert.NilError(t, err)
+	unknown := []byte(`"of_another_build":[1],`)
+	encoded = bytes.ReplaceAll(encoded, []byte("{"), append([]byte("{"), unknown...))
+	return bytes.Replace(encoded, append([]byte(`"services":{`), unknown...), []byte(`"services":{`), 1)
+}
+
+// TestRecordsOfAnotherBuild checks that fields and kinds of records in the shared state that this build does not know are
+// ignored, and that the rest is read.
+func TestRecordsOfAnotherBuild(t *testing.T) {
+	f := poison.Fingerprint{7}
+	var evidence []poison.Record
+	s := &state{
+		current: assign.NewCurrent(), clock: clock.Monotonic, log: eventlog.Discard(), hosts: make(map[string]assign.Host),
+		evidenceWritten: make(map[string]time.Time), onEvidence: func(records []poison.Record) { evidence = append(evidence, records...) },
+	}
+	host := assign.Host{Name: "h1", Incarnation: "a", Zone: "zlin", Addr: "127.0.0.1:1"}
+	plan := assign.Plan{Leader: host, Hosts: []assign.Host{host}, Services: map[string][]assign.Assignment{
+		"revize": {{Range: keyrange.All, Phase: assign.Held, Server: assign.Server{ID: "s1", Born: 5}}},
+	}}
+	kept := keptEvidence{Records: []poison.Record{{Fingerprint: f, Death: poison.Server{Incarnation: "s1/5"}}}, WrittenMS: time.Now().UnixMilli()}
+	for _, record := range []follow.Record{
+		{Key: planKey, Value: withUnknownField(t, plan), Offset: 1},
+		{Key: hostPrefix + "h1", Value: withUnknownField(t, host), Offset: 2},
+		{Key: evidencePrefix + f.String(), Value: withUnknownField(t, kept), Offset: 3},
+		{Key: "of-another-build/x", Value: []byte{0}, Offset: 4},
+	} {
+		s.apply(record, 0, follow.Era(1))
+	}
+	assignment, ok := s.current.Plan().Lookup("revize", 9)
+	assert.Assert(t, ok)
+	assert.Equal(t, assignment.Server, assign.Server{ID: "s1", Born: 5})
+	assert.DeepEqual(t, s.list(), []assign.Host{host})
+	assert.Equal(t, len(evidence), 1)
+	assert.Equal(t, evidence[0].Fingerprint, f)
+}
+
+// TestMessagesOfAnotherBuild checks that a message with a field more or less is read.
+func TestMessagesOfAnotherBuild(t *testing.T) {
+	type newerFactArgs struct {
+		FactArgs
+		From  string
+		Born  int64
+		Fact  front.Fact
+		Extra map[string]int
+	}
+	var wire bytes.Buffer
+	assert.NilError(t, gob.NewEncoder(&wire).Encode(newerFactArgs{From: "h2", Born: 5, Fact: front.Leaving, Extra: map[string]int{"x": 1}}))
+	var got FactArgs
+	assert.NilError(t, gob.NewDecoder(&wire).Decode(&got))
+	assert.Equal(t, got, FactArgs{From: "h2", Born: 5, Fact: front.Leaving})
+}
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -102,6 +102,9 @@
 		s.applyHost(record)
 	case strings.HasPrefix(record.Key, evidencePrefix):
 		s.applyEvidence(record)
+	default:
+		// Another build may keep records that this one does not know.
+		s.log.Routine("record", "key", record.Key, "offset", record.Offset, "outcome", "ignored", "err", "unknown kind")
 	}
 }
 
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -26,12 +26,13 @@
 	headerResult = "Poplarcroft-End"
 )
 
-// Reasons with which a host refuses forwarded requests: it shuts down, or by its plan other hosts send to the
-// server that owns the key now. The forwarding host compares these texts and reasonCutOff, so hosts of all versions
+// Reasons with which a host refuses forwarded requests: it shuts down, by its plan other hosts send to the
+// server that owns the key now, or it does not understand the header, as that of another build. The forwarding host compares these texts and reasonCutOff, so hosts of all versions
 // must agree on them. A host that does not know one of them passes the refusal on to the caller.
 const (
 	reasonLeaving    = "host is leaving"
 	reasonNotPrimary = "host is not the primary of the server"
+	reasonMalformed  = "malformed hop"
 )
 
 // forward sends a request to another host, such as the primary of its server. It returns false if the
@@ -64,7 +65,7 @@
 		in.log.Routine("hop", "id", r.ID, "lead", to.Name, "outcome", "refused", "detail", result.Reason)
 		return result, false
 	}
-	if result.Kind == NotRun && (result.Reason == reasonLeaving || result.Reason == reasonCutOff) {
+	if result.Kind == NotRun && (result.Reason == reasonLeaving || result.Reason == reasonCutOff || result.Reason == reasonMalformed) {
 		in.forwardFailed(ctx, r, to, "refused", result.Reason)
 		return Result{}, false
 	}
@@ -180,7 +181,7 @@
 	r, err := in.readForwarded(hr, now)
 	if err != nil {
 		in.log.Event("hop", "id", hr.Header.Get(in.headers.RequestID), "outcome", "rejected", "err", err.Error())
-		writeForwardResult(w, notRun("malformed hop", 0))
+		writeForwardResult(w, notRun(reasonMalformed, defaultRetryAfter))
 		return
 	}
 	if in.isLeaving() {
--- a/internal/front/forward_test.go
+++ b/internal/front/forward_test.go
@@ -1,12 +1,14 @@
 package front
 
 import (
+	"net/http"
 	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/poplarcroft/poplarcroft/internal/assign"
 	"github.com/poplarcroft/poplarcroft/internal/poison"
 	"github.com/poplarcroft/poplarcroft/internal/routetable"
 )
@@ -69,3 +71,22 @@
 	_, err = decodeForward(strings.Replace(good, forwardSeparator, forwardSeparator+forwardSeparator, 1), 0)
 	assert.Assert(t, err != nil)
 }
+
+// TestForwardsOfAnotherBuild checks that a flag that this build does not know is ignored, and that a host that does not
+// understand the header of another build is passed over.
+func TestForwardsOfAnotherBuild(t *testing.T) {
+	r, err := decodeForward(encodeForward(forwardedRequest(), 0)+"z", 0)
+	assert.NilError(t, err)
+	assert.Assert(t, r.Route.Idempotent && r.Service.Keyed)
+	server := startServer(t, answerOK)
+	other := servePeersWith(t, func(w http.ResponseWriter, hr *http.Request) {
+		hr.Header.Set(HeaderForward, hr.Header.Get(HeaderForward)+forwardSeparator+"new field")
+		newHost(t, "h2", server.addr).ingress.ServeForwarded(w, hr)
+	})
+	s := newSystem(t, server)
+	s.assignAllKeys("revize-0", server.addr, 2, assign.Host{Name: "h2", Zone: "zlin", Addr: other})
+	response, _, err := s.call(t, "POST", "/unsafe/x", "signed")
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	assert.Equal(t, len(server.seen()), 1)
+}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -198,7 +198,13 @@
 // servePeers starts the listener for forwarded requests and returns its address.
 func servePeers(t *testing.T, ingress *Ingress) string {
 	t.Helper()
-	server := http.Server{Handler: http.HandlerFunc(ingress.ServeForwarded)}
+	return servePeersWith(t, ingress.ServeForwarded)
+}
+
+// servePeersWith is servePeers with a handler of its own.
+func servePeersWith(t *testing.T, handler http.HandlerFunc) string {
+	t.Helper()
+	server := http.Server{Handler: handler}
 	listener := listen(t)
 	go server.Serve(listener)
 	t.Cleanup(func() { server.Close() })
