members: the test waits until a stopped host's connections have ended

Cause: the fixture's stop cancels the context, upon which peer.ServeRPC closes its connection in a goroutine of its own; the HTTP server does not wait for connections that were taken over. A status call in between is answered, rightly. Members itself counts no answer that it should not. The checks are the same.

--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -86,12 +86,17 @@
 	service := rpc.NewServer()
 	assert.NilError(t, service.RegisterName("Peer", host))
 	ctx, cancel := context.WithCancel(context.Background())
+	// The HTTP server does not wait for the connections that ServeRPC takes over.
+	var serving sync.WaitGroup
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		serving.Add(1)
+		defer serving.Done()
 		peer.ServeRPC(ctx, service, w)
 	}))
 	stop = sync.OnceFunc(func() {
 		cancel()
 		server.Close()
+		serving.Wait()
 	})
 	t.Cleanup(stop)
 	entry = logservice.HostEntry{
