transport: the error of a connection that broke under a request says so

Log lines of requests that were lost with their server read 'dial tcp ...: connection refused', as if nothing had been sent, and ended as unknown all the same (lead: 'no retry is left' where each attempt was refused on connecting). So unknown is right, the text was not. TestErrorOfABrokenConnectionSaysSo failed before.

--- a/internal/transport/target.go
+++ b/internal/transport/target.go
@@ -252,6 +252,10 @@
 	sent := NotSent
 	if a.blockAllWrites() {
 		sent = MaybeSent
+		if dialError(err) {
+			// net/http has dialled again for a replay, which is not made.
+			err = errors.Wrap(err, ErrReplay.Error())
+		}
 	}
 	if a.reused && sent == MaybeSent && !errors.Is(err, context.Canceled) {
 		t.Close()
@@ -259,6 +263,12 @@
 	return Result{Sent: sent, Err: err}
 }
 
+// dialError reports whether the error is that of opening a connection.
+func dialError(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
 // dialTracked opens a connection within the connection limit. At the limit it closes the
 // idle connections first.
 func (t *Target) dialTracked(ctx context.Context, network, addr string) (net.Conn, error) {
--- a/internal/transport/target_test.go
+++ b/internal/transport/target_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -287,3 +289,26 @@
 		time.Sleep(2 * time.Second)
 	})
 }
+
+// TestErrorOfABrokenConnectionSaysSo checks that a request whose connection broke is not reported as one whose connection
+// could not be opened, when the server is gone by then.
+func TestErrorOfABrokenConnectionSaysSo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := newFakeServer(answerWith(completeAnswer), answerAndClose(""))
+		refused := false
+		target := NewTarget("10.0.0.1:80", Options{Clock: fakeClock, Connections: 2, Dial: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			if refused {
+				return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+			}
+			return server.dial(ctx, network, addr)
+		}})
+		sent, _, _ := send(t, target, get)
+		assert.Equal(t, sent, Answered)
+		refused = true
+		sent, _, err := send(t, target, get)
+		assert.Equal(t, sent, MaybeSent)
+		assert.ErrorContains(t, err, ErrReplay.Error())
+		assert.Assert(t, errors.Is(err, syscall.ECONNREFUSED))
+		target.Close()
+	})
+}
