--- a/internal/front/fixture_test.go
+++ b/internal/front/fixture_test.go
@@ -57,6 +57,12 @@
 
 // serveConns accepts connections until the test ends, and returns the address.
 func serveConns(t *testing.T, serve func(net.Conn)) string {
+	t.Helper()
+	return acceptConns(t, func(_ net.Listener, conn net.Conn) { serve(conn) })
+}
+
+// acceptConns is serveConns for a function that may close the listener.
+func acceptConns(t *testing.T, serve func(net.Listener, net.Conn)) string {
 	t.Helper()
 	listener := listen(t)
 	t.Cleanup(func() { listener.Close() })
@@ -66,7 +72,7 @@
 			if err != nil {
 				return
 			}
-			go serve(conn)
+			go serve(listener, conn)
 		}
 	}()
 	return listener.Addr().String()
--- a/internal/front/probe.go
+++ b/internal/front/probe.go
@@ -68,11 +68,11 @@
 	case err == nil:
 		defer conn.Close()
 		if staysOpen(conn) {
-			p.guard.AddressAccepts(started, server)
+			p.guard.EndDoubt(started, server)
 		}
 	case errors.Is(err, syscall.ECONNREFUSED) && !p.reachesOthers(probed):
 		p.log.Event("server", "id", string(entry.ID), "addr", entry.Addr, "born", entry.Born, "outcome", "refuses connections, as others do")
-		p.guard.CutOff(server)
+		p.guard.EndDoubt(time.Now(), server)
 	case errors.Is(err, syscall.ECONNREFUSED):
 		p.log.Event("server", "id", string(entry.ID), "addr", entry.Addr, "born", entry.Born, "outcome", "refuses connections after one broke")
 		probed.Target.Close()
--- a/internal/front/suspect_test.go
+++ b/internal/front/suspect_test.go
@@ -36,23 +36,14 @@
 // start starts one of the servers and returns its address.
 func (s *crashingServers) start(t *testing.T) string {
 	t.Helper()
-	listener := listen(t)
-	t.Cleanup(func() { listener.Close() })
 	crashed, crash := context.WithCancel(context.Background())
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			context.AfterFunc(crashed, func() { conn.Close() })
-			go s.serve(conn, func() {
-				listener.Close()
-				crash()
-			})
-		}
-	}()
-	return listener.Addr().String()
+	return acceptConns(t, func(listener net.Listener, conn net.Conn) {
+		context.AfterFunc(crashed, func() { conn.Close() })
+		s.serve(conn, func() {
+			listener.Close()
+			crash()
+		})
+	})
 }
 
 // serve reads requests until the connection ends. The first one crashes the server.
--- a/internal/poison/crashes_test.go
+++ b/internal/poison/crashes_test.go
@@ -56,7 +56,7 @@
 	number, _ := tracker.Begin(start, server, suspect)
 	tracker.Sent(server, number, true)
 	tracker.End(start, server, number, Broken)
-	tracker.AddressAccepts(at(time.Second), server)
+	tracker.EndDoubt(at(time.Second), server)
 	assert.Equal(t, tracker.countUndecided(at(time.Second), suspect), 0)
 	tracker.ServerCrashed(at(3*time.Second), server, Discovery)
 	assert.Equal(t, store.Check(at(3*time.Second), suspect), Suspect)
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -151,19 +151,12 @@
 	g.tracker.ServerAlive(queriedAt, server)
 }
 
-// AddressAccepts records that a process accepted a connection at the server's address that was opened
-// at openedAt.
-func (g *Guard) AddressAccepts(openedAt time.Time, server Server) {
+// EndDoubt records that a connection to the server that broke before the given time makes no crash likely; see
+// Tracker.EndDoubt.
+func (g *Guard) EndDoubt(before time.Time, server Server) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.tracker.AddressAccepts(openedAt, server)
-}
-
-// CutOff records that this host's connections break because it is cut off from the server.
-func (g *Guard) CutOff(server Server) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.tracker.CutOff(time.Now(), server)
+	g.tracker.EndDoubt(before, server)
 }
 
 // SetBlind records whether this host cannot learn of crashes, as while the service discovery is away.
--- a/internal/poison/tracker.go
+++ b/internal/poison/tracker.go
@@ -251,22 +251,10 @@
 	t.keepUnanswered(server, func(r unansweredRequest) bool { return !r.undecided || !r.at.Before(queriedAt) })
 }
 
-// AddressAccepts records that a process accepted a connection at the server's address that was opened
-// at openedAt. It is likely the same incarnation, so a request whose connection broke before then is no
-// longer undecided. It may be a newer one, so the request is still a suspect if the incarnation is found
-// crashed.
-func (t *Tracker) AddressAccepts(openedAt time.Time, server Server) {
-	t.endDoubt(openedAt, server)
-}
-
-// CutOff records that this host's connections break because it is cut off from the server. A request whose
-// connection broke before then is no longer undecided, but a suspect if the incarnation is found crashed.
-func (t *Tracker) CutOff(now time.Time, server Server) {
-	t.endDoubt(now, server)
-}
-
-// endDoubt marks the requests as no longer undecided whose connections to the server broke before a time.
-func (t *Tracker) endDoubt(before time.Time, server Server) {
+// EndDoubt records that a connection to the server that broke before the given time makes no crash likely: a process has
+// accepted one at its address since, or this host is cut off. The request is no longer undecided. It is still a suspect if
+// the incarnation is found crashed, since that process may be a newer one.
+func (t *Tracker) EndDoubt(before time.Time, server Server) {
 	requests := t.unanswered[server]
 	for i := range requests {
 		if requests[i].at.Before(before) {
