--- a/internal/front/keyless.go
+++ b/internal/front/keyless.go
@@ -30,6 +30,7 @@
 		if !ok {
 			break
 		}
+		in.log.Routine("hop", "id", r.ID, "lead", to.Name, "outcome", "forwarded", "detail", result.Reason)
 		forwarded, final := in.forward(ctx, r, to)
 		if final || forwarded.Kind == Unknown {
 			return forwarded
