--- a/internal/assign/plan.go
+++ b/internal/assign/plan.go
@@ -221,8 +221,8 @@
 	return p.RankedFor(server.ID, eligible)
 }
 
-// RankedFor returns the eligible hosts of all zones that are not retired, in the order of preference of
-// whatever the ID names.
+// RankedFor returns the eligible hosts of all zones that are not retired, in the order of preference for the
+// object with the ID.
 func (p Plan) RankedFor(id string, eligible func(Host) bool) []Host {
 	var ranked []Host
 	for _, host := range p.Hosts {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -39,18 +39,18 @@
 	mu sync.Mutex
 	// evacuated holds the zones whose servers get no requests.
 	evacuated map[string]bool
-	// former holds the servers whose entries are gone. An entry can come back although its incarnation has gone on
-	// serving, and what that has said of itself still holds then.
+	// former holds the servers whose entries are gone. An entry can come back while its incarnation keeps
+	// serving. The facts learned from its answers are still valid then.
 	former map[ID]formerServer
 }
 
-// formerServer is a server whose entry is gone since a time.
+// formerServer is a server whose entry has been gone since the given time.
 type formerServer struct {
 	*Server
 	since time.Duration
 }
 
-// formerRetention is how long a server is remembered after its entry has gone.
+// formerRetention is how long a server is kept after its entry has gone.
 const formerRetention = 10 * time.Minute
 
 // snapshot is an immutable list of the servers and evacuated zones.
@@ -70,8 +70,8 @@
 	return f
 }
 
-// Set replaces the entries of all servers. It keeps what is known of incarnations that are still present, or come
-// back within formerRetention.
+// Set replaces the entries of all servers. It keeps the estimates and facts of incarnations that are still present or
+// come back within formerRetention.
 func (f *Fleet) Set(entries []Entry, now time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -111,8 +111,8 @@
 	return server
 }
 
-// updateFormer remembers the servers whose entries have gone and forgets those that are back or gone for long. The
-// caller holds the lock.
+// updateFormer adds the servers whose entries have gone and removes those that are back or have expired. The caller
+// holds the lock.
 func (f *Fleet) updateFormer(previous, next *snapshot, now time.Duration) {
 	for id, server := range previous.byID {
 		if _, present := next.byID[id]; !present {
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -26,9 +26,10 @@
 	headerResult = "Poplarcroft-End"
 )
 
-// Reasons with which a host refuses forwarded requests: it shuts down, by its plan other hosts send to the
-// server that owns the key now, or it does not understand the header, as that of another build. The forwarding host compares these texts and reasonCutOff, so hosts of all versions
-// must agree on them. A host that does not know one of them passes the refusal on to the caller.
+// Reasons with which a host refuses forwarded requests: it is shutting down, it is not the primary of the server that
+// owns the key now, or it cannot parse the header, which another build may have written. The forwarding host compares
+// these texts and reasonCutOff, so hosts of all versions must agree on them. A host that does not know one of them
+// returns the refusal to the caller.
 const (
 	reasonLeaving    = "host is leaving"
 	reasonNotPrimary = "host is not the primary of the server"
@@ -199,9 +200,9 @@
 	writeForwardResult(w, result)
 }
 
-// sendForwarded sends a request that another host has forwarded. This host takes it for the server that owns the key
-// when it arrives, since the other host may know better which hosts reach the server. If the key moves on, it
-// goes on only if this host sends to the new owner too.
+// sendForwarded sends a request that another host has forwarded. It always sends to the server that owns the key on
+// arrival, since the other host may have newer information about which hosts reach servers. If the key moves
+// meanwhile, it sends to the new owner only as that server's primary or stand-in.
 func (in *Ingress) sendForwarded(ctx context.Context, r *Request) Result {
 	if !r.Service.Keyed {
 		return in.sendKeyless(ctx, r)
--- a/internal/front/keyed.go
+++ b/internal/front/keyed.go
@@ -17,8 +17,8 @@
 	notOwnerBackoff = 40 * time.Millisecond
 	// maxForwards is the maximum number of times that a request is forwarded.
 	maxForwards = 3
-	// planLag is how long a request waits for the next plan when the host that the plan names as primary says
-	// that it is not: one of the two has an older plan.
+	// planLag is how long a request waits for the next plan after its primary has refused it with
+	// reasonNotPrimary, because one of the two hosts has an older plan.
 	planLag = 20 * time.Millisecond
 	// maxNotOwner is the maximum number of retries after a server's answer that it does not own
 	// the key.
@@ -44,8 +44,8 @@
 }
 
 // serveKeyed forwards a request to the primary of the server that owns its key. If this host is
-// the primary, or no primary takes the request, it sends the request to the server itself. While the key has
-// no owner the request waits here; its primary is known only afterwards.
+// the primary, or no primary accepts the request, it sends the request to the server itself. While the key has
+// no owner the request waits on this host, because its primary is not known yet.
 func (in *Ingress) serveKeyed(ctx context.Context, r *Request) Result {
 	mayHaveExecuted := false
 	forwards := 0
@@ -74,10 +74,10 @@
 	}
 }
 
-// anyHost lets any host send a request to a server: no primary has taken the request.
+// anyHost allows every host to send a request to a server. It is used after no primary has accepted the request.
 func anyHost(assign.Plan, assign.Server) bool { return true }
 
-// needsOtherHost reports whether this host has not sent a request that another one may send.
+// needsOtherHost reports whether this host has refused a request that another host may send.
 func needsOtherHost(result Result) bool {
 	return result.Kind == NotRun && (result.Reason == reasonNotPrimary || result.Reason == reasonCutOff)
 }
--- a/internal/front/primary.go
+++ b/internal/front/primary.go
@@ -33,7 +33,7 @@
 	return &primaries{self: self, reach: reach, clock: clock, unreachableUntil: make(map[string]time.Duration)}
 }
 
-// standIns is the number of hosts that may take the place of a primary that some hosts cannot reach.
+// standIns is the number of hosts that may replace a primary that some hosts cannot reach.
 const standIns = 1
 
 // get returns the primary of a server: the first host in its zone that can be reached and reaches servers.
@@ -72,8 +72,8 @@
 	return !ok || primary.Name == p.self
 }
 
-// mayStandIn reports whether another host may take this one for the primary of a server, because it cannot reach
-// those that come before, or no host is known.
+// mayStandIn reports whether this host is the primary of a server or its stand-in, to which hosts forward that cannot
+// reach the primary. It is true if the plan lists no hosts.
 func (p *primaries) mayStandIn(plan assign.Plan, server assign.Server) bool {
 	candidates := p.ranked(plan, server, func(assign.Host) bool { return true })
 	candidates = candidates[:min(1+standIns, len(candidates))]
--- a/internal/front/suspect.go
+++ b/internal/front/suspect.go
@@ -8,11 +8,11 @@
 	"github.com/poplarcroft/poplarcroft/internal/poison"
 )
 
-// A suspect is a request under which a server has crashed. If each host that holds a copy sent it, the copies would crash
-// further servers at the same moment. So one host sends them, one after the other, until one succeeds or the request
-// counts as poison: for a key the primary of the server, which gets all requests for the key, and otherwise a host that all
-// choose alike by the request's fingerprint. A host that cannot reach it goes to the next one, and refuses the
-// request if that cannot be reached either. The result of the first copy decides, so a suspect gets a single attempt.
+// A suspect is a request that was in flight when a server crashed. Callers repeat it at several hosts. If each host sent its
+// copy, they could crash several servers at once. Therefore a single host sends all copies, one at a time, until one
+// succeeds or the request counts as poison. For a key it is the primary of the server; otherwise it is the first
+// host in the order of the request's fingerprint. A host that cannot reach it forwards to the stand-in, the next host in
+// that order, and refuses the request if neither is reachable. Each copy gets a single attempt.
 
 // suspectRetryAfter is the time after which a caller may repeat a suspect that cannot be sent now.
 const suspectRetryAfter = 500 * time.Millisecond
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -64,8 +64,8 @@
 // or a refusal and false. While the same request runs alone elsewhere, Begin
 // waits until that run, whose result decides, has ended or the context is done.
 //
-// A trial runs alone only among the requests that are sent through this guard. Where several hosts may send to a
-// server, one of them calls Begin and the others BeginUnlessSuspect.
+// Trials are serialized only within this guard. If several hosts send the same requests, only one of them may call Begin
+// for a suspect, and the others call BeginUnlessSuspect.
 func (g *Guard) Begin(ctx context.Context, server Server, f Fingerprint) (*Attempt, outcome.Refusal, bool) {
 	return g.awaitBegin(ctx, func() (*Attempt, Decision, <-chan struct{}) { return g.begin(server, f, true) })
 }
