front, poison: copies of a suspect that wait for the one being tried keep no slots at the server's gate

Each passed the server's gate before it waited for the running one, so up to four of five slots stood idle, and other requests for the server waited: with one suspect that its server holds for long they ended with 504 (TestSuspectsThatWaitKeepNoSlots failed). Copies now wait before they take a slot, an allowance or a place in a server's estimate; one that loses the race for the trial gives its slot back.

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"strconv"
@@ -56,6 +57,8 @@
 	took time.Duration
 	// refusal is the result of the request if the attempt was blocked.
 	refusal Result
+	// waitsForTrial says that the attempt was blocked because another copy of the request is running alone.
+	waitsForTrial bool
 	// suspect says that the request had crashed servers when it was sent.
 	suspect bool
 }
@@ -100,12 +103,16 @@
 	// A request that waits in the server's queue takes longer although the server isn't slow, so
 	// its latency is not used.
 	notQueued := server.Occupancy(started) <= 1
-	guarded, refusal, ok := in.begin(ctx, r, entry)
+	guarded, blocked, ok := in.begin(r, entry)
 	if !ok {
 		server.End(fleet.Cancelled, 0, started)
-		in.log.Event("try", "id", r.ID, "route", r.Route.Name, "server", entry.ID, "outcome", attemptBlocked.String(),
-			"fingerprint", r.Fingerprint.String(), "reason", refusal.Reason)
-		return attempt{outcome: attemptBlocked, refusal: refusal}
+		write := in.log.Event
+		if blocked.waitsForTrial {
+			write = in.log.Routine
+		}
+		write("try", "id", r.ID, "route", r.Route.Name, "server", entry.ID, "outcome", attemptBlocked.String(),
+			"fingerprint", r.Fingerprint.String(), "reason", blocked.refusal.Reason, "waits", blocked.waitsForTrial)
+		return blocked
 	}
 	header := r.Header.Clone()
 	header.Set(in.headers.DeadlineMS, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
@@ -154,24 +161,24 @@
 }
 
 // begin asks the guard whether the request may be sent to the server, and registers the attempt
-// with it. It returns false, and the result of the request, if the request may crash the server.
-func (in *Ingress) begin(ctx context.Context, r *Request, entry fleet.Entry) (*poison.Attempt, Result, bool) {
-	begin := in.config.Guard.BeginUnlessSuspect
+// with it. It returns false, and a blocked attempt, if the request may crash the server.
+func (in *Ingress) begin(r *Request, entry fleet.Entry) (*poison.Attempt, attempt, bool) {
 	maySendSuspect := in.isSuspect(r) && in.maySendSuspect(r, entry)
-	if maySendSuspect {
-		begin = in.config.Guard.Begin
+	guarded, decision := in.config.Guard.TryBegin(GuardServer(entry), r.Fingerprint, maySendSuspect)
+	if decision.Allowed {
+		guarded.SentShared()
+		return guarded, attempt{}, true
 	}
-	guarded, refusal, ok := begin(ctx, GuardServer(entry), r.Fingerprint)
+	blocked := attempt{outcome: attemptBlocked, waitsForTrial: decision.Wait}
 	switch {
-	case ok:
-		guarded.SentShared()
-		return guarded, Result{}, true
-	case refusal.Reason == outcome.ReasonPoison:
-		return nil, unknown(reasonPoison), false
+	case decision.Refusal.Reason == outcome.ReasonPoison:
+		blocked.refusal = unknown(reasonPoison)
 	case !maySendSuspect && in.isSuspect(r):
-		return nil, notRun(reasonTrialElsewhere, refusal.RetryAfter), false
+		blocked.refusal = notRun(reasonTrialElsewhere, decision.Refusal.RetryAfter)
+	default:
+		blocked.refusal = notRun(reasonSuspect, cmp.Or(decision.Refusal.RetryAfter, suspectRetryAfter))
 	}
-	return nil, notRun(reasonSuspect, refusal.RetryAfter), false
+	return nil, blocked, false
 }
 
 // GuardServer returns the identity under which the guard knows this incarnation of a server.
--- a/internal/front/keyed.go
+++ b/internal/front/keyed.go
@@ -161,6 +161,11 @@
 // acquireAndSend waits for a slot at the server's admission gate and sends the request. It
 // returns true if another attempt may help.
 func (k *keyedRequest) acquireAndSend(ctx context.Context, server *fleet.Server, changed <-chan struct{}) (Result, bool) {
+	// Copies of a suspect that waited behind the gate would keep other requests from the server.
+	if k.ingress.config.Guard.InTrial(k.r.Fingerprint) {
+		k.ingress.config.Guard.AwaitTrial(ctx, k.r.Fingerprint)
+		return Result{}, true
+	}
 	gate := k.ingress.gates.get(server.Entry())
 	retryAfter, ok := gate.Acquire(ctx, dispatch.Item{
 		Priority: k.r.Route.Priority,
@@ -223,7 +228,7 @@
 	case attemptNotSent:
 		return k.backoff(ctx, retryBackoff, reasonUnreachable)
 	case attemptBlocked:
-		return a.refusal, false
+		return a.refusal, a.waitsForTrial
 	}
 	again = again && k.r.Route.Idempotent && k.executions < k.r.Route.Attempts && k.ingress.timeLeft(k.r)
 	return k.finalResult(unknown(reasonAnswerLost)), again
--- a/internal/front/keyless.go
+++ b/internal/front/keyless.go
@@ -71,6 +71,9 @@
 		if in.cutOff() {
 			return k.finalResult(notRun(reasonCutOff, defaultRetryAfter))
 		}
+		if !in.config.Guard.AwaitTrial(ctx, r.Fingerprint) {
+			break
+		}
 		now := in.clock()
 		server, ok := in.fleet.Choose(r.Service.Name, k.excluded, in.sharedWithHosts, now)
 		if !ok {
@@ -88,6 +91,10 @@
 			k.last = refusal
 			continue
 		}
+		if a.outcome == attemptBlocked && a.waitsForTrial {
+			k.excluded = k.excluded[:len(k.excluded)-1]
+			continue
+		}
 		if a.outcome == attemptBlocked {
 			return k.finalResult(a.refusal)
 		}
--- a/internal/front/suspect_test.go
+++ b/internal/front/suspect_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -300,3 +301,34 @@
 		})
 	}
 }
+
+// TestSuspectsThatWaitKeepNoSlots checks that copies of a suspect that wait for the one that is being tried do not keep
+// other requests from the server.
+func TestSuspectsThatWaitKeepNoSlots(t *testing.T) {
+	finish := make(chan struct{})
+	addr := serveConns(t, func(conn net.Conn) {
+		defer conn.Close()
+		reader := bufio.NewReader(conn)
+		for {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			if request.URL.Path == "/keyed/slow" {
+				<-finish
+			}
+			io.WriteString(conn, strings.ReplaceAll(answerOK, "{id}", request.Header.Get(testHeaders.RequestID)))
+		}
+	})
+	cluster := startCluster(t, 4, addr)
+	suspect(t, cluster, "GET", "/keyed/slow", "")
+	answers := callAll(t, cluster, 5, "GET", "/keyed/slow", "")
+	time.Sleep(200 * time.Millisecond)
+	for _, status := range callAll(t, cluster, 5, "GET", "/keyed/other", "")() {
+		assert.Equal(t, status, http.StatusOK)
+	}
+	close(finish)
+	for _, status := range answers() {
+		assert.Equal(t, status, http.StatusOK)
+	}
+}
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -63,42 +63,59 @@
 // Begin asks whether a request may be sent to a server. It returns an attempt and true,
 // or a refusal and false. While the same request runs alone elsewhere, Begin
 // waits until that run, whose result decides, has ended or the context is done.
-//
-// Trials are serialized only within this guard. If several hosts send the same requests, only one of them may call Begin
-// for a suspect, and the others call BeginUnlessSuspect.
 func (g *Guard) Begin(ctx context.Context, server Server, f Fingerprint) (*Attempt, outcome.Refusal, bool) {
-	return g.awaitBegin(ctx, func() (*Attempt, Decision, <-chan struct{}) { return g.begin(server, f, true) })
-}
-
-// BeginUnlessSuspect is Begin for a host that may not send suspects. It refuses a request that has crashed a server.
-func (g *Guard) BeginUnlessSuspect(ctx context.Context, server Server, f Fingerprint) (*Attempt, outcome.Refusal, bool) {
-	return g.awaitBegin(ctx, func() (*Attempt, Decision, <-chan struct{}) { return g.begin(server, f, false) })
-}
-
-// awaitBegin calls begin until its decision is not to wait.
-func (g *Guard) awaitBegin(ctx context.Context, begin func() (*Attempt, Decision, <-chan struct{})) (*Attempt, outcome.Refusal, bool) {
 	for {
-		attempt, decision, trialEnded := begin()
+		attempt, decision := g.TryBegin(server, f, true)
 		if !decision.Wait {
 			return attempt, decision.Refusal, decision.Allowed
 		}
-		select {
-		case <-trialEnded:
-		case <-ctx.Done():
+		if !g.AwaitTrial(ctx, f) {
 			return nil, rejection(outcome.ReasonTooManySuspects, trialRetryAfter).Refusal, false
 		}
 	}
 }
 
-func (g *Guard) begin(server Server, f Fingerprint, maySendSuspect bool) (*Attempt, Decision, <-chan struct{}) {
+// TryBegin is Begin without waiting. The attempt is valid only if the decision allows it.
+//
+// Trials are serialized only within this guard. If several hosts send the same requests, only one of them may set
+// maySendSuspect; the others are refused a request that has crashed a server.
+func (g *Guard) TryBegin(server Server, f Fingerprint, maySendSuspect bool) (*Attempt, Decision) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
 	if !maySendSuspect && g.store.Check(now, f) == Suspect {
-		return nil, rejection(outcome.ReasonTooManySuspects, trialRetryAfter), nil
+		return nil, rejection(outcome.ReasonTooManySuspects, trialRetryAfter)
 	}
 	number, decision := g.tracker.Begin(now, server, f)
-	return &Attempt{guard: g, server: server, number: number, Alone: decision.Alone, Crashes: decision.Crashes}, decision, g.trialEnded
+	return &Attempt{guard: g, server: server, number: number, Alone: decision.Alone, Crashes: decision.Crashes}, decision
+}
+
+// InTrial reports whether the request runs alone now.
+func (g *Guard) InTrial(f Fingerprint) bool {
+	_, active := g.trial(f)
+	return active
+}
+
+// AwaitTrial waits while the request runs alone. It returns false if the context is done before.
+func (g *Guard) AwaitTrial(ctx context.Context, f Fingerprint) bool {
+	for {
+		trialEnded, active := g.trial(f)
+		if !active {
+			return true
+		}
+		select {
+		case <-trialEnded:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// trial reports whether the request runs alone, and returns a channel that is closed when a trial ends.
+func (g *Guard) trial(f Fingerprint) (<-chan struct{}, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.trialEnded, g.tracker.activeTrials[f]
 }
 
 // Sent records that the request is being sent now, after its admission.
