--- a/internal/front/fixture_test.go
+++ b/internal/front/fixture_test.go
@@ -85,7 +85,11 @@
 	return listener
 }
 
-func (s *backendServer) serve(conn net.Conn) {
+func (s *backendServer) serve(conn net.Conn) { serveRequests(conn, s.next) }
+
+// serveRequests answers requests until the connection ends. An empty answer closes it. "{id}" stands for the
+// request's ID.
+func serveRequests(conn net.Conn, answer func(*http.Request) string) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
 	for {
@@ -94,11 +98,10 @@
 			return
 		}
 		io.Copy(io.Discard, request.Body)
-		answer := s.next(request)
-		if answer == "" {
+		raw := strings.ReplaceAll(answer(request), "{id}", request.Header.Get(testHeaders.RequestID))
+		if raw == "" {
 			return
 		}
-		raw := strings.ReplaceAll(answer, "{id}", request.Header.Get(testHeaders.RequestID))
 		io.WriteString(conn, raw)
 		if strings.HasSuffix(raw, "{cut}") || strings.Contains(raw, "Connection: close") {
 			return
--- a/internal/front/suspect_test.go
+++ b/internal/front/suspect_test.go
@@ -1,14 +1,11 @@
 package front
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"slices"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -49,18 +46,13 @@
 
 // serve reads requests until the connection ends. The first one crashes the server.
 func (s *crashingServers) serve(conn net.Conn, crash func()) {
-	reader := bufio.NewReader(conn)
-	for {
-		request, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		io.Copy(io.Discard, request.Body)
+	serveRequests(conn, func(*http.Request) string {
 		s.count(1)
 		time.Sleep(crashDelay)
 		crash()
 		s.count(-1)
-	}
+		return ""
+	})
 }
 
 // count counts a request that begins (1) or ends (-1).
@@ -307,18 +299,12 @@
 func TestSuspectsThatWaitKeepNoSlots(t *testing.T) {
 	finish := make(chan struct{})
 	addr := serveConns(t, func(conn net.Conn) {
-		defer conn.Close()
-		reader := bufio.NewReader(conn)
-		for {
-			request, err := http.ReadRequest(reader)
-			if err != nil {
-				return
-			}
+		serveRequests(conn, func(request *http.Request) string {
 			if request.URL.Path == "/keyed/slow" {
 				<-finish
 			}
-			io.WriteString(conn, strings.ReplaceAll(answerOK, "{id}", request.Header.Get(testHeaders.RequestID)))
-		}
+			return answerOK
+		})
 	})
 	cluster := startCluster(t, 4, addr)
 	suspect(t, cluster, "GET", "/keyed/slow", "")
