--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -26,6 +26,8 @@
 // Item describes a request that needs a slot at the server. Times are readings of the host's
 // monotonic clock.
 type Item struct {
+	// Account is the client account of the request, or empty.
+	Account string
 	// Priority is the rank of the request; zero is the most urgent.
 	Priority int
 	// An answer that arrives by Goal has its full value; one after Deadline has none.
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -116,7 +116,7 @@
 	fields[forwardFingerprint] = base64.RawURLEncoding.EncodeToString(r.Fingerprint[:])
 	fields[forwardGoal] = strconv.FormatInt((r.Arrived + r.Route.Goal - now).Milliseconds(), 10)
 	fields[forwardAttempts] = strconv.Itoa(r.Route.Attempts)
-	fields[forwardPriority] = strconv.Itoa(r.Route.Priority)
+	fields[forwardPriority] = strconv.Itoa(r.Priority)
 	if r.Route.Idempotent {
 		fields[forwardFlags] += flagIdempotent
 	}
@@ -152,7 +152,7 @@
 	if r.Route.Attempts, err = strconv.Atoi(fields[forwardAttempts]); err != nil {
 		return nil, errors.Wrap(err, "forward header: attempts")
 	}
-	if r.Route.Priority, err = strconv.Atoi(fields[forwardPriority]); err != nil {
+	if r.Priority, err = strconv.Atoi(fields[forwardPriority]); err != nil {
 		return nil, errors.Wrap(err, "forward header: priority")
 	}
 	return r, nil
--- a/internal/front/forward_test.go
+++ b/internal/front/forward_test.go
@@ -16,7 +16,8 @@
 func forwardedRequest() *Request {
 	return &Request{
 		Fingerprint: poison.FingerprintOf(poison.Request{Method: "GET"}),
-		Route:       &routetable.Route{Name: "r&1 x", Idempotent: true, Goal: 500 * time.Millisecond, Attempts: 3, Priority: 2},
+		Route:       &routetable.Route{Name: "r&1 x", Idempotent: true, Goal: 500 * time.Millisecond, Attempts: 3},
+		Priority:    2,
 		Service:     routetable.Service{Name: "revize=ü", Keyed: true},
 		Arrived:     time.Second,
 	}
@@ -33,6 +34,7 @@
 	want := *sent.Route
 	want.Goal = 380 * time.Millisecond
 	assert.DeepEqual(t, *got.Route, want)
+	assert.Equal(t, got.Priority, sent.Priority)
 }
 
 func TestForwardOfARequestWithoutAKey(t *testing.T) {
--- a/internal/front/ingress.go
+++ b/internal/front/ingress.go
@@ -162,12 +162,13 @@
 // to answer with, and an error.
 func (in *Ingress) read(hr *http.Request, table *routetable.Table, route *routetable.Route, arrived time.Duration) (*Request, int, error) {
 	r := &Request{
-		ID:      hr.Header.Get(in.headers.RequestID),
-		Route:   route,
-		Method:  hr.Method,
-		Path:    hr.RequestURI,
-		Host:    hr.Host,
-		Arrived: arrived,
+		ID:       hr.Header.Get(in.headers.RequestID),
+		Route:    route,
+		Priority: route.Priority,
+		Method:   hr.Method,
+		Path:     hr.RequestURI,
+		Host:     hr.Host,
+		Arrived:  arrived,
 	}
 	if r.ID == "" {
 		return nil, http.StatusBadRequest, errNoID
--- a/internal/front/keyed.go
+++ b/internal/front/keyed.go
@@ -168,7 +168,8 @@
 	}
 	gate := k.ingress.gates.get(server.Entry())
 	retryAfter, ok := gate.Acquire(ctx, dispatch.Item{
-		Priority: k.r.Route.Priority,
+		Account:  k.r.Account,
+		Priority: k.r.Priority,
 		Goal:     k.r.Arrived + k.r.Route.Goal,
 		Deadline: k.r.Deadline,
 		Work:     k.expectedWork(server),
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -45,8 +45,12 @@
 	ID      string
 	Route   *routetable.Route
 	Service routetable.Service
-	Key     keyrange.Key
-	Method  string
+	// Account is the name of the caller's client account, or empty if there is none.
+	Account string
+	// Priority is the rank of the request in queues; zero is the most urgent.
+	Priority int
+	Key      keyrange.Key
+	Method   string
 	// Path is the path and the query as the caller sent them.
 	Path string
 	Host string
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -41,6 +41,8 @@
 	Attempts int
 	// Priority is the rank of the route in queues; zero is the most urgent.
 	Priority int
+	// Public routes need no key of a client account.
+	Public bool
 }
 
 // Pick chooses the service of a request so that services get requests in proportion to
@@ -73,6 +75,16 @@
 	ColdRate float64
 }
 
+// Account is a client account. Its requests carry one of its keys.
+type Account struct {
+	Name string
+	// Priority replaces the priority of the route if HasPriority is set.
+	Priority    int
+	HasPriority bool
+	// RatePerSecond and Burst are the quota over all hosts together; a rate of zero sets no limit.
+	RatePerSecond, Burst float64
+}
+
 // Limits bounds the size of callers' requests.
 type Limits struct {
 	// BodyBytes is the maximum size of a request body; zero sets no limit.
@@ -85,6 +97,10 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	// Accounts holds the client accounts by name, and AccountOfKey the name of the account that holds each
+	// key. Without accounts, requests need no key.
+	Accounts     map[string]Account
+	AccountOfKey map[string]string
 }
 
 // Table indexes a configuration for lookups. It is immutable and safe for concurrent use.
