edge, front: quotas of accounts and allowances of cold servers by leased shares

Cause: quotas hold over all hosts; cold servers got nothing where their allowance was divided by more than 14 hosts. Change: Edge.Shares asks the plan's leader; the host to which a caller connects takes a token for each request of an account with a rate, and a cold server's allowance is leased where the equal share is below one request a second. Hosts of older builds: equal shares.

--- a/internal/assign/current.go
+++ b/internal/assign/current.go
@@ -26,10 +26,38 @@
 	// failed since readAt, it is the time at which the plan was read, as a read returns a plan
 	// shortly after it is written; otherwise it is readAt. It is zero for a plan from before a restore.
 	writtenAfter time.Duration
+	// term is the term of the plan's leader.
+	term Term
 	// changed is closed and replaced when a newer plan is adopted.
 	changed chan struct{}
 }
 
+// Term is the time in office of one incarnation of a leader, as this host has seen it.
+type Term struct {
+	// Since is the version of the first plan that this host knows of the term. First says that the host knew no plan
+	// before. If the host itself is the leader, there was none.
+	Since Fence
+	First bool
+}
+
+// Office is a plan with what is known of its leader's time in office.
+type Office struct {
+	Plan Plan
+	Term Term
+	// VerifiedAt is as in Current.VerifiedAt.
+	VerifiedAt time.Duration
+}
+
+// Office returns the plan that hosts act by with the term of its leader. The plan is empty as that of ActedBy is.
+func (c *Current) Office() Office {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.copied {
+		return Office{}
+	}
+	return Office{Plan: c.plan, Term: c.term, VerifiedAt: c.verifiedAt}
+}
+
 // NewCurrent returns a Current that holds the empty plan.
 func NewCurrent() *Current {
 	return &Current{changed: make(chan struct{})}
@@ -98,6 +126,10 @@
 	if plan.Version <= c.plan.Version && !c.copied {
 		return false
 	}
+	if c.copied {
+		// The leader of a copied plan need not have been in office since.
+		c.plan.Leader = Host{}
+	}
 	c.copied = false
 	c.replace(plan, now)
 	return true
@@ -105,6 +137,9 @@
 
 // replace replaces the plan. The caller holds the lock.
 func (c *Current) replace(plan Plan, now time.Duration) {
+	if first := c.plan.Version == 0; first || !plan.Leader.SameIncarnation(c.plan.Leader) {
+		c.term = Term{Since: plan.Version, First: first}
+	}
 	c.plan = plan
 	switch {
 	case plan.Version.Era() < c.era:
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -99,6 +99,7 @@
 	evidence        *evidenceSharing
 	configSharing   *configSharing
 	reach           *reachSharing
+	shares          *shareLeasing
 
 	// leaving says that the host is shutting down.
 	leaving atomic.Bool
@@ -154,6 +155,7 @@
 		CutOff:       h.reach.CutOff,
 		ServersKnown: h.seenServers.Load, Clock: clock.Monotonic, Log: log,
 	})
+	h.shares = newShareLeasing(h.self, h.current, h.peers, h.needsShares, clock.Monotonic, log)
 	h.ingress = front.New(front.Config{
 		Self: config.Name,
 		Hosts: transport.NewPool(transport.Options{
@@ -164,7 +166,7 @@
 		Budget: front.BudgetConfig{
 			Ratio: config.RetryRatio, Extra: config.RetryExtra, Window: config.RetryWindow, Hosts: h.hostCount,
 		},
-		Clock: clock.Monotonic, Log: log,
+		Shares: h.shares.holder, Clock: clock.Monotonic, Log: log,
 	})
 	return h
 }
@@ -235,7 +237,7 @@
 	for _, run := range []func(context.Context){
 		h.followOperatorRecords, h.followState, h.followServers, h.renewer.Run,
 		h.leader.RunElection, h.leader.Run, h.reportLoad, h.evidence.run, h.configSharing.run,
-		h.reach.monitor.Run, h.reach.run,
+		h.reach.monitor.Run, h.reach.run, h.shares.run,
 	} {
 		loops.Go(func() { run(running) })
 	}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -109,6 +109,7 @@
 	relay   *relay.Relay
 	records *operatorRecords
 	reach   *reachSharing
+	shares  *shareLeasing
 	log     *eventlog.Log
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -266,6 +266,24 @@
 	return nil, false
 }
 
+// ChooseCold returns a cold server of the service that is not excluded and that ready accepts, and false if there is none.
+func (f *Fleet) ChooseCold(service string, excluded []ID, ready func(*Server) bool, now time.Duration) (*Server, bool) {
+	var cold []*Server
+	for _, server := range f.Servers(service) {
+		entry := server.Entry()
+		if !server.Cold(now) || server.Skipped(now) || entry.Missing || slices.Contains(excluded, entry.ID) || !f.Usable(server) {
+			continue
+		}
+		if ready(server) {
+			cold = append(cold, server)
+		}
+	}
+	if len(cold) == 0 {
+		return nil, false
+	}
+	return f.best(cold, now), true
+}
+
 // best returns the cheapest of up to sampleSize candidates drawn at random. It reorders candidates.
 func (f *Fleet) best(candidates []*Server, now time.Duration) *Server {
 	for i := range min(sampleSize, len(candidates)) {
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -168,6 +168,14 @@
 	return NotRefused
 }
 
+// ColdReady reports whether the server is cold and the allowance has a request left now.
+func (s *Server) ColdReady(allowance Allowance, now time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	bucket := s.bucket
+	return now < s.coldUntil && bucket.take(allowance, now)
+}
+
 // Limit returns the limit that the server names, in requests per second from all hosts together, or
 // zero if it names none.
 func (s *Server) Limit() float64 {
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -63,6 +63,11 @@
 	suspect bool
 }
 
+// mayHaveRun reports whether the server may have executed the request.
+func (a attempt) mayHaveRun() bool {
+	return a.outcome == attemptAnswered || a.outcome == attemptFailed || a.outcome == attemptLost
+}
+
 // sendIfAllowed makes one attempt at a server if the server takes it and, for a retry, the service's
 // retry budget allows it. Otherwise it returns false and the result of the request. A retry that no
 // server gets costs nothing of the budget.
@@ -72,7 +77,7 @@
 		return attempt{}, notRun(reasonBudget, defaultRetryAfter), false
 	}
 	share := in.shareOf(r, server)
-	if refusal := server.Begin(in.allowance(r), share, now); refusal != fleet.NotRefused {
+	if refusal := server.Begin(in.allowance(r, server, now), share, now); refusal != fleet.NotRefused {
 		in.giveBack(r, retry)
 		return attempt{}, in.refusedBy(refusal, server, share), false
 	}
@@ -80,6 +85,9 @@
 	if a.outcome == attemptBlocked {
 		in.giveBack(r, retry)
 	}
+	if a.mayHaveRun() {
+		r.runs++
+	}
 	return a, Result{}, true
 }
 
--- /dev/null
+++ b/internal/front/cold.go
@@ -0,0 +1,63 @@
+package front
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/poplarcroft/poplarcroft/internal/assign"
+	"github.com/poplarcroft/poplarcroft/internal/fleet"
+	"github.com/poplarcroft/poplarcroft/internal/sharedlimit"
+)
+
+const (
+	// oneRequest is the share of one request a second, with a margin for rounding.
+	oneRequest = 1 + 1e-6
+	// primaryColdPart is the part of a cold server's allowance that its primary asks for. All requests for its keys go
+	// through the primary; the rest is for requests without keys.
+	primaryColdPart = 0.8
+)
+
+// allowance returns how many requests per second this host may send to a cold server of the request's service: an equal
+// share of what all hosts may send or, where that is less than one request, a leased share.
+func (in *Ingress) allowance(r *Request, server *fleet.Server, now time.Duration) fleet.Allowance {
+	total := in.config.ColdRateLimit(r.Service)
+	equal := fleet.ShareOf(total, len(in.config.Current.Plan().Hosts))
+	if equal.PerSecond >= 1 || in.config.Shares == nil || total < 1 || !server.Cold(now) {
+		return equal
+	}
+	useful := oneRequest / total
+	wanted := useful
+	if r.Service.Keyed && in.primaries.isPrimary(in.config.Current.Plan(), assign.ServerOf(server.Entry())) {
+		wanted = max(useful, primaryColdPart)
+	}
+	fraction := in.config.Shares.Fraction(coldLimit(server.Entry()), useful, wanted, now)
+	return fleet.Allowance{PerSecond: fraction * total}
+}
+
+// coldLimit returns the name of the limit of a cold server. Another incarnation has a limit of its own.
+func coldLimit(entry fleet.Entry) string {
+	return "cold/" + string(entry.ID) + "/" + strconv.FormatInt(entry.Born, 10)
+}
+
+// relievedByCold returns a cold server of which this host holds a leased share if the server that was chosen for the
+// request has no free slot, and otherwise the chosen one.
+func (in *Ingress) relievedByCold(r *Request, chosen *fleet.Server, excluded []fleet.ID, now time.Duration) *fleet.Server {
+	total := in.config.ColdRateLimit(r.Service)
+	equal := fleet.ShareOf(total, len(in.config.Current.Plan().Hosts))
+	if in.config.Shares == nil || equal.PerSecond >= 1 || chosen.Cold(now) || chosen.Occupancy(now) < 1 {
+		return chosen
+	}
+	cold, ok := in.fleet.ChooseCold(r.Service.Name, excluded, func(server *fleet.Server) bool {
+		return server.ColdReady(in.allowance(r, server, now), now)
+	}, now)
+	if !ok {
+		return chosen
+	}
+	return cold
+}
+
+// NeedsColdShares reports whether a cold server's allowance, in requests per second, is less than one request for each
+// of the hosts, so that it is leased.
+func NeedsColdShares(total float64, hosts int) bool {
+	return total >= 1/sharedlimit.SettledTotal && fleet.ShareOf(total, hosts).PerSecond < 1
+}
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -24,6 +24,9 @@
 	// headerResult marks a reply to a forwarded request that is not a server's answer, and
 	// carries the kind of the result, its reason and when to retry.
 	headerResult = "Poplarcroft-End"
+	// headerRuns carries in how many attempts the request may have been executed, if that is more than one. Older
+	// builds pass it on to the caller.
+	headerRuns = "Poplarcroft-Runs"
 )
 
 // Reasons with which a host refuses forwarded requests: it is shutting down, it is not the primary of the server that
@@ -58,10 +61,12 @@
 	}
 	answer, err := in.completeAnswer(sent)
 	if err != nil {
+		r.runs++
 		in.forwardFailed(ctx, r, to, "lost", err.Error())
 		return unknown(reasonAnswerLost), !r.Route.Idempotent
 	}
 	result := decodeForwardResult(answer)
+	r.addRuns(answer, result)
 	if result.Kind == NotRun && result.Reason == reasonNotPrimary {
 		in.log.Routine("hop", "id", r.ID, "lead", to.Name, "outcome", "refused", "detail", result.Reason)
 		return result, false
@@ -73,6 +78,18 @@
 	return result, true
 }
 
+// addRuns counts the runs that the other host's answer tells of, and removes their header.
+func (r *Request) addRuns(answer *Answer, result Result) {
+	runs, err := strconv.ParseUint(answer.Header.Get(headerRuns), 10, 8)
+	answer.Header.Del(headerRuns)
+	switch {
+	case err == nil:
+		r.runs += int(runs)
+	case result.Kind != NotRun:
+		r.runs++
+	}
+}
+
 // forwardFailed avoids the host for a while and logs why, unless the failure is due to the
 // request's own context having ended.
 func (in *Ingress) forwardFailed(ctx context.Context, r *Request, to assign.Host, outcome, detail string) {
@@ -192,6 +209,9 @@
 	ctx, cancel := in.contextOf(hr, r)
 	defer cancel()
 	result := in.sendForwarded(ctx, r)
+	if r.runs > 1 {
+		w.Header().Set(headerRuns, strconv.Itoa(r.runs))
+	}
 	in.recordResult(r, result, 0)
 	if result.Kind == Done {
 		writeAnswer(w, result.Answer)
--- a/internal/front/ingress.go
+++ b/internal/front/ingress.go
@@ -16,6 +16,7 @@
 	"github.com/poplarcroft/poplarcroft/internal/keyrange"
 	"github.com/poplarcroft/poplarcroft/internal/poison"
 	"github.com/poplarcroft/poplarcroft/internal/routetable"
+	"github.com/poplarcroft/poplarcroft/internal/sharedlimit"
 	"github.com/poplarcroft/poplarcroft/internal/transport"
 )
 
@@ -52,6 +53,9 @@
 	OnFact func(entry fleet.Entry, fact Fact)
 	// Budget is the retry budget of each service over all hosts.
 	Budget BudgetConfig
+	// Shares holds this host's shares of the quotas of accounts and of the allowances of cold servers. It may be nil if
+	// no quota is to be kept.
+	Shares *sharedlimit.Holder
 	// Clock is a monotonic clock; all times in this package are readings of it.
 	Clock func() time.Duration
 	Log   *eventlog.Log
@@ -150,7 +154,7 @@
 	}
 	ctx, cancel := in.contextOf(hr, r)
 	defer cancel()
-	result := in.handle(ctx, r)
+	result := in.handleWithinQuota(ctx, table, r)
 	if hr.Context().Err() != nil && result.Kind != Done {
 		result.Reason = reasonCallerGone
 	}
@@ -231,13 +235,6 @@
 	return in.config.Reach.CutOff(in.config.Self)
 }
 
-// allowance returns how many requests per second this host may send to a cold server of the
-// request's service.
-func (in *Ingress) allowance(r *Request) fleet.Allowance {
-	hosts := len(in.config.Current.Plan().Hosts)
-	return fleet.ShareOf(in.config.ColdRateLimit(r.Service), max(hosts, 1))
-}
-
 // recordResult counts and logs the result of a request. Status is the HTTP status that the
 // caller got, or 0 if another host answers the caller.
 func (in *Ingress) recordResult(r *Request, result Result, status int) {
--- a/internal/front/keyless.go
+++ b/internal/front/keyless.go
@@ -82,6 +82,7 @@
 			}
 			return k.finalResult(k.last)
 		}
+		server = in.relievedByCold(r, server, k.excluded, now)
 		k.excluded = append(k.excluded, server.Entry().ID)
 		a, refusal, sent := in.sendIfAllowed(ctx, r, server, k.reachedServer)
 		if !sent && refusal.Reason == reasonBudget {
--- /dev/null
+++ b/internal/front/quota.go
@@ -0,0 +1,82 @@
+package front
+
+import (
+	"context"
+	"time"
+
+	"github.com/poplarcroft/poplarcroft/internal/routetable"
+	"github.com/poplarcroft/poplarcroft/internal/sharedlimit"
+)
+
+const (
+	// quotaWait is how long a request waits for the allocator's answer if there is no token. An answer takes a few
+	// milliseconds.
+	quotaWait = 150 * time.Millisecond
+	// quotaSlack is the number of requests that are added to the burst of an account over all hosts. In 5 s an account
+	// may run 20 requests beyond 1.1 times its quota; the other 12 are for the one token with which each host begins.
+	quotaSlack = 8
+)
+
+// QuotaLimit returns the limit that all hosts share for an account's quota, and false if it has none. A settled allocator
+// gives out sharedlimit.SettledTotal of it, which is the quota. While a new one settles, the hosts may use up to 1.08
+// times the quota, of the 1.1 times that are allowed.
+func QuotaLimit(account routetable.Account) (sharedlimit.Limit, bool) {
+	if account.RatePerSecond <= 0 {
+		return sharedlimit.Limit{}, false
+	}
+	return sharedlimit.Limit{
+		Rate:  account.RatePerSecond / sharedlimit.SettledTotal,
+		Burst: max(account.Burst, 0)/sharedlimit.SettledTotal + quotaSlack,
+	}, true
+}
+
+// accountLimit returns the name of the limit of an account.
+func accountLimit(account string) string {
+	return "account/" + account
+}
+
+// handleWithinQuota handles a request of a caller if its account's quota allows. A request that has not run does not count
+// for the quota, and one that has run more than once counts as often.
+func (in *Ingress) handleWithinQuota(ctx context.Context, table *routetable.Table, r *Request) Result {
+	limit, limited := QuotaLimit(table.Accounts[r.Account])
+	if in.config.Shares == nil || r.Account == "" || !limited {
+		return in.handle(ctx, r)
+	}
+	id := accountLimit(r.Account)
+	if decision := in.takeQuota(ctx, r, id, limit); decision != sharedlimit.Taken {
+		return in.refuseByQuota(r, id, decision)
+	}
+	result := in.handle(ctx, r)
+	switch {
+	case result.Kind == NotRun:
+		in.config.Shares.Return(id, limit, 1, in.clock())
+	case r.runs > 1:
+		in.config.Shares.Return(id, limit, -float64(r.runs-1), in.clock())
+	}
+	return result
+}
+
+// takeQuota takes a token. If there is none, but the next answer of the allocator may bring one, it waits for that.
+func (in *Ingress) takeQuota(ctx context.Context, r *Request, id string, limit sharedlimit.Limit) sharedlimit.Decision {
+	until := min(in.clock()+quotaWait, r.Deadline)
+	for again := false; ; again = true {
+		changed := in.config.Shares.Changed()
+		now := in.clock()
+		decision := in.config.Shares.Take(id, limit, again, now)
+		if decision == sharedlimit.Taken || decision == sharedlimit.Empty || now >= until || ctx.Err() != nil {
+			return decision
+		}
+		waitFor(ctx, changed, until-now)
+	}
+}
+
+// refuseByQuota returns the result of a request that got no token. Without a share it is not known whether the quota is
+// used up.
+func (in *Ingress) refuseByQuota(r *Request, id string, decision sharedlimit.Decision) Result {
+	in.config.Shares.Refused(decision)
+	if decision == sharedlimit.NoShare {
+		return notRun(reasonNoShare, defaultRetryAfter)
+	}
+	now := in.clock()
+	return notRun(reasonQuota, min(in.config.Shares.RetryAfter(id, now), max((r.Deadline-now)/3, time.Millisecond)))
+}
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -67,6 +67,8 @@
 	// Arrived is when this host received the request. Deadline is when the caller stops waiting or
 	// the route's timeout ends, whichever is earlier.
 	Arrived, Deadline time.Duration
+	// runs is the number of attempts in which a server may have executed the request.
+	runs int
 }
 
 // credentialHeaders are the headers that say on whose behalf a request is made.
--- a/internal/front/result.go
+++ b/internal/front/result.go
@@ -71,6 +71,8 @@
 	// reasonTrialElsewhere: only another host may send the request now.
 	reasonTrialElsewhere = "servers crashed that ran this request, and another host tries it"
 	reasonCallerGone     = "the caller has gone"
+	reasonQuota          = "the account's quota is used up"
+	reasonNoShare        = "it is not known yet whether the account's quota is used up"
 )
 
 // writeResult answers the caller and returns the HTTP status.
@@ -79,6 +81,9 @@
 		return writeAnswer(w, result.Answer)
 	}
 	status := http.StatusServiceUnavailable
+	if result.Reason == reasonQuota {
+		status = http.StatusTooManyRequests
+	}
 	if result.Kind == Unknown {
 		status = http.StatusBadGateway
 		if result.Reason == reasonDeadline {
--- a/internal/sharedlimit/asking.go
+++ b/internal/sharedlimit/asking.go
@@ -35,6 +35,16 @@
 	return ask, true
 }
 
+// UrgentIn returns the time until the next ask may be sent.
+func (h *Holder) UrgentIn(now time.Duration) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.asked {
+		return 0
+	}
+	return max(h.askedAt+urgentInterval-now, 0)
+}
+
 // forget removes the limits without demand and without a share. The caller holds the lock.
 func (h *Holder) forget(now time.Duration) {
 	for id, l := range h.limits {
