--- a/internal/sharedlimit/asking.go
+++ b/internal/sharedlimit/asking.go
@@ -30,7 +30,7 @@
 		if need := l.need(now); need.Held > 0 || need.Demand > 0 || need.Want > 0 {
 			ask.Needs[id] = need
 		}
-		l.missed = 0
+		l.missed, l.bucket.surplus = 0, 0
 	}
 	return ask, true
 }
@@ -88,6 +88,10 @@
 	if l.limit.Rate <= 0 || l.limit.Burst <= 0 {
 		return need
 	}
+	if need.Held > 0 && l.bucket.started {
+		l.bucket.refill(l.share(now), now)
+	}
+	need.Surplus = min(l.bucket.surplus/l.limit.Burst, 1)
 	rate := l.demand.rate(now)
 	need.Demand = rate / l.limit.Rate
 	need.Refill = l.limit.Rate / l.limit.Burst
@@ -122,7 +126,9 @@
 			changed = append(changed, id)
 		}
 		l.apply(fraction, h.askedAt+answer.Lease, now)
-		l.bucket.add(atLeastZero(grant.Tokens)*l.limit.Burst, l.share(now))
+		if fraction > 0 {
+			l.bucket.tokens += unit(grant.Tokens, 0) * l.limit.Burst
+		}
 		l.settled, l.exhausted = answer.Settled, grant.Exhausted
 	}
 	h.announce()
@@ -142,6 +148,7 @@
 		return
 	}
 	l.bucket.refill(l.share(now), now)
+	l.bucket.clip(l.share(now))
 }
 
 // Equal gives the host an equal share of all limits, after the leader has answered that it does not know the method. The
--- a/internal/sharedlimit/demand.go
+++ b/internal/sharedlimit/demand.go
@@ -6,12 +6,16 @@
 )
 
 const (
-	// steadyConstant is the time constant of the average rate. quickConstant is that of an average that notices within
-	// half a second that callers have moved to this host; it counts with its standard deviation subtracted.
-	steadyConstant = 1500 * time.Millisecond
+	// steadyConstant is the time constant of the average rate; with a shorter one the shares of accounts with few requests
+	// vary too much. quickConstant is that of an average that notices within a second that callers have moved to
+	// this host; it counts with its standard deviation subtracted.
+	steadyConstant = 12 * time.Second
 	quickConstant  = 500 * time.Millisecond
+	// burstPart is the part of the standard deviation of the requests of one second that is added to the rate. Hosts with
+	// few requests need more beyond their mean than others.
+	burstPart = 0.8
 	// noRate is the number of requests within the time constant below which the demand counts as none.
-	noRate = 0.02
+	noRate = 0.1
 )
 
 // demand estimates the rate of requests for one limit.
@@ -39,12 +43,13 @@
 	d.quick++
 }
 
-// rate returns the estimated number of requests per second.
+// rate returns the number of requests per second that the host needs, by the average and its variation.
 func (d *demand) rate(now time.Duration) float64 {
 	d.decay(now)
 	if d.steady < noRate {
 		return 0
 	}
 	quick := d.quick - math.Sqrt(d.quick)
-	return max(d.steady/steadyConstant.Seconds(), quick/quickConstant.Seconds())
+	rate := max(d.steady/steadyConstant.Seconds(), quick/quickConstant.Seconds())
+	return rate + burstPart*math.Sqrt(rate)
 }
--- a/internal/sharedlimit/holder.go
+++ b/internal/sharedlimit/holder.go
@@ -216,7 +216,7 @@
 	}
 	share := l.share(now)
 	l.bucket.refill(share, now)
-	l.bucket.add(tokens, share)
+	l.bucket.giveBack(tokens, share)
 }
 
 // Fraction returns the fraction of a limit that the host may use now, for a limit whose requests are counted
--- a/internal/sharedlimit/messages.go
+++ b/internal/sharedlimit/messages.go
@@ -42,6 +42,8 @@
 	Useful float64
 	// Want is the number of tokens that are missing at once, divided by the limit's burst.
 	Want float64
+	// Surplus is the number of tokens since the last ask for which the host's bucket had no room, divided by the burst.
+	Surplus float64
 	// Refill is the limit's rate divided by its burst, per second.
 	Refill float64
 	// Sticky says that a share stays as it is while it is held, so that what one host has used within a second is not
@@ -89,6 +91,7 @@
 	n.Held = unit(n.Held, 1)
 	n.Useful = unit(n.Useful, 1)
 	n.Want = unit(n.Want, 0)
+	n.Surplus = unit(n.Surplus, 0)
 	n.Refill = min(atLeastZero(n.Refill), maxRefill)
 	return n
 }
--- a/internal/sharedlimit/pool.go
+++ b/internal/sharedlimit/pool.go
@@ -5,17 +5,17 @@
 const (
 	// headroom is the share that a host gets while the demand is below the limit, in multiples of its demand, so that it
 	// rarely runs empty at random arrivals.
-	headroom = 1.25
-	// newcomerPart is the part of the total that is not given to hosts in proportion to their demand, so that a host
-	// that asks for the first time gets a share at once.
-	newcomerPart = 0.04
+	headroom = 1.1
+	// newcomerPart is the part of the total that is not given in proportion to demand, so that a host that asks for
+	// the first time gets a share at once, and hosts with small shares get tokens at bursts.
+	newcomerPart = 0.1
 	// demandFor is how long the demand of a host counts after its ask. Hosts with demand ask once a second.
 	demandFor = 3 * time.Second
 	// emptyPart is the part of what is free that a host whose bucket is empty gets beyond its demand.
-	emptyPart = 0.25
+	emptyPart = 0.1
 	// keptPart is the part of a fraction that stays at the next ask while the demand is below the limit. Small
 	// accounts would otherwise lose their share at each pause.
-	keptPart = 0.8
+	keptPart = 0.9
 	// minFraction is the smallest fraction that is given; a smaller demand counts as none.
 	minFraction = 1e-4
 )
@@ -79,6 +79,7 @@
 	others := p.counted(host)
 	free := max(total-others-s.counted, 0)
 	p.refill(free, need.Refill, now)
+	p.tokens = min(p.tokens+need.Surplus, free)
 	available := max(total-others, 0)
 	target, contended := p.target(need, total, free, now)
 	fraction := min(target, available)
@@ -91,8 +92,8 @@
 	}
 	return Grant{
 		Fraction:  fraction,
-		Tokens:    p.takeTokens(need, max(total-others-s.counted, 0), contended),
-		Exhausted: contended && fraction <= need.Held,
+		Tokens:    p.takeTokens(need, max(total-others-s.counted, 0)),
+		Exhausted: contended && fraction <= need.Held && p.tokens < need.Want,
 	}
 }
 
@@ -142,12 +143,9 @@
 }
 
 // takeTokens takes the tokens that go to a host with the given need: those for which the free part has no more room,
-// and what it wants. Hosts in need of more than the limit get none beyond the former.
-func (p *pool) takeTokens(need Need, free float64, contended bool) float64 {
-	taken := max(p.tokens-free, 0)
-	if !contended {
-		taken = max(taken, min(need.Want, p.tokens))
-	}
+// and what it wants.
+func (p *pool) takeTokens(need Need, free float64) float64 {
+	taken := max(p.tokens-free, min(need.Want, p.tokens), 0)
 	p.tokens -= taken
 	return taken
 }
