--- a/internal/front/quota.go
+++ b/internal/front/quota.go
@@ -14,7 +14,7 @@
 	quotaWait = 150 * time.Millisecond
 	// quotaSlack is the number of requests that are added to the burst of an account over all hosts. In 5 s an account
 	// may run 20 requests beyond 1.1 times its quota; the rest is for hosts with shares of less than one request.
-	quotaSlack = 16
+	quotaSlack = 18
 )
 
 // QuotaLimit returns the limit that all hosts share for an account's quota, and false if it has none. A settled allocator
--- a/internal/sharedlimit/allocator.go
+++ b/internal/sharedlimit/allocator.go
@@ -72,6 +72,10 @@
 	}
 }
 
+// unusedFor is how long after the settling a limit without shares counts as unused. It is longer than the window of a
+// quota (5 s).
+const unusedFor = 6 * time.Second
+
 // Observe tells the allocator what its host knows of the plan. It is called before each Answer and at intervals, so
 // that no change of leader is missed. It reports whether the host became or ceased to be the leader.
 func (a *Allocator) Observe(view View, now time.Duration) bool {
@@ -129,22 +133,22 @@
 		return Answer{}, ErrNotAllocator
 	}
 	a.counters.Answered++
-	a.recordReport(ask)
+	a.recordReport(ask, now)
 	settled := a.settled(now)
 	answer := Answer{Lease: a.timing.Lease, Settled: settled, Grants: make(map[string]Grant, len(ask.Needs))}
 	for id, p := range a.pools {
 		p.expire(now)
 		if _, asked := ask.Needs[id]; !asked {
 			// An ask lists all shares that the host holds.
-			delete(p.shares, ask.Host)
+			p.remove(ask.Host)
 		}
-		if len(p.shares) == 0 && settled {
+		if settled && p.full(now) {
 			delete(a.pools, id)
 		}
 	}
 	for id, need := range ask.Needs {
 		need = need.clean()
-		grant := a.pool(id).grant(ask.Host, need, a.total(id, settled), now, a.reserved)
+		grant := a.pool(id, now).grant(ask.Host, need, a.total(id, settled, now), now, a.reserved)
 		if grant.Fraction > need.Held {
 			a.counters.Raised++
 		} else if grant.Fraction < need.Held {
@@ -191,28 +195,32 @@
 }
 
 // recordReport adds what a host holds from a former leader, at its first ask in this term. The caller holds the lock.
-func (a *Allocator) recordReport(ask Ask) {
+func (a *Allocator) recordReport(ask Ask, now time.Duration) {
 	if !a.unreported[ask.Host] {
 		return
 	}
 	delete(a.unreported, ask.Host)
 	for id, need := range ask.Needs {
-		a.pool(id).reported += need.clean().Held
+		a.pool(id, now).reported += need.clean().Held
 	}
 }
 
 // free removes all shares of a host. The caller holds the lock.
 func (a *Allocator) free(host string) {
 	for _, p := range a.pools {
-		delete(p.shares, host)
+		p.remove(host)
 	}
 }
 
-// pool returns the pool of a limit, which it creates if need be. The caller holds the lock.
-func (a *Allocator) pool(id string) *pool {
+// pool returns the pool of a limit, which it creates if need be. A new one is full if no host can have used the limit
+// lately. The caller holds the lock.
+func (a *Allocator) pool(id string, now time.Duration) *pool {
 	p := a.pools[id]
 	if p == nil {
-		p = newPool()
+		p = &pool{refilledAt: now}
+		if a.view.First || now >= a.settledAt+unusedFor {
+			p.tokens = SettledTotal
+		}
 		a.pools[id] = p
 	}
 	return p
@@ -220,11 +228,11 @@
 
 // total returns the part of a limit that may be given out now. While not settled it is what hosts have reported, as all
 // else may be in use, and the part that the former leader did not give out. The caller holds the lock.
-func (a *Allocator) total(id string, settled bool) float64 {
+func (a *Allocator) total(id string, settled bool, now time.Duration) float64 {
 	if settled {
 		return SettledTotal
 	}
-	total := a.pool(id).reported
+	total := a.pool(id, now).reported
 	if a.mayUseReserve {
 		total += 1 - SettledTotal
 	}
--- a/internal/sharedlimit/demand.go
+++ b/internal/sharedlimit/demand.go
@@ -13,7 +13,9 @@
 	quickConstant  = 500 * time.Millisecond
 	// burstPart is the part of the standard deviation of the requests of one second that is added to the rate. Hosts with
 	// few requests need more beyond their mean than others.
-	burstPart = 0.8
+	burstPart = 1.0
+	// minAge is the shortest time over which the rate is averaged.
+	minAge = time.Second
 	// noRate is the number of requests within the time constant below which the demand counts as none.
 	noRate = 0.1
 )
@@ -23,6 +25,8 @@
 	// steady and quick are numbers of requests that decay with their time constants.
 	steady, quick float64
 	updatedAt     time.Duration
+	// startedAt is when the first request was counted.
+	startedAt time.Duration
 }
 
 // decay updates the numbers to the given time.
@@ -39,6 +43,9 @@
 // add counts one request.
 func (d *demand) add(now time.Duration) {
 	d.decay(now)
+	if d.steady < noRate {
+		d.startedAt = now
+	}
 	d.steady++
 	d.quick++
 }
@@ -49,7 +56,10 @@
 	if d.steady < noRate {
 		return 0
 	}
+	// The average has only seen the time since the first request.
+	age := max(now-d.startedAt, minAge).Seconds()
+	seen := steadyConstant.Seconds() * (1 - math.Exp(-age/steadyConstant.Seconds()))
 	quick := d.quick - math.Sqrt(d.quick)
-	rate := max(d.steady/steadyConstant.Seconds(), quick/quickConstant.Seconds())
+	rate := max(d.steady/seen, quick/quickConstant.Seconds())
 	return rate + burstPart*math.Sqrt(rate)
 }
--- a/internal/sharedlimit/pool.go
+++ b/internal/sharedlimit/pool.go
@@ -1,11 +1,14 @@
 package sharedlimit
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// headroom is the share that a host gets while the demand is below the limit, in multiples of its demand, so that it
 	// rarely runs empty at random arrivals.
-	headroom = 1.1
+	headroom = 1.2
 	// newcomerPart is the part of the total that is not given in proportion to demand, so that a host that asks for
 	// the first time gets a share at once, and hosts with small shares get tokens at bursts.
 	newcomerPart = 0.1
@@ -22,17 +25,21 @@
 
 // pool holds the shares of one limit at the allocator.
 type pool struct {
-	shares map[string]*share
+	// shares are in the order of the hosts' first asks.
+	shares []*share
 	// reported is the sum of the fractions that hosts held when they first reported in this term.
 	reported float64
 	// tokens is the content of the bucket of the free part, as a fraction of the limit's burst. It makes up for
 	// bursts at hosts with small shares.
 	tokens     float64
 	refilledAt time.Duration
+	// perSecond is the refill of the last need, and free the part that was free after it.
+	perSecond, free float64
 }
 
 // share is what the allocator counts for one host.
 type share struct {
+	host string
 	// counted is the highest fraction that the host may be using, until expiresAt.
 	counted   float64
 	expiresAt time.Duration
@@ -41,24 +48,33 @@
 	askedAt time.Duration
 }
 
-func newPool() *pool {
-	return &pool{shares: make(map[string]*share)}
-}
-
 // expire removes the shares whose leases have ended.
 func (p *pool) expire(now time.Duration) {
-	for host, s := range p.shares {
-		if now >= s.expiresAt {
-			delete(p.shares, host)
+	p.shares = slices.DeleteFunc(p.shares, func(s *share) bool { return now >= s.expiresAt })
+}
+
+// remove removes the share of a host.
+func (p *pool) remove(host string) {
+	p.shares = slices.DeleteFunc(p.shares, func(s *share) bool { return s.host == host })
+}
+
+// get returns the share of a host, which it creates if need be.
+func (p *pool) get(host string) *share {
+	for _, s := range p.shares {
+		if s.host == host {
+			return s
 		}
 	}
+	s := &share{host: host}
+	p.shares = append(p.shares, s)
+	return s
 }
 
 // counted returns the sum of the fractions that hosts other than the given one may be using.
 func (p *pool) counted(except string) float64 {
 	sum := 0.0
-	for host, s := range p.shares {
-		if host != except {
+	for _, s := range p.shares {
+		if s.host != except {
 			sum += s.counted
 		}
 	}
@@ -68,11 +84,7 @@
 // grant answers a host's need out of the total. The share counts for the given time from now on.
 func (p *pool) grant(host string, need Need, total float64, now, reserved time.Duration) Grant {
 	p.expire(now)
-	s := p.shares[host]
-	if s == nil {
-		s = &share{}
-		p.shares[host] = s
-	}
+	s := p.get(host)
 	// The host has stopped using a higher fraction of an earlier answer: it ignores answers to asks before this one.
 	s.counted = need.Held
 	s.demand, s.askedAt, s.expiresAt = need.Demand, now, now+reserved
@@ -90,9 +102,10 @@
 	if fraction == 0 {
 		need.Want = 0
 	}
+	p.free = max(total-others-s.counted, 0)
 	return Grant{
 		Fraction:  fraction,
-		Tokens:    p.takeTokens(need, max(total-others-s.counted, 0)),
+		Tokens:    p.takeTokens(need),
 		Exhausted: contended && fraction <= need.Held && p.tokens < need.Want,
 	}
 }
@@ -135,17 +148,25 @@
 // together are those of one bucket with the rate and burst of the limit.
 func (p *pool) refill(free, perSecond float64, now time.Duration) {
 	elapsed := (now - p.refilledAt).Seconds()
-	if p.refilledAt == 0 {
-		elapsed = 0
+	p.refilledAt, p.perSecond = now, perSecond
+	// Of what has become free since, the former holder may have used the refill.
+	p.tokens = min(p.tokens+elapsed*perSecond*min(p.free, free), free)
+	p.free = free
+}
+
+// full reports whether the limit has no shares and its bucket is full, so that the pool need not be kept.
+func (p *pool) full(now time.Duration) bool {
+	if len(p.shares) > 0 {
+		return false
 	}
-	p.refilledAt = now
-	p.tokens = min(p.tokens+elapsed*perSecond*free, free)
+	p.refill(SettledTotal, p.perSecond, now)
+	return p.tokens >= SettledTotal
 }
 
 // takeTokens takes the tokens that go to a host with the given need: those for which the free part has no more room,
 // and what it wants.
-func (p *pool) takeTokens(need Need, free float64) float64 {
-	taken := max(p.tokens-free, min(need.Want, p.tokens), 0)
+func (p *pool) takeTokens(need Need) float64 {
+	taken := max(p.tokens-p.free, min(need.Want, p.tokens), 0)
 	p.tokens -= taken
 	return taken
 }
