--- a/internal/renew/renew.go
+++ b/internal/renew/renew.go
@@ -57,6 +57,17 @@
 	// tracked has an entry for each grant in the plan, also for those that other hosts renew, and
 	// for each grant with a call in flight.
 	tracked map[grantID]*grantState
+	// planned is closed when the plan that mine was made from is replaced, and mine lists the grants that
+	// this host renews by that plan.
+	planned <-chan struct{}
+	mine    []ownGrant
+}
+
+// ownGrant is a grant that this host renews.
+type ownGrant struct {
+	id         grantID
+	state      *grantState
+	assignment assign.Assignment
 }
 
 // grantID identifies one grant.
@@ -96,7 +107,7 @@
 	defer timer.Stop()
 	for {
 		plan, changed := r.current.Watch()
-		next := r.renewAll(ctx, plan, r.current.WrittenAfter())
+		next := r.renewAll(ctx, plan, changed, r.current.WrittenAfter())
 		timer.Reset(next)
 		select {
 		case <-ctx.Done():
@@ -120,14 +131,34 @@
 	return lost
 }
 
-// renewAll starts the calls that are due and returns the time until the next one. planWrittenAfter
-// is the earliest time at which the plan, and so a grant that is new in it, can have been written.
-func (r *Renewer) renewAll(ctx context.Context, plan assign.Plan, planWrittenAfter time.Duration) time.Duration {
+// renewAll starts the calls that are due and returns the time until the next one. changed is closed when the
+// plan is replaced. planWrittenAfter is the earliest time at which the plan, and so a grant that is new in it,
+// can have been written.
+func (r *Renewer) renewAll(ctx context.Context, plan assign.Plan, changed <-chan struct{}, planWrittenAfter time.Duration) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.planned != changed {
+		r.planned = changed
+		r.track(plan, planWrittenAfter)
+	}
 	now := r.clock()
 	next := r.timing.RenewInterval
-	due := make(map[grantID]*grantState, len(r.tracked))
+	for _, own := range r.mine {
+		r.checkServerSilence(own.id, own.state, own.assignment, now)
+		wait := r.untilDue(own.state, now)
+		if wait > 0 {
+			next = min(next, wait)
+			continue
+		}
+		r.startCall(ctx, plan.Version, own.id, own.state, own.assignment)
+	}
+	return max(next, time.Millisecond)
+}
+
+// track updates tracked and mine for a new plan. The caller holds the lock.
+func (r *Renewer) track(plan assign.Plan, planWrittenAfter time.Duration) {
+	tracked := make(map[grantID]*grantState, len(r.tracked))
+	r.mine = nil
 	for service, assignments := range plan.Services {
 		for _, a := range assignments {
 			if a.Phase != assign.Held {
@@ -138,26 +169,18 @@
 			if s == nil {
 				s = &grantState{issuedAfter: planWrittenAfter}
 			}
-			due[id] = s
-			if !plan.ShouldRenew(r.self, a) {
-				continue
-			}
-			r.checkServerSilence(id, s, a, now)
-			wait := r.untilDue(s, now)
-			if wait > 0 {
-				next = min(next, wait)
-				continue
+			tracked[id] = s
+			if plan.ShouldRenew(r.self, a) {
+				r.mine = append(r.mine, ownGrant{id, s, a})
 			}
-			r.startCall(ctx, plan.Version, id, s, a)
 		}
 	}
 	for id, s := range r.tracked {
 		if s.calling {
-			due[id] = s
+			tracked[id] = s
 		}
 	}
-	r.tracked = due
-	return max(next, time.Millisecond)
+	r.tracked = tracked
 }
 
 // checkServerSilence marks a grant as lost if its server has not answered this host for too long. If
