assign: the plan says in which order hosts serve servers; rankings are kept per plan

Cause: a host of 0.12 cores is primary and renewer of as many servers as one of 0.8 cores, and each request filters, hashes and sorts all hosts.

Change: weighted rendezvous hashing (weight / -log2 of the hash, in whole numbers, so that all machines agree) holds where the plan's field `order` says so. The leader writes it while all listed hosts announce that they know it. Ranges that get another renewer by a new order are regranted, and a request that waits at a gate while the order changes goes through the new primary. Trial hosts of suspects without a key stay in the order of the hashes. All copies of an adopted plan share a bounded memory of rankings.

--- a/internal/assign/current.go
+++ b/internal/assign/current.go
@@ -105,7 +105,7 @@
 
 // replace replaces the plan. The caller holds the lock.
 func (c *Current) replace(plan Plan, now time.Duration) {
-	c.plan = plan
+	c.plan = plan.WithRankings()
 	switch {
 	case plan.Version.Era() < c.era:
 		c.writtenAfter = 0
--- a/internal/assign/plan.go
+++ b/internal/assign/plan.go
@@ -16,11 +16,9 @@
 package assign
 
 import (
-	"cmp"
+	"reflect"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/poplarcroft/poplarcroft/internal/keyrange"
 )
 
@@ -71,6 +69,11 @@
 	CutOff bool `json:"cut_off,omitempty"`
 	// Capacity is the CPU capacity of the host, in cores. Larger hosts are preferred as relays.
 	Capacity float64 `json:"capacity,omitempty"`
+	// Weight is the capacity of the host for requests, in units of 0.16 cores or 10 Mbit/s of its link,
+	// whichever is less. Zero means that it is not known. It is used with OrderByWeight.
+	Weight float64 `json:"weight,omitempty"`
+	// KnownOrder is the newest order of hosts that the host's build knows.
+	KnownOrder HostOrder `json:"known_order,omitempty"`
 	// Retired is set if the host may no longer renew grants. A retired host stays listed until
 	// it must have stopped renewing.
 	Retired bool `json:"retired,omitempty"`
@@ -126,6 +129,9 @@
 	Leader Host `json:"leader"`
 	// Hosts lists the hosts that may renew grants, and retired ones that may still be renewing.
 	Hosts []Host `json:"hosts"`
+	// Order is the order of the hosts for each server. It is OrderByHash while a host of the plan does
+	// not know another one.
+	Order HostOrder `json:"order,omitempty"`
 	// Services holds the assignments of each service. They cover all keys once, in ascending order.
 	Services map[string][]Assignment `json:"services"`
 	// Orders is the ordinal of the position up to which the leader has read the operator records. A
@@ -136,6 +142,15 @@
 	Era uint64 `json:"era,omitempty"`
 	// Version is the fencing token of the plan's era and offset; zero is the empty plan.
 	Version Fence `json:"-"`
+
+	// rankings is nil for a plan that may still change.
+	rankings *rankings
+}
+
+// Equal reports whether both plans say the same. What is kept to speed up look-ups does not count.
+func (p Plan) Equal(other Plan) bool {
+	p.rankings, other.rankings = nil, nil
+	return reflect.DeepEqual(p, other)
 }
 
 // Clone returns a copy whose hosts and assignments can be changed without affecting the plan.
@@ -146,6 +161,7 @@
 	}
 	p.Services = services
 	p.Hosts = slices.Clone(p.Hosts)
+	p.rankings = nil
 	return p
 }
 
@@ -213,7 +229,12 @@
 // order of preference. The order comes from rendezvous hashing, so the loss of a host changes the
 // first choice only of the servers for which that host was first.
 func (p Plan) RankedHosts(server Server, eligible func(Host) bool) []Host {
-	return p.RankedInAllZones(server, func(host Host) bool { return host.Zone == server.Zone && eligible(host) })
+	return p.FirstHosts(server, len(p.Hosts), eligible)
+}
+
+// FirstHosts returns the first hosts of RankedHosts, at most n.
+func (p Plan) FirstHosts(server Server, n int, eligible func(Host) bool) []Host {
+	return p.firstRanked(p.rankings.get(p, server.ID), n, func(host *Host) bool { return host.Zone == server.Zone && eligible(*host) })
 }
 
 // RankedInAllZones is RankedHosts for the hosts of all zones.
@@ -222,23 +243,28 @@
 }
 
 // RankedFor returns the eligible hosts of all zones that are not retired, in the order of preference for the
-// object with the ID.
+// object with the ID. IDs should be few: their rankings are kept as long as the plan is in use.
 func (p Plan) RankedFor(id string, eligible func(Host) bool) []Host {
-	var ranked []Host
-	for _, host := range p.Hosts {
-		if !host.Retired && eligible(host) {
-			ranked = append(ranked, host)
-		}
-	}
-	slices.SortFunc(ranked, func(a, b Host) int {
-		return cmp.Compare(rendezvousHash(b, id), rendezvousHash(a, id))
-	})
-	return ranked
+	return p.firstRanked(p.rankings.get(p, id), len(p.Hosts), func(host *Host) bool { return eligible(*host) })
+}
+
+// RankedByHash is RankedFor in OrderByHash, whatever the order of the plan, for any number of IDs.
+func (p Plan) RankedByHash(id string, eligible func(Host) bool) []Host {
+	return p.firstRanked(rankHosts(p.Hosts, OrderByHash, id), len(p.Hosts), func(host *Host) bool { return eligible(*host) })
 }
 
-// rendezvousHash returns the rendezvous hash of a host for an ID; the highest is preferred.
-func rendezvousHash(host Host, id string) uint64 {
-	return xxhash.Sum64String(host.Name + "\x00" + id)
+// firstRanked returns the first eligible hosts of a ranking, at most n.
+func (p Plan) firstRanked(ranking []uint16, n int, eligible func(*Host) bool) []Host {
+	var first []Host
+	for _, index := range ranking {
+		if len(first) == n {
+			break
+		}
+		if host := &p.Hosts[index]; eligible(host) {
+			first = append(first, *host)
+		}
+	}
+	return first
 }
 
 // Valid reports whether the assignments of each service cover all keys exactly once, in ascending order.
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -44,8 +44,10 @@
 	// Grace is the time from the signal to stop until the platform kills the process.
 	Grace  time.Duration
 	Timing grants.Timing
-	// Capacity is this host's share of a processor.
+	// Capacity is this host's share of a processor, in cores.
 	Capacity float64
+	// Weight is this host's capacity for requests; see assign.Host.
+	Weight float64
 	// DialServer opens the connections to backend servers.
 	DialServer transport.DialFunc
 }
@@ -112,6 +114,7 @@
 	dialHost := transport.Dialer("")
 	h.self = assign.Host{
 		Name: config.Name, Incarnation: uuid.NewString(), Zone: config.Zone, Addr: config.PeerAddr, Capacity: config.Capacity,
+		Weight: config.Weight, KnownOrder: assign.OrderByWeight,
 	}
 	h.current = assign.NewCurrent()
 	h.fleet = fleet.New(fleet.Options{Zone: config.Zone, Target: h.target})
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/poplarcroft/poplarcroft/internal/assign"
+	"github.com/poplarcroft/poplarcroft/internal/dispatch"
 	"github.com/poplarcroft/poplarcroft/internal/fleet"
 	"github.com/poplarcroft/poplarcroft/internal/poison"
 )
@@ -195,6 +196,46 @@
 	assert.Equal(t, len(receiver.ingress.KeyRates()["revize"]), 1)
 }
 
+// TestRequestThatWaitsFollowsANewOrder guards against a server that gets twice the requests that it takes: after the order of
+// hosts has changed, a request that waits at the former primary's gate goes through the new primary.
+func TestRequestThatWaitsFollowsANewOrder(t *testing.T) {
+	addr := startServer(t, answerOK).addr
+	hosts := assign.Plan{Hosts: []assign.Host{{Name: "h1", Zone: "zlin"}, {Name: "h2", Zone: "zlin"}}}.
+		RankedHosts(assign.Server{ID: "revize-0", Zone: "zlin"}, func(assign.Host) bool { return true })
+	former, next := newHost(t, hosts[0].Name, addr), newHost(t, hosts[1].Name, addr)
+	hosts[1].Addr = servePeers(t, next.ingress)
+	former.assignAllKeys("revize-0", addr, 2, hosts...)
+	next.assignAllKeys("revize-0", addr, 2, hosts...)
+
+	gate := former.ingress.gates.get(fleet.Entry{ID: "revize-0", Born: 1, Slots: 4})
+	far := former.ingress.clock() + time.Hour
+	for range 4 + extraSlots {
+		_, ok := gate.Acquire(t.Context(), dispatch.Item{Goal: far, Deadline: far})
+		assert.Assert(t, ok)
+	}
+	status := make(chan int, 1)
+	go func() {
+		response, _, err := former.call(t, "GET", "/keyed/x", "")
+		if err != nil {
+			status <- 0
+			return
+		}
+		status <- response.StatusCode
+	}()
+	for !former.ingress.Queued() {
+		time.Sleep(time.Millisecond)
+	}
+	weighted := former.current.Plan().Clone()
+	weighted.Version, weighted.Order = 3, assign.OrderByWeight
+	weighted.Hosts[0].Weight, weighted.Hosts[1].Weight = 0.01, 100
+	former.current.Adopt(weighted, 0)
+	next.current.Adopt(weighted, 0)
+	gate.Release(time.Millisecond)
+	assert.Equal(t, <-status, http.StatusOK)
+	assert.Equal(t, len(former.ingress.KeyRates()["revize"]), 1)
+	assert.Equal(t, len(next.ingress.KeyRates()["revize"]), 1)
+}
+
 // servePeers starts the listener for forwarded requests and returns its address.
 func servePeers(t *testing.T, ingress *Ingress) string {
 	t.Helper()
--- a/internal/front/keyed.go
+++ b/internal/front/keyed.go
@@ -41,6 +41,8 @@
 	recorded bool
 	// notOwner counts the servers' answers that they do not own the key.
 	notOwner int
+	// order is the order of hosts by which maySend was last asked.
+	order assign.HostOrder
 }
 
 // serveKeyed forwards a request to the primary of the server that owns its key. If this host is
@@ -137,6 +139,7 @@
 // another call may help.
 func (k *keyedRequest) attemptOnce(ctx context.Context) (Result, bool) {
 	plan, changed := k.ingress.config.Current.Watch()
+	k.order = plan.Order
 	assignment, found := plan.Lookup(k.r.Service.Name, k.r.Key)
 	if !found || assignment.Phase != assign.Held {
 		return k.awaitPlan(ctx, changed, k.ownerWaitEnd(), reasonNoOwner)
@@ -193,12 +196,14 @@
 }
 
 // send makes one attempt at a server whose gate has admitted the request. It returns false if
-// nothing was sent: with a refusal, or with an empty result if the server no longer owns the key
-// and the owner must be looked up again.
+// nothing was sent: with a refusal, or with an empty result if the server no longer owns the key or
+// the order of hosts has changed, so that the owner and its primary must be looked up again.
 func (k *keyedRequest) send(ctx context.Context, server *fleet.Server) (attempt, Result, bool) {
-	// The key may have moved to another server while the request waited at the gate.
-	current, found := k.ingress.config.Current.Plan().Lookup(k.r.Service.Name, k.r.Key)
-	if !found || current.Phase != assign.Held || current.Server.ID != string(server.Entry().ID) {
+	// The key may have moved to another server while the request waited at the gate, or the server, with a new order
+	// of hosts, to another primary.
+	plan := k.ingress.config.Current.Plan()
+	current, found := plan.Lookup(k.r.Service.Name, k.r.Key)
+	if !found || current.Phase != assign.Held || current.Server.ID != string(server.Entry().ID) || plan.Order != k.order {
 		return attempt{}, Result{}, false
 	}
 	a, refusal, sent := k.ingress.sendIfAllowed(ctx, k.r, server, k.reachedServer)
--- a/internal/front/primary.go
+++ b/internal/front/primary.go
@@ -43,27 +43,27 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock()
-	candidates := p.ranked(plan, server, func(host assign.Host) bool { return now >= p.unreachableUntil[host.Name] })
+	candidates := p.ranked(plan, server, 1, func(host assign.Host) bool { return now >= p.unreachableUntil[host.Name] })
 	if len(candidates) == 0 {
 		return assign.Host{}, false
 	}
 	return candidates[0], true
 }
 
-// ranked returns the usable hosts of a server's zone that reach servers, in the server's order of preference. If there
+// ranked returns the first n usable hosts of a server's zone that reach servers, in the server's order of preference. If there
 // is none since hosts of the zone reach no server, it returns those of all zones.
-func (p *primaries) ranked(plan assign.Plan, server assign.Server, usable func(assign.Host) bool) []assign.Host {
+func (p *primaries) ranked(plan assign.Plan, server assign.Server, n int, usable func(assign.Host) bool) []assign.Host {
 	zoneIsCutOff := false
 	eligible := func(host assign.Host) bool {
 		cutOff := p.reach.CutOff(host.Name)
 		zoneIsCutOff = zoneIsCutOff || cutOff
 		return !cutOff && usable(host)
 	}
-	candidates := plan.RankedHosts(server, eligible)
+	candidates := plan.FirstHosts(server, n, eligible)
 	if len(candidates) == 0 && zoneIsCutOff {
 		candidates = plan.RankedInAllZones(server, eligible)
 	}
-	return candidates
+	return candidates[:min(n, len(candidates))]
 }
 
 // isPrimary reports whether this host is the primary of a server, or none can be reached.
@@ -75,15 +75,15 @@
 // mayStandIn reports whether this host is the primary of a server or its stand-in, to which hosts forward that cannot
 // reach the primary. It is true if the plan lists no hosts.
 func (p *primaries) mayStandIn(plan assign.Plan, server assign.Server) bool {
-	candidates := p.ranked(plan, server, func(assign.Host) bool { return true })
-	candidates = candidates[:min(1+standIns, len(candidates))]
+	candidates := p.ranked(plan, server, 1+standIns, func(assign.Host) bool { return true })
 	return len(plan.Hosts) == 0 || slices.ContainsFunc(candidates, func(host assign.Host) bool { return host.Name == p.self })
 }
 
 // trialHosts returns the hosts that may send a suspect without a key, in order: those that reach servers, by the
-// request's fingerprint.
+// request's fingerprint. They do not depend on the hosts' weights: a trial is rare, and a change of the order
+// would let two hosts try the same suspect.
 func (p *primaries) trialHosts(plan assign.Plan, f poison.Fingerprint) []assign.Host {
-	ranked := plan.RankedFor(f.String(), func(host assign.Host) bool { return !p.reach.CutOff(host.Name) })
+	ranked := plan.RankedByHash(f.String(), func(host assign.Host) bool { return !p.reach.CutOff(host.Name) })
 	return ranked[:min(1+standIns, len(ranked))]
 }
 
--- a/internal/leader/hosts.go
+++ b/internal/leader/hosts.go
@@ -28,12 +28,16 @@
 			// After a restore of the log, this may be an incarnation that another one has replaced.
 			continue
 		}
-		if known, ok := byName[host.Name]; !ok || !known.SameIncarnation(host) {
-			host.Since = version
-			byName[host.Name] = host
-			l.lastReport[host.Name] = now
-			delete(l.retiredSince, host.Name)
+		if known, ok := byName[host.Name]; ok && known.SameIncarnation(host) {
+			// A leader of an older build writes the hosts without the fields that it does not know.
+			known.Weight, known.KnownOrder = host.Weight, host.KnownOrder
+			byName[host.Name] = known
+			continue
 		}
+		host.Since = version
+		byName[host.Name] = host
+		l.lastReport[host.Name] = now
+		delete(l.retiredSince, host.Name)
 	}
 	known := byName[self.Name]
 	known.Led = true
--- a/internal/leader/hosts_test.go
+++ b/internal/leader/hosts_test.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -8,6 +9,9 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/poplarcroft/poplarcroft/internal/assign"
+	"github.com/poplarcroft/poplarcroft/internal/fleet"
+	"github.com/poplarcroft/poplarcroft/internal/keyrange"
+	"github.com/poplarcroft/poplarcroft/internal/routetable"
 )
 
 // TestRegistrationFromBeforeARestoreReplacesNoHost checks that a registration that a restored log brings
@@ -61,3 +65,91 @@
 		})
 	}
 }
+
+// TestOrderHoldsWhileAllHostsKnowIt checks that the plan has the weighted order only while every listed host has announced
+// it, also after a leader of an older build has written the hosts without what they announced.
+func TestOrderHoldsWhileAllHostsKnowIt(t *testing.T) {
+	host := func(name, incarnation string, order assign.HostOrder) assign.Host {
+		h := assign.Host{Name: name, Incarnation: incarnation, Zone: "zlin", KnownOrder: order}
+		if order != "" {
+			h.Weight = 2
+		}
+		return h
+	}
+	self := host("a", "1", assign.OrderByWeight)
+	registered := []assign.Host{self, host("b", "1", ""), host("c", "1", assign.OrderByWeight)}
+	l := New(Config{
+		Self: self, Hosts: func() []assign.Host { return registered }, CutOff: func(string) bool { return false },
+		Fleet: fleet.New(fleet.Options{}), OperatorOffset: func() uint64 { return 0 }, Clock: func() time.Duration { return time.Second },
+	})
+	table := routetable.New(routetable.Config{})
+	plan := assign.Plan{}
+	next := func(wantChange bool) {
+		t.Helper()
+		version := plan.Version + 1
+		changed := false
+		plan, changed = l.nextPlan(plan, table, version)
+		plan.Version = version
+		assert.Equal(t, changed, wantChange)
+	}
+	next(true)
+	assert.Equal(t, plan.Order, assign.OrderByHash)
+	registered[1] = host("b", "2", assign.OrderByWeight)
+	next(true)
+	assert.Equal(t, plan.Order, assign.OrderByWeight)
+	next(false)
+	registered[2] = host("c", "2", "")
+	next(true)
+	assert.Equal(t, plan.Order, assign.OrderByHash)
+	registered[2] = host("c", "3", assign.OrderByWeight)
+	next(true)
+	assert.Equal(t, plan.Order, assign.OrderByWeight)
+
+	// A leader of an older build takes over and writes the plan without the fields.
+	plan.Leader, plan.Order = host("d", "1", ""), ""
+	for i := range plan.Hosts {
+		plan.Hosts[i].Weight, plan.Hosts[i].KnownOrder = 0, ""
+	}
+	next(true)
+	assert.Equal(t, plan.Order, assign.OrderByWeight)
+	for _, h := range plan.Hosts {
+		assert.Equal(t, h.Weight, 2.0)
+	}
+}
+
+// TestNewOrderRegrantsForNewRenewers guards against a grant that lapses since the hosts that have to renew it by the new
+// order may not: a host renews no grant whose server it has not heard from since the grant was issued.
+func TestNewOrderRegrantsForNewRenewers(t *testing.T) {
+	var hosts []assign.Host
+	for i := range 12 {
+		hosts = append(hosts, assign.Host{
+			Name: fmt.Sprintf("h%02d", i), Incarnation: "1", Zone: "zlin", Weight: float64(1 + 7*(i%3)), KnownOrder: assign.OrderByWeight,
+		})
+	}
+	plan := assign.Plan{Version: 5, Hosts: hosts, Services: make(map[string][]assign.Assignment)}
+	const servers, width = 16, keyrange.Count / 16
+	for i := range servers {
+		first := keyrange.Key(i * width)
+		plan.Services["revize"] = append(plan.Services["revize"], assign.Assignment{
+			Range: keyrange.Range{First: first, Last: first + keyrange.Key(width-1)}, Phase: assign.Held, Fence: 5,
+			Server: assign.Server{ID: fmt.Sprint("s", i), Zone: "zlin", Born: 1},
+		})
+	}
+	next := plan.Clone()
+	next.Order = assign.OrderByWeight
+	l := New(Config{})
+	regrant := l.rangesToRegrant("revize", plan, next, false, 0)
+	regranted := 0
+	for _, a := range plan.Services["revize"] {
+		news := false
+		for _, host := range hosts {
+			news = news || next.ShouldRenew(host, a) && !plan.ShouldRenew(host, a)
+		}
+		assert.Equal(t, regrant[a.First], news, "%v", a.Range)
+		if news {
+			regranted++
+		}
+	}
+	assert.Assert(t, regranted > 0 && regranted <= servers)
+	assert.Equal(t, len(l.rangesToRegrant("revize", next, next, false, 0)), 0)
+}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -274,12 +274,14 @@
 	next.Leader = l.Self
 	next.Leader.Led = true
 	next.Hosts = l.nextHosts(plan.Hosts, version, now)
+	next.Order = assign.OrderFor(next.Hosts)
+	ranked := next.WithRankings()
 	regrantAll := changed
 	if offset := l.OperatorOffset(); offset > plan.Orders {
 		next.Orders = offset
 		changed = true
 	}
-	changed = changed || !slices.Equal(next.Hosts, plan.Hosts)
+	changed = changed || !slices.Equal(next.Hosts, plan.Hosts) || next.Order != plan.Order
 	rebalance := now-l.rebalancedAt >= rebalanceInterval
 	for name, service := range table.Services {
 		if !service.Keyed {
@@ -289,7 +291,7 @@
 			continue
 		}
 		snapshot := l.snapshot(name, now)
-		snapshot.Regrant = l.rangesToRegrant(name, plan, next, regrantAll, now)
+		snapshot.Regrant = l.rangesToRegrant(name, plan, ranked, regrantAll, now)
 		snapshot.Rebalance = rebalance
 		assignments, updated := assign.Reconcile(plan.Services[name], snapshot, version)
 		if !updated {
@@ -315,7 +317,7 @@
 			zonesWithNewHosts[host.Zone] = true
 		}
 	}
-	hostsChanged := !slices.Equal(next.Hosts, plan.Hosts)
+	hostsChanged := !slices.Equal(next.Hosts, plan.Hosts) || next.Order != plan.Order
 	retry := now-l.regrantedAt >= regrantInterval
 	if retry {
 		// Grants that are still lost will be reported again.
@@ -351,7 +353,7 @@
 				"server", a.Server.ID, "zone", a.Server.Zone, "fence", uint64(a.Fence), "next", a.Next, "handover", a.Handover != "")
 		}
 	}
-	if !slices.Equal(before.Hosts, after.Hosts) {
-		l.Log.Event("hosts", "plan", uint64(after.Version), "hosts", len(after.Hosts))
+	if !slices.Equal(before.Hosts, after.Hosts) || before.Order != after.Order {
+		l.Log.Event("hosts", "plan", uint64(after.Version), "hosts", len(after.Hosts), "order", string(after.Order))
 	}
 }
--- a/internal/leader/simulation_faults_test.go
+++ b/internal/leader/simulation_faults_test.go
@@ -211,3 +211,28 @@
 		s.grantedUntil = [simServers]time.Duration{}
 	})
 }
+
+// injectFaultOrUpgrade injects one random fault; one in three replaces a host by another build, which knows the weighted
+// order if the former one does not, and the reverse.
+func (sim *simulation) injectFaultOrUpgrade() {
+	sim.mu.Lock()
+	upgrade := sim.chance(0.33)
+	sim.mu.Unlock()
+	if !upgrade {
+		sim.injectFault()
+		return
+	}
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
+	host := sim.hosts[sim.rng.IntN(len(sim.hosts))]
+	if host.stop == nil {
+		return
+	}
+	sim.faults = append(sim.faults, fmt.Sprintf("%v host %s gets another build", sim.now(), host.self.Name))
+	if host.self.KnownOrder == "" {
+		host.self.KnownOrder, host.self.Weight = assign.OrderByWeight, 1+5*sim.rng.Float64()
+	} else {
+		host.self.KnownOrder, host.self.Weight = "", 0
+	}
+	sim.restart(host, 500*time.Millisecond)
+}
--- a/internal/leader/simulation_test.go
+++ b/internal/leader/simulation_test.go
@@ -360,7 +360,9 @@
 		sim.hosts = make([]*simHost, simHosts)
 		sim.mu.Lock()
 		for i := range sim.hosts {
-			sim.start(i, assign.Host{Name: fmt.Sprintf("h%d", i), Zone: zones[i%2], Incarnation: "1"})
+			sim.start(i, assign.Host{
+				Name: fmt.Sprintf("h%d", i), Zone: zones[i%2], Incarnation: "1", KnownOrder: assign.OrderByWeight, Weight: float64(1 + i%3),
+			})
 		}
 		sim.mu.Unlock()
 		time.Sleep(4 * time.Second)
@@ -413,6 +415,11 @@
 	checkOneOwner(t, (*simulation).injectFaultOrRestore)
 }
 
+// TestOneOwnerAcrossOrders has hosts replaced by builds that do not know the weighted order, and back, among the faults.
+func TestOneOwnerAcrossOrders(t *testing.T) {
+	checkOneOwner(t, (*simulation).injectFaultOrUpgrade)
+}
+
 // TestSimulationDetectsMissingWaits disables one safety rule at a time and checks that the simulation
 // finds a violation; otherwise TestOneOwnerUnderRandomFaults would prove nothing about that rule.
 func TestSimulationDetectsMissingWaits(t *testing.T) {
