--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -46,6 +46,10 @@
 	Timing grants.Timing
 	// Capacity is this host's share of a processor.
 	Capacity float64
+	// MemoryBytes is the memory of the process, and LinkBytesPerS the rate of the host's network link in bytes per
+	// second. Zero means that they are not known.
+	MemoryBytes   int64
+	LinkBytesPerS float64
 	// DialServer opens the connections to backend servers.
 	DialServer transport.DialFunc
 }
@@ -74,6 +78,8 @@
 	freshFor = 100 * time.Millisecond
 	// idleTimeout is how long an idle connection to a server or host is kept.
 	idleTimeout = 8 * time.Second
+	// bodyMemoryShare is the divisor for the part of the memory that bodies of requests and answers may take.
+	bodyMemoryShare = 4
 	// headerTimeout is the time within which a caller must send the header of a request.
 	headerTimeout = 10 * time.Second
 )
@@ -158,12 +164,14 @@
 		Self: config.Name,
 		Hosts: transport.NewPool(transport.Options{
 			Dial: dialHost, Connections: peerConnections, IdleTimeout: idleTimeout, RequestIDHeader: config.Headers.RequestID,
+			RequireID: true,
 		}),
 		Headers: config.Headers, Fleet: h.fleet, Guard: h.guard, Dial: config.DialServer, Reach: h.reach, Current: h.current, Table: h.operatorRecords.Table,
 		ColdRateLimit: h.coldRateLimit, OnFact: h.broadcastFact,
 		Budget: front.BudgetConfig{
 			Ratio: config.RetryRatio, Extra: config.RetryExtra, Window: config.RetryWindow, Hosts: h.hostCount,
 		},
+		BodyMemory: config.MemoryBytes / bodyMemoryShare, LinkBytesPerS: config.LinkBytesPerS,
 		Clock: clock.Monotonic, Log: log,
 	})
 	return h
@@ -198,6 +206,7 @@
 		FreshFor:        freshFor,
 		IdleTimeout:     idleTimeout,
 		RequestIDHeader: h.config.Headers.RequestID,
+		RequireID:       true,
 		Undelimited:     true,
 	})
 }
--- a/internal/edge/listen.go
+++ b/internal/edge/listen.go
@@ -46,7 +46,7 @@
 // serve starts the HTTP servers on the listeners and returns the one for callers. The one for
 // other hosts serves both RPC and forwarded requests.
 func (h *Host) serve(ctx context.Context, l listeners) *http.Server {
-	callers := &http.Server{Handler: h.ingress, ReadHeaderTimeout: headerTimeout}
+	callers := &http.Server{Handler: h.ingress, ReadHeaderTimeout: headerTimeout, ConnContext: front.ConnContext}
 	go h.serveOn("callers", callers, l.callers)
 	ready := http.NewServeMux()
 	ready.HandleFunc(h.config.ReadyPath, h.answerReady)
@@ -66,7 +66,7 @@
 		}
 		peer.ServeRPC(ctx, rpcServer, w)
 	})
-	go h.serveOn("hosts", &http.Server{Handler: peers}, l.peers)
+	go h.serveOn("hosts", &http.Server{Handler: peers, ConnContext: front.ConnContext}, l.peers)
 	if l.metrics != nil {
 		metrics := http.NewServeMux()
 		metrics.HandleFunc(h.config.MetricsPath, h.answerMetrics)
@@ -95,7 +95,7 @@
 	w.Header().Set("Content-Type", "application/json")
 	err := json.NewEncoder(w).Encode(map[string]any{
 		"door": h.ingress.Counters.Snapshot(), "leads": h.leader.IsLeader(), "plan": uint64(h.current.Plan().Version),
-		"relay": h.relay.Counters.Snapshot(), "log_lines_dropped": h.log.Dropped(),
+		"body_memory": h.ingress.BodyMemory(), "relay": h.relay.Counters.Snapshot(), "log_lines_dropped": h.log.Dropped(),
 	})
 	if err != nil {
 		h.log.Routine("metrics", "outcome", "failed", "err", err.Error())
--- a/internal/front/answer_memory.go
+++ b/internal/front/answer_memory.go
@@ -27,8 +27,9 @@
 
 // read reads a body to its end. One that is too large, by itself or together with others, gives
 // bounded.ErrTooLarge.
-func (m *answerMemory) read(body io.Reader) ([]byte, error) {
-	counted := &countedReader{Reader: body, memory: m}
+// The bytes stay counted in holds.
+func (m *answerMemory) read(body io.Reader, holds *holding) ([]byte, error) {
+	counted := &countedReader{Reader: body, memory: m, holds: holds}
 	defer counted.release()
 	return bounded.ReadAll(counted, maxAnswerBytes)
 }
@@ -37,6 +38,7 @@
 type countedReader struct {
 	io.Reader
 	memory *answerMemory
+	holds  *holding
 	// size is the number of bytes read, and large the number that count towards maxLargeBytes.
 	size, large int64
 }
@@ -45,6 +47,9 @@
 func (r *countedReader) Read(p []byte) (int, error) {
 	n, err := r.Reader.Read(p)
 	r.size += int64(n)
+	if !r.holds.take(int64(n)) {
+		return n, errors.Wrapf(bounded.ErrTooLarge, "%d bytes, and the host has no memory for more", r.size)
+	}
 	if r.size <= smallAnswerBytes {
 		return n, err
 	}
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -61,6 +61,8 @@
 	waitsForTrial bool
 	// suspect says that the request had crashed servers when it was sent.
 	suspect bool
+	// callerFailed says that the answer broke off because the caller did not take it.
+	callerFailed bool
 }
 
 // sendIfAllowed makes one attempt at a server if the server takes it and, for a retry, the service's
@@ -129,7 +131,7 @@
 		in.answeredAt.Store(int64(in.clock()))
 		in.readFacts(r, server, result.Response.StatusCode, result.Response.Header, started)
 	}
-	a := in.interpret(r, result)
+	a := in.interpret(ctx, r, result)
 	a.suspect = guarded.Crashes > 0
 	ending := a.guardEnding(ctx)
 	guarded.End(ending)
@@ -148,7 +150,8 @@
 	}
 	ratio := 0.0
 	if notQueued {
-		ratio = in.baseline.relative(r.Route.Name, a, now-started)
+		// The time that a caller takes to read says nothing about the server.
+		ratio = in.baseline.relative(r.Route.Name, a, now-started-r.delivery.blockedFor())
 	}
 	server.End(a.fleetEnding(ctx), ratio, now)
 	if a.outcome != attemptAnswered || guarded.Crashes > 0 {
@@ -197,34 +200,46 @@
 		return poison.Failed
 	case a.outcome != attemptLost:
 		return poison.Rejected
-	case ctx.Err() != nil:
+	case ctx.Err() != nil, a.callerFailed:
 		return poison.TimedOut
 	}
 	return poison.Broken
 }
 
-// interpret reads the answer to its end and derives the outcome of the attempt.
-func (in *Ingress) interpret(r *Request, result transport.Result) attempt {
+// interpret reads the answer to its end and derives the outcome of the attempt. A large answer is passed on to the caller
+// meanwhile.
+func (in *Ingress) interpret(ctx context.Context, r *Request, result transport.Result) attempt {
 	if result.Sent == transport.NotSent {
 		return attempt{outcome: attemptNotSent, detail: errorText(result.Err)}
 	}
 	if result.Sent != transport.Answered {
 		return attempt{outcome: attemptLost, detail: errorText(result.Err)}
 	}
-	answer, err := in.completeAnswer(result)
+	answer, rest, err := in.receive(r, result.Response)
+	if err == nil && rest != nil {
+		if a := in.classify(r, answer); a.outcome == attemptAnswered && answer.Status < http.StatusMultipleChoices {
+			return in.interpretLarge(ctx, r, a, rest)
+		}
+		answer, err = in.hold(r, answer, rest)
+	}
 	if err != nil {
 		return attempt{outcome: attemptLost, detail: errorText(err)}
 	}
 	return in.classify(r, answer)
 }
 
-// completeAnswer reads an answer to its end. One that is too large is no answer.
-func (in *Ingress) completeAnswer(result transport.Result) (*Answer, error) {
-	if result.Sent != transport.Answered {
-		return nil, result.Err
+// interpretLarge passes on an answer that is known to be the server's, and derives the outcome of the attempt.
+func (in *Ingress) interpretLarge(ctx context.Context, r *Request, a attempt, rest *openAnswer) attempt {
+	answer, err := in.passOn(ctx, r, a.answer, rest)
+	if err != nil {
+		return attempt{outcome: attemptLost, detail: "broke off while it was passed on: " + err.Error(), callerFailed: r.delivery.byCaller()}
 	}
-	response := result.Response
-	body, err := in.answers.read(response.Body)
+	return attempt{outcome: a.outcome, answer: answer, detail: a.detail}
+}
+
+// completeAnswer reads an answer to its end. One that is too large is no answer.
+func (in *Ingress) completeAnswer(r *Request, response *http.Response) (*Answer, error) {
+	body, err := in.answers.read(response.Body, r.holds)
 	response.Body.Close()
 	if err != nil {
 		return nil, err
@@ -268,7 +283,7 @@
 	case attemptNotOwner:
 		return fleet.Cancelled
 	}
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || a.callerFailed {
 		return fleet.Cancelled
 	}
 	if a.outcome == attemptNotSent {
--- /dev/null
+++ b/internal/front/body_memory.go
@@ -0,0 +1,123 @@
+package front
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+const (
+	// largeShare is the part of the memory for bodies that large answers may take. The rest stays for other requests.
+	largeShare = 0.75
+	// memoryWait is how long a request for a large answer waits for memory before it is refused.
+	memoryWait = 200 * time.Millisecond
+)
+
+// bodyMemory counts the bytes of the bodies of requests and answers that this host holds. It is safe for concurrent use.
+type bodyMemory struct {
+	// bound is the maximum number of bytes; zero sets none.
+	bound int64
+
+	mu sync.Mutex
+	// held is the number of bytes that are held, and most its highest value so far.
+	held, most int64
+	// freed is closed when bytes are given back, and nil while nobody waits.
+	freed chan struct{}
+}
+
+// take counts n more bytes unless that exceeds the given part of the bound.
+func (m *bodyMemory) take(n int64, part float64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.bound > 0 && m.held+n > int64(part*float64(m.bound)) {
+		return false
+	}
+	m.held += n
+	m.most = max(m.most, m.held)
+	return true
+}
+
+// giveBack ends the counting of n bytes.
+func (m *bodyMemory) giveBack(n int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.held -= n
+	if m.freed != nil && n > 0 {
+		close(m.freed)
+		m.freed = nil
+	}
+}
+
+// nextFreed returns a channel that is closed when bytes are given back.
+func (m *bodyMemory) nextFreed() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.freed == nil {
+		m.freed = make(chan struct{})
+	}
+	return m.freed
+}
+
+// await is take that waits at most the given time for bytes to be given back.
+func (m *bodyMemory) await(ctx context.Context, n int64, part float64, limit time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for {
+		freed := m.nextFreed()
+		if m.take(n, part) {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-freed:
+		}
+	}
+}
+
+// snapshot returns the bound, the bytes held and their highest number, for the metrics endpoint.
+func (m *bodyMemory) snapshot() map[string]int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return map[string]int64{"bound": m.bound, "held": m.held, "most": m.most}
+}
+
+// holding is what one request holds of a bodyMemory until it has ended. A nil holding counts nothing. It is used by one
+// goroutine.
+type holding struct {
+	memory *bodyMemory
+	bytes  int64
+}
+
+// take counts n more bytes of the request. It returns false if the bound does not allow it.
+func (h *holding) take(n int64) bool {
+	if h == nil {
+		return true
+	}
+	if !h.memory.take(n, 1) {
+		return false
+	}
+	h.bytes += n
+	return true
+}
+
+// await counts n bytes for a large answer, and waits a short time for them.
+func (h *holding) await(ctx context.Context, n int64) bool {
+	if h == nil {
+		return true
+	}
+	if !h.memory.await(ctx, n, largeShare, memoryWait) {
+		return false
+	}
+	h.bytes += n
+	return true
+}
+
+// release ends the counting of all bytes of the request.
+func (h *holding) release() {
+	if h == nil {
+		return
+	}
+	h.memory.giveBack(h.bytes)
+	h.bytes = 0
+}
--- a/internal/front/counters.go
+++ b/internal/front/counters.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -14,6 +15,27 @@
 	results map[string]int64
 	// latency holds a histogram in milliseconds for each service.
 	latency map[string]*hdrhistogram.Histogram
+	// large holds the number of large answers and of requests for them by what became of them.
+	large map[string]int64
+}
+
+// Names of the counters of large answers.
+const (
+	largePassedOn      = "passed on"
+	largeBrokeOff      = "broke off"
+	largeCallerFailed  = "not taken by the caller"
+	largeRefusedMemory = "refused, memory"
+	largeRefusedLink   = "refused, link"
+)
+
+// countLarge counts a large answer, or a request for one.
+func (c *Counters) countLarge(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.large == nil {
+		c.large = make(map[string]int64)
+	}
+	c.large[name]++
 }
 
 const (
@@ -62,5 +84,5 @@
 			"max": histogram.Max(),
 		}
 	}
-	return map[string]any{"requests": results, "latency_ms": latency}
+	return map[string]any{"requests": results, "latency_ms": latency, "large_answers": maps.Clone(c.large)}
 }
--- a/internal/front/fixture_test.go
+++ b/internal/front/fixture_test.go
@@ -207,7 +207,7 @@
 	dial := s.dialCounted
 	s.fleet = fleet.New(fleet.Options{Zone: "zlin", RandIntN: func(int) int { return 0 }, Target: func(addr string) *transport.Target {
 		return transport.NewTarget(addr, transport.Options{
-			Dial: dial, Connections: testConnections, FreshFor: testFreshFor, RequestIDHeader: testHeaders.RequestID, Undelimited: true,
+			Dial: dial, Connections: testConnections, FreshFor: testFreshFor, RequestIDHeader: testHeaders.RequestID, RequireID: true, Undelimited: true,
 		})
 	}})
 	var entries []fleet.Entry
@@ -236,7 +236,7 @@
 	})
 	s.ingress = New(Config{
 		Headers: testHeaders, Fleet: s.fleet, Current: s.current, Self: name,
-		Hosts: transport.NewPool(transport.Options{Dial: dial, Connections: testConnections, FreshFor: testFreshFor, RequestIDHeader: testHeaders.RequestID}),
+		Hosts: transport.NewPool(transport.Options{Dial: dial, Connections: testConnections, FreshFor: testFreshFor, RequestIDHeader: testHeaders.RequestID, RequireID: true}),
 		Guard: poison.NewGuard(poison.Bounds{CrashLimit: 3, SharedCrashLimit: 3, Retention: time.Minute}), Dial: dial,
 		Table: func() *routetable.Table { return table }, ColdRateLimit: func(routetable.Service) float64 { return 10 },
 		OnFact: func(fleet.Entry, Fact) {}, Reach: s.reach,
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -56,7 +56,12 @@
 		in.forwardFailed(ctx, r, to, sent.Sent.String(), errorText(sent.Err))
 		return Result{}, false
 	}
-	answer, err := in.completeAnswer(sent)
+	answer, err := in.receiveForwarded(ctx, r, sent)
+	if r.delivery.hasBegun() && err != nil {
+		// The other host was reached. What ended the answer is in its log if the caller did not.
+		in.log.Event("hop", "id", r.ID, "lead", to.Name, "outcome", "broke off", "detail", err.Error(), "by_caller", r.delivery.byCaller())
+		return unknown(reasonBrokeOff), true
+	}
 	if err != nil {
 		in.forwardFailed(ctx, r, to, "lost", err.Error())
 		return unknown(reasonAnswerLost), !r.Route.Idempotent
@@ -73,6 +78,45 @@
 	return result, true
 }
 
+// receiveForwarded reads the other host's reply to its end, and passes a large answer on meanwhile. A reply that is
+// neither the answer to this request nor a result of the other host is an error: another process may have the address.
+func (in *Ingress) receiveForwarded(ctx context.Context, r *Request, sent transport.Result) (*Answer, error) {
+	if sent.Sent != transport.Answered {
+		return nil, sent.Err
+	}
+	answer, rest, err := in.receive(r, sent.Response)
+	if err != nil {
+		return nil, err
+	}
+	if err := in.checkForwarded(r, answer); err != nil {
+		if rest != nil {
+			rest.body.Close()
+		}
+		return nil, err
+	}
+	switch {
+	case rest == nil:
+		return answer, nil
+	case answer.Header.Get(headerResult) != "", answer.Status >= http.StatusMultipleChoices:
+		return in.hold(r, answer, rest)
+	}
+	return in.passOn(ctx, r, answer, rest)
+}
+
+// errNotForwarded reports a reply that does not belong to the forwarded request.
+var errNotForwarded = errors.New("the reply is not that of a host to this request")
+
+// checkForwarded checks that a reply of another host belongs to the request, and that a success is the server's.
+func (in *Ingress) checkForwarded(r *Request, answer *Answer) error {
+	if answer.Header.Get(in.headers.RequestID) != r.ID {
+		return errors.Wrapf(errNotForwarded, "no request ID, status %d", answer.Status)
+	}
+	if answer.Header.Get(headerResult) == "" && answer.Status < http.StatusMultipleChoices && !in.hasDigest(answer) {
+		return errors.Wrapf(errNotForwarded, "no digest, status %d", answer.Status)
+	}
+	return nil
+}
+
 // forwardFailed avoids the host for a while and logs why, unless the failure is due to the
 // request's own context having ended.
 func (in *Ingress) forwardFailed(ctx context.Context, r *Request, to assign.Host, outcome, detail string) {
@@ -100,6 +144,7 @@
 const (
 	flagIdempotent = "1"
 	flagKeyless    = "n"
+	flagLarge      = "l"
 )
 
 // forwardSeparator separates the fields. Escaped fields don't contain it.
@@ -123,6 +168,9 @@
 	if !r.Service.Keyed {
 		fields[forwardFlags] += flagKeyless
 	}
+	if r.Route.Large {
+		fields[forwardFlags] += flagLarge
+	}
 	return strings.Join(fields, forwardSeparator)
 }
 
@@ -133,6 +181,7 @@
 		return nil, errors.Newf("forward header has %d fields, want %d", len(fields), forwardFields)
 	}
 	r := &Request{Route: &routetable.Route{Idempotent: strings.Contains(fields[forwardFlags], flagIdempotent)}, Forwarded: true, Arrived: now}
+	r.Route.Large = strings.Contains(fields[forwardFlags], flagLarge)
 	r.Service.Keyed = !strings.Contains(fields[forwardFlags], flagKeyless)
 	var err error
 	if r.Route.Name, err = url.QueryUnescape(fields[forwardRoute]); err != nil {
@@ -179,7 +228,14 @@
 	w.Header().Set(in.headers.RequestID, hr.Header.Get(in.headers.RequestID))
 	// The forwarding host adds the date; sending it here would only add traffic between zones.
 	w.Header()["Date"] = nil
-	r, err := in.readForwarded(hr, now)
+	d := in.newDelivery(w, hr)
+	holds := &holding{memory: &in.memory}
+	defer holds.release()
+	r, err := in.readForwarded(hr, now, holds)
+	if errors.Is(err, errNoMemory) {
+		writeForwardResult(w, notRun(reasonMemory, defaultRetryAfter))
+		return
+	}
 	if err != nil {
 		in.log.Event("hop", "id", hr.Header.Get(in.headers.RequestID), "outcome", "rejected", "err", err.Error())
 		writeForwardResult(w, notRun(reasonMalformed, defaultRetryAfter))
@@ -189,15 +245,23 @@
 		writeForwardResult(w, notRun(reasonLeaving, 0))
 		return
 	}
+	r.holds = holds
+	r.delivery = d
+	r.delivery.stall = in.stallOf(r, hostStall)
 	ctx, cancel := in.contextOf(hr, r)
 	defer cancel()
-	result := in.sendForwarded(ctx, r)
-	in.recordResult(r, result, 0)
-	if result.Kind == Done {
-		writeAnswer(w, result.Answer)
-		return
+	result, ok := in.admitLarge(ctx, r)
+	if ok {
+		result = in.sendForwarded(ctx, r)
 	}
-	writeForwardResult(w, result)
+	if result.Kind == Done && !result.Answer.passedOn {
+		// A server cannot speak for this host.
+		result.Answer.Header.Del(headerResult)
+	}
+	in.finish(r, result, func() int {
+		writeForwardResult(w, result)
+		return 0
+	})
 }
 
 // sendForwarded sends a request that another host has forwarded. It always sends to the server that owns the key on
@@ -215,7 +279,7 @@
 
 // readForwarded parses a forwarded request. The settings of its service come from this host's own
 // configuration if that contains the service.
-func (in *Ingress) readForwarded(hr *http.Request, now time.Duration) (*Request, error) {
+func (in *Ingress) readForwarded(hr *http.Request, now time.Duration, holds *holding) (*Request, error) {
 	r, err := decodeForward(hr.Header.Get(HeaderForward), now)
 	if err != nil {
 		return nil, err
@@ -234,7 +298,7 @@
 			return nil, err
 		}
 	}
-	if r.Body, err = readBody(hr, 0); err != nil {
+	if r.Body, err = readBody(hr, 0, holds); err != nil {
 		return nil, err
 	}
 	r.Header = transport.EndToEnd(hr.Header)
--- a/internal/front/history.go
+++ b/internal/front/history.go
@@ -30,7 +30,7 @@
 // server answered, if there is one, and otherwise this host's own result.
 func (h *attemptHistory) finalResult(own Result) Result {
 	if h.failure != nil {
-		return Result{Kind: Done, Answer: h.failure}
+		return unknownIfExecuted(Result{Kind: Done, Answer: h.failure}, h.executions > 1)
 	}
 	return unknownIfExecuted(own, h.mayHaveExecuted)
 }
--- a/internal/front/ingress.go
+++ b/internal/front/ingress.go
@@ -50,6 +50,10 @@
 	// OnFact is called when an answer shows something about a server that other hosts should know. It
 	// must not block.
 	OnFact func(entry fleet.Entry, fact Fact)
+	// BodyMemory is the maximum number of bytes of all bodies that the host holds, and LinkBytesPerS the rate of its link
+	// in bytes per second. Zero means that there is no such bound, or that the rate is not known.
+	BodyMemory    int64
+	LinkBytesPerS float64
 	// Budget is the retry budget of each service over all hosts.
 	Budget BudgetConfig
 	// Clock is a monotonic clock; all times in this package are readings of it.
@@ -72,6 +76,8 @@
 	gates     admissionGates
 	probes    *probes
 	answers   answerMemory
+	memory    bodyMemory
+	link      linkMeter
 	// answeredAt is the clock's reading when a server last answered an attempt.
 	answeredAt atomic.Int64
 	// Counters are published on the metrics endpoint.
@@ -94,6 +100,8 @@
 		primaries: newPrimaries(config.Self, config.Reach, config.Clock),
 		gates:     admissionGates{clock: config.Clock},
 		probes:    newProbes(config),
+		memory:    bodyMemory{bound: config.BodyMemory},
+		link:      linkMeter{rate: config.LinkBytesPerS, clock: config.Clock},
 	}
 }
 
@@ -111,6 +119,12 @@
 	return in.leaving
 }
 
+// BodyMemory returns the bound of the memory for bodies in bytes (0 for none), the bytes that are held and the most that
+// were held, for the metrics endpoint.
+func (in *Ingress) BodyMemory() map[string]int64 {
+	return in.memory.snapshot()
+}
+
 // KeyRates returns the request rate of each key, by service, of the requests that this host
 // itself sends to servers. These are requests for servers whose primary it is, and those whose
 // primary it could not reach.
@@ -129,6 +143,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	arrived := in.clock()
+	d := in.newDelivery(w, hr)
 	table := in.config.Table()
 	if table == nil {
 		w.Header().Set("Retry-After", "0.5")
@@ -142,25 +157,79 @@
 		writeRefusal(w, http.StatusNotFound, "no route")
 		return
 	}
-	r, status, err := in.read(hr, table, route, arrived)
+	holds := &holding{memory: &in.memory}
+	defer holds.release()
+	r, status, err := in.read(hr, table, route, arrived, holds)
 	if err != nil {
+		if errors.Is(err, errNoMemory) {
+			setRetryAfter(w, defaultRetryAfter)
+		}
 		in.log.Event("answer", "id", hr.Header.Get(in.headers.RequestID), "route", route.Name, "status", status, "err", err.Error())
 		writeRefusal(w, status, err.Error())
 		return
 	}
+	r.holds = holds
+	r.delivery = d
+	r.delivery.stall = in.stallOf(r, callerStall)
 	ctx, cancel := in.contextOf(hr, r)
 	defer cancel()
-	result := in.handle(ctx, r)
+	result, ok := in.admitLarge(ctx, r)
+	if ok {
+		result = in.handle(ctx, r)
+	}
 	if hr.Context().Err() != nil && result.Kind != Done {
 		result.Reason = reasonCallerGone
 	}
-	sent := writeResult(w, result)
-	in.recordResult(r, result, sent)
+	in.finish(r, result, func() int { return writeResult(w, result) })
+}
+
+// callerStatus returns the HTTP status that the caller gets, or 0 if another host answers the caller.
+func callerStatus(r *Request, status int) int {
+	if r.Forwarded {
+		return 0
+	}
+	return status
+}
+
+// stallOf returns how long the caller may read nothing of the answer, or zero if that is not limited: the bound holds
+// where answers are large or the memory is bounded.
+func (in *Ingress) stallOf(r *Request, limit time.Duration) time.Duration {
+	if r.Route.Large || in.memory.bound > 0 {
+		return limit
+	}
+	return 0
+}
+
+// finish answers the caller, unless it has a large answer already, and records the result. refuse writes a result that is
+// no server's answer and returns the HTTP status. A caller with a part of an answer loses its connection, so that
+// the part cannot pass for the whole.
+func (in *Ingress) finish(r *Request, result Result, refuse func() int) {
+	d := r.delivery
+	defer d.use.end(false)
+	if d.begun {
+		in.recordResult(r, result, callerStatus(r, d.status))
+		if result.Kind != Done || !result.Answer.passedOn {
+			panic(http.ErrAbortHandler)
+		}
+		return
+	}
+	status := 0
+	if result.Kind == Done {
+		status = d.writeHeld(result.Answer, r.Method == http.MethodHead)
+		d.use.end(!d.failed)
+	} else {
+		status = refuse()
+	}
+	in.recordResult(r, result, callerStatus(r, status))
+	if result.Kind == Done && d.failed {
+		in.Counters.countLarge(largeCallerFailed)
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // read parses a caller's request. If the request is not acceptable it returns the HTTP status
 // to answer with, and an error.
-func (in *Ingress) read(hr *http.Request, table *routetable.Table, route *routetable.Route, arrived time.Duration) (*Request, int, error) {
+func (in *Ingress) read(hr *http.Request, table *routetable.Table, route *routetable.Route, arrived time.Duration, holds *holding) (*Request, int, error) {
 	r := &Request{
 		ID:       hr.Header.Get(in.headers.RequestID),
 		Route:    route,
@@ -185,7 +254,10 @@
 		}
 		r.Key = key
 	}
-	body, err := readBody(hr, table.Limits.BodyBytes)
+	body, err := readBody(hr, table.Limits.BodyBytes, holds)
+	if errors.Is(err, errNoMemory) {
+		return nil, http.StatusServiceUnavailable, err
+	}
 	if errors.Is(err, errBodyTooBig) {
 		return nil, http.StatusRequestEntityTooLarge, err
 	}
--- a/internal/front/keyed.go
+++ b/internal/front/keyed.go
@@ -105,7 +105,7 @@
 			if !needsOtherHost(result) {
 				k.recordOnce()
 			}
-			if result.Kind == Done {
+			if result.Kind == Done || r.delivery.hasBegun() {
 				return result
 			}
 			return k.finalResult(result)
@@ -211,10 +211,13 @@
 // afterAttempt waits as long as the outcome of an attempt requires. It returns true if another
 // attempt may help, and otherwise the result of the request.
 func (k *keyedRequest) afterAttempt(ctx context.Context, a attempt, changed <-chan struct{}) (Result, bool) {
+	if k.r.delivery.hasBegun() && a.outcome != attemptAnswered {
+		return unknown(reasonBrokeOff), false
+	}
 	again := !a.suspect
 	switch a.outcome {
 	case attemptAnswered:
-		return Result{Kind: Done, Answer: a.answer}, false
+		return unknownIfExecuted(Result{Kind: Done, Answer: a.answer}, k.mayHaveExecuted), false
 	case attemptNotOwner:
 		k.notOwner++
 		if !again || k.notOwner > maxNotOwner {
--- a/internal/front/keyless.go
+++ b/internal/front/keyless.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/poplarcroft/poplarcroft/internal/assign"
@@ -99,7 +100,10 @@
 			return k.finalResult(a.refusal)
 		}
 		mayHaveExecuted := k.apply(a)
-		if k.last.Kind == Done {
+		if r.delivery.hasBegun() && k.last.Kind != Done {
+			return unknown(reasonBrokeOff)
+		}
+		if a.outcome == attemptAnswered {
 			return k.last
 		}
 		if a.suspect && k.reachedServer {
@@ -118,7 +122,7 @@
 	k.record(a)
 	switch a.outcome {
 	case attemptAnswered:
-		k.last = Result{Kind: Done, Answer: a.answer}
+		k.last = unknownIfExecuted(Result{Kind: Done, Answer: a.answer}, k.mayHaveExecuted)
 	case attemptShed:
 		k.last = notRun(reasonFull, defaultRetryAfter)
 	case attemptNotSent:
@@ -147,10 +151,24 @@
 }
 
 // unknownIfExecuted turns a refusal that guarantees no execution into an unknown result if an
-// earlier attempt may have executed the request.
+// earlier attempt may have executed the request. A server can only speak for the attempt that it got.
 func unknownIfExecuted(result Result, mayHaveExecuted bool) Result {
-	if mayHaveExecuted && result.Kind == NotRun {
+	switch {
+	case !mayHaveExecuted:
+		return result
+	case result.Kind == NotRun:
 		return unknown(result.Reason)
+	case result.Kind == Done && claimsNotRun(result.Answer.Status):
+		return unknown(reasonAnswerLost)
 	}
 	return result
 }
+
+// claimsNotRun reports whether the status tells a caller that its request has not run and will not.
+func claimsNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -67,6 +67,10 @@
 	// Arrived is when this host received the request. Deadline is when the caller stops waiting or
 	// the route's timeout ends, whichever is earlier.
 	Arrived, Deadline time.Duration
+	// delivery writes the answer to the caller, and holds counts the memory of the request and its answer. Both are nil
+	// in tests that need neither.
+	delivery *delivery
+	holds    *holding
 }
 
 // credentialHeaders are the headers that say on whose behalf a request is made.
@@ -100,21 +104,37 @@
 var (
 	errNoID       = errors.New("the request has no ID")
 	errBadKey     = errors.New("the key is missing or no number from 0 to 65535")
+	errNoMemory   = errors.New("host has no memory for the body")
 	errBodyTooBig = errors.New("the body exceeds the limit")
 )
 
+// heldReader is a request's body that counts what is read from it.
+type heldReader struct {
+	io.Reader
+	holds *holding
+}
+
+// Read implements io.Reader.
+func (r heldReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if !r.holds.take(int64(n)) {
+		return n, errNoMemory
+	}
+	return n, err
+}
+
 // readBody reads a body of at most limit bytes; zero sets no limit. It returns errBodyTooBig for
-// a longer one.
-func readBody(r *http.Request, limit int64) ([]byte, error) {
+// a longer one, and errNoMemory if this host has no memory for it.
+func readBody(r *http.Request, limit int64, holds *holding) ([]byte, error) {
 	if r.ContentLength == 0 || r.Body == nil {
 		return nil, nil
 	}
 	if limit > 0 && r.ContentLength > limit {
 		return nil, errBodyTooBig
 	}
-	reader := io.Reader(r.Body)
+	reader := io.Reader(heldReader{r.Body, holds})
 	if limit > 0 {
-		reader = io.LimitReader(r.Body, limit+1)
+		reader = io.LimitReader(reader, limit+1)
 	}
 	body, err := io.ReadAll(reader)
 	if err != nil {
--- a/internal/front/result.go
+++ b/internal/front/result.go
@@ -4,8 +4,6 @@
 	"net/http"
 	"strconv"
 	"time"
-
-	"github.com/poplarcroft/poplarcroft/internal/transport"
 )
 
 // Kind says whether a request was executed.
@@ -30,6 +28,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// passedOn says that the caller has got the whole answer already; Body is empty then.
+	passedOn bool
 }
 
 // Result is the result of a request, or of one attempt.
@@ -71,13 +71,14 @@
 	// reasonTrialElsewhere: only another host may send the request now.
 	reasonTrialElsewhere = "servers crashed that ran this request, and another host tries it"
 	reasonCallerGone     = "the caller has gone"
+	// reasonBrokeOff: the caller has a part of the answer.
+	reasonBrokeOff = "the answer broke off"
+	reasonMemory   = "host has no memory for the answer"
+	reasonLink     = "the host's link is busy"
 )
 
-// writeResult answers the caller and returns the HTTP status.
+// writeResult answers the caller with a result that is not a server's answer, and returns the HTTP status.
 func writeResult(w http.ResponseWriter, result Result) int {
-	if result.Kind == Done {
-		return writeAnswer(w, result.Answer)
-	}
 	status := http.StatusServiceUnavailable
 	if result.Kind == Unknown {
 		status = http.StatusBadGateway
@@ -86,7 +87,7 @@
 		}
 	}
 	if result.Kind == NotRun && result.RetryAfter > 0 {
-		w.Header().Set("Retry-After", strconv.FormatFloat(result.RetryAfter.Seconds(), 'f', 3, 64))
+		setRetryAfter(w, result.RetryAfter)
 	}
 	return writeRefusal(w, status, result.Reason)
 }
@@ -95,23 +96,18 @@
 // It returns the status.
 func writeRefusal(w http.ResponseWriter, status int, reason string) int {
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	w.Header().Set("Content-Length", strconv.Itoa(len(reason)+1))
+	setLength(w.Header(), len(reason)+1)
 	w.WriteHeader(status)
 	w.Write([]byte(reason + "\n"))
 	return status
 }
 
-// writeAnswer passes a server's answer on to the caller and returns its status.
-func writeAnswer(w http.ResponseWriter, answer *Answer) int {
-	header := w.Header()
-	for name, values := range transport.EndToEnd(answer.Header) {
-		header[name] = values
-	}
-	// The answer to a HEAD request has no body, but may have the Content-Length of one.
-	if len(answer.Body) > 0 || header.Get("Content-Length") == "" {
-		header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
-	}
-	w.WriteHeader(answer.Status)
-	w.Write(answer.Body)
-	return answer.Status
+// setRetryAfter tells the caller when to come back, in seconds with fractions.
+func setRetryAfter(w http.ResponseWriter, after time.Duration) {
+	w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+}
+
+// setLength sets the Content-Length.
+func setLength(header http.Header, length int) {
+	header.Set("Content-Length", strconv.Itoa(length))
 }
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -33,6 +33,8 @@
 	Shares []Share
 	// Idempotent says that executing a request more than once is harmless.
 	Idempotent bool
+	// Large says that answers are large, so that they are passed on while they arrive.
+	Large bool
 	// Timeout is the maximum time from a request's arrival to its answer.
 	Timeout time.Duration
 	// Goal is the latency goal (aim_s in the configuration): answers within it have their full value.
--- a/internal/transport/attempt.go
+++ b/internal/transport/attempt.go
@@ -17,6 +17,8 @@
 	cancel     context.CancelCauseFunc
 	needsFresh bool
 	freshFor   time.Duration
+	// requestID is the ID of the request, or empty.
+	requestID string
 
 	conns  []*trackedConn
 	reused bool
@@ -39,9 +41,10 @@
 		return
 	}
 	a.reused = info.Reused || info.WasIdle
+	tainted := conn.hasStrayed() || a.target.requireID && conn.hasCarried(a.requestID)
 	conn.beginRequest(a)
 	a.conns = append(a.conns, conn)
-	if a.needsFresh && a.stale(conn) {
+	if tainted || a.needsFresh && a.stale(conn) {
 		conn.blockWrites()
 		return
 	}
@@ -69,6 +72,11 @@
 	}
 }
 
+// onFirstUse reports whether the connection that the request was written on had carried no other request.
+func (a *attempt) onFirstUse() bool {
+	return len(a.conns) > 0 && a.conns[len(a.conns)-1].first()
+}
+
 // end marks the attempt's connections as idle.
 func (a *attempt) end() {
 	for _, conn := range a.conns {
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,8 +31,17 @@
 	writesBlocked bool
 	// user is the attempt that uses the connection; nil while the connection is idle.
 	user *attempt
+	// requests counts the requests that were given the connection, and carried holds the IDs of the last ones.
+	requests int
+	carried  []string
+	// strayed says that bytes arrived while no request used the connection.
+	strayed bool
 }
 
+// maxCarried is the number of request IDs that a connection remembers. A server's late second copy of an answer
+// arrives within a few requests.
+const maxCarried = 16
+
 // track wraps a connection that has just been opened. closed is called once when it is closed.
 func track(conn net.Conn, clock func() time.Duration, closed func(*trackedConn)) *trackedConn {
 	c := &trackedConn{Conn: conn, clock: clock, closed: closed}
@@ -54,16 +64,51 @@
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.lastRead.Store(int64(c.clock()))
+		c.recordRead()
 	}
 	return n, err
 }
 
+// recordRead marks the connection as strayed if no request uses it. What arrives then is no answer to a later request.
+func (c *trackedConn) recordRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.strayed = c.strayed || c.user == nil
+}
+
+// hasStrayed reports whether bytes have arrived while no request used the connection.
+func (c *trackedConn) hasStrayed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.strayed
+}
+
+// hasCarried reports whether the connection has carried a request with this ID before, such as the first attempt of a
+// request that is tried again. A second copy of that answer could not be told from the answer to the next attempt.
+func (c *trackedConn) hasCarried(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return id != "" && slices.Contains(c.carried, id)
+}
+
+// first reports whether the connection has carried no request before the present one.
+func (c *trackedConn) first() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.requests <= 1
+}
+
 // beginRequest marks the start of an attempt's request on the connection: nothing of it is written yet.
 func (c *trackedConn) beginRequest(user *attempt) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.written = false
 	c.user = user
+	c.requests++
+	if user.requestID != "" {
+		c.carried = append(c.carried, user.requestID)
+		c.carried = c.carried[max(0, len(c.carried)-maxCarried):]
+	}
 	c.fresh.Store(user.needsFresh)
 }
 
--- a/internal/transport/target.go
+++ b/internal/transport/target.go
@@ -79,6 +79,10 @@
 	// RequestIDHeader is the header with the request's ID, which an answer may echo;
 	// empty stands for backend.HeaderRequestID.
 	RequestIDHeader string
+	// RequireID rejects an answer without the request's ID on a connection that has carried another request: it may be
+	// a second copy of that one's answer. On a new connection it is the answer of whoever accepted the connection. A
+	// request is not sent on a connection that has carried one with its ID: a retry has the ID of the first attempt.
+	RequireID bool
 	// Undelimited accepts answers without a length, which end with their connection. Such
 	// an answer is complete only if the connection was closed and not reset.
 	Undelimited bool
@@ -97,6 +101,7 @@
 	fresh *http.Transport
 
 	requestIDHeader string
+	requireID       bool
 	undelimited     bool
 
 	mu sync.Mutex
@@ -123,6 +128,7 @@
 		limiter:  newLimiter(options.Connections),
 
 		requestIDHeader: cmp.Or(options.RequestIDHeader, backend.HeaderRequestID),
+		requireID:       options.RequireID,
 		undelimited:     options.Undelimited,
 		conns:           make(map[*trackedConn]struct{}),
 	}
@@ -207,7 +213,7 @@
 // sendOnce makes one round trip and reports whether it was on a reused connection.
 func (t *Target) sendOnce(ctx context.Context, req Request, target *url.URL) (result Result, reused bool) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	a := &attempt{target: t, cancel: cancel, needsFresh: !req.Idempotent, freshFor: t.freshFor}
+	a := &attempt{target: t, cancel: cancel, needsFresh: !req.Idempotent, freshFor: t.freshFor, requestID: req.Header.Get(t.requestIDHeader)}
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: a.gotConn})
 	out := &http.Request{
 		Method:        req.Method,
@@ -229,7 +235,7 @@
 	resp, err := transport.RoundTrip(out.WithContext(traced))
 	a.stopWatching()
 	if err == nil {
-		err = t.checkHeader(req, resp)
+		err = t.checkHeader(a, req, resp)
 	}
 	if err != nil {
 		return t.failedAttempt(ctx, a, resp, err), a.reused
@@ -292,11 +298,14 @@
 
 // checkHeader rejects an answer whose end could not be recognised or that belongs to
 // another request.
-func (t *Target) checkHeader(req Request, resp *http.Response) error {
+func (t *Target) checkHeader(a *attempt, req Request, resp *http.Response) error {
 	echoed := resp.Header.Get(t.requestIDHeader)
-	if echoed != "" && echoed != req.Header.Get(t.requestIDHeader) {
+	if echoed != "" && echoed != a.requestID {
 		return ErrWrongAnswer
 	}
+	if echoed == "" && t.requireID && !a.onFirstUse() {
+		return errors.Wrap(ErrWrongAnswer, "no request ID on a connection that is in use again")
+	}
 	undelimited := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 	if undelimited && !t.undelimited && req.Method != http.MethodHead {
 		return errors.Wrap(ErrIncompleteAnswer, "neither Content-Length nor chunked encoding")
