--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -129,6 +129,8 @@
 	})
 	if result.Sent == transport.Answered {
 		in.answeredAt.Store(int64(in.clock()))
+		// A server cannot speak for this host.
+		result.Response.Header.Del(headerResult)
 		in.readFacts(r, server, result.Response.StatusCode, result.Response.Header, started)
 	}
 	a := in.interpret(ctx, r, result)
--- a/internal/front/fixture_test.go
+++ b/internal/front/fixture_test.go
@@ -188,7 +188,8 @@
 	timeoutMS string
 }
 
-// newSystem returns a system with four routes. The paths /keyed/ (idempotent) and /unsafe/ lead to a
+// newSystem returns a system with six routes. The answers of /download/ (a service without keys) and /file/ (a keyed one)
+// are large. The paths /keyed/ (idempotent) and /unsafe/ lead to a
 // keyed service whose keys the first server owns; /any/ (idempotent) and /post/ lead to a
 // service without keys, which all servers run.
 func newSystem(t *testing.T, servers ...*backendServer) *system {
@@ -226,8 +227,14 @@
 			Timeout: time.Minute, Goal: 5 * time.Second, Shares: []routetable.Share{{Service: service, Weight: 1}},
 		}
 	}
+	large := func(name, service string) routetable.Route {
+		r := route(name, service, true)
+		r.Large = true
+		return r
+	}
 	table := routetable.New(routetable.Config{
 		Routes: []routetable.Route{
+			large("download", "archiv"), large("file", "revize"),
 			route("keyed", "revize", true), route("unsafe", "revize", false),
 			route("any", "archiv", true), route("post", "archiv", false),
 		},
@@ -243,7 +250,9 @@
 		Budget: BudgetConfig{Ratio: 0.2, Extra: 60, Window: 10 * time.Second, Hosts: func() int { return 1 }},
 		Clock:  clock.Monotonic, Log: eventlog.Discard(),
 	})
-	s.callers = httptest.NewServer(s.ingress)
+	s.callers = httptest.NewUnstartedServer(s.ingress)
+	s.callers.Config.ConnContext = ConnContext
+	s.callers.Start()
 	t.Cleanup(s.callers.Close)
 	return s
 }
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -254,10 +254,6 @@
 	if ok {
 		result = in.sendForwarded(ctx, r)
 	}
-	if result.Kind == Done && !result.Answer.passedOn {
-		// A server cannot speak for this host.
-		result.Answer.Header.Del(headerResult)
-	}
 	in.finish(r, result, func() int {
 		writeForwardResult(w, result)
 		return 0
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -204,7 +204,7 @@
 // servePeersWith is servePeers with a handler of its own.
 func servePeersWith(t *testing.T, handler http.HandlerFunc) string {
 	t.Helper()
-	server := http.Server{Handler: handler}
+	server := http.Server{Handler: handler, ConnContext: ConnContext}
 	listener := listen(t)
 	go server.Serve(listener)
 	t.Cleanup(func() { server.Close() })
