--- a/internal/front/answer_memory.go
+++ b/internal/front/answer_memory.go
@@ -25,15 +25,36 @@
 	large atomic.Int64
 }
 
-// read reads a body to its end. One that is too large, by itself or together with others, gives
+// read reads a body of the given length, or of a negative one if it is not known, to its end. One that is too large, by itself or together with others, gives
 // bounded.ErrTooLarge.
 // The bytes stay counted in holds.
-func (m *answerMemory) read(body io.Reader, holds *holding) ([]byte, error) {
+func (m *answerMemory) read(body io.Reader, length int64, holds *holding) ([]byte, error) {
+	if length >= 0 && length <= smallAnswerBytes {
+		return readSized(body, length, holds)
+	}
 	counted := &countedReader{Reader: body, memory: m, holds: holds}
 	defer counted.release()
 	return bounded.ReadAll(counted, maxAnswerBytes)
 }
 
+// readSized reads a body of a known length into a buffer of this size.
+func readSized(body io.Reader, length int64, holds *holding) ([]byte, error) {
+	if !holds.take(length) {
+		return nil, errors.Wrapf(bounded.ErrTooLarge, "%d bytes, and the host has no memory for them", length)
+	}
+	buffer := make([]byte, length)
+	n, err := io.ReadFull(body, buffer)
+	if err == io.EOF || err == io.ErrUnexpectedEOF {
+		// ReadFull itself returns these two after the body's end: the answer to a HEAD request has a length and no body.
+		// One that broke off has a marked error, which may wrap one of them, so they are compared by identity.
+		return buffer[:n], nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return buffer, nil
+}
+
 // countedReader is an answer's body that is being read.
 type countedReader struct {
 	io.Reader
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -241,7 +241,7 @@
 
 // completeAnswer reads an answer to its end. One that is too large is no answer.
 func (in *Ingress) completeAnswer(r *Request, response *http.Response) (*Answer, error) {
-	body, err := in.answers.read(response.Body, r.holds)
+	body, err := in.answers.read(response.Body, response.ContentLength, r.holds)
 	response.Body.Close()
 	if err != nil {
 		return nil, err
--- a/internal/front/delivery.go
+++ b/internal/front/delivery.go
@@ -136,10 +136,7 @@
 func (d *delivery) begin(answer *Answer, length int64) {
 	d.begun = true
 	d.status = answer.Status
-	if conn, ok := d.conn.(*net.TCPConn); ok {
-		// A failure leaves the kernel's default.
-		conn.SetWriteBuffer(sendBufferBytes)
-	}
+	d.limitSendBuffer()
 	header := d.writer.Header()
 	for name, values := range transport.EndToEnd(answer.Header) {
 		header[name] = values
@@ -152,6 +149,15 @@
 	d.writer.WriteHeader(answer.Status)
 }
 
+// limitSendBuffer makes the kernel's send buffer small, so that it does not fill with what a slow caller does not read, and
+// so that each part that the caller reads shows as progress.
+func (d *delivery) limitSendBuffer() {
+	if conn, ok := d.conn.(*net.TCPConn); ok {
+		// A failure leaves the kernel's default.
+		conn.SetWriteBuffer(sendBufferBytes)
+	}
+}
+
 // write writes bytes in small parts, each of which the caller has to take within the limit.
 func (d *delivery) write(ctx context.Context, p []byte) error {
 	for len(p) > 0 {
@@ -211,6 +217,9 @@
 		d.meter.wrote(len(answer.Body))
 		return answer.Status
 	}
+	if len(answer.Body) > sendBufferBytes {
+		d.limitSendBuffer()
+	}
 	// An answer that came at the last moment is written also after the request's context has ended.
 	if d.write(context.Background(), answer.Body) != nil {
 		return answer.Status
--- a/internal/front/endless_test.go
+++ b/internal/front/endless_test.go
@@ -101,10 +101,10 @@
 func TestAnswersOfUsualSizeAreReadBesideEndlessOnes(t *testing.T) {
 	var memory answerMemory
 	memory.large.Store(maxLargeBytes)
-	content, err := memory.read(strings.NewReader(strings.Repeat("x", smallAnswerBytes)), nil)
+	content, err := memory.read(strings.NewReader(strings.Repeat("x", smallAnswerBytes)), -1, nil)
 	assert.NilError(t, err)
 	assert.Equal(t, len(content), smallAnswerBytes)
-	_, err = memory.read(strings.NewReader(strings.Repeat("x", smallAnswerBytes+1)), nil)
+	_, err = memory.read(strings.NewReader(strings.Repeat("x", smallAnswerBytes+1)), -1, nil)
 	assert.Assert(t, errors.Is(err, bounded.ErrTooLarge))
 	assert.Equal(t, memory.large.Load(), int64(maxLargeBytes))
 }
--- a/internal/front/large.go
+++ b/internal/front/large.go
@@ -69,7 +69,9 @@
 // receive reads an answer to its end. Of an answer that is to be passed on while it arrives it reads the first part, and
 // returns the rest.
 func (in *Ingress) receive(r *Request, response *http.Response) (*Answer, *openAnswer, error) {
-	if !r.Route.Large || r.delivery == nil || !r.delivery.chunks && response.ContentLength < 0 {
+	length := response.ContentLength
+	isSmall := length >= 0 && length <= streamThreshold
+	if !r.Route.Large || r.delivery == nil || isSmall || length < 0 && !r.delivery.chunks {
 		answer, err := in.completeAnswer(r, response)
 		return answer, nil, err
 	}
@@ -82,7 +84,7 @@
 	answer := &Answer{Status: response.StatusCode, Header: response.Header, Body: buffer[:n]}
 	switch {
 	case err == nil:
-		return answer, &openAnswer{body: response.Body, length: response.ContentLength, buffer: buffer}, nil
+		return answer, &openAnswer{body: response.Body, length: length, buffer: buffer}, nil
 	case err == io.EOF, err == io.ErrUnexpectedEOF:
 		// ReadFull itself returns these two after the body's end. An answer that broke off has a marked error, which may
 		// wrap one of them, so they are compared by identity.
@@ -96,7 +98,7 @@
 // hold reads the rest of an answer into memory.
 func (in *Ingress) hold(r *Request, answer *Answer, rest *openAnswer) (*Answer, error) {
 	defer rest.body.Close()
-	body, err := in.answers.read(rest.body, r.holds)
+	body, err := in.answers.read(rest.body, -1, r.holds)
 	if err != nil {
 		return nil, err
 	}
