--- a/internal/front/large_test.go
+++ b/internal/front/large_test.go
@@ -178,6 +178,7 @@
 					defer mu.Unlock()
 					return !ended.IsZero()
 				})
+				t.Logf("the server's connection ended after %v", ended.Sub(left))
 				assert.Assert(t, ended.Sub(left) <= 500*time.Millisecond, "%v", ended.Sub(left))
 			})
 		}
@@ -204,6 +205,7 @@
 			took := time.Since(started)
 			assert.Assert(t, took >= callerStall && took < callerStall+2*time.Second, "after %v", took)
 			assert.Assert(t, receiver.read.Load() < 512<<10, "%d bytes read for a caller that reads nothing", receiver.read.Load())
+			t.Logf("the connection ended after %v, %d bytes were read from the server", took, receiver.read.Load())
 			r := &Request{Method: "GET", Host: "a.example", Path: "/file/x"}
 			awaitUntil(t, 5*time.Second, "memory is given back", func() bool { return serving.ingress.BodyMemory()["held"] == 0 })
 			assert.Equal(t, serving.ingress.config.Guard.Check(fingerprint(r, "4711")).String(), poison.Clean.String())
@@ -268,6 +270,7 @@
 	}
 	calls.Wait()
 	most := s.ingress.BodyMemory()["most"]
+	t.Logf("%d answers passed on, %d refused, %d bytes held at most", whole, refused, most)
 	assert.Assert(t, most <= bound, "%d bytes held", most)
 	assert.Assert(t, whole > 0 && refused > 0, "whole %d, refused %d", whole, refused)
 	assert.Equal(t, server.requests.Load(), whole, "a refused request reached the server")
--- a/internal/front/link_test.go
+++ b/internal/front/link_test.go
@@ -99,5 +99,6 @@
 	}
 	assert.Equal(t, late, 0)
 	possible := int(float64(steps) * step.Seconds() * meter.rate / size)
+	t.Logf("%d admitted of %d that the link can carry, %d asked", admitted, possible, steps)
 	assert.Assert(t, admitted >= possible*9/10, "%d of %d that the link can carry", admitted, possible)
 }
