transport: a connection is not used again after an answer without an ID; front: room in memory for held answers

The real answer could follow on the connection and cost the next request its own. An ordinary request is refused as not run when the memory for bodies is full.

--- a/internal/front/body_memory.go
+++ b/internal/front/body_memory.go
@@ -11,6 +11,9 @@
 	largeShare = 0.75
 	// memoryWait is how long a request for a large answer waits for memory before it is refused.
 	memoryWait = 200 * time.Millisecond
+	// smallRoom is the part of the bound, in bytes, that has to be free for a request whose answer is held. It is not
+	// reserved; most answers are smaller.
+	smallRoom = 64 << 10
 )
 
 // bodyMemory counts the bytes of the bodies of requests and answers that this host holds. It is safe for concurrent use.
@@ -48,6 +51,13 @@
 	}
 }
 
+// hasRoom reports whether n more bytes are within the bound.
+func (m *bodyMemory) hasRoom(n int64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.bound <= 0 || m.held+n <= m.bound
+}
+
 // nextFreed returns a channel that is closed when bytes are given back.
 func (m *bodyMemory) nextFreed() <-chan struct{} {
 	m.mu.Lock()
--- a/internal/front/delivery.go
+++ b/internal/front/delivery.go
@@ -66,12 +66,9 @@
 // newDelivery returns the delivery of the answer to a request.
 func (in *Ingress) newDelivery(w http.ResponseWriter, hr *http.Request) *delivery {
 	conn, _ := hr.Context().Value(connKey{}).(net.Conn)
-	d := &delivery{
+	return &delivery{
 		writer: w, controller: http.NewResponseController(w), conn: conn, chunks: hr.ProtoAtLeast(1, 1), meter: &in.link,
 	}
-	// The deadline of the last answer on this connection does not hold for the next one.
-	d.controller.SetWriteDeadline(time.Time{})
-	return d
 }
 
 // hasBegun reports whether a part of an answer may have been written. A nil delivery has not begun.
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -250,7 +250,7 @@
 	r.delivery.stall = in.stallOf(r, hostStall)
 	ctx, cancel := in.contextOf(hr, r)
 	defer cancel()
-	result, ok := in.admitLarge(ctx, r)
+	result, ok := in.admit(ctx, r)
 	if ok {
 		result = in.sendForwarded(ctx, r)
 	}
--- a/internal/front/ingress.go
+++ b/internal/front/ingress.go
@@ -173,7 +173,7 @@
 	r.delivery.stall = in.stallOf(r, callerStall)
 	ctx, cancel := in.contextOf(hr, r)
 	defer cancel()
-	result, ok := in.admitLarge(ctx, r)
+	result, ok := in.admit(ctx, r)
 	if ok {
 		result = in.handle(ctx, r)
 	}
--- a/internal/front/large.go
+++ b/internal/front/large.go
@@ -30,12 +30,20 @@
 	buffer []byte
 }
 
-// admitLarge reserves what the answer to a request of a route with large answers needs of this host. It returns a refusal
-// if there is not enough memory, or if the answer would wait for the link beyond the request's goal.
-func (in *Ingress) admitLarge(ctx context.Context, r *Request) (Result, bool) {
-	if !r.Route.Large {
-		return Result{}, true
+// admit checks that this host has room for the answer to a request, and reserves what a large one needs. It returns a
+// refusal if there is not enough memory, or if a large answer would wait for the link beyond the request's goal.
+func (in *Ingress) admit(ctx context.Context, r *Request) (Result, bool) {
+	if r.Route.Large {
+		return in.admitLarge(ctx, r)
+	}
+	if !in.memory.hasRoom(smallRoom) {
+		return notRun(reasonMemory, in.returnWithin(r, defaultRetryAfter)), false
 	}
+	return Result{}, true
+}
+
+// admitLarge is admit for a request of a route with large answers.
+func (in *Ingress) admitLarge(ctx context.Context, r *Request) (Result, bool) {
 	now := in.clock()
 	use, excess := in.link.admit(r.Route.Name, max(r.Arrived+r.Route.Goal-now, minGoalLeft))
 	if excess > 0 {
--- a/internal/front/large_fixture_test.go
+++ b/internal/front/large_fixture_test.go
@@ -165,9 +165,6 @@
 	})
 }
 
-// newReader returns a buffered reader of a connection.
-func newReader(conn net.Conn) *bufio.Reader { return bufio.NewReader(conn) }
-
 // awaitUntil waits until the condition holds, and returns how long that took.
 func awaitUntil(t *testing.T, limit time.Duration, what string, holds func() bool) time.Duration {
 	t.Helper()
--- a/internal/front/large_test.go
+++ b/internal/front/large_test.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -13,6 +14,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/poplarcroft/poplarcroft/internal/assign"
 	"github.com/poplarcroft/poplarcroft/internal/fleet"
 	"github.com/poplarcroft/poplarcroft/internal/poison"
 )
@@ -248,7 +250,7 @@
 		calls.Go(func() {
 			conn := s.dialCaller(t, "/download/x", "i"+strconv.Itoa(i))
 			time.Sleep(500 * time.Millisecond)
-			answer, err := http.ReadResponse(newReader(conn), nil)
+			answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
 			if !assert.Check(t, err) {
 				return
 			}
@@ -279,11 +281,21 @@
 
 // TestHeldBodiesCountAgainstTheBound checks that bodies of requests and answers that are held stay within the bound too.
 func TestHeldBodiesCountAgainstTheBound(t *testing.T) {
-	s := newSystem(t, startServer(t, rawAnswer(200, strings.Repeat("x", 3000))))
-	s.ingress.memory.bound = 2000
-	response, _, err := s.call(t, "GET", "/any/x", "")
+	server := startServer(t, rawAnswer(200, strings.Repeat("x", 100<<10)))
+	s := newSystem(t, server)
+	s.ingress.memory.bound = 80 << 10
+	response, _, err := s.call(t, "GET", "/keyed/x", "")
 	assert.NilError(t, err)
 	assert.Equal(t, response.StatusCode, http.StatusBadGateway, "the answer is over the bound")
+	awaitUntil(t, 5*time.Second, "memory is given back", func() bool { return s.ingress.BodyMemory()["held"] == 0 })
+	sent := len(server.seen())
+	assert.Assert(t, s.ingress.memory.take(50<<10, 1))
+	response, _, err = s.call(t, "GET", "/any/x", "")
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable, "there is no room for the answer")
+	assert.Assert(t, response.Header.Get("Retry-After") != "")
+	assert.Equal(t, len(server.seen()), sent, "a refused request reached the server")
+	s.ingress.memory.giveBack(50 << 10)
 	s.ingress.memory.bound = 500
 	response, _, err = s.call(t, "POST", "/post/x", strings.Repeat("x", 900))
 	assert.NilError(t, err)
@@ -292,6 +304,62 @@
 	awaitUntil(t, 5*time.Second, "memory is given back", func() bool { return s.ingress.BodyMemory()["held"] == 0 })
 }
 
+// TestConnectionIsUsedAgainAfterALargeAnswer guards against a write deadline of one answer that holds for a later one on the
+// same connection.
+func TestConnectionIsUsedAgainAfterALargeAnswer(t *testing.T) {
+	for _, path := range []string{"/download/x", "/any/x", "/none/x"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			server := &largeServer{framing: framingLength, body: largeBody, cutAfter: noCut}
+			s := newHost(t, "h1", server.start(t))
+			conn := s.dialCaller(t, "/download/x", "i")
+			reader := bufio.NewReader(conn)
+			readAnswer(t, reader)
+			time.Sleep(callerStall + 300*time.Millisecond)
+			_, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: a.example\r\nX-Id: j\r\nX-Left: 20000\r\n\r\n", path)
+			assert.NilError(t, err)
+			readAnswer(t, reader)
+		})
+	}
+}
+
+func readAnswer(t *testing.T, reader *bufio.Reader) {
+	t.Helper()
+	answer, err := http.ReadResponse(reader, nil)
+	assert.NilError(t, err)
+	_, err = io.Copy(io.Discard, answer.Body)
+	assert.NilError(t, err)
+}
+
+// TestLargeAnswersAcrossBuilds checks a hop between this build and one that does not know the flag for large answers: the
+// other build holds the answer, and a part never passes for the whole.
+func TestLargeAnswersAcrossBuilds(t *testing.T) {
+	for _, cutAfter := range []int{noCut, 200 << 10} {
+		server := &largeServer{framing: framingChunked, body: largeBody, cutAfter: cutAfter}
+		addr := server.start(t)
+		receiver, primary := newHost(t, "h1", addr), newHost(t, "h2", addr)
+		// Without the flag, the primary does what the former build does.
+		former := servePeersWith(t, func(w http.ResponseWriter, hr *http.Request) {
+			text := hr.Header.Get(HeaderForward)
+			assert.Check(t, strings.HasSuffix(text, flagLarge), "%s", text)
+			hr.Header.Set(HeaderForward, strings.TrimSuffix(text, flagLarge))
+			primary.ingress.ServeForwarded(w, hr)
+		})
+		host := assign.Host{Name: "h2", Zone: "zlin", Addr: former}
+		receiver.assignAllKeys("revize-0", addr, 2, host)
+		primary.assignAllKeys("revize-0", addr, 2, host)
+		response, body, err := receiver.call(t, "GET", "/file/x", "")
+		assert.NilError(t, err)
+		if cutAfter == noCut {
+			assert.Equal(t, response.StatusCode, http.StatusOK)
+			assert.Equal(t, response.ContentLength, int64(len(largeBody)), "the former build holds the answer")
+			assert.Assert(t, body == largeBody)
+			continue
+		}
+		assert.Equal(t, response.StatusCode, http.StatusBadGateway)
+	}
+}
+
 // TestBusyLinkRefusesLargeAnswers checks that a request whose answer would wait for the link beyond its goal is refused at
 // once, and that requests of other routes are not.
 func TestBusyLinkRefusesLargeAnswers(t *testing.T) {
--- a/internal/transport/attempt.go
+++ b/internal/transport/attempt.go
@@ -20,6 +20,9 @@
 	// requestID is the ID of the request, or empty.
 	requestID string
 
+	// unidentified says that the answer has no request ID although the target requires one.
+	unidentified bool
+
 	conns  []*trackedConn
 	reused bool
 	// silence runs while the request waits for an answer on a reused connection.
@@ -135,6 +138,10 @@
 func (b *answerBody) Close() error {
 	err := b.body.Close()
 	b.once.Do(func() {
+		if b.attempt.unidentified {
+			// The answer to this request may still come, so no other request may use the connection.
+			b.attempt.blockAllWrites()
+		}
 		b.attempt.cancel(nil)
 		b.attempt.end()
 	})
--- a/internal/transport/late_answer_test.go
+++ b/internal/transport/late_answer_test.go
@@ -91,3 +91,47 @@
 		}
 	}
 }
+
+// TestConnectionOfAnUnidentifiedAnswerIsNotUsedAgain guards against an answer without an ID that leaves the real one on the
+// connection, where the next request would take it.
+func TestConnectionOfAnUnidentifiedAnswerIsNotUsedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first := func(conn net.Conn, req *http.Request) bool {
+			io.WriteString(conn, numberedAnswer("extra", false))
+			time.Sleep(20 * time.Millisecond)
+			_, err := io.WriteString(conn, numberedAnswer(req.Header.Get(backend.HeaderRequestID), true))
+			return err == nil
+		}
+		server := newFakeServer(first, delayed(50*time.Millisecond, answerWith(completeAnswer)))
+		target := server.target(t, Options{RequireID: true})
+		for _, id := range []string{"one", "two"} {
+			req := Request{Method: http.MethodPost, Path: "/", Header: http.Header{backend.HeaderRequestID: {id}}}
+			sent, body, err := send(t, target, req)
+			assert.NilError(t, err)
+			assert.Equal(t, sent, Answered)
+			assert.Equal(t, body, "extra", "the first answer of a connection is that of whoever accepted it")
+		}
+		assert.Equal(t, server.dials.Load(), int64(2))
+		target.Close()
+		time.Sleep(time.Second)
+	})
+}
+
+// TestBytesOnAnIdleConnectionTaintIt guards against bytes that arrive on an idle connection just before a request takes it:
+// the HTTP library would take them for the answer if the request came before it noticed them.
+func TestBytesOnAnIdleConnectionTaintIt(t *testing.T) {
+	for name, c := range map[string]struct{ inUse, strayed bool }{"idle": {false, true}, "in use": {true, false}} {
+		near, far := net.Pipe()
+		conn := track(near, fakeClock, func(*trackedConn) {})
+		if c.inUse {
+			conn.beginRequest(&attempt{requestID: "one"})
+		}
+		go io.WriteString(far, "HTTP")
+		_, err := conn.Read(make([]byte, 4))
+		assert.NilError(t, err)
+		assert.Equal(t, conn.hasStrayed(), c.strayed, name)
+		assert.Assert(t, conn.hasCarried("one") == c.inUse && !conn.hasCarried("two"), name)
+		far.Close()
+		conn.Close()
+	}
+}
--- a/internal/transport/target.go
+++ b/internal/transport/target.go
@@ -303,7 +303,8 @@
 	if echoed != "" && echoed != a.requestID {
 		return ErrWrongAnswer
 	}
-	if echoed == "" && t.requireID && !a.onFirstUse() {
+	a.unidentified = echoed == "" && t.requireID
+	if a.unidentified && !a.onFirstUse() {
 		return errors.Wrap(ErrWrongAnswer, "no request ID on a connection that is in use again")
 	}
 	undelimited := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
