--- a/internal/front/large_test.go
+++ b/internal/front/large_test.go
@@ -216,6 +216,20 @@
 	}
 }
 
+// TestDeadlineEndsAnAnswerThatIsNotRead checks that an answer to a caller that does not read ends at the request's deadline,
+// if that is before callerStall.
+func TestDeadlineEndsAnAnswerThatIsNotRead(t *testing.T) {
+	server := &largeServer{framing: framingLength, body: strings.Repeat(largeBody, 100), cutAfter: noCut}
+	s := newHost(t, "h1", server.start(t))
+	s.timeoutMS = "700"
+	started := time.Now()
+	s.dialCaller(t, "/download/x", "i")
+	awaitUntil(t, 10*time.Second, "the connection has ended", func() bool { return server.ended.Load() > 0 })
+	awaitUntil(t, 10*time.Second, "memory is given back", func() bool { return s.ingress.BodyMemory()["held"] == 0 })
+	took := time.Since(started)
+	assert.Assert(t, took >= 600*time.Millisecond && took < 2*time.Second, "after %v", took)
+}
+
 // TestSlowCallerGetsTheWholeAnswer checks that a caller that goes on reading, for longer than callerStall in all, keeps its
 // connection.
 func TestSlowCallerGetsTheWholeAnswer(t *testing.T) {
