--- a/internal/front/fixture_test.go
+++ b/internal/front/fixture_test.go
@@ -202,7 +202,7 @@
 }
 
 // newHost is newSystem for a host with a name and servers at the given addresses.
-func newHost(t *testing.T, name string, servers ...string) *system {
+func newHost(t testing.TB, name string, servers ...string) *system {
 	t.Helper()
 	s := &system{current: assign.NewCurrent(), timeoutMS: "20000", reach: &fakeReach{}}
 	dial := s.dialCounted
--- a/internal/front/large_test.go
+++ b/internal/front/large_test.go
@@ -113,6 +113,29 @@
 	assert.Equal(t, whole.requests.Load(), int64(0), "sent again after a part had reached the caller")
 }
 
+// TestSizesAroundTheFirstPart checks that answers that are as large as the first part, or a little smaller or larger, arrive
+// whole, also where their connection is used again.
+func TestSizesAroundTheFirstPart(t *testing.T) {
+	for _, framing := range framings {
+		for _, size := range []int{0, 1, streamThreshold - 1, streamThreshold, streamThreshold + 1, streamThreshold + 2, 2*streamThreshold + 2} {
+			server := &largeServer{framing: framing, body: largeBody[:size], cutAfter: noCut}
+			addr := server.start(t)
+			for _, path := range []string{"/download/x", "/file/x"} {
+				s := newHost(t, "h1", addr)
+				if path == "/file/x" {
+					s, _ = throughHop(t, addr)
+				}
+				for n := range 3 {
+					response, body, err := s.call(t, "GET", path, "")
+					assert.NilError(t, err)
+					assert.Equal(t, response.StatusCode, http.StatusOK)
+					assert.Assert(t, body == largeBody[:size], "%s, %d: call %d got %d bytes of %d", framing, size, n, len(body), size)
+				}
+			}
+		}
+	}
+}
+
 // TestServerThatStallsInALargeAnswer checks that an answer that does not go on is ended as incomplete at the deadline.
 func TestServerThatStallsInALargeAnswer(t *testing.T) {
 	for _, hop := range []bool{false, true} {
