--- a/internal/front/fixture_test.go
+++ b/internal/front/fixture_test.go
@@ -188,7 +188,8 @@
 	timeoutMS string
 }
 
-// newSystem returns a system with four routes. The paths /keyed/ (idempotent) and /unsafe/ lead to a
+// newSystem returns a system with six routes. The answers of /download/ (a service without keys) and /file/ (a keyed one)
+// are large. The paths /keyed/ (idempotent) and /unsafe/ lead to a
 // keyed service whose keys the first server owns; /any/ (idempotent) and /post/ lead to a
 // service without keys, which all servers run.
 func newSystem(t *testing.T, servers ...*backendServer) *system {
@@ -201,13 +202,13 @@
 }
 
 // newHost is newSystem for a host with a name and servers at the given addresses.
-func newHost(t *testing.T, name string, servers ...string) *system {
+func newHost(t testing.TB, name string, servers ...string) *system {
 	t.Helper()
 	s := &system{current: assign.NewCurrent(), timeoutMS: "20000", reach: &fakeReach{}}
 	dial := s.dialCounted
 	s.fleet = fleet.New(fleet.Options{Zone: "zlin", RandIntN: func(int) int { return 0 }, Target: func(addr string) *transport.Target {
 		return transport.NewTarget(addr, transport.Options{
-			Dial: dial, Connections: testConnections, FreshFor: testFreshFor, RequestIDHeader: testHeaders.RequestID, Undelimited: true,
+			Dial: dial, Connections: testConnections, FreshFor: testFreshFor, RequestIDHeader: testHeaders.RequestID, RequireID: true, Undelimited: true,
 		})
 	}})
 	var entries []fleet.Entry
@@ -226,8 +227,14 @@
 			Timeout: time.Minute, Goal: 5 * time.Second, Shares: []routetable.Share{{Service: service, Weight: 1}},
 		}
 	}
+	large := func(name, service string) routetable.Route {
+		r := route(name, service, true)
+		r.Large = true
+		return r
+	}
 	table := routetable.New(routetable.Config{
 		Routes: []routetable.Route{
+			large("download", "archiv"), large("file", "revize"),
 			route("keyed", "revize", true), route("unsafe", "revize", false),
 			route("any", "archiv", true), route("post", "archiv", false),
 		},
@@ -236,14 +243,16 @@
 	})
 	s.ingress = New(Config{
 		Headers: testHeaders, Fleet: s.fleet, Current: s.current, Self: name,
-		Hosts: transport.NewPool(transport.Options{Dial: dial, Connections: testConnections, FreshFor: testFreshFor, RequestIDHeader: testHeaders.RequestID}),
+		Hosts: transport.NewPool(transport.Options{Dial: dial, Connections: testConnections, FreshFor: testFreshFor, RequestIDHeader: testHeaders.RequestID, RequireID: true}),
 		Guard: poison.NewGuard(poison.Bounds{CrashLimit: 3, SharedCrashLimit: 3, Retention: time.Minute}), Dial: dial,
 		Table: func() *routetable.Table { return table }, ColdRateLimit: func(routetable.Service) float64 { return 10 },
 		OnFact: func(fleet.Entry, Fact) {}, Reach: s.reach,
 		Budget: BudgetConfig{Ratio: 0.2, Extra: 60, Window: 10 * time.Second, Hosts: func() int { return 1 }},
 		Clock:  clock.Monotonic, Log: eventlog.Discard(),
 	})
-	s.callers = httptest.NewServer(s.ingress)
+	s.callers = httptest.NewUnstartedServer(s.ingress)
+	s.callers.Config.ConnContext = ConnContext
+	s.callers.Start()
 	t.Cleanup(s.callers.Close)
 	return s
 }
@@ -254,6 +263,11 @@
 	read *atomic.Int64
 }
 
+// SetReadBuffer sets the kernel's receive buffer, as that of a TCP connection.
+func (c countedConn) SetReadBuffer(bytes int) error {
+	return c.Conn.(*net.TCPConn).SetReadBuffer(bytes)
+}
+
 // Read implements net.Conn.
 func (c countedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/internal/front/quota.go
+++ b/internal/front/quota.go
@@ -40,13 +40,13 @@
 func (in *Ingress) handleWithinQuota(ctx context.Context, table *routetable.Table, r *Request) Result {
 	limit, limited := QuotaLimit(table.Accounts[r.Account])
 	if in.config.Shares == nil || r.Account == "" || !limited {
-		return in.handle(ctx, r)
+		return in.handleIfAdmitted(ctx, r)
 	}
 	id := accountLimit(r.Account)
 	if decision := in.takeQuota(ctx, r, id, limit); decision != sharedlimit.Taken {
 		return in.refuseByQuota(r, id, decision)
 	}
-	result := in.handle(ctx, r)
+	result := in.handleIfAdmitted(ctx, r)
 	switch {
 	case result.Kind == NotRun:
 		in.config.Shares.Return(id, limit, 1, in.clock())
@@ -56,6 +56,14 @@
 	return result
 }
 
+// handleIfAdmitted handles a request if this host has the memory and the link for its answer.
+func (in *Ingress) handleIfAdmitted(ctx context.Context, r *Request) Result {
+	if refusal, ok := in.admit(ctx, r); !ok {
+		return refusal
+	}
+	return in.handle(ctx, r)
+}
+
 // takeQuota takes a token. If there is none, but the next answer of the allocator may bring one, it waits for that.
 func (in *Ingress) takeQuota(ctx context.Context, r *Request, id string, limit sharedlimit.Limit) sharedlimit.Decision {
 	until := min(in.clock()+quotaWait, r.Deadline)
--- a/internal/front/quota_test.go
+++ b/internal/front/quota_test.go
@@ -31,15 +31,18 @@
 // serveAs is ServeHTTP for a caller with the key of testAccount.
 func (s *system) serveAs(w http.ResponseWriter, hr *http.Request, table *routetable.Table) {
 	route, _ := table.Lookup(hr.Host, hr.URL.EscapedPath())
-	r, status, err := s.ingress.read(hr, table, route, s.ingress.clock())
+	holds := &holding{memory: &s.ingress.memory}
+	defer holds.release()
+	r, status, err := s.ingress.read(hr, table, route, s.ingress.clock(), holds)
 	if err != nil {
 		writeRefusal(w, status, err.Error())
 		return
 	}
-	r.Account = testAccount
+	r.Account, r.holds, r.delivery = testAccount, holds, s.ingress.newDelivery(w, hr)
 	ctx, cancel := s.ingress.contextOf(hr, r)
 	defer cancel()
-	writeResult(w, s.ingress.handleWithinQuota(ctx, table, r))
+	result := s.ingress.handleWithinQuota(ctx, table, r)
+	s.ingress.finish(r, result, func() int { return writeResult(w, result) })
 }
 
 // grant makes the holder ask once, and answers it with a share and tokens.
