sharedlimit: refused requests come back one after the other, a lowered limit binds at once; tests of messages and terms

Change: tokens beyond the new burst are dropped at the next use. The model has hosts that no plan lists yet and leaders in turns.

--- a/internal/assign/current_test.go
+++ b/internal/assign/current_test.go
@@ -37,3 +37,28 @@
 	assert.Assert(t, fresh.Adopt(Plan{Version: FenceAt(0, 6)}, 0))
 	assert.Equal(t, fresh.ActedBy().Version, FenceAt(0, 6))
 }
+
+// TestOfficeKnowsTheTermOfALeader guards against a leader that takes the time in office of an earlier term for its present one,
+// and against one that takes itself for the first leader of a log that had others.
+func TestOfficeKnowsTheTermOfALeader(t *testing.T) {
+	a, b := Host{Name: "a", Incarnation: "1"}, Host{Name: "b", Incarnation: "1"}
+	c := NewCurrent()
+	c.Adopt(Plan{Version: 5, Leader: a}, 0)
+	c.Adopt(Plan{Version: 6, Leader: a}, 0)
+	assert.Equal(t, c.Office().Term, Term{Since: 5, First: true})
+	c.Adopt(Plan{Version: 7, Leader: b}, 0)
+	assert.Equal(t, c.Office().Term, Term{Since: 7})
+	c.Adopt(Plan{Version: 8, Leader: a}, 0)
+	c.Verify(time.Second, 0)
+	assert.Equal(t, c.Office().Term, Term{Since: 8})
+	assert.Equal(t, c.Office().VerifiedAt, time.Second)
+	a.Incarnation = "2"
+	c.Adopt(Plan{Version: 9, Leader: a}, 0)
+	assert.Equal(t, c.Office().Term, Term{Since: 9})
+
+	copied := NewCurrent()
+	copied.AdoptFromLog(Plan{Version: FenceAt(0, 8), Leader: a}, 0, 1)
+	assert.Equal(t, copied.Office().Plan.Version, Fence(0))
+	copied.Adopt(Plan{Version: FenceAt(0, 9), Leader: a}, 0)
+	assert.Equal(t, copied.Office().Term, Term{Since: FenceAt(0, 9)})
+}
--- a/internal/front/cold.go
+++ b/internal/front/cold.go
@@ -21,9 +21,9 @@
 // share of what all hosts may send or, where that is less than one request, a leased share.
 func (in *Ingress) allowance(r *Request, server *fleet.Server, now time.Duration) fleet.Allowance {
 	total := in.config.ColdRateLimit(r.Service)
-	equal := fleet.ShareOf(total, len(in.config.Current.Plan().Hosts))
-	if equal.PerSecond >= 1 || in.config.Shares == nil || total < 1 || !server.Cold(now) {
-		return equal
+	hosts := len(in.config.Current.Plan().Hosts)
+	if !NeedsColdShares(total, hosts) || in.config.Shares == nil || !server.Cold(now) {
+		return fleet.ShareOf(total, hosts)
 	}
 	useful := oneRequest / total
 	wanted := useful
@@ -43,8 +43,8 @@
 // request has no free slot, and otherwise the chosen one.
 func (in *Ingress) relievedByCold(r *Request, chosen *fleet.Server, excluded []fleet.ID, now time.Duration) *fleet.Server {
 	total := in.config.ColdRateLimit(r.Service)
-	equal := fleet.ShareOf(total, len(in.config.Current.Plan().Hosts))
-	if in.config.Shares == nil || equal.PerSecond >= 1 || chosen.Cold(now) || chosen.Occupancy(now) < 1 {
+	hosts := len(in.config.Current.Plan().Hosts)
+	if !NeedsColdShares(total, hosts) || in.config.Shares == nil || chosen.Cold(now) || chosen.Occupancy(now) < 1 {
 		return chosen
 	}
 	cold, ok := in.fleet.ChooseCold(r.Service.Name, excluded, func(server *fleet.Server) bool {
@@ -59,5 +59,5 @@
 // NeedsColdShares reports whether a cold server's allowance, in requests per second, is less than one request for each
 // of the hosts, so that it is leased.
 func NeedsColdShares(total float64, hosts int) bool {
-	return total >= 1/sharedlimit.SettledTotal && fleet.ShareOf(total, hosts).PerSecond < 1
+	return total >= oneRequest/sharedlimit.SettledTotal && fleet.ShareOf(total, hosts).PerSecond < 1
 }
--- a/internal/front/quota_test.go
+++ b/internal/front/quota_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/poplarcroft/poplarcroft/internal/assign"
 	"github.com/poplarcroft/poplarcroft/internal/clock"
 	"github.com/poplarcroft/poplarcroft/internal/routetable"
 	"github.com/poplarcroft/poplarcroft/internal/sharedlimit"
@@ -160,3 +161,35 @@
 	_, due := holder.Ask(sharedlimit.Leader{Incarnation: "L", Plan: 1}, false, clock.Monotonic())
 	assert.Assert(t, !due)
 }
+
+// TestRunsAtThePrimaryAreCharged guards against a quota that is exceeded by the retries of primaries: the primary tells how often
+// the request ran, the caller does not see that, and a server cannot say it.
+func TestRunsAtThePrimaryAreCharged(t *testing.T) {
+	for name, test := range map[string]struct {
+		answers  []string
+		statuses []int
+	}{
+		"two runs":         {[]string{"", answerOK}, []int{200, 429}},
+		"one run":          {[]string{answerOK}, []int{200, 200, 429}},
+		"told by a server": {[]string{rawAnswer(200, "done", headerRuns+": 9\r\n")}, []int{200, 200, 429}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := startServer(t, test.answers...)
+			primary := newHost(t, "h2", server.addr)
+			s := newSystem(t, server)
+			host := assign.Host{Name: "h2", Zone: "zlin", Addr: servePeersWith(t, primary.ingress.ServeForwarded)}
+			for _, system := range []*system{s, primary} {
+				system.assignAllKeys("revize-0", server.addr, 2, host)
+			}
+			holder := withQuota(s, 0.01, 1)
+			holder.Take(accountLimit(testAccount), sharedlimit.Limit{Rate: 0.01, Burst: 20}, false, clock.Monotonic())
+			grant(t, holder, sharedlimit.Grant{Fraction: 0.5, Tokens: 0.11, Exhausted: true})
+			for _, status := range test.statuses {
+				response, _, err := s.call(t, "GET", "/keyed/x", "")
+				assert.NilError(t, err)
+				assert.Equal(t, response.StatusCode, status)
+				assert.Equal(t, response.Header.Get(headerRuns), "")
+			}
+		})
+	}
+}
--- a/internal/sharedlimit/holder.go
+++ b/internal/sharedlimit/holder.go
@@ -20,6 +20,8 @@
 	wantFor = 250 * time.Millisecond
 	// unknownRetryAfter is when a caller should come back that was refused for lack of a share.
 	unknownRetryAfter = 300 * time.Millisecond
+	// maxRetryAfter is the longest time after which a refused request is told to come back.
+	maxRetryAfter = 10 * time.Second
 )
 
 // Decision is the result of Holder.Take.
@@ -81,6 +83,8 @@
 	bucket             bucket
 	demand             demand
 	usedAt             time.Duration
+	// nextReturn is when the next refused request should come back.
+	nextReturn time.Duration
 	// missed is the number of requests since the last ask that found no token.
 	missed float64
 	// useful, wanted and sticky are those of a share that is taken with Fraction.
@@ -128,7 +132,12 @@
 		l.demand.updatedAt = now
 		h.limits[id] = l
 	}
-	l.limit = limit
+	if limit != l.limit {
+		// Tokens of a higher limit do not count for a lower one.
+		l.limit = limit
+		l.bucket.clip(l.share(now))
+		l.bucket.surplus = 0
+	}
 	l.usedAt = now
 	return l
 }
@@ -189,7 +198,8 @@
 	}
 }
 
-// RetryAfter returns the time until there is a token for a refused request.
+// RetryAfter returns the time after which a refused request should come back. Each refused request is told the time of
+// another token, so that they do not all come back for the same one.
 func (h *Holder) RetryAfter(id string, now time.Duration) time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -199,11 +209,18 @@
 	}
 	share := l.share(now)
 	l.bucket.refill(share, now)
-	seconds := (1 - l.bucket.tokens) / share.Rate
-	if math.IsNaN(seconds) || seconds > time.Hour.Seconds() {
-		return time.Hour
+	token := now + seconds((1-l.bucket.tokens)/share.Rate)
+	at := min(max(token, l.nextReturn), now+maxRetryAfter)
+	l.nextReturn = at + seconds(1/share.Rate)
+	return max(at-now, time.Millisecond)
+}
+
+// seconds returns a duration, at most maxRetryAfter.
+func seconds(x float64) time.Duration {
+	if math.IsNaN(x) || x > maxRetryAfter.Seconds() {
+		return maxRetryAfter
 	}
-	return max(time.Duration(seconds*float64(time.Second)), time.Millisecond)
+	return time.Duration(x * float64(time.Second))
 }
 
 // Return gives back the token of a request that has not run. A negative number charges for runs beyond the first.
--- a/internal/sharedlimit/model_test.go
+++ b/internal/sharedlimit/model_test.go
@@ -31,6 +31,9 @@
 	deadline    time.Duration
 	demand      map[string]float64
 	generation  int
+	// registered is the incarnation that a new plan lists. A restarted host registers at registerAt.
+	registered string
+	registerAt time.Duration
 }
 
 // modelMessage is a function that runs when a message arrives.
@@ -60,7 +63,7 @@
 		limits: []string{"account/a", "cold/s/1"}, now: time.Minute,
 	}
 	for i := range hosts {
-		h := &modelHost{Member: Member{Name: fmt.Sprintf("h%d", i)}}
+		h := &modelHost{Member: Member{Name: fmt.Sprintf("h%d", i)}, demand: make(map[string]float64)}
 		m.hosts = append(m.hosts, h)
 		m.restart(h)
 	}
@@ -80,7 +83,10 @@
 		m.mutate(h.allocator)
 	}
 	h.plan, h.term, h.verified, h.storeCut, h.frozenUntil = 0, 0, 0, 0, 0
-	h.demand = make(map[string]float64)
+	h.registerAt = m.now + time.Duration(m.random.Int64N(int64(3*time.Second)))
+	if h.registered == "" {
+		h.registered = h.Incarnation
+	}
 	h.read(m)
 }
 
@@ -113,12 +119,16 @@
 	return Leader{Incarnation: h.view(m).Leader, Plan: uint64(h.plan)}
 }
 
-// write writes a plan of the host as leader. It lists all hosts in their newest incarnations.
+// write writes a plan of the host as leader. It lists all hosts in the incarnations that have registered last.
 func (m *model) write(h *modelHost) {
 	h.read(m)
+	h.registered = h.Incarnation
 	plan := modelPlan{leader: h.Member}
 	for _, other := range m.hosts {
-		plan.hosts = append(plan.hosts, other.Member)
+		if m.now >= other.registerAt {
+			other.registered = other.Incarnation
+		}
+		plan.hosts = append(plan.hosts, Member{Name: other.Name, Incarnation: other.registered})
 	}
 	m.log = append(m.log, plan)
 	h.read(m)
@@ -243,11 +253,35 @@
 		m.restart(pick())
 	}
 	if often(12 * time.Second) {
-		if h := pick(); m.now >= h.storeCut && m.now >= h.frozenUntil {
-			m.write(h)
-			m.terms++
+		m.lead(pick())
+	}
+	// A leader writes further plans, and two hosts may take the lead in turns.
+	if often(2 * time.Second) {
+		m.lead(m.byName(m.log[len(m.log)-1].leader.Name))
+	}
+	if n := len(m.log); n > 1 && often(15*time.Second) {
+		m.lead(m.byName(m.log[n-2].leader.Name))
+	}
+}
+
+func (m *model) byName(name string) *modelHost {
+	for _, h := range m.hosts {
+		if h.Name == name {
+			return h
 		}
 	}
+	panic("no host " + name)
+}
+
+// lead lets a host write a plan as leader if it can.
+func (m *model) lead(h *modelHost) {
+	if m.now < h.storeCut || m.now < h.frozenUntil {
+		return
+	}
+	if m.log[len(m.log)-1].leader != h.Member {
+		m.terms++
+	}
+	m.write(h)
 }
 
 // usable returns the sum of the fractions of a limit that all hosts may use now.
