dispatch: accounts take turns within a priority

Cause: while a queue is full, an account that floods it takes nearly all slots, and accounts below their part starve. Change: Fairness (start-time fair queueing, equal weights) ranks the waiting requests of several accounts within one priority; with one account or none the order is as before.

--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -58,6 +58,8 @@
 type waiting struct {
 	Item
 	ticket Ticket
+	// rank is the request's place among the accounts of its priority; see Fairness.
+	rank uint64
 }
 
 // Queue holds the requests for one server. It is not safe for concurrent use.
@@ -70,6 +72,7 @@
 	// meanWork is the moving average of the time that a request takes at the server, or zero
 	// before the first sample.
 	meanWork time.Duration
+	fairness Fairness
 }
 
 // NewQueue returns the queue of a server that may have the given number of requests at a time.
@@ -88,7 +91,10 @@
 	q.lastTicket++
 	ticket := q.lastTicket
 	if q.running < q.slots && len(q.waiting) == 0 {
-		q.running++
+		if q.running == 0 {
+			q.fairness.Idle()
+		}
+		q.admit(item)
 		return ticket, []Decision{{Ticket: ticket, Admitted: true}}
 	}
 	w := waiting{Item: item, ticket: ticket}
@@ -120,12 +126,18 @@
 	decisions := q.refuseUnmeetable(now)
 	for q.running < q.slots && len(q.waiting) > 0 {
 		decisions = append(decisions, Decision{Ticket: q.waiting[0].ticket, Admitted: true})
+		q.admit(q.waiting[0].Item)
 		q.waiting = q.waiting[1:]
-		q.running++
 	}
 	return decisions
 }
 
+// admit counts a request that goes to the server.
+func (q *Queue) admit(item Item) {
+	q.running++
+	q.fairness.Admitted(item.Priority, item.Account)
+}
+
 // updateMeanWork adds a request's time to the moving average.
 func (q *Queue) updateMeanWork(took time.Duration) {
 	if q.meanWork == 0 {
@@ -136,16 +148,38 @@
 }
 
 // sort puts the waiting requests in the order in which they are admitted: those that can meet
-// their goal first, then by priority, goal and arrival.
+// their goal first, then by priority, by turns of the client accounts, by goal and by arrival.
 func (q *Queue) sort(now time.Duration) {
 	slices.SortStableFunc(q.waiting, func(a, b waiting) int {
 		return cmp.Or(
-			cmp.Compare(goalMissed(a, now), goalMissed(b, now)),
-			cmp.Compare(a.Priority, b.Priority),
+			compareUrgency(a, b, now),
 			cmp.Compare(a.Goal, b.Goal),
 			cmp.Compare(a.ticket, b.ticket),
 		)
 	})
+	if !q.severalAccounts() {
+		return
+	}
+	q.fairness.BeginRanking()
+	for i, w := range q.waiting {
+		q.waiting[i].rank = q.fairness.Rank(w.Priority, w.Account)
+	}
+	slices.SortStableFunc(q.waiting, func(a, b waiting) int {
+		return cmp.Or(compareUrgency(a, b, now), cmp.Compare(a.rank, b.rank))
+	})
+}
+
+// severalAccounts reports whether requests of more than one client account wait.
+func (q *Queue) severalAccounts() bool {
+	return slices.ContainsFunc(q.waiting, func(w waiting) bool { return w.Account != q.waiting[0].Account })
+}
+
+// compareUrgency compares what counts more than the accounts: whether the goal can be met, and the priority.
+func compareUrgency(a, b waiting, now time.Duration) int {
+	return cmp.Or(
+		cmp.Compare(goalMissed(a, now), goalMissed(b, now)),
+		cmp.Compare(a.Priority, b.Priority),
+	)
 }
 
 // goalMissed returns 0 if the request would meet its goal when started now, and 1 otherwise.
