front: client accounts and their keys

Cause: a configuration may hold client accounts; requests need a known key, and servers get the account instead of the key.

--- a/internal/front/counters.go
+++ b/internal/front/counters.go
@@ -12,6 +12,8 @@
 	mu sync.Mutex
 	// results holds the number of requests by kind of result and reason.
 	results map[string]int64
+	// unauthorized holds the number of requests without a known key by reason.
+	unauthorized map[string]int64
 	// latency holds a histogram in milliseconds for each service.
 	latency map[string]*hdrhistogram.Histogram
 }
@@ -45,6 +47,16 @@
 	histogram.RecordValue(min(max(took.Milliseconds(), 1), maxLatencyMS))
 }
 
+// countUnauthorized counts a request that was refused because it has no known key.
+func (c *Counters) countUnauthorized(reason string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.unauthorized == nil {
+		c.unauthorized = make(map[string]int64)
+	}
+	c.unauthorized[reason]++
+}
+
 // Snapshot returns the counts by result and the latency percentiles of each service in
 // milliseconds, for the metrics endpoint.
 func (c *Counters) Snapshot() any {
@@ -54,6 +66,9 @@
 	for name, n := range c.results {
 		results[name] = n
 	}
+	for reason, n := range c.unauthorized {
+		results["unauthorized: "+reason] = n
+	}
 	latency := make(map[string]map[string]int64, len(c.latency))
 	for service, histogram := range c.latency {
 		latency[service] = map[string]int64{
--- a/internal/front/fixture_test.go
+++ b/internal/front/fixture_test.go
@@ -29,6 +29,7 @@
 var testHeaders = Headers{
 	RequestID: "X-Id", DeadlineMS: "X-Left", Digest: "X-Digest", ExpectInstance: "X-Expect",
 	Load: "X-Load", NotExecuted: "X-Not-Run", Key: "X-Key", Limit: "X-Limit", Leaving: "X-Leaving",
+	Authorization: "Authorization", AuthScheme: "Bearer", Account: "X-Account",
 }
 
 // testConnections is the limit of connections to a server or host. No test has more callers at once: one that waits too
@@ -182,6 +183,8 @@
 	read    atomic.Int64
 	fleet   *fleet.Fleet
 	current *assign.Current
+	// table is the configuration in force.
+	table   atomic.Pointer[routetable.Table]
 	callers *httptest.Server
 	// timeoutMS is how long callers wait, in milliseconds. It is long, so that no test result
 	// depends on the speed of the machine.
@@ -226,19 +229,19 @@
 			Timeout: time.Minute, Goal: 5 * time.Second, Shares: []routetable.Share{{Service: service, Weight: 1}},
 		}
 	}
-	table := routetable.New(routetable.Config{
+	s.table.Store(routetable.New(routetable.Config{
 		Routes: []routetable.Route{
 			route("keyed", "revize", true), route("unsafe", "revize", false),
 			route("any", "archiv", true), route("post", "archiv", false),
 		},
 		Services: map[string]routetable.Service{"revize": {Name: "revize", Keyed: true}, "archiv": {Name: "archiv"}},
 		Limits:   routetable.Limits{BodyBytes: 1000},
-	})
+	}))
 	s.ingress = New(Config{
 		Headers: testHeaders, Fleet: s.fleet, Current: s.current, Self: name,
 		Hosts: transport.NewPool(transport.Options{Dial: dial, Connections: testConnections, FreshFor: testFreshFor, RequestIDHeader: testHeaders.RequestID}),
 		Guard: poison.NewGuard(poison.Bounds{CrashLimit: 3, SharedCrashLimit: 3, Retention: time.Minute}), Dial: dial,
-		Table: func() *routetable.Table { return table }, ColdRateLimit: func(routetable.Service) float64 { return 10 },
+		Table: s.table.Load, ColdRateLimit: func(routetable.Service) float64 { return 10 },
 		OnFact: func(fleet.Entry, Fact) {}, Reach: s.reach,
 		Budget: BudgetConfig{Ratio: 0.2, Extra: 60, Window: 10 * time.Second, Hosts: func() int { return 1 }},
 		Clock:  clock.Monotonic, Log: eventlog.Discard(),
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -100,6 +100,8 @@
 const (
 	flagIdempotent = "1"
 	flagKeyless    = "n"
+	// flagAccountChecked says that the forwarding host has authenticated the request. An older build ignores it.
+	flagAccountChecked = "a"
 )
 
 // forwardSeparator separates the fields. Escaped fields don't contain it.
@@ -123,6 +125,9 @@
 	if !r.Service.Keyed {
 		fields[forwardFlags] += flagKeyless
 	}
+	if r.AccountChecked {
+		fields[forwardFlags] += flagAccountChecked
+	}
 	return strings.Join(fields, forwardSeparator)
 }
 
@@ -134,6 +139,7 @@
 	}
 	r := &Request{Route: &routetable.Route{Idempotent: strings.Contains(fields[forwardFlags], flagIdempotent)}, Forwarded: true, Arrived: now}
 	r.Service.Keyed = !strings.Contains(fields[forwardFlags], flagKeyless)
+	r.AccountChecked = strings.Contains(fields[forwardFlags], flagAccountChecked)
 	var err error
 	if r.Route.Name, err = url.QueryUnescape(fields[forwardRoute]); err != nil {
 		return nil, errors.Wrap(err, "forward header: route")
@@ -179,7 +185,12 @@
 	w.Header().Set(in.headers.RequestID, hr.Header.Get(in.headers.RequestID))
 	// The forwarding host adds the date; sending it here would only add traffic between zones.
 	w.Header()["Date"] = nil
-	r, err := in.readForwarded(hr, now)
+	r, refusal, err := in.readForwarded(hr, now)
+	if refusal != "" {
+		// The forwarding host takes this for a server's answer and passes it on to the caller.
+		in.refuseUnauthorized(w, hr, r.Route.Name, refusal)
+		return
+	}
 	if err != nil {
 		in.log.Event("hop", "id", hr.Header.Get(in.headers.RequestID), "outcome", "rejected", "err", err.Error())
 		writeForwardResult(w, notRun(reasonMalformed, defaultRetryAfter))
@@ -214,14 +225,19 @@
 }
 
 // readForwarded parses a forwarded request. The settings of its service come from this host's own
-// configuration if that contains the service.
-func (in *Ingress) readForwarded(hr *http.Request, now time.Duration) (*Request, error) {
-	r, err := decodeForward(hr.Header.Get(HeaderForward), now)
+// configuration if that contains the service. The refusal is the reason if it is a caller's request without a known key.
+func (in *Ingress) readForwarded(hr *http.Request, now time.Duration) (r *Request, refusal string, err error) {
+	r, err = decodeForward(hr.Header.Get(HeaderForward), now)
 	if err != nil {
-		return nil, err
+		return nil, "", err
+	}
+	table := in.config.Table()
+	who, refusal, err := in.identityOfForwarded(hr, r, table)
+	if err != nil || refusal != "" {
+		return r, refusal, err
 	}
 	keyed := r.Service.Keyed
-	if table := in.config.Table(); table != nil {
+	if table != nil {
 		if service, ok := table.Services[r.Service.Name]; ok {
 			r.Service = service
 		}
@@ -231,16 +247,17 @@
 	r.Method, r.Path, r.Host = hr.Method, hr.RequestURI, hr.Host
 	if keyed {
 		if r.Key, err = parseKey(hr.Header.Get(in.headers.Key)); err != nil {
-			return nil, err
+			return nil, "", err
 		}
 	}
 	if r.Body, err = readBody(hr, 0); err != nil {
-		return nil, err
+		return nil, "", err
 	}
 	r.Header = transport.EndToEnd(hr.Header)
 	r.Header.Del(HeaderForward)
+	in.identify(r, who)
 	r.Deadline = now + callerTimeout(hr.Header, in.headers.DeadlineMS, 0)
-	return r, nil
+	return r, "", nil
 }
 
 // writeForwardResult replies to the forwarding host with a result that has no server's answer.
--- a/internal/front/ingress.go
+++ b/internal/front/ingress.go
@@ -72,6 +72,8 @@
 	gates     admissionGates
 	probes    *probes
 	answers   answerMemory
+	// unauthorizedLines bounds the log lines about requests without a known key.
+	unauthorizedLines boundedLines
 	// answeredAt is the clock's reading when a server last answered an attempt.
 	answeredAt atomic.Int64
 	// Counters are published on the metrics endpoint.
@@ -142,7 +144,12 @@
 		writeRefusal(w, http.StatusNotFound, "no route")
 		return
 	}
-	r, status, err := in.read(hr, table, route, arrived)
+	who, refusal := in.authenticate(hr.Header, table, route.Public)
+	if refusal != "" {
+		in.refuseUnauthorized(w, hr, route.Name, refusal)
+		return
+	}
+	r, status, err := in.read(hr, table, route, who, arrived)
 	if err != nil {
 		in.log.Event("answer", "id", hr.Header.Get(in.headers.RequestID), "route", route.Name, "status", status, "err", err.Error())
 		writeRefusal(w, status, err.Error())
@@ -158,9 +165,9 @@
 	in.recordResult(r, result, sent)
 }
 
-// read parses a caller's request. If the request is not acceptable it returns the HTTP status
+// read parses a caller's request that has been authenticated. If the request is not acceptable it returns the HTTP status
 // to answer with, and an error.
-func (in *Ingress) read(hr *http.Request, table *routetable.Table, route *routetable.Route, arrived time.Duration) (*Request, int, error) {
+func (in *Ingress) read(hr *http.Request, table *routetable.Table, route *routetable.Route, who identity, arrived time.Duration) (*Request, int, error) {
 	r := &Request{
 		ID:       hr.Header.Get(in.headers.RequestID),
 		Route:    route,
@@ -198,6 +205,7 @@
 		// An empty value keeps the HTTP library from adding its default User-Agent.
 		r.Header["User-Agent"] = []string{""}
 	}
+	in.identify(r, who)
 	r.Caller = withoutPort(hr.RemoteAddr)
 	r.Fingerprint = fingerprint(r, hr.Header.Get(in.headers.Key))
 	r.Deadline = arrived + callerTimeout(hr.Header, in.headers.DeadlineMS, route.Timeout)
@@ -244,6 +252,9 @@
 	took := in.clock() - r.Arrived
 	in.Counters.count(r, result, took)
 	fields := []any{"id", r.ID, "route", r.Route.Name, "service", r.Service.Name, "status", status, "ms", took.Milliseconds()}
+	if r.Account != "" {
+		fields = append(fields, "account", r.Account)
+	}
 	if result.Kind == Done {
 		in.log.Routine("answer", fields...)
 		return
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -38,6 +38,9 @@
 	// requests per second that the server takes from all hosts together, and Leaving is "1" if the
 	// server is shutting down.
 	RequestID, DeadlineMS, Digest, ExpectInstance, Load, NotExecuted, Key, Limit, Leaving string
+	// Authorization carries the key of a client account in callers' requests, after the scheme AuthScheme and a space.
+	// Account tells servers and other hosts the name of the account.
+	Authorization, AuthScheme, Account string
 }
 
 // Request is a caller's request, read completely into memory.
@@ -47,6 +50,9 @@
 	Service routetable.Service
 	// Account is the name of the caller's client account, or empty if there is none.
 	Account string
+	// AccountChecked says that the request has been authenticated, by this host or the one that forwards it. It is false if
+	// there are no client accounts.
+	AccountChecked bool
 	// Priority is the rank of the request in queues; zero is the most urgent.
 	Priority int
 	Key      keyrange.Key
@@ -74,9 +80,13 @@
 
 // fingerprint identifies the request by its contents and the caller's credentials. The request ID is
 // left out because a caller that repeats a request gives it a new one, the service because a route can
-// lead to several, and the caller's address because one caller can have several.
+// lead to several, and the caller's address because one caller can have several. The account stands in place of its key,
+// which may be replaced between two copies.
 func fingerprint(r *Request, key string) poison.Fingerprint {
 	identity := []string{key}
+	if r.Account != "" {
+		identity = append(identity, r.Account)
+	}
 	for _, name := range credentialHeaders {
 		identity = append(identity, r.Header.Values(name)...)
 		identity = append(identity, "")
@@ -101,6 +111,8 @@
 	errNoID       = errors.New("the request has no ID")
 	errBadKey     = errors.New("the key is missing or no number from 0 to 65535")
 	errBodyTooBig = errors.New("the body exceeds the limit")
+	// errForwardedRoute: the other host knows the route from a newer configuration.
+	errForwardedRoute = errors.New("the route of a forwarded request that is not authenticated is unknown")
 )
 
 // readBody reads a body of at most limit bytes; zero sets no limit. It returns errBodyTooBig for
