leader: a replaced leader neither takes the plan back nor sends releases of an older plan

Cause: a leader whose calls to the election fail keeps its role. After another host had been elected, both replaced each other's plans, and a release that was being retried went out although the newer plan no longer had it. Change: a host takes the lead from the one that the plan names only if the election has confirmed it since; a release is checked against the newest known plan before each call, as a grant already is. Result: tests of ./internal/leader pass (simulations of faults and restores included); the new ones fail without the checks.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -122,6 +122,12 @@
 	Config
 	wake     chan struct{}
 	isLeader atomic.Bool
+	// confirmedAt is when the last call of Elector.Join began that confirmed this host as the leader.
+	confirmedAt atomic.Int64
+	// named is the leader that the plan names, and namedSince when this host first saw that, or zero for the first one
+	// that it has read. Only the control loop uses them.
+	named      assign.Host
+	namedSince time.Duration
 
 	// mu guards all fields below.
 	mu sync.Mutex
@@ -189,11 +195,15 @@
 func (l *Leader) joinElection(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, joinInterval)
 	defer cancel()
+	began := l.Clock()
 	leads, err := l.Elector.Join(ctx)
 	if err != nil {
 		l.Log.Routine("election", "outcome", "failed", "err", err.Error())
 		return
 	}
+	if leads {
+		l.confirmedAt.Store(int64(began))
+	}
 	if leads == l.isLeader.Load() {
 		return
 	}
@@ -220,7 +230,7 @@
 // Run runs the control loop while this host is the elected leader, until the context ends.
 func (l *Leader) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if l.isLeader.Load() {
+		if l.mayAct() {
 			l.reconcile(ctx)
 		} else {
 			l.stopReleases()
@@ -235,6 +245,23 @@
 	l.stopReleases()
 }
 
+// mayAct reports whether this host may change the plan. A host that has been replaced may not learn it from the election,
+// because its calls of Join fail; without this check, it and its successor would replace each other's plans. So a
+// host takes the lead from the one that the plan names only if it has been elected since that one took it.
+func (l *Leader) mayAct() bool {
+	named := l.Current.Plan().Leader
+	if !named.SameIncarnation(l.named) {
+		if l.named.Name != "" {
+			l.namedSince = l.Clock()
+		}
+		l.named = named
+	}
+	if !l.isLeader.Load() {
+		return false
+	}
+	return named.SameIncarnation(l.Self) || l.namedSince <= time.Duration(l.confirmedAt.Load())
+}
+
 // reconcile runs the control loop once: it writes a new plan if one is due, and starts the releases
 // that the plan asks for.
 func (l *Leader) reconcile(ctx context.Context) {
--- a/internal/leader/release.go
+++ b/internal/leader/release.go
@@ -82,7 +82,7 @@
 		}
 	}()
 	for ctx.Err() == nil {
-		handover, err := l.requestRelease(ctx, a)
+		handover, err := l.requestRelease(ctx, id, a)
 		if err == nil {
 			l.recordProof(id, a, assign.Proof{Fence: a.Fence, Handover: handover}, "released")
 			return
@@ -98,11 +98,19 @@
 // errPlanNotVerified reports that the plan was last verified too long ago; another host may be leader by now.
 var errPlanNotVerified = errors.New("leader: no release sent, since the plan was not verified recently")
 
+// errReleaseNotPlanned reports that the newest plan that this host knows does not have the release any more.
+var errReleaseNotPlanned = errors.New("leader: no release sent, since the plan has changed")
+
 // requestRelease releases the range at its server. The fencing token of the release is higher than
 // that of all grants of the range so far, so the server refuses those from then on. A late
 // release could take away keys that have been granted to the server again since, so a host sends
-// it only if it has recently verified that its plan is the newest.
-func (l *Leader) requestRelease(ctx context.Context, a assign.Assignment) (handover string, err error) {
+// it only if it has recently verified that its plan is the newest. It may have read a plan of another leader since it
+// started the release.
+func (l *Leader) requestRelease(ctx context.Context, id releaseID, a assign.Assignment) (handover string, err error) {
+	planned, found := l.Current.Plan().Lookup(id.service, a.First)
+	if !found || planned.Phase != assign.Releasing || planned.Fence != a.Fence {
+		return "", errReleaseNotPlanned
+	}
 	if l.Clock()-l.Current.VerifiedAt() > releaseMaxPlanAge {
 		return "", errPlanNotVerified
 	}
