--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -77,6 +77,8 @@
 	// in tests that need neither.
 	delivery *delivery
 	holds    *holding
+	// runs is the number of attempts in which a server may have executed the request.
+	runs int
 }
 
 // credentialHeaders are the headers that say on whose behalf a request is made.
--- a/internal/front/result.go
+++ b/internal/front/result.go
@@ -77,11 +77,16 @@
 	reasonNotTaken = "the caller does not take the answer"
 	reasonMemory   = "host has no memory for the answer"
 	reasonLink     = "the host's link is busy"
+	reasonQuota    = "the account's quota is used up"
+	reasonNoShare  = "it is not known yet whether the account's quota is used up"
 )
 
 // writeResult answers the caller with a result that is not a server's answer, and returns the HTTP status.
 func writeResult(w http.ResponseWriter, result Result) int {
 	status := http.StatusServiceUnavailable
+	if result.Reason == reasonQuota {
+		status = http.StatusTooManyRequests
+	}
 	if result.Kind == Unknown {
 		status = http.StatusBadGateway
 		if result.Reason == reasonDeadline {
