--- a/internal/front/download_bench_test.go
+++ b/internal/front/download_bench_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 )
@@ -23,10 +24,12 @@
 		b.Run(name, func(b *testing.B) {
 			s := newHost(b, "h1", server.Listener.Addr().String())
 			b.ReportAllocs()
+			id := 0
 			for b.Loop() {
+				id++
 				request, _ := http.NewRequest("GET", s.callers.URL+path, nil)
 				request.Host = "a.example"
-				request.Header = http.Header{"X-Id": {"i"}, "X-Left": {s.timeoutMS}}
+				request.Header = http.Header{"X-Id": {strconv.Itoa(id)}, "X-Left": {s.timeoutMS}}
 				response, err := http.DefaultClient.Do(request)
 				if err != nil {
 					b.Fatal(err)
