--- a/internal/front/large_test.go
+++ b/internal/front/large_test.go
@@ -108,6 +108,12 @@
 		assert.Assert(t, body == largeBody)
 		return
 	}
+	if server.reset && err == nil && (response.StatusCode == http.StatusBadGateway || whole.requests.Load() == 1) {
+		// A reset discards what this host has not read yet, so that it may have seen the end within the first part. Another
+		// attempt is right then, and its answer has to be whole.
+		assert.Assert(t, response.StatusCode == http.StatusBadGateway || body == largeBody, "%d bytes", len(body))
+		return
+	}
 	assert.Assert(t, err != nil, "%d of %d bytes passed for the whole answer, status %v", len(body), len(largeBody), response)
 	assert.Equal(t, server.requests.Load(), int64(1), "sent again after a part had reached the caller")
 	assert.Equal(t, whole.requests.Load(), int64(0), "sent again after a part had reached the caller")
