--- a/internal/front/quota_test.go
+++ b/internal/front/quota_test.go
@@ -15,6 +15,8 @@
 	"github.com/poplarcroft/poplarcroft/internal/sharedlimit"
 )
 
+const testAccountKey = "key-of-the-account"
+
 const testAccount = "vltava"
 
 // withQuota gives a system an account with a quota and shares without an allocator, and makes all requests those of the
@@ -24,26 +26,16 @@
 	table.Accounts = map[string]routetable.Account{testAccount: {Name: testAccount, RatePerSecond: rate, Burst: burst}}
 	holder := sharedlimit.NewHolder("h1", "1")
 	s.ingress.config.Shares = holder
+	table.AccountOfKey = map[string]string{testAccountKey: testAccount}
 	s.ingress.config.Table = func() *routetable.Table { return &table }
-	s.callers.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, hr *http.Request) { s.serveAs(w, hr, &table) })
+	s.callers.Config.Handler = http.HandlerFunc(s.serveAs)
 	return holder
 }
 
 // serveAs is ServeHTTP for a caller with the key of testAccount.
-func (s *system) serveAs(w http.ResponseWriter, hr *http.Request, table *routetable.Table) {
-	route, _ := table.Lookup(hr.Host, hr.URL.EscapedPath())
-	holds := &holding{memory: &s.ingress.memory}
-	defer holds.release()
-	r, status, err := s.ingress.read(hr, table, route, s.ingress.clock(), holds)
-	if err != nil {
-		writeRefusal(w, status, err.Error())
-		return
-	}
-	r.Account, r.holds, r.delivery = testAccount, holds, s.ingress.newDelivery(w, hr)
-	ctx, cancel := s.ingress.contextOf(hr, r)
-	defer cancel()
-	result := s.ingress.handleWithinQuota(ctx, table, r)
-	s.ingress.finish(r, result, func() int { return writeResult(w, result) })
+func (s *system) serveAs(w http.ResponseWriter, hr *http.Request) {
+	hr.Header.Set(testHeaders.Authorization, testHeaders.AuthScheme+" "+testAccountKey)
+	s.ingress.ServeHTTP(w, hr)
 }
 
 // grant makes the holder ask once, and answers it with a share and tokens.
