edge: a planned shutdown cuts off no request that has begun to arrive

Cause: http.Server.Shutdown resets connections that the kernel has accepted and the process has not, and closes kept connections on which a request is arriving; a primary stopped without waiting for requests of other hosts; requests longer than the grace time were cut off. Change: the listener accepts what is waiting before it ends, only connections without a request are closed, forwarded requests are awaited, and 600 ms before the end of the grace time all requests get their final answer.

--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -58,8 +58,10 @@
 	// lameDuckPeriod is how long a host that shuts down still accepts connections while it
 	// reports not ready, until the load balancer has noticed.
 	lameDuckPeriod = 2800 * time.Millisecond
-	// exitReserve is the part of Config.Grace that is left for the process to exit.
-	exitReserve = 400 * time.Millisecond
+	// exitReserve is the part of Config.Grace that is left for the process to exit, and answerReserve the part before it in
+	// which requests that have not ended get their final answer.
+	exitReserve   = 400 * time.Millisecond
+	answerReserve = 200 * time.Millisecond
 	// defaultConnections is the maximum number of this host's connections to a server if no limit
 	// is configured. It is also the smallest number of hosts among which a configured limit is
 	// divided.
@@ -241,7 +243,7 @@
 	}
 	servers := h.serve(running, listeners)
 	<-ctx.Done()
-	h.leave(servers)
+	h.leave(listeners.callers, servers)
 	stop()
 	loops.Wait()
 	h.log.Event("stop", "host", h.self.Name)
@@ -249,15 +251,21 @@
 }
 
 // leave ends the service for callers. The host reports not ready at once, accepts connections for the
-// lame-duck period, and then waits for the remaining requests until the grace time is nearly over.
-func (h *Host) leave(callers *http.Server) {
+// lame-duck period, and then waits for the remaining requests, also those that other hosts have forwarded, until the
+// grace time is nearly over. Requests that have not ended by then get their final answer.
+func (h *Host) leave(listener *callerListener, callers *http.Server) {
 	h.log.Event("leave", "host", h.self.Name)
 	h.leaving.Store(true)
 	h.ingress.Leave()
 	started := time.Now()
-	time.Sleep(min(lameDuckPeriod, h.config.Grace/2))
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(h.config.Grace-exitReserve))
 	defer cancel()
+	lastAnswers := time.AfterFunc(h.config.Grace-exitReserve-answerReserve, h.ingress.EndRequests)
+	defer lastAnswers.Stop()
+	time.Sleep(min(lameDuckPeriod, h.config.Grace/2))
+	listener.stop(ctx)
+	listener.drain(ctx)
+	h.ingress.AwaitForwarded(ctx)
 	if err := callers.Shutdown(ctx); err != nil {
 		h.log.Event("leave", "outcome", "stopped with unfinished requests", "err", err.Error())
 	}
--- a/internal/edge/listen.go
+++ b/internal/edge/listen.go
@@ -15,7 +15,8 @@
 
 // listeners holds the open listeners of a host. Metrics is nil if no address is configured for it.
 type listeners struct {
-	callers, ready, peers, metrics net.Listener
+	callers                           *callerListener
+	callersTCP, ready, peers, metrics net.Listener
 }
 
 // listen opens all listeners whose addresses are configured.
@@ -26,7 +27,7 @@
 		name     string
 		addr     string
 	}{
-		{&l.callers, "callers", h.config.CallerAddr},
+		{&l.callersTCP, "callers", h.config.CallerAddr},
 		{&l.ready, "readiness", h.config.ReadyAddr},
 		{&l.peers, "hosts", h.config.PeerAddr},
 		{&l.metrics, "metrics", h.config.MetricsAddr},
@@ -40,13 +41,16 @@
 		}
 		*entry.listener = listener
 	}
+	if tcp, ok := l.callersTCP.(*net.TCPListener); ok {
+		l.callers = newCallerListener(tcp)
+	}
 	return l, nil
 }
 
 // serve starts the HTTP servers on the listeners and returns the one for callers. The one for
 // other hosts serves both RPC and forwarded requests.
 func (h *Host) serve(ctx context.Context, l listeners) *http.Server {
-	callers := &http.Server{Handler: h.ingress, ReadHeaderTimeout: headerTimeout}
+	callers := &http.Server{Handler: h.ingress, ReadHeaderTimeout: headerTimeout, ConnState: l.callers.track}
 	go h.serveOn("callers", callers, l.callers)
 	ready := http.NewServeMux()
 	ready.HandleFunc(h.config.ReadyPath, h.answerReady)
@@ -77,7 +81,7 @@
 
 // serveOn serves until the server is shut down, and logs any other end.
 func (h *Host) serveOn(name string, server *http.Server, listener net.Listener) {
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(listener); !errors.IsAny(err, http.ErrServerClosed, errAcceptEnded) {
 		h.log.Event("listener", "name", name, "outcome", "ended", "err", err.Error())
 	}
 }
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -181,6 +181,8 @@
 // request's server, or a host that reaches servers when the other one does not. It forwards nothing
 // itself. It replies with the server's answer, or with headerResult.
 func (in *Ingress) ServeForwarded(w http.ResponseWriter, hr *http.Request) {
+	in.forwarded.Add(1)
+	defer in.endForwarded(w)
 	now := in.clock()
 	w.Header().Set(in.headers.RequestID, hr.Header.Get(in.headers.RequestID))
 	// The forwarding host adds the date; sending it here would only add traffic between zones.
@@ -211,6 +213,16 @@
 	writeForwardResult(w, result)
 }
 
+// endForwarded counts a request of another host as ended. While the host is leaving, the process may stop once none is
+// in progress, so the answer is written before.
+func (in *Ingress) endForwarded(w http.ResponseWriter) {
+	if in.isLeaving() {
+		// An error means that the other host has gone.
+		_ = http.NewResponseController(w).Flush()
+	}
+	in.forwarded.Add(-1)
+}
+
 // sendForwarded sends a request that another host has forwarded. It always sends to the server that owns the key on
 // arrival, since the other host may have newer information about which hosts reach servers. If the key moves
 // meanwhile, it sends to the new owner only as that server's primary or stand-in.
--- a/internal/front/ingress.go
+++ b/internal/front/ingress.go
@@ -14,6 +14,7 @@
 	"github.com/poplarcroft/poplarcroft/internal/eventlog"
 	"github.com/poplarcroft/poplarcroft/internal/fleet"
 	"github.com/poplarcroft/poplarcroft/internal/keyrange"
+	"github.com/poplarcroft/poplarcroft/internal/loop"
 	"github.com/poplarcroft/poplarcroft/internal/poison"
 	"github.com/poplarcroft/poplarcroft/internal/routetable"
 	"github.com/poplarcroft/poplarcroft/internal/transport"
@@ -79,6 +80,12 @@
 	// Counters are published on the metrics endpoint.
 	Counters Counters
 
+	// forwarded is the number of requests of other hosts in progress.
+	forwarded atomic.Int64
+	// ending ends when requests have to end at once because the host is about to stop.
+	ending      context.Context
+	endRequests context.CancelFunc
+
 	mu sync.Mutex
 	// leaving says that the host is shutting down.
 	leaving bool
@@ -86,7 +93,7 @@
 
 // New returns an Ingress that is ready to serve requests.
 func New(config Config) *Ingress {
-	return &Ingress{
+	in := &Ingress{
 		config:    config,
 		headers:   config.Headers,
 		fleet:     config.Fleet,
@@ -97,6 +104,8 @@
 		gates:     admissionGates{clock: config.Clock},
 		probes:    newProbes(config),
 	}
+	in.ending, in.endRequests = context.WithCancel(context.Background())
+	return in
 }
 
 // Leave starts the shutdown: callers are asked to close their connections, and requests that
@@ -107,6 +116,26 @@
 	in.leaving = true
 }
 
+// EndRequests gives all requests in progress their final answer, as if their deadline had passed.
+func (in *Ingress) EndRequests() {
+	in.endRequests()
+}
+
+// Ending returns a context that ends with EndRequests.
+func (in *Ingress) Ending() context.Context {
+	return in.ending
+}
+
+// forwardedPollInterval is the polling interval of AwaitForwarded.
+const forwardedPollInterval = 10 * time.Millisecond
+
+// AwaitForwarded waits until no request of another host is in progress, or the context ends.
+func (in *Ingress) AwaitForwarded(ctx context.Context) {
+	for in.forwarded.Load() > 0 && ctx.Err() == nil {
+		loop.Sleep(ctx, forwardedPollInterval)
+	}
+}
+
 func (in *Ingress) isLeaving() bool {
 	in.mu.Lock()
 	defer in.mu.Unlock()
@@ -212,7 +241,7 @@
 	return r, 0, nil
 }
 
-// contextOf returns the context of a request. It ends at the deadline and, for idempotent
+// contextOf returns the context of a request. It ends at the deadline, before the host stops and, for idempotent
 // requests, when the caller disconnects. Requests that are not idempotent go on, because
 // cancelling one leaves unknown whether it was executed.
 func (in *Ingress) contextOf(hr *http.Request, r *Request) (context.Context, context.CancelFunc) {
@@ -220,7 +249,12 @@
 	if !r.Route.Idempotent {
 		parent = context.WithoutCancel(parent)
 	}
-	return context.WithTimeout(parent, r.Deadline-in.clock())
+	ctx, cancel := context.WithTimeout(parent, r.Deadline-in.clock())
+	stop := context.AfterFunc(in.ending, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
 }
 
 // handle refuses a request that is known to crash servers, and sends all others.
