edge: a restarted host asks another one for what the topics may not tell

Cause: after a restore of the log, a host that restarted served by an older configuration, with keys that had been withdrawn, until it compared configurations with the leader, up to a second later; it also used servers that had announced their shutdown only in answers. Change: after its start a host compares its configuration with another host and takes over the leaving servers (new RPC LeavingServers, which older builds lack). With client accounts it is not ready and answers 503 until then, at most 1 s after it has read the topics. Result: tests of ./internal/edge pass; without the wait the older version is in force (TestRestartedHostUsesNoOlderConfiguration).

--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -100,6 +100,7 @@
 	guard           *poison.Guard
 	evidence        *evidenceSharing
 	configSharing   *configSharing
+	catchUp         *catchUp
 	reach           *reachSharing
 
 	// leaving says that the host is shutting down.
@@ -143,6 +144,11 @@
 		wakeLeader()
 	})
 	h.configSharing = &configSharing{self: h.self, plan: h.current.Plan, records: h.operatorRecords, peers: h.peers, log: log}
+	h.catchUp = &catchUp{
+		self: h.self, plan: h.current.Plan, sharing: h.configSharing, peers: h.peers, fleet: h.fleet,
+		known: func() bool { return h.operatorRecords.Table() != nil && h.seenServers.Load() },
+		clock: clock.Monotonic, log: log,
+	}
 	h.renewer = renew.New(h.self, h.current, platform.Granter(), config.Timing, clock.Monotonic, log)
 	h.reach = newReachSharing(h.self, h.current.Plan, h.peers, clock.Monotonic, log)
 	h.reach.monitor = reach.New(reach.Config{
@@ -161,7 +167,7 @@
 		Hosts: transport.NewPool(transport.Options{
 			Dial: dialHost, Connections: peerConnections, IdleTimeout: idleTimeout, RequestIDHeader: config.Headers.RequestID,
 		}),
-		Headers: config.Headers, Fleet: h.fleet, Guard: h.guard, Dial: config.DialServer, Reach: h.reach, Current: h.current, Table: h.operatorRecords.Table,
+		Headers: config.Headers, Fleet: h.fleet, Guard: h.guard, Dial: config.DialServer, Reach: h.reach, Current: h.current, Table: h.tableForCallers,
 		ColdRateLimit: h.coldRateLimit, OnFact: h.broadcastFact,
 		Budget: front.BudgetConfig{
 			Ratio: config.RetryRatio, Extra: config.RetryExtra, Window: config.RetryWindow, Hosts: h.hostCount,
@@ -236,7 +242,7 @@
 	var loops sync.WaitGroup
 	for _, run := range []func(context.Context){
 		h.followOperatorRecords, h.followState, h.followServers, h.renewer.Run,
-		h.leader.RunElection, h.leader.Run, h.reportLoad, h.evidence.run, h.configSharing.run,
+		h.leader.RunElection, h.leader.Run, h.reportLoad, h.evidence.run, h.configSharing.run, h.catchUp.run,
 		h.reach.monitor.Run, h.reach.run,
 	} {
 		loops.Go(func() { run(running) })
--- a/internal/edge/listen.go
+++ b/internal/edge/listen.go
@@ -89,7 +89,7 @@
 // answerReady tells the load balancer whether to send new connections: not while the host is
 // shutting down, and not before it has a configuration and has read the service discovery.
 func (h *Host) answerReady(w http.ResponseWriter, _ *http.Request) {
-	if h.leaving.Load() || h.operatorRecords.Table() == nil || !h.seenServers.Load() {
+	if h.leaving.Load() || h.tableForCallers() == nil || !h.seenServers.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- a/internal/edge/peers_test.go
+++ b/internal/edge/peers_test.go
@@ -34,6 +34,12 @@
 
 // serveRPC serves the RPC methods of a host until the test ends, and returns the address.
 func serveRPC(t *testing.T, s *rpcService) string {
+	t.Helper()
+	return serveMethods(t, s)
+}
+
+// serveMethods is serveRPC for the methods of another build.
+func serveMethods(t *testing.T, s any) string {
 	t.Helper()
 	calls := rpc.NewServer()
 	assert.NilError(t, calls.RegisterName(rpcName, s))
