dispatch: accounts may have weights in the fair queue

Cause: with equal weights, an account with 30% to 50% of the usual demand starves in a burst of all callers. Change: Fairness takes a weight per account; no caller sets one, so all are equal. With weights in proportion to the usual rates the bound holds (TestLargeAccountNeedsItsWeight).

--- a/internal/dispatch/fair.go
+++ b/internal/dispatch/fair.go
@@ -4,8 +4,8 @@
 
 // Fairness orders the waiting requests of client accounts within one priority, so that an account that asks for
 // less than its part is not delayed by one that asks for more. It is start-time fair queueing (Goyal, Vin and
-// Cheng, 1996) with equal weights and a cost of one per request. The account of a request is any text; requests
-// without an account form one account together.
+// Cheng, 1996) with a cost of one per request: an account's part is in proportion to its weight. The account of a request
+// is any text; requests without an account form one account together.
 //
 // It holds no requests. A queue sorts its requests as if there were no accounts, calls BeginRanking and then Rank
 // for each of them in this order, and sorts them by rank within each priority. It calls Admitted for each request that
@@ -16,15 +16,26 @@
 	levels map[int]*fairLevel
 }
 
-// fairLevel is the state of one priority. Virtual time counts requests.
+// FairWeight is the weight of an account; zero stands for the weight one.
+type FairWeight float64
+
+// cost returns the virtual time that one request of an account of this weight takes.
+func (w FairWeight) cost() float64 {
+	if w <= 0 {
+		return 1
+	}
+	return 1 / float64(w)
+}
+
+// fairLevel is the state of one priority. Virtual time counts requests of an account of weight one.
 type fairLevel struct {
 	// now is the virtual time: the start of the request that was admitted last.
-	now uint64
+	now float64
 	// finish holds the virtual time at which each account's last admitted request ends. An account that is missing
 	// has not been ahead of now since.
-	finish map[string]uint64
+	finish map[string]float64
 	// ranked counts the requests of each account in the current ranking.
-	ranked map[string]uint64
+	ranked map[string]int
 	// keptAtLast is the number of accounts that the last removal of outdated ones has left.
 	keptAtLast int
 }
@@ -42,20 +53,20 @@
 
 // Rank returns the rank of the account's next request in the current ranking. Ranks compare only within one priority;
 // the lowest one goes first.
-func (f *Fairness) Rank(priority int, account string) uint64 {
+func (f *Fairness) Rank(priority int, account string, weight FairWeight) float64 {
 	level := f.level(priority)
-	rank := level.start(account) + level.ranked[account]
+	rank := level.start(account) + float64(level.ranked[account])*weight.cost()
 	level.ranked[account]++
 	return rank
 }
 
 // Admitted records that a request of the account has been admitted.
-func (f *Fairness) Admitted(priority int, account string) {
+func (f *Fairness) Admitted(priority int, account string, weight FairWeight) {
 	level := f.level(priority)
 	start := level.start(account)
 	// A request that was admitted out of order must not turn the virtual time back.
 	level.now = max(level.now, start)
-	level.finish[account] = start + 1
+	level.finish[account] = start + weight.cost()
 	level.removeOutdated()
 }
 
@@ -73,14 +84,14 @@
 	if f.levels == nil {
 		f.levels = make(map[int]*fairLevel)
 	}
-	level = &fairLevel{finish: make(map[string]uint64), ranked: make(map[string]uint64)}
+	level = &fairLevel{finish: make(map[string]float64), ranked: make(map[string]int)}
 	f.levels[priority] = level
 	return level
 }
 
 // start returns the virtual time at which the account's next request starts. An account that was idle gets no credit
 // for that time.
-func (l *fairLevel) start(account string) uint64 {
+func (l *fairLevel) start(account string) float64 {
 	return max(l.now, l.finish[account])
 }
 
@@ -89,6 +100,6 @@
 	if len(l.finish) < l.keptAtLast+minOutdated {
 		return
 	}
-	maps.DeleteFunc(l.finish, func(_ string, finish uint64) bool { return finish <= l.now })
+	maps.DeleteFunc(l.finish, func(_ string, finish float64) bool { return finish <= l.now })
 	l.keptAtLast = len(l.finish)
 }
--- a/internal/dispatch/fair_test.go
+++ b/internal/dispatch/fair_test.go
@@ -15,6 +15,7 @@
 	at       time.Duration
 	account  string
 	priority int
+	weight   FairWeight
 }
 
 // arrivals returns the requests of an account at the given rate: independent of each other, with the bursts that this
@@ -62,7 +63,7 @@
 			shown = ""
 		}
 		ticket, decisions := s.queue.Offer(Item{
-			Account: shown, Priority: r.priority, Goal: r.at + 500*ms, Deadline: r.at + 1500*ms, Work: s.work,
+			Account: shown, Weight: r.weight, Priority: r.priority, Goal: r.at + 500*ms, Deadline: r.at + 1500*ms, Work: s.work,
 		}, r.at)
 		s.account[ticket] = r.account
 		s.apply(decisions, r.at)
@@ -148,6 +149,34 @@
 	}
 }
 
+// TestLargeAccountNeedsItsWeight guards against an account with a large part of the usual demand that starves in a burst of
+// all callers although it stays below its quota. With weights in proportion to the usual rates, no account is served less
+// than a quarter as often as all requests.
+func TestLargeAccountNeedsItsWeight(t *testing.T) {
+	for _, part := range []float64{0.2, 0.3, 0.5, 0.7} {
+		for _, load := range []float64{1.7, 2.4} {
+			rng := rand.New(rand.NewPCG(3, 1))
+			requests := weighted(arrivals(rng, "large", load*simulatedCapacity*part, false, time.Minute), FairWeight(part*20))
+			for i := range 20 {
+				small := arrivals(rng, fmt.Sprint("s", i), load*simulatedCapacity*(1-part)/20, false, time.Minute)
+				requests = append(requests, weighted(small, FairWeight(1-part))...)
+			}
+			byAccount, all := servedPart(simulate(requests, false))
+			for account, served := range byAccount {
+				assert.Assert(t, served >= all/4, "large account %.1f of the demand, load %.1f: %s served %.3f, all %.3f", part, load, account, served, all)
+			}
+		}
+	}
+}
+
+// weighted gives requests a weight.
+func weighted(requests []arrival, weight FairWeight) []arrival {
+	for i := range requests {
+		requests[i].weight = weight
+	}
+	return requests
+}
+
 // TestFloodIsNoticedWithoutAccounts checks the tests above: if the queue does not know the accounts, the flood costs the
 // others answers.
 func TestFloodIsNoticedWithoutAccounts(t *testing.T) {
@@ -217,21 +246,21 @@
 func TestIdleAccountGetsNoCredit(t *testing.T) {
 	var f Fairness
 	for range 100 {
-		f.Admitted(1, "busy")
+		f.Admitted(1, "busy", 0)
 	}
 	f.BeginRanking()
-	quiet := []uint64{f.Rank(1, "quiet"), f.Rank(1, "quiet"), f.Rank(1, "quiet")}
-	busy := []uint64{f.Rank(1, "busy"), f.Rank(1, "busy")}
-	assert.DeepEqual(t, quiet, []uint64{99, 100, 101})
-	assert.DeepEqual(t, busy, []uint64{100, 101})
+	quiet := []float64{f.Rank(1, "quiet", 0), f.Rank(1, "quiet", 0), f.Rank(1, "quiet", 0)}
+	busy := []float64{f.Rank(1, "busy", 0), f.Rank(1, "busy", 0)}
+	assert.DeepEqual(t, quiet, []float64{99, 100, 101})
+	assert.DeepEqual(t, busy, []float64{100, 101})
 }
 
 // TestAccountsThatAreGoneAreForgotten guards against memory that grows with the number of accounts ever seen.
 func TestAccountsThatAreGoneAreForgotten(t *testing.T) {
 	var f Fairness
 	for i := range 10_000 {
-		f.Admitted(1, fmt.Sprint(i))
-		f.Admitted(1, "steady")
+		f.Admitted(1, fmt.Sprint(i), 0)
+		f.Admitted(1, "steady", 0)
 	}
 	assert.Assert(t, len(f.levels[1].finish) <= 2*minOutdated, "%d", len(f.levels[1].finish))
 }
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -28,6 +28,8 @@
 type Item struct {
 	// Account is the client account of the request, or empty.
 	Account string
+	// Weight is the weight of the account; see Fairness.
+	Weight FairWeight
 	// Priority is the rank of the request; zero is the most urgent.
 	Priority int
 	// An answer that arrives by Goal has its full value; one after Deadline has none.
@@ -59,7 +61,7 @@
 	Item
 	ticket Ticket
 	// rank is the request's place among the accounts of its priority; see Fairness.
-	rank uint64
+	rank float64
 }
 
 // Queue holds the requests for one server. It is not safe for concurrent use.
@@ -135,7 +137,7 @@
 // admit counts a request that goes to the server.
 func (q *Queue) admit(item Item) {
 	q.running++
-	q.fairness.Admitted(item.Priority, item.Account)
+	q.fairness.Admitted(item.Priority, item.Account, item.Weight)
 }
 
 // updateMeanWork adds a request's time to the moving average.
@@ -162,7 +164,7 @@
 	}
 	q.fairness.BeginRanking()
 	for i, w := range q.waiting {
-		q.waiting[i].rank = q.fairness.Rank(w.Priority, w.Account)
+		q.waiting[i].rank = q.fairness.Rank(w.Priority, w.Account, w.Weight)
 	}
 	slices.SortStableFunc(q.waiting, func(a, b waiting) int {
 		return cmp.Or(compareUrgency(a, b, now), cmp.Compare(a.rank, b.rank))
