--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -167,7 +167,7 @@
 		Hosts: transport.NewPool(transport.Options{
 			Dial: dialHost, Connections: peerConnections, IdleTimeout: idleTimeout, RequestIDHeader: config.Headers.RequestID,
 		}),
-		Headers: config.Headers, Fleet: h.fleet, Guard: h.guard, Dial: config.DialServer, Reach: h.reach, Current: h.current, Table: h.tableForCallers,
+		Headers: config.Headers, Fleet: h.fleet, Guard: h.guard, Dial: config.DialServer, Reach: h.reach, Current: h.current, Table: h.tableForCallers, KnownTable: h.operatorRecords.Table,
 		ColdRateLimit: h.coldRateLimit, OnFact: h.broadcastFact,
 		Budget: front.BudgetConfig{
 			Ratio: config.RetryRatio, Extra: config.RetryExtra, Window: config.RetryWindow, Hosts: h.hostCount,
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -243,7 +243,7 @@
 	if err != nil {
 		return nil, "", err
 	}
-	table := in.config.Table()
+	table := in.config.KnownTable()
 	who, refusal, err := in.identityOfForwarded(hr, r, table)
 	if err != nil || refusal != "" {
 		return r, refusal, err
--- a/internal/front/ingress.go
+++ b/internal/front/ingress.go
@@ -43,8 +43,11 @@
 	Dial  transport.DialFunc
 	// Reach knows which hosts reach servers.
 	Reach Reach
-	// Table returns the configuration in force, or nil if none has been received yet.
+	// Table returns the configuration in force for callers, or nil if there is none yet.
 	Table func() *routetable.Table
+	// KnownTable returns the newest configuration that this host knows, also while it is not in force for callers. It
+	// serves for requests of other hosts. Nil stands for Table.
+	KnownTable func() *routetable.Table
 	// ColdRateLimit returns the maximum number of requests per second, from all hosts together,
 	// to one cold server of the service.
 	ColdRateLimit func(service routetable.Service) float64
@@ -93,6 +96,9 @@
 
 // New returns an Ingress that is ready to serve requests.
 func New(config Config) *Ingress {
+	if config.KnownTable == nil {
+		config.KnownTable = config.Table
+	}
 	in := &Ingress{
 		config:    config,
 		headers:   config.Headers,
