--- a/internal/front/ingress.go
+++ b/internal/front/ingress.go
@@ -14,6 +14,7 @@
 	"github.com/poplarcroft/poplarcroft/internal/eventlog"
 	"github.com/poplarcroft/poplarcroft/internal/fleet"
 	"github.com/poplarcroft/poplarcroft/internal/keyrange"
+	"github.com/poplarcroft/poplarcroft/internal/loop"
 	"github.com/poplarcroft/poplarcroft/internal/poison"
 	"github.com/poplarcroft/poplarcroft/internal/routetable"
 	"github.com/poplarcroft/poplarcroft/internal/sharedlimit"
@@ -43,8 +44,11 @@
 	Dial  transport.DialFunc
 	// Reach knows which hosts reach servers.
 	Reach Reach
-	// Table returns the configuration in force, or nil if none has been received yet.
+	// Table returns the configuration in force for callers, or nil if there is none yet.
 	Table func() *routetable.Table
+	// KnownTable returns the newest configuration that this host knows, also while it is not in force for callers. It
+	// serves for requests of other hosts. Nil stands for Table.
+	KnownTable func() *routetable.Table
 	// ColdRateLimit returns the maximum number of requests per second, from all hosts together,
 	// to one cold server of the service.
 	ColdRateLimit func(service routetable.Service) float64
@@ -89,6 +93,12 @@
 	// Counters are published on the metrics endpoint.
 	Counters Counters
 
+	// forwarded is the number of requests of other hosts in progress.
+	forwarded atomic.Int64
+	// ending ends when requests have to end at once because the host is about to stop.
+	ending      context.Context
+	endRequests context.CancelFunc
+
 	mu sync.Mutex
 	// leaving says that the host is shutting down.
 	leaving bool
@@ -96,7 +106,10 @@
 
 // New returns an Ingress that is ready to serve requests.
 func New(config Config) *Ingress {
-	return &Ingress{
+	if config.KnownTable == nil {
+		config.KnownTable = config.Table
+	}
+	in := &Ingress{
 		config:    config,
 		headers:   config.Headers,
 		fleet:     config.Fleet,
@@ -109,6 +122,8 @@
 		memory:    bodyMemory{bound: config.BodyMemory},
 		link:      linkMeter{rate: config.LinkBytesPerS, clock: config.Clock},
 	}
+	in.ending, in.endRequests = context.WithCancel(context.Background())
+	return in
 }
 
 // Leave starts the shutdown: callers are asked to close their connections, and requests that
@@ -119,6 +134,26 @@
 	in.leaving = true
 }
 
+// EndRequests gives all requests in progress their final answer, as if their deadline had passed.
+func (in *Ingress) EndRequests() {
+	in.endRequests()
+}
+
+// Ending returns a context that ends with EndRequests.
+func (in *Ingress) Ending() context.Context {
+	return in.ending
+}
+
+// forwardedPollInterval is the polling interval of AwaitForwarded.
+const forwardedPollInterval = 10 * time.Millisecond
+
+// AwaitForwarded waits until no request of another host is in progress, or the context ends.
+func (in *Ingress) AwaitForwarded(ctx context.Context) {
+	for in.forwarded.Load() > 0 && ctx.Err() == nil {
+		loop.Sleep(ctx, forwardedPollInterval)
+	}
+}
+
 func (in *Ingress) isLeaving() bool {
 	in.mu.Lock()
 	defer in.mu.Unlock()
@@ -289,7 +324,7 @@
 	return r, 0, nil
 }
 
-// contextOf returns the context of a request. It ends at the deadline and, for idempotent
+// contextOf returns the context of a request. It ends at the deadline, before the host stops and, for idempotent
 // requests, when the caller disconnects. Requests that are not idempotent go on, because
 // cancelling one leaves unknown whether it was executed.
 func (in *Ingress) contextOf(hr *http.Request, r *Request) (context.Context, context.CancelFunc) {
@@ -297,7 +332,12 @@
 	if !r.Route.Idempotent {
 		parent = context.WithoutCancel(parent)
 	}
-	return context.WithTimeout(parent, r.Deadline-in.clock())
+	ctx, cancel := context.WithTimeout(parent, r.Deadline-in.clock())
+	stop := context.AfterFunc(in.ending, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
 }
 
 // handle refuses a request that is known to crash servers, and sends all others.
