--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -83,6 +83,8 @@
 		in.giveBack(r, retry)
 		return attempt{}, in.refusedBy(refusal, server, share), false
 	}
+	// A large answer begins before its attempt has ended.
+	r.tellRuns(r.runs + 1)
 	a := in.send(ctx, r, server)
 	if a.outcome == attemptBlocked {
 		in.giveBack(r, retry)
@@ -139,6 +141,7 @@
 		in.answeredAt.Store(int64(in.clock()))
 		// A server cannot speak for this host.
 		result.Response.Header.Del(headerResult)
+		result.Response.Header.Del(headerRuns)
 		in.readFacts(r, server, result.Response.StatusCode, result.Response.Header, started)
 	}
 	a := in.interpret(ctx, r, result)
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -59,6 +59,7 @@
 		in.forwardFailed(ctx, r, to, sent.Sent.String(), errorText(sent.Err))
 		return Result{}, false
 	}
+	runs := r.runs
 	answer, err := in.receiveForwarded(ctx, r, sent)
 	if r.delivery.hasBegun() && err != nil {
 		// The other host was reached. What ended the answer is in its log if the caller did not.
@@ -67,12 +68,13 @@
 		return r.delivery.brokenResult(), true
 	}
 	if err != nil {
-		r.runs++
+		if r.runs == runs {
+			r.runs++
+		}
 		in.forwardFailed(ctx, r, to, "lost", err.Error())
 		return unknown(reasonAnswerLost), !r.Route.Idempotent
 	}
 	result := decodeForwardResult(answer)
-	r.addRuns(answer, result)
 	if result.Kind == NotRun && result.Reason == reasonNotPrimary {
 		in.log.Routine("hop", "id", r.ID, "lead", to.Name, "outcome", "refused", "detail", result.Reason)
 		return result, false
@@ -100,6 +102,7 @@
 		}
 		return nil, err
 	}
+	r.addRuns(answer)
 	switch {
 	case rest == nil:
 		return answer, nil
@@ -123,14 +126,25 @@
 	return nil
 }
 
-// addRuns counts the runs that the other host's answer tells of, and removes their header.
-func (r *Request) addRuns(answer *Answer, result Result) {
+// tellRuns tells the forwarding host in how many attempts the request may have run, unless the answer has begun.
+func (r *Request) tellRuns(runs int) {
+	if !r.Forwarded || r.delivery == nil {
+		return
+	}
+	r.delivery.writer.Header().Del(headerRuns)
+	if runs > 1 {
+		r.delivery.writer.Header().Set(headerRuns, strconv.Itoa(runs))
+	}
+}
+
+// addRuns counts the runs that another host's reply tells of, and removes their header.
+func (r *Request) addRuns(answer *Answer) {
 	runs, err := strconv.ParseUint(answer.Header.Get(headerRuns), 10, 8)
 	answer.Header.Del(headerRuns)
 	switch {
 	case err == nil:
 		r.runs += int(runs)
-	case result.Kind != NotRun:
+	case decodeForwardResult(answer).Kind != NotRun:
 		r.runs++
 	}
 }
@@ -285,9 +299,7 @@
 	if ok {
 		result = in.sendForwarded(ctx, r)
 	}
-	if r.runs > 1 {
-		w.Header().Set(headerRuns, strconv.Itoa(r.runs))
-	}
+	r.tellRuns(r.runs)
 	in.finish(r, result, func() int {
 		writeForwardResult(w, result)
 		return 0
--- a/internal/front/ingress.go
+++ b/internal/front/ingress.go
@@ -219,10 +219,7 @@
 	r.delivery.stall = in.stallOf(r, callerStall)
 	ctx, cancel := in.contextOf(hr, r)
 	defer cancel()
-	result, ok := in.admit(ctx, r)
-	if ok {
-		result = in.handleWithinQuota(ctx, table, r)
-	}
+	result := in.handleWithinQuota(ctx, table, r)
 	if hr.Context().Err() != nil && result.Kind != Done {
 		result.Reason = reasonCallerGone
 	}
