--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -74,6 +74,13 @@
 	g.deliver(g.queue.Finish(took, g.clock()))
 }
 
+// SetWidth changes the number of requests that the server may have at a time.
+func (g *Gate) SetWidth(slots int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.deliver(g.queue.SetSlots(slots, g.clock()))
+}
+
 // Len returns the numbers of requests at the server and in the queue.
 func (g *Gate) Len() (running, queued int) {
 	g.mu.Lock()
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -77,6 +77,16 @@
 	return &Queue{slots: max(slots, 1)}
 }
 
+// SetSlots changes the maximum number of requests at the server. Requests beyond a lower one stay there. It returns the
+// decisions that follow.
+func (q *Queue) SetSlots(slots int, now time.Duration) []Decision {
+	if slots = max(slots, 1); slots == q.slots {
+		return nil
+	}
+	q.slots = slots
+	return q.Advance(now)
+}
+
 // Len returns the numbers of requests at the server and in the queue.
 func (q *Queue) Len() (running, queued int) {
 	return q.running, len(q.waiting)
