front, leader: gates follow the learned width, keys are divided by lasting speed

Cause: keys were divided by a slowness that noise moves and that falls to normal where a server is always full.

Change: the primary feeds package concurrency and sets the width of its gates; it reports lasting and passing speeds in a new field of the report, which may be missing. Metrics: "servers"; log line "width".

--- a/internal/edge/listen.go
+++ b/internal/edge/listen.go
@@ -94,7 +94,7 @@
 func (h *Host) answerMetrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
 	err := json.NewEncoder(w).Encode(map[string]any{
-		"door": h.ingress.Counters.Snapshot(), "leads": h.leader.IsLeader(), "plan": uint64(h.current.Plan().Version),
+		"door": h.ingress.Counters.Snapshot(), "servers": h.ingress.Learner.Snapshot(), "leads": h.leader.IsLeader(), "plan": uint64(h.current.Plan().Version),
 		"relay": h.relay.Counters.Snapshot(), "log_lines_dropped": h.log.Dropped(),
 	})
 	if err != nil {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/poplarcroft/poplarcroft/internal/assign"
+	"github.com/poplarcroft/poplarcroft/internal/concurrency"
 	"github.com/poplarcroft/poplarcroft/internal/eventlog"
 	"github.com/poplarcroft/poplarcroft/internal/fleet"
 	"github.com/poplarcroft/poplarcroft/internal/front"
@@ -76,6 +77,9 @@
 	Slowness map[string]int
 	// Limits holds, by ID, the limits that servers name, in requests per second.
 	Limits map[string]float64
+	// Speeds holds the speeds of the servers whose primary the host is. A build that does not know the
+	// field sends none, and the leader then goes by Slowness.
+	Speeds []concurrency.Speed
 }
 
 // SuspectsArgs carries evidence against suspect requests.
@@ -173,7 +177,7 @@
 
 // Report passes a host's report on to the leader.
 func (s *rpcService) Report(args ReportArgs, _ *Empty) error {
-	s.leader.Report(args.Host, leader.Report{Rates: args.Rates, Slowness: args.Slowness, Limits: args.Limits}, args.Lost)
+	s.leader.Report(args.Host, leader.Report{Rates: args.Rates, Slowness: args.Slowness, Limits: args.Limits, Speeds: args.Speeds}, args.Lost)
 	return nil
 }
 
--- a/internal/edge/reports.go
+++ b/internal/edge/reports.go
@@ -32,6 +32,7 @@
 		lastReport, reportedLimits = now, limits
 		h.report(ctx, ReportArgs{
 			Host: h.self.Name, Rates: h.ingress.KeyRates(), Lost: h.renewer.Lost(), Slowness: h.fleet.Slowness(now), Limits: limits,
+			Speeds: h.ingress.Speeds(now),
 		})
 	})
 }
@@ -39,7 +40,7 @@
 // report sends one report to the leader, or takes it over directly if this host is the leader.
 func (h *Host) report(ctx context.Context, args ReportArgs) {
 	if h.leader.IsLeader() {
-		h.leader.Report(args.Host, leader.Report{Rates: args.Rates, Slowness: args.Slowness, Limits: args.Limits}, args.Lost)
+		h.leader.Report(args.Host, leader.Report{Rates: args.Rates, Slowness: args.Slowness, Limits: args.Limits, Speeds: args.Speeds}, args.Lost)
 		return
 	}
 	to := h.current.Plan().Leader
--- a/internal/front/ingress.go
+++ b/internal/front/ingress.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/poplarcroft/poplarcroft/internal/assign"
+	"github.com/poplarcroft/poplarcroft/internal/concurrency"
 	"github.com/poplarcroft/poplarcroft/internal/eventlog"
 	"github.com/poplarcroft/poplarcroft/internal/fleet"
 	"github.com/poplarcroft/poplarcroft/internal/keyrange"
@@ -76,6 +77,8 @@
 	answeredAt atomic.Int64
 	// Counters are published on the metrics endpoint.
 	Counters Counters
+	// Learner learns how fast servers are and how many requests they take well.
+	Learner concurrency.Learner
 
 	mu sync.Mutex
 	// leaving says that the host is shutting down.
@@ -84,7 +87,7 @@
 
 // New returns an Ingress that is ready to serve requests.
 func New(config Config) *Ingress {
-	return &Ingress{
+	in := &Ingress{
 		config:    config,
 		headers:   config.Headers,
 		fleet:     config.Fleet,
@@ -95,6 +98,8 @@
 		gates:     admissionGates{clock: config.Clock},
 		probes:    newProbes(config),
 	}
+	in.Learner.OnChange = in.logWidth
+	return in
 }
 
 // Leave starts the shutdown: callers are asked to close their connections, and requests that
--- a/internal/front/keyed.go
+++ b/internal/front/keyed.go
@@ -169,7 +169,9 @@
 		k.ingress.config.Guard.AwaitTrial(ctx, k.r.Fingerprint)
 		return Result{}, true
 	}
-	gate := k.ingress.gates.get(server.Entry())
+	entry := server.Entry()
+	gate := k.ingress.gates.get(entry)
+	k.ingress.followWidth(gate, entry)
 	retryAfter, ok := gate.Acquire(ctx, dispatch.Item{
 		Account:  k.r.Account,
 		Priority: k.r.Priority,
@@ -180,7 +182,10 @@
 	if !ok {
 		return notRun(reasonFull, retryAfter), false
 	}
+	learned := k.ingress.beginLearning(k.r, entry)
 	a, refusal, sent := k.send(ctx, server)
+	k.ingress.endLearning(learned, a)
+	k.ingress.followWidth(gate, entry)
 	gate.Release(a.took)
 	if !sent {
 		return refusal, refusal.Kind == 0
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -138,6 +138,8 @@
 	regrantedAt time.Duration
 	// lost holds the grants that a host has stopped renewing because their server does not answer.
 	lost map[renew.Lost]bool
+	// speeds holds the speeds of servers. It outlasts a term: a speed belongs to the incarnation of the server.
+	speeds speeds
 	// lastReport holds when each host last reported, and retiredSince when this leader first found
 	// each retired host to be retired, both by host name.
 	lastReport, retiredSince map[string]time.Duration
--- a/internal/leader/reports.go
+++ b/internal/leader/reports.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/poplarcroft/poplarcroft/internal/concurrency"
 	"github.com/poplarcroft/poplarcroft/internal/keyrange"
 	"github.com/poplarcroft/poplarcroft/internal/renew"
 )
@@ -23,6 +24,8 @@
 	Slowness map[string]int
 	// Limits holds the limits that servers name, in requests per second, by server ID.
 	Limits map[string]float64
+	// Speeds holds the speeds of the servers whose primary the host is. It is missing in reports of older builds.
+	Speeds []concurrency.Speed
 }
 
 // timedReport is a report and the time of its arrival.
@@ -44,6 +47,7 @@
 		l.lost[id] = true
 	}
 	l.reports[host] = timedReport{Report: report, at: l.Clock()}
+	l.speeds.add(report.Speeds, l.Clock())
 }
 
 // slowness returns the latency of a server relative to the baseline, averaged over the hosts
--- a/internal/leader/snapshot.go
+++ b/internal/leader/snapshot.go
@@ -18,6 +18,7 @@
 	}
 	snapshot.NewestByAddr, snapshot.ReusedAddrs = l.newestByAddr(service)
 	var cold []assign.Candidate
+	usual := l.speeds.usual(l.Fleet.Servers(service), now)
 	for _, server := range l.Fleet.Servers(service) {
 		entry := server.Entry()
 		known := assign.ServerOf(entry)
@@ -26,7 +27,7 @@
 			continue
 		}
 		candidate := assign.Candidate{
-			Server: known, Capacity: float64(max(entry.Slots, 1)) / l.slowness(known.ID, now), Limit: l.limit(known.ID, now),
+			Server: known, Capacity: float64(max(entry.Slots, 1)) / l.slownessOf(known, usual, now), Limit: l.limit(known.ID, now),
 		}
 		if server.Cold(now) {
 			cold = append(cold, candidate)
