--- a/internal/concurrency/learner.go
+++ b/internal/concurrency/learner.go
@@ -16,7 +16,9 @@
 package concurrency
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"sync"
 	"time"
 )
@@ -162,6 +164,9 @@
 			speeds = append(speeds, Speed{Server: id, Lasting: speed.Lasting, Passing: speed.Passing})
 		}
 	}
+	slices.SortFunc(speeds, func(a, b Speed) int {
+		return cmp.Or(cmp.Compare(a.Server.ID, b.Server.ID), cmp.Compare(a.Server.Born, b.Server.Born))
+	})
 	return speeds
 }
 
--- a/internal/concurrency/replay_test.go
+++ b/internal/concurrency/replay_test.go
@@ -295,8 +295,10 @@
 		}
 		if own, ok := r.lastingOf[s.ID]; ok {
 			sum := 0.0
-			for _, other := range r.lastingOf {
-				sum += math.Log(other)
+			for _, other := range r.servers {
+				if lasting, ok := r.lastingOf[other.ID]; ok {
+					sum += math.Log(lasting)
+				}
 			}
 			slowness = own / math.Exp(sum/float64(len(r.lastingOf))) * passing
 		}
--- a/internal/concurrency/spell.go
+++ b/internal/concurrency/spell.go
@@ -9,9 +9,9 @@
 	// evidenceFor is how long a request that has ended counts. It is short, so that the requests before a slow time do not
 	// hide its beginning.
 	evidenceFor = 500 * time.Millisecond
-	// slowShare is the share of slow requests from which on, and normalShare the one up to which the server may be slow
-	// or normal again.
-	slowShare, normalShare = 0.55, 0.4
+	// suspectShare is the share of slow requests from which on the server is suspected to be slow, slowShare the one from
+	// which on it counts as slow if the suspicion has lasted, and normalShare the one up to which it may be normal again.
+	suspectShare, slowShare, normalShare = 0.4, 0.55, 0.4
 	// slowAfter is how long the evidence has to last: longer than the noise, which lasts 0.4 s.
 	slowAfter = 450 * time.Millisecond
 	// normalAfter is how long the evidence of the end has to last.
@@ -65,16 +65,16 @@
 	if slow > 0 {
 		share = float64(slow) / float64(slow+normal)
 	}
-	against, after := slow >= min(minSlow, slots) && share >= slowShare, slowAfter
+	against, decided, after := slow >= min(minSlow, slots) && share >= suspectShare, share >= slowShare, slowAfter
 	if s.slow {
-		against, after = share <= normalShare, normalAfter
+		against, decided, after = share <= normalShare, true, normalAfter
 	}
 	switch {
 	case !against:
 		s.since = 0
 	case s.since == 0:
 		s.since = max(now, 1)
-	case now-s.since >= after:
+	case decided && now-s.since >= after:
 		s.slow, s.since = !s.slow, 0
 	}
 }
