--- a/internal/edge/listen.go
+++ b/internal/edge/listen.go
@@ -100,7 +100,7 @@
 	err := json.NewEncoder(w).Encode(map[string]any{
 		"door": h.ingress.Counters.Snapshot(), "leads": h.leader.IsLeader(), "plan": uint64(h.current.Plan().Version),
 		"body_memory": h.ingress.BodyMemory(), "relay": h.relay.Counters.Snapshot(), "log_lines_dropped": h.log.Dropped(),
-		"shares": h.shares.snapshot(),
+		"servers": h.ingress.Learner.Snapshot(), "shares": h.shares.snapshot(),
 	})
 	if err != nil {
 		h.log.Routine("metrics", "outcome", "failed", "err", err.Error())
--- a/internal/front/ingress.go
+++ b/internal/front/ingress.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/poplarcroft/poplarcroft/internal/assign"
+	"github.com/poplarcroft/poplarcroft/internal/concurrency"
 	"github.com/poplarcroft/poplarcroft/internal/eventlog"
 	"github.com/poplarcroft/poplarcroft/internal/fleet"
 	"github.com/poplarcroft/poplarcroft/internal/keyrange"
@@ -92,6 +93,8 @@
 	answeredAt atomic.Int64
 	// Counters are published on the metrics endpoint.
 	Counters Counters
+	// Learner learns how fast servers are and how many requests they take well.
+	Learner concurrency.Learner
 
 	// forwarded is the number of requests of other hosts in progress.
 	forwarded atomic.Int64
@@ -123,6 +126,7 @@
 		link:      linkMeter{rate: config.LinkBytesPerS, clock: config.Clock},
 	}
 	in.ending, in.endRequests = context.WithCancel(context.Background())
+	in.Learner.OnChange = in.logWidth
 	return in
 }
 
