--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -64,8 +64,10 @@
 	// lameDuckPeriod is how long a host that shuts down still accepts connections while it
 	// reports not ready, until the load balancer has noticed.
 	lameDuckPeriod = 2800 * time.Millisecond
-	// exitReserve is the part of Config.Grace that is left for the process to exit.
-	exitReserve = 400 * time.Millisecond
+	// exitReserve is the part of Config.Grace that is left for the process to exit, and answerReserve the part before it in
+	// which requests that have not ended get their final answer.
+	exitReserve   = 400 * time.Millisecond
+	answerReserve = 200 * time.Millisecond
 	// defaultConnections is the maximum number of this host's connections to a server if no limit
 	// is configured. It is also the smallest number of hosts among which a configured limit is
 	// divided.
@@ -106,6 +108,7 @@
 	guard           *poison.Guard
 	evidence        *evidenceSharing
 	configSharing   *configSharing
+	catchUp         *catchUp
 	reach           *reachSharing
 	shares          *shareLeasing
 
@@ -151,6 +154,11 @@
 		wakeLeader()
 	})
 	h.configSharing = &configSharing{self: h.self, plan: h.current.Plan, records: h.operatorRecords, peers: h.peers, log: log}
+	h.catchUp = &catchUp{
+		self: h.self, plan: h.current.Plan, sharing: h.configSharing, peers: h.peers, fleet: h.fleet,
+		known: func() bool { return h.operatorRecords.Table() != nil && h.seenServers.Load() },
+		clock: clock.Monotonic, log: log,
+	}
 	h.renewer = renew.New(h.self, h.current, platform.Granter(), config.Timing, clock.Monotonic, log)
 	h.reach = newReachSharing(h.self, h.current.Plan, h.peers, clock.Monotonic, log)
 	h.reach.monitor = reach.New(reach.Config{
@@ -171,7 +179,7 @@
 			Dial: dialHost, Connections: peerConnections, IdleTimeout: idleTimeout, RequestIDHeader: config.Headers.RequestID,
 			RequireID: true,
 		}),
-		Headers: config.Headers, Fleet: h.fleet, Guard: h.guard, Dial: config.DialServer, Reach: h.reach, Current: h.current, Table: h.operatorRecords.Table,
+		Headers: config.Headers, Fleet: h.fleet, Guard: h.guard, Dial: config.DialServer, Reach: h.reach, Current: h.current, Table: h.tableForCallers, KnownTable: h.operatorRecords.Table,
 		ColdRateLimit: h.coldRateLimit, OnFact: h.broadcastFact,
 		Budget: front.BudgetConfig{
 			Ratio: config.RetryRatio, Extra: config.RetryExtra, Window: config.RetryWindow, Hosts: h.hostCount,
@@ -248,14 +256,14 @@
 	var loops sync.WaitGroup
 	for _, run := range []func(context.Context){
 		h.followOperatorRecords, h.followState, h.followServers, h.renewer.Run,
-		h.leader.RunElection, h.leader.Run, h.reportLoad, h.evidence.run, h.configSharing.run,
+		h.leader.RunElection, h.leader.Run, h.reportLoad, h.evidence.run, h.configSharing.run, h.catchUp.run,
 		h.reach.monitor.Run, h.reach.run, h.shares.run,
 	} {
 		loops.Go(func() { run(running) })
 	}
 	servers := h.serve(running, listeners)
 	<-ctx.Done()
-	h.leave(servers)
+	h.leave(listeners.callers, servers)
 	stop()
 	loops.Wait()
 	h.log.Event("stop", "host", h.self.Name)
@@ -263,15 +271,21 @@
 }
 
 // leave ends the service for callers. The host reports not ready at once, accepts connections for the
-// lame-duck period, and then waits for the remaining requests until the grace time is nearly over.
-func (h *Host) leave(callers *http.Server) {
+// lame-duck period, and then waits for the remaining requests, also those that other hosts have forwarded, until the
+// grace time is nearly over. Requests that have not ended by then get their final answer.
+func (h *Host) leave(listener *callerListener, callers *http.Server) {
 	h.log.Event("leave", "host", h.self.Name)
 	h.leaving.Store(true)
 	h.ingress.Leave()
 	started := time.Now()
-	time.Sleep(min(lameDuckPeriod, h.config.Grace/2))
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(h.config.Grace-exitReserve))
 	defer cancel()
+	lastAnswers := time.AfterFunc(h.config.Grace-exitReserve-answerReserve, h.ingress.EndRequests)
+	defer lastAnswers.Stop()
+	time.Sleep(min(lameDuckPeriod, h.config.Grace/2))
+	listener.stop(ctx)
+	listener.drain(ctx)
+	h.ingress.AwaitForwarded(ctx)
 	if err := callers.Shutdown(ctx); err != nil {
 		h.log.Event("leave", "outcome", "stopped with unfinished requests", "err", err.Error())
 	}
