--- a/internal/sharedlimit/demand.go
+++ b/internal/sharedlimit/demand.go
@@ -8,8 +8,10 @@
 const (
 	// steadyConstant is the time constant of the average rate; with a shorter one the shares of accounts with few requests
 	// vary too much. quickConstant is that of an average that notices within a second that callers have moved to
-	// this host; it counts with its standard deviation subtracted.
+	// this host, and mediumConstant that of one which notices it at smaller rates. Both count with their standard
+	// deviation subtracted.
 	steadyConstant = 12 * time.Second
+	mediumConstant = 2 * time.Second
 	quickConstant  = 500 * time.Millisecond
 	// burstPart is the part of the standard deviation of the requests of one second that is added to the rate. Hosts with
 	// few requests need more beyond their mean than others.
@@ -22,9 +24,9 @@
 
 // demand estimates the rate of requests for one limit.
 type demand struct {
-	// steady and quick are numbers of requests that decay with their time constants.
-	steady, quick float64
-	updatedAt     time.Duration
+	// steady, medium and quick are numbers of requests that decay with their time constants.
+	steady, medium, quick float64
+	updatedAt             time.Duration
 	// startedAt is when the first request was counted.
 	startedAt time.Duration
 }
@@ -36,6 +38,7 @@
 		return
 	}
 	d.steady *= math.Exp(-elapsed.Seconds() / steadyConstant.Seconds())
+	d.medium *= math.Exp(-elapsed.Seconds() / mediumConstant.Seconds())
 	d.quick *= math.Exp(-elapsed.Seconds() / quickConstant.Seconds())
 	d.updatedAt = now
 }
@@ -47,6 +50,7 @@
 		d.startedAt = now
 	}
 	d.steady++
+	d.medium++
 	d.quick++
 }
 
@@ -59,7 +63,8 @@
 	// The average has only seen the time since the first request.
 	age := max(now-d.startedAt, minAge).Seconds()
 	seen := steadyConstant.Seconds() * (1 - math.Exp(-age/steadyConstant.Seconds()))
-	quick := d.quick - math.Sqrt(d.quick)
-	rate := max(d.steady/seen, quick/quickConstant.Seconds())
+	medium := (d.medium - math.Sqrt(d.medium)) / mediumConstant.Seconds()
+	quick := (d.quick - math.Sqrt(d.quick)) / quickConstant.Seconds()
+	rate := max(d.steady/seen, medium, quick)
 	return rate + burstPart*math.Sqrt(rate)
 }
