sharedlimit: a limit counts as exhausted only once the allocator is settled; quota on whole hosts from the new leader on

Cause: the new leader takes office 2.5 s after the kill, a change of its own; a trace shows refusals only until 1.9 s after it.

--- a/internal/sharedlimit/allocator.go
+++ b/internal/sharedlimit/allocator.go
@@ -149,6 +149,8 @@
 	for id, need := range ask.Needs {
 		need = need.clean()
 		grant := a.pool(id, now).grant(ask.Host, need, a.total(id, settled, now), now, a.reserved)
+		// While not settled, the next report may free more.
+		grant.Exhausted = grant.Exhausted && settled
 		if grant.Fraction > need.Held {
 			a.counters.Raised++
 		} else if grant.Fraction < need.Held {
