--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -61,16 +61,15 @@
 	}
 	runs := r.runs
 	answer, err := in.receiveForwarded(ctx, r, sent)
+	if err != nil && r.runs == runs {
+		r.runs++
+	}
 	if r.delivery.hasBegun() && err != nil {
 		// The other host was reached. What ended the answer is in its log if the caller did not.
-		r.runs++
 		in.log.Event("hop", "id", r.ID, "lead", to.Name, "outcome", "broke off", "detail", err.Error(), "by_caller", r.delivery.byCaller())
 		return r.delivery.brokenResult(), true
 	}
 	if err != nil {
-		if r.runs == runs {
-			r.runs++
-		}
 		in.forwardFailed(ctx, r, to, "lost", err.Error())
 		return unknown(reasonAnswerLost), !r.Route.Idempotent
 	}
