concurrency: a gate is narrow for as long only as its samples are fresh; slow times count at once

Cause: an effect of noise kept a gate of 8 slots narrow for up to 78 s. A passing slowness that counts only after 1.5 s let a server that is slow for 5 s keep its keys.

Change: samples of more requests than the present width are forgotten within 3 s; in a slow time the passing slowness follows each request. The replay frees a slot at the server before its answer has reached the primary.

--- a/internal/concurrency/compare_test.go
+++ b/internal/concurrency/compare_test.go
@@ -21,11 +21,15 @@
 	slots := make(chan struct{}, 4)
 	for _, factors := range [][]float64{{0.6, 1.0, 1.4}, {0.7, 0.7, 1.7}} {
 		for _, load := range []float64{0.6, 0.9} {
-			for _, congestion := range []float64{0, 1, 2} {
+			for _, congestion := range []float64{0, 1, 2, -1} {
+				roundTrip := replayRTT
+				if congestion < 0 {
+					congestion, roundTrip = 0, 10*time.Millisecond
+				}
 				for _, p := range replayPolicies {
 					c := replayConfig{
 						servers: 12, slots: 4, factors: factors, spread: 0.5, congestion: congestion, noise: true, slow: true,
-						load: load, duration: 150 * time.Second, policy: p.policy, lasting: p.lasting,
+						roundTrip: roundTrip, load: load, duration: 150 * time.Second, policy: p.policy, lasting: p.lasting,
 					}
 					rows = append(rows, row{c, p.name, make(chan replayResult, 1)})
 				}
@@ -47,7 +51,7 @@
 	}
 	for i, r := range rows {
 		if i%len(replayPolicies) == 0 {
-			fmt.Printf("factors %v, load %v, congestion %v\n", r.config.factors, r.config.load, r.config.congestion)
+			fmt.Printf("factors %v, load %v, congestion %v, round trip %v\n", r.config.factors, r.config.load, r.config.congestion, r.config.roundTrip)
 		}
 		fmt.Printf("  %-24s %v\n", r.name, <-r.result)
 	}
--- a/internal/concurrency/curve.go
+++ b/internal/concurrency/curve.go
@@ -14,15 +14,18 @@
 	// curveDecay is the time constant with which samples are forgotten. Without new ones, the width returns to the full
 	// one, so that a server that has recovered is found out.
 	curveDecay = 30 * time.Second
+	// untriedDecay is curveDecay for numbers of requests beyond the present width. What was learned of them must not keep a
+	// gate narrow for long, since it may have been an effect of noise.
+	untriedDecay = 3 * time.Second
 	// priorWeight is the weight of the assumption that a further request does not make the others slower, in units of
 	// squared differences of levels.
-	priorWeight = 6.0
+	priorWeight = 3.0
 	// timeDeviation is the assumed deviation of a logarithm of a time from the local average, and riseErrors the number of
 	// standard errors by which a rise has to be above zero to count. A rise that is not certain narrows no gate.
 	timeDeviation = 0.7
-	riseErrors    = 1.0
+	riseErrors    = 0.5
 	// throughputMargin is the difference of the logarithms of two throughputs that is worth a change of the width.
-	throughputMargin = 0.05
+	throughputMargin = 0.10
 )
 
 // latencyCurve estimates by how much the logarithm of the time of a request rises with each further request that the
@@ -43,19 +46,16 @@
 	}
 }
 
-// add adds a sample: the logarithm of a request's time, and the average number of requests that the server had.
-func (c *latencyCurve) add(level, logTime float64, now time.Duration) {
+// add adds a sample: the logarithm of a request's time, and the average number of requests that the server had. Width is
+// the number that it may have.
+func (c *latencyCurve) add(level, logTime float64, width int, now time.Duration) {
 	c.samples++
 	if c.samples == 1 {
 		c.level, c.time = level, logTime
 		return
 	}
-	keep := math.Exp(-float64(max(now-c.updatedAt, 0)) / float64(curveDecay))
+	c.forget(width, max(now-c.updatedAt, 0))
 	c.updatedAt = max(now, c.updatedAt)
-	for i := range c.products {
-		c.products[i] *= keep
-		c.squares[i] *= keep
-	}
 	x := level - c.level
 	y := min(max(logTime-c.time, -curveClip), curveClip)
 	between := (level + c.level) / 2
@@ -69,6 +69,19 @@
 	c.time += localWeight * y
 }
 
+// forget lowers the weight of the samples by the time that has passed.
+func (c *latencyCurve) forget(width int, passed time.Duration) {
+	for i := range c.products {
+		decay := curveDecay
+		if i > width {
+			decay = untriedDecay
+		}
+		keep := math.Exp(-float64(passed) / float64(decay))
+		c.products[i] *= keep
+		c.squares[i] *= keep
+	}
+}
+
 // rise returns by how much the logarithm of the time is higher with n requests than with n-1.
 func (c *latencyCurve) rise(n int) float64 {
 	certain := c.products[n] - riseErrors*timeDeviation*math.Sqrt(c.squares[n])
--- a/internal/concurrency/replay_test.go
+++ b/internal/concurrency/replay_test.go
@@ -28,6 +28,8 @@
 	// noise and slow switch on that a fifth of the servers is 3 times slower for 0.4 s at a time, and that now and then a
 	// server is 4 to 12 times slower for 5 s.
 	noise, slow bool
+	// roundTrip is the time from the end of a request at a server until its primary sends the next one; zero stands for replayRTT.
+	roundTrip time.Duration
 	// load is the number of requests in relation to what the servers take together.
 	load     float64
 	duration time.Duration
@@ -392,14 +394,14 @@
 	if q.now < s.slowUntil {
 		work *= s.slowFactor
 	}
-	q.after(time.Duration(work*float64(time.Second))+replayRTT, func() {
+	q.after(time.Duration(work*float64(time.Second)), func() {
 		s.running--
 		if len(s.waiting) > 0 {
 			next := s.waiting[0]
 			s.waiting = s.waiting[1:]
 			next()
 		}
-		q.finish(s, q.now-began, notQueued, learned)
+		q.after(max(q.roundTrip, replayRTT), func() { q.finish(s, q.now-began, notQueued, learned) })
 	})
 }
 
--- a/internal/concurrency/server.go
+++ b/internal/concurrency/server.go
@@ -17,7 +17,7 @@
 	probeInterval = 2400 * time.Millisecond
 	// passingDecay is the time constant with which the passing slowness falls without samples, and passingSpan the one
 	// with which samples count. It is longer than the noise, which lasts 0.4 s, so that noise moves few keys.
-	// passingWeight is the largest weight of a sample.
+	// passingWeight is the largest weight of a sample, and the one of all samples in a slow time.
 	passingDecay  = 3 * time.Second
 	passingSpan   = 1500 * time.Millisecond
 	passingWeight = 0.25
@@ -89,12 +89,15 @@
 // sample adds the time of a request, as the logarithm of its relation to the goal, without what is due to its kind.
 func (s *server) sample(r *Request, level, logTime float64, now time.Duration) {
 	if !s.spell.slow {
-		s.curve.add(level, logTime, now)
+		s.curve.add(level, logTime, s.target, now)
 	}
 	s.speed.add(logTime-s.curve.sum(level), now)
 	if lasting, ok := s.speed.value(); ok {
 		ratio := min(max(logTime-s.curve.sum(level)-lasting, -passingClip), passingClip)
-		weight := min(1-math.Exp(-float64(max(now-s.passingAt, 0))/float64(passingSpan)), passingWeight)
+		weight := passingWeight
+		if !s.spell.slow {
+			weight = min(1-math.Exp(-float64(max(now-s.passingAt, 0))/float64(passingSpan)), passingWeight)
+		}
 		s.passing = s.passingNow(now)
 		s.passing += weight * (ratio - s.passing)
 	}
--- a/internal/concurrency/width_test.go
+++ b/internal/concurrency/width_test.go
@@ -100,8 +100,13 @@
 			for _, slow := range []bool{false, true} {
 				t.Run(fmt.Sprintf("%v load %v slow %v", factors, load, slow), func(t *testing.T) {
 					c := replayConfig{servers: 12, slots: 4, factors: factors, spread: 0.5, noise: true, slow: slow, load: load, duration: 120 * time.Second}
+					// A slow time or two decide the result of one replay.
+					seeds := 2
+					if slow {
+						seeds = 8
+					}
 					var before, after replayResult
-					for seed := range 2 {
+					for seed := range seeds {
 						c.seed = uint64(seed)
 						c.policy, c.lasting = func(s *replayServer) widthPolicy { return fixedWidth(s.slots + 1) }, false
 						before = before.add(newReplay(c).run())
@@ -128,7 +133,7 @@
 			duration: 120 * time.Second, lasting: true,
 		}
 		var fixed, learned replayResult
-		for seed := range 2 {
+		for seed := range 8 {
 			c.seed = uint64(seed)
 			c.policy = func(s *replayServer) widthPolicy { return fixedWidth(s.slots + 1) }
 			fixed = fixed.add(newReplay(c).run())
@@ -139,3 +144,16 @@
 		assert.Assert(t, learned.share(learned.inGoal) > fixed.share(fixed.inGoal))
 	}
 }
+
+// TestCalmDayMovesFewKeys checks that division by lasting speed moves at most a few keys more than before where neither noise
+// nor slow times occur.
+func TestCalmDayMovesFewKeys(t *testing.T) {
+	for _, load := range []float64{0.3, 0.6} {
+		c := replayConfig{servers: 12, slots: 4, factors: []float64{0.6, 1.0, 1.4}, spread: 0.3, load: load, duration: 300 * time.Second}
+		before := newReplay(c).run()
+		c.policy, c.lasting = func(s *replayServer) widthPolicy { return &learnedWidth{s: s} }, true
+		after := newReplay(c).run()
+		t.Logf("load %v\nbefore: %v\nafter:  %v", load, before, after)
+		assert.Assert(t, after.moves <= before.moves+5)
+	}
+}
