--- a/internal/edge/builds_test.go
+++ b/internal/edge/builds_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/poplarcroft/poplarcroft/internal/assign"
 	"github.com/poplarcroft/poplarcroft/internal/clock"
+	"github.com/poplarcroft/poplarcroft/internal/concurrency"
 	"github.com/poplarcroft/poplarcroft/internal/eventlog"
 	"github.com/poplarcroft/poplarcroft/internal/follow"
 	"github.com/poplarcroft/poplarcroft/internal/front"
@@ -74,3 +75,27 @@
 	assert.NilError(t, gob.NewDecoder(&wire).Decode(&got))
 	assert.Equal(t, got, FactArgs{From: "h2", Born: 5, Fact: front.Leaving})
 }
+
+// TestReportsWithAndWithoutSpeeds guards against a report that a host of another build cannot read: the build in production
+// knows no speeds.
+func TestReportsWithAndWithoutSpeeds(t *testing.T) {
+	type formerReportArgs struct {
+		Host     string
+		Slowness map[string]int
+		Limits   map[string]float64
+	}
+	var wire bytes.Buffer
+	newer := ReportArgs{
+		Host: "h2", Slowness: map[string]int{"s1": 120},
+		Speeds: []concurrency.Speed{{Server: concurrency.Server{ID: "s1", Born: 5}, Lasting: 0.1, Passing: 1}},
+	}
+	assert.NilError(t, gob.NewEncoder(&wire).Encode(newer))
+	var former formerReportArgs
+	assert.NilError(t, gob.NewDecoder(&wire).Decode(&former))
+	assert.DeepEqual(t, former, formerReportArgs{Host: "h2", Slowness: map[string]int{"s1": 120}})
+	wire.Reset()
+	assert.NilError(t, gob.NewEncoder(&wire).Encode(former))
+	var got ReportArgs
+	assert.NilError(t, gob.NewDecoder(&wire).Decode(&got))
+	assert.DeepEqual(t, got, ReportArgs{Host: "h2", Slowness: map[string]int{"s1": 120}})
+}
