dispatch: a queue for a pool of servers; refused callers get times of their own

Every caller that a queue refused was told the same time, so they came back together. Each now gets a time at which capacity is expected to be free, in order of priority, within a third of its time; one that keeps it goes before new requests of its priority.

--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -28,6 +28,8 @@
 type Item struct {
 	// Account is the client account of the request, or empty.
 	Account string
+	// Caller is the same whenever a caller repeats the request, or zero if that is unknown.
+	Caller uint64
 	// Priority is the rank of the request; zero is the most urgent.
 	Priority int
 	// An answer that arrives by Goal has its full value; one after Deadline has none.
@@ -58,6 +60,8 @@
 type waiting struct {
 	Item
 	ticket Ticket
+	// returned says that the caller was refused before and has come back at the time that it was told.
+	returned bool
 }
 
 // Queue holds the requests for one server. It is not safe for concurrent use.
@@ -70,6 +74,7 @@
 	// meanWork is the moving average of the time that a request takes at the server, or zero
 	// before the first sample.
 	meanWork time.Duration
+	returns  returnSchedule
 }
 
 // NewQueue returns the queue of a server that may have the given number of requests at a time.
@@ -87,11 +92,12 @@
 func (q *Queue) Offer(item Item, now time.Duration) (Ticket, []Decision) {
 	q.lastTicket++
 	ticket := q.lastTicket
+	returned := q.returns.arrive(item, now)
 	if q.running < q.slots && len(q.waiting) == 0 {
 		q.running++
 		return ticket, []Decision{{Ticket: ticket, Admitted: true}}
 	}
-	w := waiting{Item: item, ticket: ticket}
+	w := waiting{Item: item, ticket: ticket, returned: returned}
 	q.waiting = append(q.waiting, w)
 	q.sort(now)
 	return ticket, q.refuseUnmeetable(now)
@@ -136,26 +142,20 @@
 }
 
 // sort puts the waiting requests in the order in which they are admitted: those that can meet
-// their goal first, then by priority, goal and arrival.
+// their goal first, then by priority, those whose callers come back at their time before new ones, then
+// by goal and arrival.
 func (q *Queue) sort(now time.Duration) {
 	slices.SortStableFunc(q.waiting, func(a, b waiting) int {
 		return cmp.Or(
-			cmp.Compare(goalMissed(a, now), goalMissed(b, now)),
+			cmp.Compare(itemMissesGoal(a.Item, now), itemMissesGoal(b.Item, now)),
 			cmp.Compare(a.Priority, b.Priority),
+			-cmp.Compare(asInt(a.returned), asInt(b.returned)),
 			cmp.Compare(a.Goal, b.Goal),
 			cmp.Compare(a.ticket, b.ticket),
 		)
 	})
 }
 
-// goalMissed returns 0 if the request would meet its goal when started now, and 1 otherwise.
-func goalMissed(w waiting, now time.Duration) int {
-	if now+w.Work <= w.Goal {
-		return 0
-	}
-	return 1
-}
-
 // refuseUnmeetable refuses the requests that, by the expected wait, can't meet their deadline.
 func (q *Queue) refuseUnmeetable(now time.Duration) []Decision {
 	var decisions []Decision
@@ -163,7 +163,7 @@
 	for _, w := range q.waiting {
 		wait := q.wait(len(kept))
 		if now+time.Duration(waitMargin*float64(wait))+w.Work > w.Deadline {
-			decisions = append(decisions, Decision{Ticket: w.ticket, RetryAfter: q.retryAfter(w, now)})
+			decisions = append(decisions, Decision{Ticket: w.ticket, RetryAfter: q.retryAfter(w, len(kept), now)})
 			continue
 		}
 		kept = append(kept, w)
@@ -178,9 +178,8 @@
 	return time.Duration(max(turns, 0) * float64(q.meanWork))
 }
 
-// retryAfter returns when a refused request may be retried: after the time in which the queue is
-// expected to empty, at most a third of the time to the request's deadline, within the limits.
-func (q *Queue) retryAfter(w waiting, now time.Duration) time.Duration {
-	third := (w.Deadline - now) / 3
-	return min(max(min(q.wait(len(q.waiting)), third), minRetryAfter), maxRetryAfter)
+// retryAfter returns when a refused request may be retried: at a time at which a slot is expected to be free for it.
+func (q *Queue) retryAfter(w waiting, ahead int, now time.Duration) time.Duration {
+	backlog := time.Duration(float64(q.running+ahead) * float64(q.meanWork))
+	return q.returns.refuse(w.Item, q.slots, backlog, now)
 }
