transport, front: a connection that is silent while others of its server deliver is given up

Some servers never answer what they cannot queue, nor anything later on that connection; such requests waited until their deadline. A connection is judged after max(4 x the route's usual time, 0.5 s): if another one of the server has delivered since, the request ends at once (idempotent: another attempt, else unknown); if none has, the server is avoided and the request waits.

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/poplarcroft/poplarcroft/internal/fleet"
 	"github.com/poplarcroft/poplarcroft/internal/outcome"
 	"github.com/poplarcroft/poplarcroft/internal/poison"
@@ -59,6 +61,8 @@
 	refusal Result
 	// waitsForTrial says that the attempt was blocked because another copy of the request is running alone.
 	waitsForTrial bool
+	// silent says that the connection was given up because it was silent while others of the server delivered.
+	silent bool
 	// suspect says that the request had crashed servers when it was sent.
 	suspect bool
 }
@@ -124,19 +128,21 @@
 		Header:     header,
 		Body:       r.Body,
 		Idempotent: r.Route.Idempotent,
+		Silence:    in.silenceOf(r, server),
 	})
 	if result.Sent == transport.Answered {
 		in.answeredAt.Store(int64(in.clock()))
 		in.readFacts(r, server, result.Response.StatusCode, result.Response.Header, started)
 	}
 	a := in.interpret(r, result)
+	a.silent = errors.Is(result.Err, transport.ErrSilent)
 	a.suspect = guarded.Crashes > 0
 	ending := a.guardEnding(ctx)
 	guarded.End(ending)
 	if ending == poison.Broken {
 		go in.probes.probe(server)
 	}
-	if ending == poison.Broken || ending == poison.TimedOut && time.Duration(in.answeredAt.Load()) < started {
+	if ending == poison.Broken || ending == poison.TimedOut && !a.silent && time.Duration(in.answeredAt.Load()) < started {
 		in.config.Reach.Suspect()
 	}
 	now := in.clock()
@@ -197,7 +203,7 @@
 		return poison.Failed
 	case a.outcome != attemptLost:
 		return poison.Rejected
-	case ctx.Err() != nil:
+	case ctx.Err() != nil, a.silent:
 		return poison.TimedOut
 	}
 	return poison.Broken
--- /dev/null
+++ b/internal/front/silence.go
@@ -0,0 +1,32 @@
+package front
+
+import (
+	"time"
+
+	"github.com/poplarcroft/poplarcroft/internal/fleet"
+	"github.com/poplarcroft/poplarcroft/internal/transport"
+)
+
+const (
+	// silenceFactor and minSilence say how long a connection may deliver nothing to a request: the route's usual time,
+	// many times over, and at least minSilence.
+	silenceFactor = 4
+	minSilence    = 500 * time.Millisecond
+	// muteAvoidFor is how long a server is avoided that delivers nothing on any connection.
+	muteAvoidFor = time.Second
+)
+
+// silenceOf returns how the silence of a server is judged that is sent the request. Without a usual time of the route it is
+// not judged.
+func (in *Ingress) silenceOf(r *Request, server *fleet.Server) transport.Silence {
+	usual := in.baseline.get(r.Route.Name)
+	if usual <= 0 {
+		return transport.Silence{}
+	}
+	after := max(silenceFactor*usual, minSilence)
+	return transport.Silence{After: after, OnMute: func() {
+		server.Avoid(in.clock() + muteAvoidFor)
+		in.log.Event("silence", "id", r.ID, "route", r.Route.Name, "server", server.Entry().ID, "after_ms", after.Milliseconds(),
+			"outcome", "no connection delivers: slow, dead or mute, avoided")
+	}}
+}
--- a/internal/transport/attempt.go
+++ b/internal/transport/attempt.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -22,6 +23,11 @@
 	reused bool
 	// silence runs while the request waits for an answer on a reused connection.
 	silence *time.Timer
+	// judgement runs while the request waits for an answer on a connection that is judged by its silence.
+	judgement *time.Timer
+	rule      Silence
+	// ended is set when the round trip has returned, after which the connection is no longer judged.
+	ended atomic.Bool
 }
 
 // gotConn decides whether the request may be written on a connection. The HTTP
@@ -48,6 +54,7 @@
 	if a.reused && !a.needsFresh {
 		a.watchForSilence(conn)
 	}
+	a.judgeSilence(conn)
 }
 
 // watchForSilence closes the target's idle connections if neither conn nor another one has delivered anything after
@@ -62,11 +69,14 @@
 	})
 }
 
-// stopWatching ends the watch for silence, if there is one.
+// stopWatching ends the watches for silence, if there are any.
 func (a *attempt) stopWatching() {
 	if a.silence != nil {
 		a.silence.Stop()
 	}
+	if a.judgement != nil {
+		a.judgement.Stop()
+	}
 }
 
 // end marks the attempt's connections as idle.
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -22,6 +22,8 @@
 	once   sync.Once
 	// lastRead is the clock's reading when bytes last arrived, or when the connection was opened.
 	lastRead atomic.Int64
+	// delivered says that bytes have arrived.
+	delivered atomic.Bool
 	// fresh says that the connection serves non-idempotent requests.
 	fresh atomic.Bool
 
@@ -49,10 +51,16 @@
 	return time.Duration(c.lastRead.Load()) < since
 }
 
+// deliveredSince reports whether bytes have arrived after the given reading of the clock.
+func (c *trackedConn) deliveredSince(since time.Duration) bool {
+	return c.delivered.Load() && time.Duration(c.lastRead.Load()) > since
+}
+
 // Read implements net.Conn.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
+		c.delivered.Store(true)
 		c.lastRead.Store(int64(c.clock()))
 	}
 	return n, err
--- a/internal/transport/target.go
+++ b/internal/transport/target.go
@@ -102,6 +102,8 @@
 	mu sync.Mutex
 	// conns holds the open connections.
 	conns map[*trackedConn]struct{}
+	// closedDelivered is when a connection that is closed now last delivered bytes.
+	closedDelivered time.Duration
 }
 
 // NewTarget returns a target for an IP address and port.
@@ -157,6 +159,8 @@
 	Header     http.Header
 	Body       []byte
 	Idempotent bool
+	// Silence says when a connection that does not deliver is given up.
+	Silence Silence
 }
 
 // Result is the result of a request. Response is set only with Answered. Its body
@@ -207,7 +211,7 @@
 // sendOnce makes one round trip and reports whether it was on a reused connection.
 func (t *Target) sendOnce(ctx context.Context, req Request, target *url.URL) (result Result, reused bool) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	a := &attempt{target: t, cancel: cancel, needsFresh: !req.Idempotent, freshFor: t.freshFor}
+	a := &attempt{target: t, cancel: cancel, needsFresh: !req.Idempotent, freshFor: t.freshFor, rule: req.Silence}
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: a.gotConn})
 	out := &http.Request{
 		Method:        req.Method,
@@ -227,6 +231,7 @@
 		transport = t.fresh
 	}
 	resp, err := transport.RoundTrip(out.WithContext(traced))
+	a.ended.Store(true)
 	a.stopWatching()
 	if err == nil {
 		err = t.checkHeader(req, resp)
@@ -257,7 +262,7 @@
 			err = errors.Wrap(err, ErrReplay.Error())
 		}
 	}
-	if a.reused && sent == MaybeSent && !errors.Is(err, context.Canceled) {
+	if a.reused && sent == MaybeSent && !errors.Is(err, context.Canceled) && !errors.Is(err, ErrSilent) {
 		t.Close()
 	}
 	return Result{Sent: sent, Err: err}
