--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -102,6 +102,8 @@
 	PoolItem
 	ticket   Ticket
 	returned bool
+	// rank is the request's place among the accounts of its priority; see Fairness.
+	rank uint64
 }
 
 // otherLoad is the load of one host that the pool did not admit.
@@ -120,6 +122,7 @@
 	lastTicket Ticket
 	others     map[string]otherLoad
 	returns    returnSchedule
+	fairness   Fairness
 	meanWork   time.Duration
 }
 
@@ -267,17 +270,36 @@
 }
 
 // sort puts the waiting requests in the order in which they are admitted: those that can meet their goal first, then by
-// priority, those whose callers come back at their time before new ones, then by goal and arrival.
+// priority, those whose callers come back at their time before new ones, then by turns of the client accounts, by goal
+// and by arrival.
 func (p *Pool) sort(now time.Duration) {
 	slices.SortStableFunc(p.waiting, func(a, b poolWaiting) int {
 		return cmp.Or(
-			cmp.Compare(itemMissesGoal(a.Item, now), itemMissesGoal(b.Item, now)),
-			cmp.Compare(a.Priority, b.Priority),
-			-cmp.Compare(asInt(a.returned), asInt(b.returned)),
+			comparePoolUrgency(a, b, now),
 			cmp.Compare(a.Goal, b.Goal),
 			cmp.Compare(a.ticket, b.ticket),
 		)
 	})
+	severalAccounts := slices.ContainsFunc(p.waiting, func(w poolWaiting) bool { return w.Account != p.waiting[0].Account })
+	if !severalAccounts {
+		return
+	}
+	p.fairness.BeginRanking()
+	for i, w := range p.waiting {
+		p.waiting[i].rank = p.fairness.Rank(w.Priority, w.Account)
+	}
+	slices.SortStableFunc(p.waiting, func(a, b poolWaiting) int {
+		return cmp.Or(comparePoolUrgency(a, b, now), cmp.Compare(a.rank, b.rank))
+	})
+}
+
+// comparePoolUrgency is compareUrgency for the requests of a pool.
+func comparePoolUrgency(a, b poolWaiting, now time.Duration) int {
+	return cmp.Or(
+		cmp.Compare(itemMissesGoal(a.Item, now), itemMissesGoal(b.Item, now)),
+		cmp.Compare(a.Priority, b.Priority),
+		-cmp.Compare(asInt(a.returned), asInt(b.returned)),
+	)
 }
 
 // otherLoads returns the number of requests without tickets at each server.
@@ -361,6 +383,10 @@
 
 // admit gives the request a ticket for the server.
 func (p *Pool) admit(w poolWaiting, s *poolServer, now time.Duration) PoolDecision {
+	if len(p.tickets) == 0 {
+		p.fairness.Idle()
+	}
+	p.fairness.Admitted(w.Priority, w.Account)
 	s.running++
 	s.usedAt = uint64(w.ticket)
 	p.tickets[w.ticket] = poolTicket{server: s, work: w.Work, expires: max(w.Deadline, now) + ticketGrace}
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -62,6 +62,8 @@
 	ticket Ticket
 	// returned says that the caller was refused before and has come back at the time that it was told.
 	returned bool
+	// rank is the request's place among the accounts of its priority; see Fairness.
+	rank uint64
 }
 
 // Queue holds the requests for one server. It is not safe for concurrent use.
@@ -75,6 +77,7 @@
 	// before the first sample.
 	meanWork time.Duration
 	returns  returnSchedule
+	fairness Fairness
 }
 
 // NewQueue returns the queue of a server that may have the given number of requests at a time.
@@ -94,7 +97,10 @@
 	ticket := q.lastTicket
 	returned := q.returns.arrive(item, now)
 	if q.running < q.slots && len(q.waiting) == 0 {
-		q.running++
+		if q.running == 0 {
+			q.fairness.Idle()
+		}
+		q.admit(item)
 		return ticket, []Decision{{Ticket: ticket, Admitted: true}}
 	}
 	w := waiting{Item: item, ticket: ticket, returned: returned}
@@ -126,12 +132,18 @@
 	decisions := q.refuseUnmeetable(now)
 	for q.running < q.slots && len(q.waiting) > 0 {
 		decisions = append(decisions, Decision{Ticket: q.waiting[0].ticket, Admitted: true})
+		q.admit(q.waiting[0].Item)
 		q.waiting = q.waiting[1:]
-		q.running++
 	}
 	return decisions
 }
 
+// admit counts a request that goes to the server.
+func (q *Queue) admit(item Item) {
+	q.running++
+	q.fairness.Admitted(item.Priority, item.Account)
+}
+
 // updateMeanWork adds a request's time to the moving average.
 func (q *Queue) updateMeanWork(took time.Duration) {
 	if q.meanWork == 0 {
@@ -142,18 +154,41 @@
 }
 
 // sort puts the waiting requests in the order in which they are admitted: those that can meet
-// their goal first, then by priority, those whose callers come back at their time before new ones, then
-// by goal and arrival.
+// their goal first, then by priority, those whose callers come back at their time before new ones, then by
+// turns of the client accounts, by goal and by arrival.
 func (q *Queue) sort(now time.Duration) {
 	slices.SortStableFunc(q.waiting, func(a, b waiting) int {
 		return cmp.Or(
-			cmp.Compare(itemMissesGoal(a.Item, now), itemMissesGoal(b.Item, now)),
-			cmp.Compare(a.Priority, b.Priority),
-			-cmp.Compare(asInt(a.returned), asInt(b.returned)),
+			compareUrgency(a, b, now),
 			cmp.Compare(a.Goal, b.Goal),
 			cmp.Compare(a.ticket, b.ticket),
 		)
 	})
+	if !q.severalAccounts() {
+		return
+	}
+	q.fairness.BeginRanking()
+	for i, w := range q.waiting {
+		q.waiting[i].rank = q.fairness.Rank(w.Priority, w.Account)
+	}
+	slices.SortStableFunc(q.waiting, func(a, b waiting) int {
+		return cmp.Or(compareUrgency(a, b, now), cmp.Compare(a.rank, b.rank))
+	})
+}
+
+// severalAccounts reports whether requests of more than one client account wait.
+func (q *Queue) severalAccounts() bool {
+	return slices.ContainsFunc(q.waiting, func(w waiting) bool { return w.Account != q.waiting[0].Account })
+}
+
+// compareUrgency compares what counts more than the accounts: whether the goal can be met, the priority, and whether
+// the caller has come back at its time.
+func compareUrgency(a, b waiting, now time.Duration) int {
+	return cmp.Or(
+		cmp.Compare(itemMissesGoal(a.Item, now), itemMissesGoal(b.Item, now)),
+		cmp.Compare(a.Priority, b.Priority),
+		-cmp.Compare(asInt(a.returned), asInt(b.returned)),
+	)
 }
 
 // refuseUnmeetable refuses the requests that, by the expected wait, can't meet their deadline.
