admission: one host of a zone admits the requests of all hosts for a pool of servers

With 62 to 91 hosts, each choosing among servers by its own few requests, no host knows how full a service is. The dispatcher of a pool (up to 64 servers of a service in a zone) is asked by Edge.Admit and told the ends in batches by Edge.Finish.

--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -22,7 +22,7 @@
 	// maxSlowness caps one sample of a server's slowness.
 	maxSlowness = 8.0
 	// minAvoid and maxAvoid are the shortest and longest time for which a server is avoided that could not be reached
-	// or was silent. The time doubles with each such end in a row. A full server is avoided for fullAvoid.
+	// or gave no answer. The time doubles with each such end in a row. A full server is avoided for fullAvoid.
 	minAvoid  = 150 * time.Millisecond
 	maxAvoid  = time.Second
 	fullAvoid = 60 * time.Millisecond
@@ -60,7 +60,7 @@
 	NoServer bool
 }
 
-// PoolEnd says how an admitted request ended.
+// PoolEnd says how an admitted request ended. Hosts send the numbers to each other, so they must not change.
 type PoolEnd int
 
 const (
@@ -70,10 +70,12 @@
 	PoolAnswered
 	// PoolFull means that the server has refused the request.
 	PoolFull
-	// PoolUnreachable means that no connection could be opened, or that the connection was found dead.
+	// PoolUnreachable means that no connection could be opened.
 	PoolUnreachable
-	// PoolLost means that the answer was lost or that nobody waits for it.
+	// PoolLost means that no usable answer came.
 	PoolLost
+	// PoolCancelled means that the caller has left, which says nothing about the server.
+	PoolCancelled
 )
 
 // poolServer is a server with the requests that it has.
@@ -204,7 +206,7 @@
 		s.avoidUntil = 0
 	case PoolFull:
 		s.avoidUntil = max(s.avoidUntil, now+fullAvoid)
-	case PoolUnreachable:
+	case PoolUnreachable, PoolLost:
 		s.avoidUntil = now + min(minAvoid<<min(s.failures, 8), maxAvoid)
 		s.failures++
 	}
@@ -383,7 +385,7 @@
 
 // admit gives the request a ticket for the server.
 func (p *Pool) admit(w poolWaiting, s *poolServer, now time.Duration) PoolDecision {
-	if len(p.tickets) == 0 {
+	if len(p.tickets) == 0 && len(p.waiting) <= 1 {
 		p.fairness.Idle()
 	}
 	p.fairness.Admitted(w.Priority, w.Account)
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -9,6 +9,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/poplarcroft/poplarcroft/internal/admission"
 	"github.com/poplarcroft/poplarcroft/internal/assign"
 	"github.com/poplarcroft/poplarcroft/internal/clock"
 	"github.com/poplarcroft/poplarcroft/internal/eventlog"
@@ -99,6 +100,9 @@
 	evidence        *evidenceSharing
 	configSharing   *configSharing
 	reach           *reachSharing
+	// pools are those that this host dispatches for.
+	pools             *admission.Pools
+	admissionCounters *admission.Counters
 
 	// leaving says that the host is shutting down.
 	leaving atomic.Bool
@@ -154,8 +158,16 @@
 		CutOff:       h.reach.CutOff,
 		ServersKnown: h.seenServers.Load, Clock: clock.Monotonic, Log: log,
 	})
+	h.admissionCounters = &admission.Counters{}
+	h.pools = admission.NewPools(admission.PoolsConfig{
+		Incarnation: h.self.Incarnation, Fleet: h.fleet, Clock: clock.Monotonic, Log: log,
+	}, h.admissionCounters)
 	h.ingress = front.New(front.Config{
 		Self: config.Name,
+		Admission: admission.NewClient(admission.ClientConfig{
+			Self: h.self, Plan: h.current.Plan, Fleet: h.fleet, CutOff: h.reach.CutOff, Own: h.pools,
+			Peers: &dispatchers{pool: peer.NewPool(peer.DialFunc(dialHost))}, Clock: clock.Monotonic, Log: log,
+		}, h.admissionCounters),
 		Hosts: transport.NewPool(transport.Options{
 			Dial: dialHost, Connections: peerConnections, IdleTimeout: idleTimeout, RequestIDHeader: config.Headers.RequestID,
 		}),
@@ -235,7 +247,7 @@
 	for _, run := range []func(context.Context){
 		h.followOperatorRecords, h.followState, h.followServers, h.renewer.Run,
 		h.leader.RunElection, h.leader.Run, h.reportLoad, h.evidence.run, h.configSharing.run,
-		h.reach.monitor.Run, h.reach.run,
+		h.reach.monitor.Run, h.reach.run, h.pools.Run,
 	} {
 		loops.Go(func() { run(running) })
 	}
@@ -254,6 +266,7 @@
 	h.log.Event("leave", "host", h.self.Name)
 	h.leaving.Store(true)
 	h.ingress.Leave()
+	h.pools.Leave()
 	started := time.Now()
 	time.Sleep(min(lameDuckPeriod, h.config.Grace/2))
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(h.config.Grace-exitReserve))
--- a/internal/edge/listen.go
+++ b/internal/edge/listen.go
@@ -54,7 +54,7 @@
 	rpcServer := rpc.NewServer()
 	err := rpcServer.RegisterName(rpcName, &rpcService{
 		self: h.self, current: h.current, renewer: h.renewer, leader: h.leader, guard: h.guard, fleet: h.fleet, relay: h.relay,
-		records: h.operatorRecords, reach: h.reach, log: h.log,
+		records: h.operatorRecords, reach: h.reach, pools: h.pools, log: h.log,
 	})
 	if err != nil {
 		panic(errors.NewAssertionErrorWithWrappedErrf(err, "register RPC methods"))
@@ -95,7 +95,8 @@
 	w.Header().Set("Content-Type", "application/json")
 	err := json.NewEncoder(w).Encode(map[string]any{
 		"door": h.ingress.Counters.Snapshot(), "leads": h.leader.IsLeader(), "plan": uint64(h.current.Plan().Version),
-		"relay": h.relay.Counters.Snapshot(), "log_lines_dropped": h.log.Dropped(),
+		"admission": map[string]any{"counts": h.admissionCounters.Snapshot(), "pools": h.pools.Snapshot()},
+		"relay":     h.relay.Counters.Snapshot(), "log_lines_dropped": h.log.Dropped(),
 	})
 	if err != nil {
 		h.log.Routine("metrics", "outcome", "failed", "err", err.Error())
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/poplarcroft/poplarcroft/internal/admission"
 	"github.com/poplarcroft/poplarcroft/internal/assign"
 	"github.com/poplarcroft/poplarcroft/internal/eventlog"
 	"github.com/poplarcroft/poplarcroft/internal/fleet"
@@ -109,6 +110,7 @@
 	relay   *relay.Relay
 	records *operatorRecords
 	reach   *reachSharing
+	pools   *admission.Pools
 	log     *eventlog.Log
 }
 
--- a/internal/front/ingress.go
+++ b/internal/front/ingress.go
@@ -42,6 +42,8 @@
 	Dial  transport.DialFunc
 	// Reach knows which hosts reach servers.
 	Reach Reach
+	// Admission asks for slots at servers of services without keys. If it is nil, this host chooses servers by itself.
+	Admission Admission
 	// Table returns the configuration in force, or nil if none has been received yet.
 	Table func() *routetable.Table
 	// ColdRateLimit returns the maximum number of requests per second, from all hosts together,
--- a/internal/front/keyed.go
+++ b/internal/front/keyed.go
@@ -169,6 +169,7 @@
 	gate := k.ingress.gates.get(server.Entry())
 	retryAfter, ok := gate.Acquire(ctx, dispatch.Item{
 		Account:  k.r.Account,
+		Caller:   callerOf(k.r),
 		Priority: k.r.Priority,
 		Goal:     k.r.Arrived + k.r.Route.Goal,
 		Deadline: k.r.Deadline,
--- a/internal/front/keyless.go
+++ b/internal/front/keyless.go
@@ -74,16 +74,22 @@
 		if !in.config.Guard.AwaitTrial(ctx, r.Fingerprint) {
 			break
 		}
-		now := in.clock()
-		server, ok := in.fleet.Choose(r.Service.Name, k.excluded, in.sharedWithHosts, now)
+		chosen, refused, ok := in.choose(ctx, r, k)
 		if !ok {
-			if limited, ok := in.fleet.Limited(r.Service.Name, in.sharedWithHosts, now); ok && !k.reachedServer {
-				k.last = in.refusedBy(fleet.RefusedLimit, limited, in.sharedWithHosts(limited))
-			}
-			return k.finalResult(k.last)
+			return k.finalResult(refused)
+		}
+		if ctx.Err() != nil {
+			chosen.end(nil)
+			break
 		}
+		server := chosen.server
 		k.excluded = append(k.excluded, server.Entry().ID)
 		a, refusal, sent := in.sendIfAllowed(ctx, r, server, k.reachedServer)
+		if !sent {
+			chosen.end(nil)
+		} else {
+			chosen.end(&a)
+		}
 		if !sent && refusal.Reason == reasonBudget {
 			return k.finalResult(k.last)
 		}
