--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -7,12 +7,18 @@
 )
 
 const (
-	// queuedAtServer is the largest number of requests sent to a server beyond its slots. The request that waits there
-	// starts without the delay of the messages between the hosts.
-	queuedAtServer = 1
+	// queuedAtFastServer is the number of requests sent to a fast server beyond its slots. The request that waits there
+	// starts without the delay of the messages between the hosts. In the replay of pool_replay_test.go, one more at every
+	// server has more urgent requests miss their goal, and none at any has more of the others refused.
+	queuedAtFastServer = 1
+	// fastSlowness is the slowness below which a server counts as fast.
+	fastSlowness = 0.9
 	// halfWidthFor is how long a new pool uses half of each server's width. Requests that an earlier dispatcher has
 	// admitted may still run, and hosts name theirs only when they ask.
 	halfWidthFor = time.Second
+	// sortInterval is the time between two complete passes over the waiting requests. Between them, the order in which
+	// requests are admitted lags behind the times by which goals are missed.
+	sortInterval = 10 * time.Millisecond
 	// ticketGrace is how long after its deadline a ticket is freed that its host has not finished.
 	ticketGrace = 250 * time.Millisecond
 	// otherLoadFor is how long the requests count that a host sends without tickets, after it has named them.
@@ -21,25 +27,8 @@
 	speedWeight = 0.1
 	// maxSlowness caps one sample of a server's slowness.
 	maxSlowness = 8.0
-	// minAvoid and maxAvoid are the shortest and longest time for which a server is avoided that could not be reached
-	// or gave no answer. The time doubles with each such end in a row. A full server is avoided for fullAvoid.
-	minAvoid  = 150 * time.Millisecond
-	maxAvoid  = time.Second
-	fullAvoid = 60 * time.Millisecond
 )
 
-// PoolServer is a server of a pool, as the owner of the pool knows it.
-type PoolServer struct {
-	ID string
-	// Born distinguishes the incarnations of a server.
-	Born int64
-	// Slots is the number of requests that the server executes at a time.
-	Slots int
-	// Cold servers get requests only if there is no warm one, and Last ones if there is no other at all. Leaving ones
-	// get none.
-	Cold, Last, Leaving bool
-}
-
 // PoolItem describes a request that needs a slot at any server of a pool.
 type PoolItem struct {
 	Item
@@ -78,20 +67,6 @@
 	PoolCancelled
 )
 
-// poolServer is a server with the requests that it has.
-type poolServer struct {
-	PoolServer
-	// width is the maximum number of requests at the server, or zero if it has not been set.
-	width   int
-	running int
-	// slowness is the average of the time that requests take divided by their expected work.
-	slowness   float64
-	avoidUntil time.Duration
-	failures   int
-	// usedAt orders servers that are equal otherwise.
-	usedAt uint64
-}
-
 // poolTicket is an admitted request.
 type poolTicket struct {
 	server  *poolServer
@@ -117,9 +92,12 @@
 // Pool holds the requests for the servers of a service that may all execute them, and decides which server gets which
 // request, and when. It is not safe for concurrent use.
 type Pool struct {
-	startedAt  time.Duration
-	servers    []*poolServer
+	startedAt time.Duration
+	servers   []*poolServer
+	// waiting is sorted as of sortedAt. ranked says that its requests have ranks, since they are of several accounts.
 	waiting    []poolWaiting
+	sortedAt   time.Duration
+	ranked     bool
 	tickets    map[Ticket]poolTicket
 	lastTicket Ticket
 	others     map[string]otherLoad
@@ -170,9 +148,29 @@
 	} else {
 		delete(p.others, item.Host)
 	}
-	returned := p.returns.arrive(item.Item, now)
-	p.waiting = append(p.waiting, poolWaiting{PoolItem: item, ticket: ticket, returned: returned})
-	return ticket, p.Advance(now)
+	p.insert(poolWaiting{PoolItem: item, ticket: ticket, returned: p.returns.arrive(item.Item, now)}, now)
+	decisions := p.Advance(now)
+	if i := slices.IndexFunc(p.waiting, func(w poolWaiting) bool { return w.ticket == ticket }); i >= 0 {
+		if refusal, refused := p.refusal(p.waiting[i], i, now); refused {
+			p.waiting = slices.Delete(p.waiting, i, i+1)
+			decisions = append(decisions, refusal)
+		}
+	}
+	return ticket, decisions
+}
+
+// insert adds a request at its place in the order.
+func (p *Pool) insert(w poolWaiting, now time.Duration) {
+	if len(p.waiting) > 0 && !p.ranked && w.Account != p.waiting[0].Account {
+		p.waiting = append(p.waiting, w)
+		p.sort(now)
+		return
+	}
+	if p.ranked {
+		w.rank = p.fairness.Rank(w.Priority, w.Account)
+	}
+	i, _ := slices.BinarySearchFunc(p.waiting, w, func(a, b poolWaiting) int { return comparePoolOrder(a, b, now) })
+	p.waiting = slices.Insert(p.waiting, i, w)
 }
 
 // Cancel removes a waiting request. It returns false if the request is not waiting.
@@ -198,20 +196,6 @@
 	return p.Advance(now)
 }
 
-// record updates when the server is avoided.
-func (s *poolServer) record(end PoolEnd, now time.Duration) {
-	switch end {
-	case PoolAnswered:
-		s.failures = 0
-		s.avoidUntil = 0
-	case PoolFull:
-		s.avoidUntil = max(s.avoidUntil, now+fullAvoid)
-	case PoolUnreachable, PoolLost:
-		s.avoidUntil = now + min(minAvoid<<min(s.failures, 8), maxAvoid)
-		s.failures++
-	}
-}
-
 // recordTime updates the averages with the time of an answered request.
 func (p *Pool) recordTime(t poolTicket, took time.Duration) {
 	if p.meanWork == 0 {
@@ -224,36 +208,57 @@
 	}
 }
 
-// Advance frees expired tickets, admits requests to free slots, and refuses those that can't meet their deadline.
+// Advance admits requests to free slots. At regular intervals it also frees expired tickets, sorts the requests, and
+// refuses those that can't meet their deadline.
 func (p *Pool) Advance(now time.Duration) []PoolDecision {
+	if now-p.sortedAt < sortInterval {
+		return p.admitWaiting(now)
+	}
 	p.expire(now)
 	p.sort(now)
-	load := p.otherLoads()
-	var decisions []PoolDecision
+	decisions := p.admitWaiting(now)
 	kept := p.waiting[:0]
-	room := true
 	for _, w := range p.waiting {
-		s, usable, free := (*poolServer)(nil), 0, false
-		if room || len(w.Excluded) > 0 {
-			s, usable, free = p.pick(w, load, now)
-		} else {
-			usable = 1
-		}
-		switch {
-		case s != nil:
-			decisions = append(decisions, p.admit(w, s, now))
+		if refusal, refused := p.refusal(w, len(kept), now); refused {
+			decisions = append(decisions, refusal)
 			continue
-		case usable == 0:
-			decisions = append(decisions, PoolDecision{Decision: Decision{Ticket: w.ticket, RetryAfter: p.retryAfter(w, len(kept), now)}, NoServer: true})
-			continue
-		case !free && len(w.Excluded) == 0:
-			room = false
 		}
 		kept = append(kept, w)
 	}
 	clear(p.waiting[len(kept):])
 	p.waiting = kept
-	return append(decisions, p.refuseUnmeetable(now)...)
+	return decisions
+}
+
+// admitWaiting admits waiting requests in their order while servers have room.
+func (p *Pool) admitWaiting(now time.Duration) []PoolDecision {
+	load := p.otherLoads()
+	var decisions []PoolDecision
+	for i := 0; i < len(p.waiting); {
+		w := p.waiting[i]
+		s := p.pick(w, load, now)
+		switch {
+		case s != nil:
+			p.waiting = slices.Delete(p.waiting, i, i+1)
+			decisions = append(decisions, p.admit(w, s, now))
+		case len(w.Excluded) == 0:
+			return decisions
+		default:
+			i++
+		}
+	}
+	return decisions
+}
+
+// refusal refuses a request with the given number of others ahead of it if no server may get it or if, by the expected
+// wait, it can't meet its deadline. It returns false if the request may wait.
+func (p *Pool) refusal(w poolWaiting, ahead int, now time.Duration) (PoolDecision, bool) {
+	noServer := !slices.ContainsFunc(p.servers, func(s *poolServer) bool { return s.mayGet(w) })
+	expected := now + time.Duration(waitMargin*float64(p.wait(ahead, now))) + w.Work
+	if !noServer && expected <= w.Deadline {
+		return PoolDecision{}, false
+	}
+	return PoolDecision{Decision: Decision{Ticket: w.ticket, RetryAfter: p.retryAfter(w, p.waiting[:ahead], now)}, NoServer: noServer}, true
 }
 
 // expire frees the tickets whose hosts have not finished them in time, and forgets outdated load.
@@ -275,24 +280,31 @@
 // priority, those whose callers come back at their time before new ones, then by turns of the client accounts, by goal
 // and by arrival.
 func (p *Pool) sort(now time.Duration) {
-	slices.SortStableFunc(p.waiting, func(a, b poolWaiting) int {
-		return cmp.Or(
-			comparePoolUrgency(a, b, now),
-			cmp.Compare(a.Goal, b.Goal),
-			cmp.Compare(a.ticket, b.ticket),
-		)
-	})
-	severalAccounts := slices.ContainsFunc(p.waiting, func(w poolWaiting) bool { return w.Account != p.waiting[0].Account })
-	if !severalAccounts {
+	p.sortedAt = now
+	for i := range p.waiting {
+		p.waiting[i].rank = 0
+	}
+	inOrder := func(a, b poolWaiting) int { return comparePoolOrder(a, b, now) }
+	slices.SortFunc(p.waiting, inOrder)
+	p.ranked = slices.ContainsFunc(p.waiting, func(w poolWaiting) bool { return w.Account != p.waiting[0].Account })
+	if !p.ranked {
 		return
 	}
 	p.fairness.BeginRanking()
 	for i, w := range p.waiting {
 		p.waiting[i].rank = p.fairness.Rank(w.Priority, w.Account)
 	}
-	slices.SortStableFunc(p.waiting, func(a, b poolWaiting) int {
-		return cmp.Or(comparePoolUrgency(a, b, now), cmp.Compare(a.rank, b.rank))
-	})
+	slices.SortFunc(p.waiting, inOrder)
+}
+
+// comparePoolOrder compares the places of two requests in the order.
+func comparePoolOrder(a, b poolWaiting, now time.Duration) int {
+	return cmp.Or(
+		comparePoolUrgency(a, b, now),
+		cmp.Compare(a.rank, b.rank),
+		cmp.Compare(a.Goal, b.Goal),
+		cmp.Compare(a.ticket, b.ticket),
+	)
 }
 
 // comparePoolUrgency is compareUrgency for the requests of a pool.
@@ -318,69 +330,30 @@
 	return loads
 }
 
-// widthOf returns the maximum number of requests at a server now.
-func (p *Pool) widthOf(s *poolServer, now time.Duration) int {
-	if s.Leaving {
-		return 0
-	}
-	width := max(s.Slots, 1) + queuedAtServer
-	if s.width > 0 {
-		width = min(width, s.width)
-	}
-	if now < p.startedAt+halfWidthFor {
-		width = max(width/2, 1)
-	}
-	return width
-}
-
-// pick returns the server that gets a request now, or nil if it has to wait. Usable is the number of servers that may
-// get it at all, and free says whether one of them has room.
-func (p *Pool) pick(w poolWaiting, load map[string]int, now time.Duration) (best *poolServer, usable int, free bool) {
+// pick returns the server that gets a request now, or nil if it has to wait: all servers of the best class have no room.
+func (p *Pool) pick(w poolWaiting, load map[string]int, now time.Duration) *poolServer {
+	var best *poolServer
 	bestRank, bestCost := 0, 0.0
-	lowest := len(serverRanks)
+	lowest := rankLast
 	for _, s := range p.servers {
-		if s.Leaving || slices.Contains(w.Excluded, s.ID) {
+		if !s.mayGet(w) {
 			continue
 		}
-		usable++
 		rank := s.rank(now)
 		lowest = min(lowest, rank)
 		busy := s.running + load[s.ID]
 		if busy >= p.widthOf(s, now) {
 			continue
 		}
-		free = true
 		cost := s.cost(busy)
 		if best == nil || cmp.Or(cmp.Compare(rank, bestRank), cmp.Compare(cost, bestCost), cmp.Compare(s.usedAt, best.usedAt)) < 0 {
 			best, bestRank, bestCost = s, rank, cost
 		}
 	}
-	if best != nil && bestRank > lowest {
-		// Servers that are better have no room now. The request waits for one of them.
-		return nil, usable, false
+	if bestRank > lowest {
+		return nil
 	}
-	return best, usable, free
-}
-
-// serverRanks are the classes of servers in order of preference.
-var serverRanks = [...]string{"warm", "cold", "last"}
-
-// rank returns the server's class.
-func (s *poolServer) rank(now time.Duration) int {
-	switch {
-	case s.Last || now < s.avoidUntil:
-		return 2
-	case s.Cold:
-		return 1
-	}
-	return 0
-}
-
-// cost estimates the time of a further request at the server, as a multiple of its work.
-func (s *poolServer) cost(busy int) float64 {
-	slots := max(s.Slots, 1)
-	wait := float64(max(busy+1-slots, 0)) / float64(slots)
-	return s.slowness * (1 + wait)
+	return best
 }
 
 // admit gives the request a ticket for the server.
@@ -395,23 +368,6 @@
 	return PoolDecision{Decision: Decision{Ticket: w.ticket, Admitted: true}, Server: s.ID, Born: s.Born}
 }
 
-// refuseUnmeetable refuses the requests that, by the expected wait, can't meet their deadline.
-func (p *Pool) refuseUnmeetable(now time.Duration) []PoolDecision {
-	var decisions []PoolDecision
-	kept := p.waiting[:0]
-	for _, w := range p.waiting {
-		wait := p.wait(len(kept), now)
-		if now+time.Duration(waitMargin*float64(wait))+w.Work > w.Deadline {
-			decisions = append(decisions, PoolDecision{Decision: Decision{Ticket: w.ticket, RetryAfter: p.retryAfter(w, len(kept), now)}})
-			continue
-		}
-		kept = append(kept, w)
-	}
-	clear(p.waiting[len(kept):])
-	p.waiting = kept
-	return decisions
-}
-
 // slots returns the number of slots of the servers that get requests, and of those that would get them last if there
 // is no other.
 func (p *Pool) slots(now time.Duration) int {
@@ -419,7 +375,7 @@
 	for _, s := range p.servers {
 		switch {
 		case s.Leaving:
-		case s.rank(now) > 0:
+		case s.rank(now) > rankWarm:
 			last += max(s.Slots, 1)
 		default:
 			slots += min(max(s.Slots, 1), p.widthOf(s, now))
@@ -438,11 +394,14 @@
 	return time.Duration(max(turns, 0) * float64(p.meanWork))
 }
 
-// retryAfter returns when a refused request may be retried.
-func (p *Pool) retryAfter(w poolWaiting, ahead int, now time.Duration) time.Duration {
-	slots := p.slots(now)
-	backlog := time.Duration(float64(len(p.tickets)+ahead) * float64(p.meanWork))
-	return p.returns.refuse(w.Item, slots, backlog, now)
+// retryAfter returns when a refused request may be retried. By then the requests at the servers and the more urgent ones of
+// those ahead of it should have ended: it will go before the others of its priority.
+func (p *Pool) retryAfter(w poolWaiting, ahead []poolWaiting, now time.Duration) time.Duration {
+	before := len(p.tickets)
+	for _, other := range ahead {
+		before += asInt(other.Priority < w.Priority)
+	}
+	return p.returns.refuse(w.Item, p.slots(now), time.Duration(float64(before)*float64(p.meanWork)), now)
 }
 
 // server returns the server with the ID, or nil.
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -198,7 +198,7 @@
 	for _, w := range q.waiting {
 		wait := q.wait(len(kept))
 		if now+time.Duration(waitMargin*float64(wait))+w.Work > w.Deadline {
-			decisions = append(decisions, Decision{Ticket: w.ticket, RetryAfter: q.retryAfter(w, len(kept), now)})
+			decisions = append(decisions, Decision{Ticket: w.ticket, RetryAfter: q.retryAfter(w, kept, now)})
 			continue
 		}
 		kept = append(kept, w)
@@ -213,8 +213,12 @@
 	return time.Duration(max(turns, 0) * float64(q.meanWork))
 }
 
-// retryAfter returns when a refused request may be retried: at a time at which a slot is expected to be free for it.
-func (q *Queue) retryAfter(w waiting, ahead int, now time.Duration) time.Duration {
-	backlog := time.Duration(float64(q.running+ahead) * float64(q.meanWork))
-	return q.returns.refuse(w.Item, q.slots, backlog, now)
+// retryAfter returns when a refused request may be retried. By then the requests at the server and the more urgent ones of
+// those ahead of it should have ended: it will go before the others of its priority.
+func (q *Queue) retryAfter(w waiting, ahead []waiting, now time.Duration) time.Duration {
+	before := q.running
+	for _, other := range ahead {
+		before += asInt(other.Priority < w.Priority)
+	}
+	return q.returns.refuse(w.Item, q.slots, time.Duration(float64(before)*float64(q.meanWork)), now)
 }
--- a/internal/dispatch/returns.go
+++ b/internal/dispatch/returns.go
@@ -100,8 +100,7 @@
 	if i := s.find(item.Caller); i >= 0 {
 		return min(max(s.reserved[i].at-now, min(minRetryAfter, third)), longest)
 	}
-	at := s.freeAt(item, float64(max(width, 1)), backlog, now)
-	at = max(at, now+min(minRetryAfter, third))
+	at := s.freeAt(item, float64(max(width, 1)), max(backlog, 0), now+min(minRetryAfter, third), now)
 	if at > now+longest {
 		return longest
 	}
@@ -112,8 +111,9 @@
 }
 
 // freeAt returns the time by which the capacity that new requests of the same or a more urgent priority leave free
-// suffices for the reservations of these priorities and for the item.
-func (s *returnSchedule) freeAt(item Item, width float64, backlog, now time.Duration) time.Duration {
+// suffices for the reservations of these priorities and for the item, counted from the earliest time at which the backlog
+// has been served.
+func (s *returnSchedule) freeAt(item Item, width float64, backlog, earliest, now time.Duration) time.Duration {
 	free := width
 	for priority, rate := range s.arrivals {
 		if priority <= item.Priority {
@@ -121,11 +121,11 @@
 		}
 	}
 	free = max(free, minFreeShare*width)
-	start := now + time.Duration(float64(backlog)/width)
+	start := max(now+time.Duration(float64(backlog)/width), earliest)
 	work := item.Work
 	at := start + time.Duration(float64(work)/free)
 	for _, r := range s.reserved {
-		if r.at >= at {
+		if r.at > at {
 			break
 		}
 		if r.priority <= item.Priority {
