--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -121,13 +121,22 @@
 	return Ask{Service: "archiv", Caller: 1, Goal: n.clock() + time.Second, Deadline: n.clock() + 5*time.Second, Work: 100 * ms}
 }
 
+// simulate runs a test in simulated time and waits until all messages have been sent.
+func simulate(t *testing.T, test func(*testing.T)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		test(t)
+		time.Sleep(10 * time.Second)
+	})
+}
+
 // TestPoolsAreUsedOnlyWhereHostsAreManyAndSlotsFew guards against a change for all other deployments.
 func TestPoolsAreUsedOnlyWhereHostsAreManyAndSlotsFew(t *testing.T) {
 	for _, test := range []struct {
 		hosts, servers int
 		used           bool
 	}{{20, 10, true}, {20, 49, true}, {20, 50, false}, {19, 10, false}, {62, 76, true}, {4, 1, false}} {
-		synctest.Test(t, func(t *testing.T) {
+		simulate(t, func(t *testing.T) {
 			n := newNetwork(test.hosts, test.servers)
 			_, used := (&layouts{}).get(n.fleet, n.plan, "archiv", "z", n.clock())
 			assert.Equal(t, used, test.used, "%+v", test)
@@ -152,7 +161,7 @@
 
 // TestHostsShareAPool guards against a server that gets requests of several hosts at once.
 func TestHostsShareAPool(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simulate(t, func(t *testing.T) {
 		n := newNetwork(20, 2)
 		used := make(map[fleet.ID]int)
 		var granted []Answer
@@ -185,7 +194,7 @@
 		"cut off": func(n *network, host string) { n.set(n.cutOff, host, true) },
 	} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			simulate(t, func(t *testing.T) {
 				n := newNetwork(20, 2)
 				fail(n, n.plan.Hosts[n.dispatcher(0)].Name)
 				c := n.client(n.dispatcher(5))
@@ -206,7 +215,7 @@
 
 // TestHostChoosesAloneWithoutADispatcher guards against refusals while no dispatcher can be asked.
 func TestHostChoosesAloneWithoutADispatcher(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simulate(t, func(t *testing.T) {
 		n := newNetwork(20, 2)
 		for _, host := range n.plan.Hosts {
 			n.set(n.old, host.Name, true)
@@ -222,7 +231,7 @@
 
 // TestWaitingRequestsMoveWhenTheDispatcherLeaves guards against requests that are cut off by a planned shutdown.
 func TestWaitingRequestsMoveWhenTheDispatcherLeaves(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simulate(t, func(t *testing.T) {
 		n := newNetwork(20, 1)
 		first := n.client(n.dispatcher(5)).Admit(t.Context(), n.ask())
 		assert.Equal(t, first.Outcome, Granted)
@@ -240,7 +249,7 @@
 // decision is still open or on its way.
 func TestCallerThatLeavesWithdrawsItsRequest(t *testing.T) {
 	for _, leaveAfter := range []time.Duration{ms / 2, ms + ms/2, 50 * ms} {
-		synctest.Test(t, func(t *testing.T) {
+		simulate(t, func(t *testing.T) {
 			n := newNetwork(20, 1)
 			c := n.client(n.dispatcher(5))
 			if leaveAfter > 2*ms {
@@ -252,14 +261,12 @@
 			assert.Equal(t, answer.Outcome, Denied)
 			time.Sleep(100 * ms)
 			own := n.pools[n.plan.Hosts[n.dispatcher(0)].Name]
-			for _, pool := range own.pools {
-				running, queued := pool.gate.Len()
-				assert.Equal(t, queued, 0)
-				if leaveAfter > 2*ms {
-					running--
-				}
-				assert.Equal(t, running, 0, "%v", leaveAfter)
+			running, queued := own.gate(Pool{Service: "archiv", Zone: "z"}).Len()
+			assert.Equal(t, queued, 0)
+			if leaveAfter > 2*ms {
+				running--
 			}
+			assert.Equal(t, running, 0, "%v", leaveAfter)
 			assert.Equal(t, own.waiting.Load(), int64(0))
 		})
 	}
@@ -268,7 +275,7 @@
 // TestDispatcherCountsRequestsWithoutTickets guards against a new dispatcher that fills servers which still have a host's
 // requests under another one.
 func TestDispatcherCountsRequestsWithoutTickets(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simulate(t, func(t *testing.T) {
 		n := newNetwork(20, 2)
 		c := n.client(n.dispatcher(5))
 		ended := c.SentAlone("s00")
@@ -283,7 +290,7 @@
 
 // TestUnknownServerIsGivenBack guards against a request that is sent to another incarnation than the dispatcher has meant.
 func TestUnknownServerIsGivenBack(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simulate(t, func(t *testing.T) {
 		n := newNetwork(20, 2)
 		c := n.client(n.dispatcher(5))
 		c.config.Fleet = fleet.New(fleet.Options{Zone: "z", Target: func(string) *transport.Target { return nil }})
@@ -298,15 +305,16 @@
 
 // TestWaitingRequestsAreBounded guards against a host whose memory is used up by waiting requests.
 func TestWaitingRequestsAreBounded(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	simulate(t, func(t *testing.T) {
 		n := newNetwork(20, 1)
 		own := n.pools["h00"]
 		args := AdmitArgs{From: "h01", Pool: Pool{Service: "archiv", Zone: "z"}, GoalIn: time.Second, DeadlineIn: time.Minute}
 		var group sync.WaitGroup
 		ctx, cancel := context.WithCancel(t.Context())
 		for i := range maxWaiting + 1 {
-			args.Number = uint64(i + 1)
-			group.Go(func() { own.Admit(ctx, args) })
+			waiting := args
+			waiting.Number = uint64(i + 1)
+			group.Go(func() { own.Admit(ctx, waiting) })
 		}
 		synctest.Wait()
 		args.Number = maxWaiting + 2
--- a/internal/admission/client.go
+++ b/internal/admission/client.go
@@ -16,7 +16,8 @@
 const (
 	// maxAsking bounds the requests of this host that wait for a dispatcher's decision.
 	maxAsking = 512
-	// maxDispatchers is the number of hosts that are asked in order before this host chooses a server by itself.
+	// maxDispatchers is the number of hosts, in order, that may be the dispatcher of a pool. With more, hosts that reach
+	// different ones would have many dispatchers, none of which knows the load of the servers.
 	maxDispatchers = 3
 	// maxUnknownServers is the number of admissions to servers that this host does not know before it chooses by itself.
 	maxUnknownServers = 3
@@ -171,18 +172,18 @@
 // askDispatchers asks the hosts in the order in which they are the dispatcher of the pool. It returns false if none of them
 // decides. The link is nil if this host has decided itself.
 func (c *Client) askDispatchers(ctx context.Context, pool Pool, ask Ask) (AdmitReply, *link, bool) {
-	asked := 0
+	position := 0
 	for _, host := range c.rankings.get(c.config.Plan(), pool) {
-		if asked == maxDispatchers || ctx.Err() != nil {
+		if position == maxDispatchers || ctx.Err() != nil {
 			break
 		}
 		if c.config.CutOff(host.Name) {
 			continue
 		}
+		position++
+		args := c.args(pool, ask, host.Incarnation)
 		if host.SameIncarnation(c.config.Self) {
-			asked++
-			reply := c.config.Own.Admit(ctx, c.args(pool, ask, host.Incarnation))
-			if reply.Verdict != NotHere {
+			if reply := c.config.Own.Admit(ctx, args); reply.Verdict != NotHere {
 				return reply, nil, true
 			}
 			continue
@@ -191,8 +192,7 @@
 		if !via.usable() {
 			continue
 		}
-		asked++
-		if reply, ok := via.admit(ctx, c.args(pool, ask, host.Incarnation)); ok {
+		if reply, ok := via.admit(ctx, args); ok {
 			return reply, via, true
 		}
 	}
