--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -45,8 +45,14 @@
 	// Grace is the time from the signal to stop until the platform kills the process.
 	Grace  time.Duration
 	Timing grants.Timing
-	// Capacity is this host's share of a processor.
+	// Capacity is this host's share of a processor, in cores.
 	Capacity float64
+	// Weight is this host's capacity for requests; see assign.Host.
+	Weight float64
+	// MemoryBytes is the memory of the process, and LinkBytesPerS the rate of the host's network link in bytes per
+	// second. Zero means that they are not known.
+	MemoryBytes   int64
+	LinkBytesPerS float64
 	// DialServer opens the connections to backend servers.
 	DialServer transport.DialFunc
 }
@@ -75,6 +81,8 @@
 	freshFor = 100 * time.Millisecond
 	// idleTimeout is how long an idle connection to a server or host is kept.
 	idleTimeout = 8 * time.Second
+	// bodyMemoryShare is the divisor for the part of the memory that bodies of requests and answers may take.
+	bodyMemoryShare = 4
 	// headerTimeout is the time within which a caller must send the header of a request.
 	headerTimeout = 10 * time.Second
 )
@@ -103,6 +111,7 @@
 	// pools are those that this host dispatches for.
 	pools             *admission.Pools
 	admissionCounters *admission.Counters
+	shares            *shareLeasing
 
 	// leaving says that the host is shutting down.
 	leaving atomic.Bool
@@ -116,6 +125,7 @@
 	dialHost := transport.Dialer("")
 	h.self = assign.Host{
 		Name: config.Name, Incarnation: uuid.NewString(), Zone: config.Zone, Addr: config.PeerAddr, Capacity: config.Capacity,
+		Weight: config.Weight, KnownOrder: assign.OrderByWeight,
 	}
 	h.current = assign.NewCurrent()
 	h.fleet = fleet.New(fleet.Options{Zone: config.Zone, Target: h.target})
@@ -162,6 +172,7 @@
 	h.pools = admission.NewPools(admission.PoolsConfig{
 		Incarnation: h.self.Incarnation, Fleet: h.fleet, Clock: clock.Monotonic, Log: log,
 	}, h.admissionCounters)
+	h.shares = newShareLeasing(h.self, h.current, h.peers, h.needsShares, clock.Monotonic, log)
 	h.ingress = front.New(front.Config{
 		Self: config.Name,
 		Admission: admission.NewClient(admission.ClientConfig{
@@ -170,13 +181,15 @@
 		}, h.admissionCounters),
 		Hosts: transport.NewPool(transport.Options{
 			Dial: dialHost, Connections: peerConnections, IdleTimeout: idleTimeout, RequestIDHeader: config.Headers.RequestID,
+			RequireID: true,
 		}),
 		Headers: config.Headers, Fleet: h.fleet, Guard: h.guard, Dial: config.DialServer, Reach: h.reach, Current: h.current, Table: h.operatorRecords.Table,
 		ColdRateLimit: h.coldRateLimit, OnFact: h.broadcastFact,
 		Budget: front.BudgetConfig{
 			Ratio: config.RetryRatio, Extra: config.RetryExtra, Window: config.RetryWindow, Hosts: h.hostCount,
 		},
-		Clock: clock.Monotonic, Log: log,
+		BodyMemory: config.MemoryBytes / bodyMemoryShare, LinkBytesPerS: config.LinkBytesPerS,
+		Shares: h.shares.holder, Clock: clock.Monotonic, Log: log,
 	})
 	return h
 }
@@ -210,6 +223,7 @@
 		FreshFor:        freshFor,
 		IdleTimeout:     idleTimeout,
 		RequestIDHeader: h.config.Headers.RequestID,
+		RequireID:       true,
 		Undelimited:     true,
 	})
 }
@@ -247,7 +261,7 @@
 	for _, run := range []func(context.Context){
 		h.followOperatorRecords, h.followState, h.followServers, h.renewer.Run,
 		h.leader.RunElection, h.leader.Run, h.reportLoad, h.evidence.run, h.configSharing.run,
-		h.reach.monitor.Run, h.reach.run, h.pools.Run,
+		h.reach.monitor.Run, h.reach.run, h.shares.run, h.pools.Run,
 	} {
 		loops.Go(func() { run(running) })
 	}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -111,6 +111,7 @@
 	records *operatorRecords
 	reach   *reachSharing
 	pools   *admission.Pools
+	shares  *shareLeasing
 	log     *eventlog.Log
 }
 
--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -62,7 +62,7 @@
 	now := in.clock()
 	server, ok := in.fleet.Choose(r.Service.Name, k.excluded, in.sharedWithHosts, now)
 	if ok {
-		return place{server, func(*attempt) {}}, Result{}, true
+		return place{in.relievedByCold(r, server, k.excluded, now), func(*attempt) {}}, Result{}, true
 	}
 	if limited, ok := in.fleet.Limited(r.Service.Name, in.sharedWithHosts, now); ok && !k.reachedServer {
 		return place{}, in.refusedBy(fleet.RefusedLimit, limited, in.sharedWithHosts(limited)), false
@@ -98,7 +98,7 @@
 		return dispatch.PoolAnswered, a.took
 	case a.outcome == attemptShed, a.silent:
 		return dispatch.PoolFull, 0
-	case errors.Is(ctx.Err(), context.Canceled):
+	case a.callerFailed, errors.Is(ctx.Err(), context.Canceled):
 		return dispatch.PoolCancelled, 0
 	case a.outcome == attemptNotSent && ctx.Err() != nil:
 		return dispatch.PoolNotSent, 0
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -65,6 +65,13 @@
 	silent bool
 	// suspect says that the request had crashed servers when it was sent.
 	suspect bool
+	// callerFailed says that the answer broke off because the caller did not take it.
+	callerFailed bool
+}
+
+// mayHaveRun reports whether the server may have executed the request.
+func (a attempt) mayHaveRun() bool {
+	return a.outcome == attemptAnswered || a.outcome == attemptFailed || a.outcome == attemptLost
 }
 
 // sendIfAllowed makes one attempt at a server if the server takes it and, for a retry, the service's
@@ -76,7 +83,7 @@
 		return attempt{}, notRun(reasonBudget, defaultRetryAfter), false
 	}
 	share := in.shareOf(r, server)
-	if refusal := server.Begin(in.allowance(r), share, now); refusal != fleet.NotRefused {
+	if refusal := server.Begin(in.allowance(r, server, now), share, now); refusal != fleet.NotRefused {
 		in.giveBack(r, retry)
 		return attempt{}, in.refusedBy(refusal, server, share), false
 	}
@@ -84,6 +91,9 @@
 	if a.outcome == attemptBlocked {
 		in.giveBack(r, retry)
 	}
+	if a.mayHaveRun() {
+		r.runs++
+	}
 	return a, Result{}, true
 }
 
@@ -132,9 +142,11 @@
 	})
 	if result.Sent == transport.Answered {
 		in.answeredAt.Store(int64(in.clock()))
+		// A server cannot speak for this host.
+		result.Response.Header.Del(headerResult)
 		in.readFacts(r, server, result.Response.StatusCode, result.Response.Header, started)
 	}
-	a := in.interpret(r, result)
+	a := in.interpret(ctx, r, result)
 	a.silent = errors.Is(result.Err, transport.ErrSilent)
 	a.suspect = guarded.Crashes > 0
 	ending := a.guardEnding(ctx)
@@ -154,7 +166,8 @@
 	}
 	ratio := 0.0
 	if notQueued {
-		ratio = in.baseline.relative(r.Route.Name, a, now-started)
+		// The time that a caller takes to read says nothing about the server.
+		ratio = in.baseline.relative(r.Route.Name, a, now-started-r.delivery.blockedFor())
 	}
 	server.End(a.fleetEnding(ctx), ratio, now)
 	if a.outcome != attemptAnswered || guarded.Crashes > 0 {
@@ -203,34 +216,46 @@
 		return poison.Failed
 	case a.outcome != attemptLost:
 		return poison.Rejected
-	case ctx.Err() != nil, a.silent:
+	case ctx.Err() != nil, a.silent, a.callerFailed:
 		return poison.TimedOut
 	}
 	return poison.Broken
 }
 
-// interpret reads the answer to its end and derives the outcome of the attempt.
-func (in *Ingress) interpret(r *Request, result transport.Result) attempt {
+// interpret reads the answer to its end and derives the outcome of the attempt. A large answer is passed on to the caller
+// meanwhile.
+func (in *Ingress) interpret(ctx context.Context, r *Request, result transport.Result) attempt {
 	if result.Sent == transport.NotSent {
 		return attempt{outcome: attemptNotSent, detail: errorText(result.Err)}
 	}
 	if result.Sent != transport.Answered {
 		return attempt{outcome: attemptLost, detail: errorText(result.Err)}
 	}
-	answer, err := in.completeAnswer(result)
+	answer, rest, err := in.receive(r, result.Response)
+	if err == nil && rest != nil {
+		if a := in.classify(r, answer); a.outcome == attemptAnswered && answer.Status < http.StatusMultipleChoices {
+			return in.interpretLarge(ctx, r, a, rest)
+		}
+		answer, err = in.hold(r, answer, rest)
+	}
 	if err != nil {
 		return attempt{outcome: attemptLost, detail: errorText(err)}
 	}
 	return in.classify(r, answer)
 }
 
-// completeAnswer reads an answer to its end. One that is too large is no answer.
-func (in *Ingress) completeAnswer(result transport.Result) (*Answer, error) {
-	if result.Sent != transport.Answered {
-		return nil, result.Err
+// interpretLarge passes on an answer that is known to be the server's, and derives the outcome of the attempt.
+func (in *Ingress) interpretLarge(ctx context.Context, r *Request, a attempt, rest *openAnswer) attempt {
+	answer, err := in.passOn(ctx, r, a.answer, rest)
+	if err != nil {
+		return attempt{outcome: attemptLost, detail: "broke off while it was passed on: " + err.Error(), callerFailed: r.delivery.byCaller()}
 	}
-	response := result.Response
-	body, err := in.answers.read(response.Body)
+	return attempt{outcome: a.outcome, answer: answer, detail: a.detail}
+}
+
+// completeAnswer reads an answer to its end. One that is too large is no answer.
+func (in *Ingress) completeAnswer(r *Request, response *http.Response) (*Answer, error) {
+	body, err := in.answers.read(response.Body, response.ContentLength, r.holds)
 	response.Body.Close()
 	if err != nil {
 		return nil, err
@@ -274,7 +299,7 @@
 	case attemptNotOwner:
 		return fleet.Cancelled
 	}
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || a.callerFailed {
 		return fleet.Cancelled
 	}
 	if a.outcome == attemptNotSent {
--- a/internal/front/counters.go
+++ b/internal/front/counters.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -12,8 +13,31 @@
 	mu sync.Mutex
 	// results holds the number of requests by kind of result and reason.
 	results map[string]int64
+	// unauthorized holds the number of requests without a known key by reason.
+	unauthorized map[string]int64
 	// latency holds a histogram in milliseconds for each service.
 	latency map[string]*hdrhistogram.Histogram
+	// large holds the number of large answers and of requests for them by what became of them.
+	large map[string]int64
+}
+
+// Names of the counters of large answers.
+const (
+	largePassedOn      = "passed on"
+	largeBrokeOff      = "broke off"
+	largeCallerFailed  = "not taken by the caller"
+	largeRefusedMemory = "refused, memory"
+	largeRefusedLink   = "refused, link"
+)
+
+// countLarge counts a large answer, or a request for one.
+func (c *Counters) countLarge(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.large == nil {
+		c.large = make(map[string]int64)
+	}
+	c.large[name]++
 }
 
 const (
@@ -45,6 +69,16 @@
 	histogram.RecordValue(min(max(took.Milliseconds(), 1), maxLatencyMS))
 }
 
+// countUnauthorized counts a request that was refused because it has no known key.
+func (c *Counters) countUnauthorized(reason string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.unauthorized == nil {
+		c.unauthorized = make(map[string]int64)
+	}
+	c.unauthorized[reason]++
+}
+
 // Snapshot returns the counts by result and the latency percentiles of each service in
 // milliseconds, for the metrics endpoint.
 func (c *Counters) Snapshot() any {
@@ -54,6 +88,9 @@
 	for name, n := range c.results {
 		results[name] = n
 	}
+	for reason, n := range c.unauthorized {
+		results["unauthorized: "+reason] = n
+	}
 	latency := make(map[string]map[string]int64, len(c.latency))
 	for service, histogram := range c.latency {
 		latency[service] = map[string]int64{
@@ -62,5 +99,5 @@
 			"max": histogram.Max(),
 		}
 	}
-	return map[string]any{"requests": results, "latency_ms": latency}
+	return map[string]any{"requests": results, "latency_ms": latency, "large_answers": maps.Clone(c.large)}
 }
--- a/internal/front/fixture_test.go
+++ b/internal/front/fixture_test.go
@@ -29,6 +29,7 @@
 var testHeaders = Headers{
 	RequestID: "X-Id", DeadlineMS: "X-Left", Digest: "X-Digest", ExpectInstance: "X-Expect",
 	Load: "X-Load", NotExecuted: "X-Not-Run", Key: "X-Key", Limit: "X-Limit", Leaving: "X-Leaving",
+	Authorization: "Authorization", AuthScheme: "Bearer", Account: "X-Account",
 }
 
 // testConnections is the limit of connections to a server or host. No test has more callers at once: one that waits too
@@ -182,13 +183,16 @@
 	read    atomic.Int64
 	fleet   *fleet.Fleet
 	current *assign.Current
+	// table is the configuration in force.
+	table   atomic.Pointer[routetable.Table]
 	callers *httptest.Server
 	// timeoutMS is how long callers wait, in milliseconds. It is long, so that no test result
 	// depends on the speed of the machine.
 	timeoutMS string
 }
 
-// newSystem returns a system with four routes. The paths /keyed/ (idempotent) and /unsafe/ lead to a
+// newSystem returns a system with six routes. The answers of /download/ (a service without keys) and /file/ (a keyed one)
+// are large. The paths /keyed/ (idempotent) and /unsafe/ lead to a
 // keyed service whose keys the first server owns; /any/ (idempotent) and /post/ lead to a
 // service without keys, which all servers run.
 func newSystem(t *testing.T, servers ...*backendServer) *system {
@@ -201,13 +205,13 @@
 }
 
 // newHost is newSystem for a host with a name and servers at the given addresses.
-func newHost(t *testing.T, name string, servers ...string) *system {
+func newHost(t testing.TB, name string, servers ...string) *system {
 	t.Helper()
 	s := &system{current: assign.NewCurrent(), timeoutMS: "20000", reach: &fakeReach{}}
 	dial := s.dialCounted
 	s.fleet = fleet.New(fleet.Options{Zone: "zlin", RandIntN: func(int) int { return 0 }, Target: func(addr string) *transport.Target {
 		return transport.NewTarget(addr, transport.Options{
-			Dial: dial, Connections: testConnections, FreshFor: testFreshFor, RequestIDHeader: testHeaders.RequestID, Undelimited: true,
+			Dial: dial, Connections: testConnections, FreshFor: testFreshFor, RequestIDHeader: testHeaders.RequestID, RequireID: true, Undelimited: true,
 		})
 	}})
 	var entries []fleet.Entry
@@ -226,24 +230,32 @@
 			Timeout: time.Minute, Goal: 5 * time.Second, Shares: []routetable.Share{{Service: service, Weight: 1}},
 		}
 	}
-	table := routetable.New(routetable.Config{
+	large := func(name, service string) routetable.Route {
+		r := route(name, service, true)
+		r.Large = true
+		return r
+	}
+	s.table.Store(routetable.New(routetable.Config{
 		Routes: []routetable.Route{
+			large("download", "archiv"), large("file", "revize"),
 			route("keyed", "revize", true), route("unsafe", "revize", false),
 			route("any", "archiv", true), route("post", "archiv", false),
 		},
 		Services: map[string]routetable.Service{"revize": {Name: "revize", Keyed: true}, "archiv": {Name: "archiv"}},
 		Limits:   routetable.Limits{BodyBytes: 1000},
-	})
+	}))
 	s.ingress = New(Config{
 		Headers: testHeaders, Fleet: s.fleet, Current: s.current, Self: name,
-		Hosts: transport.NewPool(transport.Options{Dial: dial, Connections: testConnections, FreshFor: testFreshFor, RequestIDHeader: testHeaders.RequestID}),
+		Hosts: transport.NewPool(transport.Options{Dial: dial, Connections: testConnections, FreshFor: testFreshFor, RequestIDHeader: testHeaders.RequestID, RequireID: true}),
 		Guard: poison.NewGuard(poison.Bounds{CrashLimit: 3, SharedCrashLimit: 3, Retention: time.Minute}), Dial: dial,
-		Table: func() *routetable.Table { return table }, ColdRateLimit: func(routetable.Service) float64 { return 10 },
+		Table: s.table.Load, ColdRateLimit: func(routetable.Service) float64 { return 10 },
 		OnFact: func(fleet.Entry, Fact) {}, Reach: s.reach,
 		Budget: BudgetConfig{Ratio: 0.2, Extra: 60, Window: 10 * time.Second, Hosts: func() int { return 1 }},
 		Clock:  clock.Monotonic, Log: eventlog.Discard(),
 	})
-	s.callers = httptest.NewServer(s.ingress)
+	s.callers = httptest.NewUnstartedServer(s.ingress)
+	s.callers.Config.ConnContext = ConnContext
+	s.callers.Start()
 	t.Cleanup(s.callers.Close)
 	return s
 }
@@ -254,6 +266,11 @@
 	read *atomic.Int64
 }
 
+// SetReadBuffer sets the kernel's receive buffer, as that of a TCP connection.
+func (c countedConn) SetReadBuffer(bytes int) error {
+	return c.Conn.(*net.TCPConn).SetReadBuffer(bytes)
+}
+
 // Read implements net.Conn.
 func (c countedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -122,6 +122,12 @@
 	Config
 	wake     chan struct{}
 	isLeader atomic.Bool
+	// confirmedAt is when the last call of Elector.Join began that confirmed this host as the leader.
+	confirmedAt atomic.Int64
+	// named is the leader that the plan names, and namedSince when this host first saw that, or zero for the first one
+	// that it has read. Only the control loop uses them.
+	named      assign.Host
+	namedSince time.Duration
 
 	// mu guards all fields below.
 	mu sync.Mutex
@@ -189,11 +195,15 @@
 func (l *Leader) joinElection(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, joinInterval)
 	defer cancel()
+	began := l.Clock()
 	leads, err := l.Elector.Join(ctx)
 	if err != nil {
 		l.Log.Routine("election", "outcome", "failed", "err", err.Error())
 		return
 	}
+	if leads {
+		l.confirmedAt.Store(int64(began))
+	}
 	if leads == l.isLeader.Load() {
 		return
 	}
@@ -220,7 +230,7 @@
 // Run runs the control loop while this host is the elected leader, until the context ends.
 func (l *Leader) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if l.isLeader.Load() {
+		if l.mayAct() {
 			l.reconcile(ctx)
 		} else {
 			l.stopReleases()
@@ -235,6 +245,23 @@
 	l.stopReleases()
 }
 
+// mayAct reports whether this host may change the plan. A host that has been replaced may not learn it from the election,
+// because its calls of Join fail; without this check, it and its successor would replace each other's plans. So a
+// host takes the lead from the one that the plan names only if it has been elected since that one took it.
+func (l *Leader) mayAct() bool {
+	named := l.Current.Plan().Leader
+	if !named.SameIncarnation(l.named) {
+		if l.named.Name != "" {
+			l.namedSince = l.Clock()
+		}
+		l.named = named
+	}
+	if !l.isLeader.Load() {
+		return false
+	}
+	return named.SameIncarnation(l.Self) || l.namedSince <= time.Duration(l.confirmedAt.Load())
+}
+
 // reconcile runs the control loop once: it writes a new plan if one is due, and starts the releases
 // that the plan asks for.
 func (l *Leader) reconcile(ctx context.Context) {
@@ -274,12 +301,14 @@
 	next.Leader = l.Self
 	next.Leader.Led = true
 	next.Hosts = l.nextHosts(plan.Hosts, version, now)
+	next.Order = assign.OrderFor(next.Hosts)
+	ranked := next.WithRankings()
 	regrantAll := changed
 	if offset := l.OperatorOffset(); offset > plan.Orders {
 		next.Orders = offset
 		changed = true
 	}
-	changed = changed || !slices.Equal(next.Hosts, plan.Hosts)
+	changed = changed || !slices.Equal(next.Hosts, plan.Hosts) || next.Order != plan.Order
 	rebalance := now-l.rebalancedAt >= rebalanceInterval
 	for name, service := range table.Services {
 		if !service.Keyed {
@@ -289,7 +318,7 @@
 			continue
 		}
 		snapshot := l.snapshot(name, now)
-		snapshot.Regrant = l.rangesToRegrant(name, plan, next, regrantAll, now)
+		snapshot.Regrant = l.rangesToRegrant(name, plan, ranked, regrantAll, now)
 		snapshot.Rebalance = rebalance
 		assignments, updated := assign.Reconcile(plan.Services[name], snapshot, version)
 		if !updated {
@@ -315,7 +344,7 @@
 			zonesWithNewHosts[host.Zone] = true
 		}
 	}
-	hostsChanged := !slices.Equal(next.Hosts, plan.Hosts)
+	hostsChanged := !slices.Equal(next.Hosts, plan.Hosts) || next.Order != plan.Order
 	retry := now-l.regrantedAt >= regrantInterval
 	if retry {
 		// Grants that are still lost will be reported again.
@@ -351,7 +380,7 @@
 				"server", a.Server.ID, "zone", a.Server.Zone, "fence", uint64(a.Fence), "next", a.Next, "handover", a.Handover != "")
 		}
 	}
-	if !slices.Equal(before.Hosts, after.Hosts) {
-		l.Log.Event("hosts", "plan", uint64(after.Version), "hosts", len(after.Hosts))
+	if !slices.Equal(before.Hosts, after.Hosts) || before.Order != after.Order {
+		l.Log.Event("hosts", "plan", uint64(after.Version), "hosts", len(after.Hosts), "order", string(after.Order))
 	}
 }
--- a/internal/transport/attempt.go
+++ b/internal/transport/attempt.go
@@ -18,6 +18,11 @@
 	cancel     context.CancelCauseFunc
 	needsFresh bool
 	freshFor   time.Duration
+	// requestID is the ID of the request, or empty.
+	requestID string
+
+	// unidentified says that the answer has no request ID although the target requires one.
+	unidentified bool
 
 	conns  []*trackedConn
 	reused bool
@@ -45,9 +50,10 @@
 		return
 	}
 	a.reused = info.Reused || info.WasIdle
+	tainted := conn.hasStrayed() || a.target.requireID && conn.hasCarried(a.requestID)
 	conn.beginRequest(a)
 	a.conns = append(a.conns, conn)
-	if a.needsFresh && a.stale(conn) {
+	if tainted || a.needsFresh && a.stale(conn) {
 		conn.blockWrites()
 		return
 	}
@@ -79,6 +85,11 @@
 	}
 }
 
+// onFirstUse reports whether the connection that the request was written on had carried no other request.
+func (a *attempt) onFirstUse() bool {
+	return len(a.conns) > 0 && a.conns[len(a.conns)-1].first()
+}
+
 // end marks the attempt's connections as idle.
 func (a *attempt) end() {
 	for _, conn := range a.conns {
@@ -122,10 +133,25 @@
 	return n, err
 }
 
+// SetReadBuffer sets the kernel's receive buffer of the answer's connection, in bytes. What the server sends beyond it has
+// to wait until the answer is read. It does nothing on a connection without such a buffer.
+func (b *answerBody) SetReadBuffer(bytes int) error {
+	for _, conn := range b.attempt.conns {
+		if buffered, ok := conn.Conn.(interface{ SetReadBuffer(int) error }); ok {
+			return buffered.SetReadBuffer(bytes)
+		}
+	}
+	return nil
+}
+
 // Close implements io.Closer.
 func (b *answerBody) Close() error {
 	err := b.body.Close()
 	b.once.Do(func() {
+		if b.attempt.unidentified {
+			// The answer to this request may still come, so no other request may use the connection.
+			b.attempt.blockAllWrites()
+		}
 		b.attempt.cancel(nil)
 		b.attempt.end()
 	})
