--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -213,6 +213,59 @@
 	}
 }
 
+// TestWaitingRequestMovesWhenTheDispatcherFreezes guards against a request that waits for a dispatcher which has stopped
+// without closing its connections.
+func TestWaitingRequestMovesWhenTheDispatcherFreezes(t *testing.T) {
+	simulate(t, func(t *testing.T) {
+		n := newNetwork(20, 1)
+		assert.Equal(t, n.client(n.dispatcher(5)).Admit(t.Context(), n.ask()).Outcome, Granted)
+		done := make(chan Answer, 1)
+		go func() { done <- n.client(n.dispatcher(6)).Admit(t.Context(), n.ask()) }()
+		time.Sleep(400 * ms)
+		assert.Equal(t, len(done), 0)
+		n.set(n.lost, n.plan.Hosts[n.dispatcher(0)].Name, true)
+		frozenAt := time.Now()
+		answer := <-done
+		assert.Equal(t, answer.Outcome, Granted)
+		assert.Equal(t, answer.Ticket.incarnation, n.plan.Hosts[n.dispatcher(1)].Incarnation)
+		assert.Assert(t, time.Since(frozenAt) <= lostAfter+probeAfter+2*finishInterval, "%v", time.Since(frozenAt))
+	})
+}
+
+// TestPoolThatWasNotAskedForBeginsAgain guards against a dispatcher that takes servers for idle which another one has used
+// meanwhile.
+func TestPoolThatWasNotAskedForBeginsAgain(t *testing.T) {
+	simulate(t, func(t *testing.T) {
+		n := newNetwork(20, 1)
+		n.fleet.Set([]fleet.Entry{{ID: "s00", Service: "archiv", Zone: "z", Slots: 2, Born: 1}}, n.clock())
+		c := n.client(n.dispatcher(5))
+		tryTwice := func() int {
+			granted := 0
+			var tickets []Ticket
+			for range 2 {
+				ctx, cancel := context.WithTimeout(t.Context(), 20*ms)
+				if answer := c.Admit(ctx, n.ask()); answer.Outcome == Granted {
+					granted++
+					tickets = append(tickets, answer.Ticket)
+				}
+				cancel()
+			}
+			for _, ticket := range tickets {
+				c.Finish(ticket, dispatch.PoolNotSent, 0)
+			}
+			time.Sleep(100 * ms)
+			return granted
+		}
+		assert.Equal(t, tryTwice(), 1)
+		for range 12 {
+			tryTwice()
+		}
+		assert.Equal(t, tryTwice(), 2)
+		time.Sleep(2 * idleFor)
+		assert.Equal(t, tryTwice(), 1)
+	})
+}
+
 // TestHostChoosesAloneWithoutADispatcher guards against refusals while no dispatcher can be asked.
 func TestHostChoosesAloneWithoutADispatcher(t *testing.T) {
 	simulate(t, func(t *testing.T) {
--- a/internal/admission/link.go
+++ b/internal/admission/link.go
@@ -17,6 +17,12 @@
 	// lostAfter is how long a dispatcher may take to answer a message that needs no decision. One that takes longer
 	// counts as lost, and the next host in order is asked.
 	lostAfter = 150 * time.Millisecond
+	// starvedMargin is by how much longer the wait for an answer must have taken for this host to have lacked processor
+	// time itself. Then the dispatcher gets lostAfter once more.
+	starvedMargin = 50 * time.Millisecond
+	// sendTimeout is the timeout of one message. It is longer than lostAfter because the end of a call closes the
+	// connection, and with it the calls of requests that a slow dispatcher may still admit.
+	sendTimeout = time.Second
 	// probeAfter is how long a dispatcher may be quiet while requests wait for it before it is asked whether it answers.
 	probeAfter = 75 * time.Millisecond
 	// avoidLostFor and avoidOldFor are how long a dispatcher is not asked that was lost or has left, and one whose build
@@ -32,6 +38,9 @@
 // ErrOldBuild marks the error of a call to a host whose build does not know the method.
 var ErrOldBuild = errors.New("admission: the host's build has no admission")
 
+// errSlow reports a dispatcher that has not answered for lostAfter.
+var errSlow = errors.New("admission: the dispatcher does not answer in time")
+
 // link is the connection to one dispatcher. It sends finished tickets in batches, and while requests wait it checks that
 // the dispatcher answers. It is safe for concurrent use.
 type link struct {
@@ -186,9 +195,18 @@
 
 // send sends a message. What could not be sent is sent again as long as it may matter: tickets end by themselves.
 func (l *link) send(args FinishArgs) {
-	ctx, cancel := context.WithTimeout(context.Background(), lostAfter)
-	defer cancel()
-	_, err := l.config.Peers.Finish(ctx, l.host, args)
+	done := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
+		defer cancel()
+		_, err := l.config.Peers.Finish(ctx, l.host, args)
+		done <- err
+	}()
+	err, ended := l.awaitAnswer(done)
+	if !ended {
+		l.failed(errSlow)
+		err = <-done
+	}
 	if err == nil {
 		l.answered()
 		return
@@ -203,6 +221,29 @@
 	l.withdrawn = append(args.Withdrawn, l.withdrawn...)
 }
 
+// awaitAnswer waits for the end of a call, and returns false if it takes longer than lostAfter.
+func (l *link) awaitAnswer(done <-chan error) (err error, ended bool) {
+	for range 2 {
+		started := l.config.Clock()
+		timer := time.NewTimer(lostAfter)
+		select {
+		case err := <-done:
+			timer.Stop()
+			return err, true
+		case <-timer.C:
+		}
+		if l.config.Clock()-started <= lostAfter+starvedMargin {
+			break
+		}
+	}
+	select {
+	case err := <-done:
+		return err, true
+	default:
+		return nil, false
+	}
+}
+
 // answered records that the dispatcher has answered.
 func (l *link) answered() {
 	l.mu.Lock()
--- a/internal/admission/pools.go
+++ b/internal/admission/pools.go
@@ -22,6 +22,9 @@
 	maxWaiting = 1024
 	// busyRetryAfter is the time after which a caller may come back that was refused because of maxWaiting.
 	busyRetryAfter = 300 * time.Millisecond
+	// idleFor is how long a pool must not have been asked for to begin again like a new one: another host may have been
+	// its dispatcher meanwhile.
+	idleFor = time.Second
 	// unusedPoolFor is how long a pool is kept that no host asks for.
 	unusedPoolFor = time.Minute
 )
@@ -149,10 +152,15 @@
 	if own == nil {
 		own = &ownPool{gate: dispatch.NewPoolGate(p.config.Clock)}
 		own.gate.SetServers(p.members(name))
+		own.askedAt = p.config.Clock()
 		p.pools[name] = own
 		p.config.Log.Event("pool", "service", name.Service, "zone", name.Zone, "part", name.Part, "from", id.from, "outcome", "opened")
 	}
-	own.askedAt = p.config.Clock()
+	now := p.config.Clock()
+	if now-own.askedAt > idleFor {
+		own.gate.Restart()
+	}
+	own.askedAt = now
 	return ctx, own.gate, true
 }
 
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -111,6 +111,11 @@
 	return &Pool{startedAt: now, tickets: make(map[Ticket]poolTicket), others: make(map[string]otherLoad)}
 }
 
+// Restart makes the pool begin like a new one, which uses half of each server's width at first.
+func (p *Pool) Restart(now time.Duration) {
+	p.startedAt = now
+}
+
 // SetServers replaces the list of servers. Incarnations that stay keep their requests.
 func (p *Pool) SetServers(servers []PoolServer, now time.Duration) []PoolDecision {
 	var next []*poolServer
--- a/internal/dispatch/pool_gate.go
+++ b/internal/dispatch/pool_gate.go
@@ -69,6 +69,13 @@
 	g.deliver(g.pool.Finish(ticket, end, took, g.clock()))
 }
 
+// Restart makes the pool begin like a new one.
+func (g *PoolGate) Restart() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.pool.Restart(g.clock())
+}
+
 // SetServers replaces the list of servers.
 func (g *PoolGate) SetServers(servers []PoolServer) {
 	g.mu.Lock()
--- a/internal/edge/admit_test.go
+++ b/internal/edge/admit_test.go
@@ -103,3 +103,25 @@
 	_, err = d.Admit(ctx, assign.Host{Addr: "127.0.0.1:1"}, testAdmitArgs(2))
 	assert.Assert(t, err != nil && !errors.Is(err, admission.ErrOldBuild), "%v", err)
 }
+
+// BenchmarkAdmitOverTheNetwork measures the decision on one request and the message that it has ended, both hosts together.
+func BenchmarkAdmitOverTheNetwork(b *testing.B) {
+	calls := rpc.NewServer()
+	assert.NilError(b, calls.RegisterName(rpcName, &rpcService{pools: newTestPools()}))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(b, err)
+	defer listener.Close()
+	go http.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { peer.ServeRPC(b.Context(), calls, w) }))
+	d := &dispatchers{pool: peer.NewPool(peer.DialFunc(transport.Dialer("")))}
+	defer d.pool.Close()
+	host := assign.Host{Name: "a", Incarnation: "1", Addr: listener.Addr().String()}
+	args := testAdmitArgs(1)
+	for b.Loop() {
+		args.Number++
+		reply, err := d.Admit(b.Context(), host, args)
+		assert.NilError(b, err)
+		finished := []admission.Finished{{Pool: args.Pool, Ticket: reply.Ticket, End: dispatch.PoolAnswered, Took: time.Millisecond}}
+		_, err = d.Finish(b.Context(), host, admission.FinishArgs{From: "b", Incarnation: "2", To: "1", Finished: finished})
+		assert.NilError(b, err)
+	}
+}
--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -47,16 +47,24 @@
 		if ctx.Err() != nil {
 			return place{}, in.deadlineResult(k.mayHaveExecuted), false
 		}
+		if cold, ok := in.leasedCold(r, k.excluded, in.clock()); ok {
+			return in.withoutTicket(cold), Result{}, true
+		}
 		return place{}, notRun(reasonFull, answer.RetryAfter), false
 	}
 	chosen, result, ok := in.chooseAlone(r, k)
 	if ok && answer.Pooled {
-		ended := in.config.Admission.SentAlone(chosen.server.Entry().ID)
-		chosen.end = func(*attempt) { ended() }
+		chosen = in.withoutTicket(chosen.server)
 	}
 	return chosen, result, ok
 }
 
+// withoutTicket returns the place of a request that this host sends to a server of a pool by itself.
+func (in *Ingress) withoutTicket(server *fleet.Server) place {
+	ended := in.config.Admission.SentAlone(server.Entry().ID)
+	return place{server, func(*attempt) { ended() }}
+}
+
 // chooseAlone returns the server that this host chooses by itself.
 func (in *Ingress) chooseAlone(r *Request, k *keylessRequest) (place, Result, bool) {
 	now := in.clock()
--- a/internal/front/cold.go
+++ b/internal/front/cold.go
@@ -42,20 +42,28 @@
 // relievedByCold returns a cold server of which this host holds a leased share if the server that was chosen for the
 // request has no free slot, and otherwise the chosen one.
 func (in *Ingress) relievedByCold(r *Request, chosen *fleet.Server, excluded []fleet.ID, now time.Duration) *fleet.Server {
-	total := in.config.ColdRateLimit(r.Service)
-	equal := fleet.ShareOf(total, len(in.config.Current.Plan().Hosts))
-	if in.config.Shares == nil || equal.PerSecond >= 1 || chosen.Cold(now) || chosen.Occupancy(now) < 1 {
+	if chosen.Cold(now) || chosen.Occupancy(now) < 1 {
 		return chosen
 	}
-	cold, ok := in.fleet.ChooseCold(r.Service.Name, excluded, func(server *fleet.Server) bool {
-		return server.ColdReady(in.allowance(r, server, now), now)
-	}, now)
+	cold, ok := in.leasedCold(r, excluded, now)
 	if !ok {
 		return chosen
 	}
 	return cold
 }
 
+// leasedCold returns a cold server of which this host holds a leased share, and false if there is none.
+func (in *Ingress) leasedCold(r *Request, excluded []fleet.ID, now time.Duration) (*fleet.Server, bool) {
+	total := in.config.ColdRateLimit(r.Service)
+	equal := fleet.ShareOf(total, len(in.config.Current.Plan().Hosts))
+	if in.config.Shares == nil || equal.PerSecond >= 1 {
+		return nil, false
+	}
+	return in.fleet.ChooseCold(r.Service.Name, excluded, func(server *fleet.Server) bool {
+		return server.ColdReady(in.allowance(r, server, now), now)
+	}, now)
+}
+
 // NeedsColdShares reports whether a cold server's allowance, in requests per second, is less than one request for each
 // of the hosts, so that it is leased.
 func NeedsColdShares(total float64, hosts int) bool {
