--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -80,7 +80,7 @@
 	ticket   Ticket
 	returned bool
 	// rank is the request's place among the accounts of its priority; see Fairness.
-	rank uint64
+	rank float64
 }
 
 // otherLoad is the load of one host that the pool did not admit.
@@ -172,7 +172,7 @@
 		return
 	}
 	if p.ranked {
-		w.rank = p.fairness.Rank(w.Priority, w.Account)
+		w.rank = p.fairness.Rank(w.Priority, w.Account, w.Weight)
 	}
 	i, _ := slices.BinarySearchFunc(p.waiting, w, func(a, b poolWaiting) int { return comparePoolOrder(a, b, now) })
 	p.waiting = slices.Insert(p.waiting, i, w)
@@ -297,7 +297,7 @@
 	}
 	p.fairness.BeginRanking()
 	for i, w := range p.waiting {
-		p.waiting[i].rank = p.fairness.Rank(w.Priority, w.Account)
+		p.waiting[i].rank = p.fairness.Rank(w.Priority, w.Account, w.Weight)
 	}
 	slices.SortFunc(p.waiting, inOrder)
 }
@@ -366,7 +366,7 @@
 	if len(p.tickets) == 0 && len(p.waiting) <= 1 {
 		p.fairness.Idle()
 	}
-	p.fairness.Admitted(w.Priority, w.Account)
+	p.fairness.Admitted(w.Priority, w.Account, w.Weight)
 	s.running++
 	s.usedAt = uint64(w.ticket)
 	p.tickets[w.ticket] = poolTicket{server: s, work: w.Work, expires: max(w.Deadline, now) + ticketGrace}
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -30,6 +30,8 @@
 	Account string
 	// Caller is the same whenever a caller repeats the request, or zero if that is unknown.
 	Caller uint64
+	// Weight is the weight of the account; see Fairness.
+	Weight FairWeight
 	// Priority is the rank of the request; zero is the most urgent.
 	Priority int
 	// An answer that arrives by Goal has its full value; one after Deadline has none.
@@ -63,7 +65,7 @@
 	// returned says that the caller was refused before and has come back at the time that it was told.
 	returned bool
 	// rank is the request's place among the accounts of its priority; see Fairness.
-	rank uint64
+	rank float64
 }
 
 // Queue holds the requests for one server. It is not safe for concurrent use.
@@ -85,6 +87,16 @@
 	return &Queue{slots: max(slots, 1)}
 }
 
+// SetSlots changes the maximum number of requests at the server. Requests beyond a lower one stay there. It returns the
+// decisions that follow.
+func (q *Queue) SetSlots(slots int, now time.Duration) []Decision {
+	if slots = max(slots, 1); slots == q.slots {
+		return nil
+	}
+	q.slots = slots
+	return q.Advance(now)
+}
+
 // Len returns the numbers of requests at the server and in the queue.
 func (q *Queue) Len() (running, queued int) {
 	return q.running, len(q.waiting)
@@ -141,7 +153,7 @@
 // admit counts a request that goes to the server.
 func (q *Queue) admit(item Item) {
 	q.running++
-	q.fairness.Admitted(item.Priority, item.Account)
+	q.fairness.Admitted(item.Priority, item.Account, item.Weight)
 }
 
 // updateMeanWork adds a request's time to the moving average.
@@ -169,7 +181,7 @@
 	}
 	q.fairness.BeginRanking()
 	for i, w := range q.waiting {
-		q.waiting[i].rank = q.fairness.Rank(w.Priority, w.Account)
+		q.waiting[i].rank = q.fairness.Rank(w.Priority, w.Account, w.Weight)
 	}
 	slices.SortStableFunc(q.waiting, func(a, b waiting) int {
 		return cmp.Or(compareUrgency(a, b, now), cmp.Compare(a.rank, b.rank))
--- a/internal/edge/listen.go
+++ b/internal/edge/listen.go
@@ -15,7 +15,8 @@
 
 // listeners holds the open listeners of a host. Metrics is nil if no address is configured for it.
 type listeners struct {
-	callers, ready, peers, metrics net.Listener
+	callers                           *callerListener
+	callersTCP, ready, peers, metrics net.Listener
 }
 
 // listen opens all listeners whose addresses are configured.
@@ -26,7 +27,7 @@
 		name     string
 		addr     string
 	}{
-		{&l.callers, "callers", h.config.CallerAddr},
+		{&l.callersTCP, "callers", h.config.CallerAddr},
 		{&l.ready, "readiness", h.config.ReadyAddr},
 		{&l.peers, "hosts", h.config.PeerAddr},
 		{&l.metrics, "metrics", h.config.MetricsAddr},
@@ -40,13 +41,16 @@
 		}
 		*entry.listener = listener
 	}
+	if tcp, ok := l.callersTCP.(*net.TCPListener); ok {
+		l.callers = newCallerListener(tcp)
+	}
 	return l, nil
 }
 
 // serve starts the HTTP servers on the listeners and returns the one for callers. The one for
 // other hosts serves both RPC and forwarded requests.
 func (h *Host) serve(ctx context.Context, l listeners) *http.Server {
-	callers := &http.Server{Handler: h.ingress, ReadHeaderTimeout: headerTimeout, ConnContext: front.ConnContext}
+	callers := &http.Server{Handler: h.ingress, ReadHeaderTimeout: headerTimeout, ConnContext: front.ConnContext, ConnState: l.callers.track}
 	go h.serveOn("callers", callers, l.callers)
 	ready := http.NewServeMux()
 	ready.HandleFunc(h.config.ReadyPath, h.answerReady)
@@ -77,7 +81,7 @@
 
 // serveOn serves until the server is shut down, and logs any other end.
 func (h *Host) serveOn(name string, server *http.Server, listener net.Listener) {
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(listener); !errors.IsAny(err, http.ErrServerClosed, errAcceptEnded) {
 		h.log.Event("listener", "name", name, "outcome", "ended", "err", err.Error())
 	}
 }
@@ -85,7 +89,7 @@
 // answerReady tells the load balancer whether to send new connections: not while the host is
 // shutting down, and not before it has a configuration and has read the service discovery.
 func (h *Host) answerReady(w http.ResponseWriter, _ *http.Request) {
-	if h.leaving.Load() || h.operatorRecords.Table() == nil || !h.seenServers.Load() {
+	if h.leaving.Load() || h.tableForCallers() == nil || !h.seenServers.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
@@ -97,7 +101,7 @@
 		"door": h.ingress.Counters.Snapshot(), "leads": h.leader.IsLeader(), "plan": uint64(h.current.Plan().Version),
 		"admission":   map[string]any{"counts": h.admissionCounters.Snapshot(), "pools": h.pools.Snapshot()},
 		"body_memory": h.ingress.BodyMemory(), "relay": h.relay.Counters.Snapshot(), "log_lines_dropped": h.log.Dropped(),
-		"shares": h.shares.snapshot(),
+		"servers": h.ingress.Learner.Snapshot(), "shares": h.shares.snapshot(),
 	})
 	if err != nil {
 		h.log.Routine("metrics", "outcome", "failed", "err", err.Error())
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -59,6 +59,7 @@
 		in.forwardFailed(ctx, r, to, sent.Sent.String(), errorText(sent.Err))
 		return Result{}, false
 	}
+	runs := r.runs
 	answer, err := in.receiveForwarded(ctx, r, sent)
 	if r.delivery.hasBegun() && err != nil {
 		// The other host was reached. What ended the answer is in its log if the caller did not.
@@ -67,12 +68,13 @@
 		return r.delivery.brokenResult(), true
 	}
 	if err != nil {
-		r.runs++
+		if r.runs == runs {
+			r.runs++
+		}
 		in.forwardFailed(ctx, r, to, "lost", err.Error())
 		return unknown(reasonAnswerLost), !r.Route.Idempotent
 	}
 	result := decodeForwardResult(answer)
-	r.addRuns(answer, result)
 	if result.Kind == NotRun && result.Reason == reasonNotPrimary {
 		in.log.Routine("hop", "id", r.ID, "lead", to.Name, "outcome", "refused", "detail", result.Reason)
 		return result, false
@@ -100,6 +102,7 @@
 		}
 		return nil, err
 	}
+	r.addRuns(answer)
 	switch {
 	case rest == nil:
 		return answer, nil
@@ -123,14 +126,25 @@
 	return nil
 }
 
-// addRuns counts the runs that the other host's answer tells of, and removes their header.
-func (r *Request) addRuns(answer *Answer, result Result) {
+// tellRuns tells the forwarding host in how many attempts the request may have run, unless the answer has begun.
+func (r *Request) tellRuns(runs int) {
+	if !r.Forwarded || r.delivery == nil {
+		return
+	}
+	r.delivery.writer.Header().Del(headerRuns)
+	if runs > 1 {
+		r.delivery.writer.Header().Set(headerRuns, strconv.Itoa(runs))
+	}
+}
+
+// addRuns counts the runs that another host's reply tells of, and removes their header.
+func (r *Request) addRuns(answer *Answer) {
 	runs, err := strconv.ParseUint(answer.Header.Get(headerRuns), 10, 8)
 	answer.Header.Del(headerRuns)
 	switch {
 	case err == nil:
 		r.runs += int(runs)
-	case result.Kind != NotRun:
+	case decodeForwardResult(answer).Kind != NotRun:
 		r.runs++
 	}
 }
@@ -248,6 +262,8 @@
 // request's server, or a host that reaches servers when the other one does not. It forwards nothing
 // itself. It replies with the server's answer, or with headerResult.
 func (in *Ingress) ServeForwarded(w http.ResponseWriter, hr *http.Request) {
+	in.forwarded.Add(1)
+	defer in.endForwarded(w)
 	now := in.clock()
 	w.Header().Set(in.headers.RequestID, hr.Header.Get(in.headers.RequestID))
 	// The forwarding host adds the date; sending it here would only add traffic between zones.
@@ -283,15 +299,23 @@
 	if ok {
 		result = in.sendForwarded(ctx, r)
 	}
-	if r.runs > 1 {
-		w.Header().Set(headerRuns, strconv.Itoa(r.runs))
-	}
+	r.tellRuns(r.runs)
 	in.finish(r, result, func() int {
 		writeForwardResult(w, result)
 		return 0
 	})
 }
 
+// endForwarded counts a request of another host as ended. While the host is leaving, the process may stop once none is
+// in progress, so the answer is written before.
+func (in *Ingress) endForwarded(w http.ResponseWriter) {
+	if in.isLeaving() {
+		// An error means that the other host has gone.
+		_ = http.NewResponseController(w).Flush()
+	}
+	in.forwarded.Add(-1)
+}
+
 // sendForwarded sends a request that another host has forwarded. It always sends to the server that owns the key on
 // arrival, since the other host may have newer information about which hosts reach servers. If the key moves
 // meanwhile, it sends to the new owner only as that server's primary or stand-in.
@@ -312,7 +336,7 @@
 	if err != nil {
 		return nil, "", err
 	}
-	table := in.config.Table()
+	table := in.config.KnownTable()
 	who, refusal, err := in.identityOfForwarded(hr, r, table)
 	if err != nil || refusal != "" {
 		return r, refusal, err
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -73,12 +73,12 @@
 	// Arrived is when this host received the request. Deadline is when the caller stops waiting or
 	// the route's timeout ends, whichever is earlier.
 	Arrived, Deadline time.Duration
+	// runs is the number of attempts in which a server may have executed the request.
+	runs int
 	// delivery writes the answer to the caller, and holds counts the memory of the request and its answer. Both are nil
 	// in tests that need neither.
 	delivery *delivery
 	holds    *holding
-	// runs is the number of attempts in which a server may have executed the request.
-	runs int
 }
 
 // credentialHeaders are the headers that say on whose behalf a request is made.
