--- a/internal/edge/shutdown_test.go
+++ b/internal/edge/shutdown_test.go
@@ -33,6 +33,7 @@
 		Host: &Host{
 			config: Config{Grace: grace}, log: eventlog.Discard(),
 			ingress: front.New(front.Config{Clock: clock.Monotonic, Log: eventlog.Discard()}),
+			pools:   newTestPools(),
 		},
 		listener: newCallerListener(listener.(*net.TCPListener)),
 	}
