--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -138,8 +138,9 @@
 	}{{20, 10, true}, {20, 49, true}, {20, 50, false}, {19, 10, false}, {62, 76, true}, {4, 1, false}} {
 		simulate(t, func(t *testing.T) {
 			n := newNetwork(test.hosts, test.servers)
-			_, used := (&layouts{}).get(n.fleet, n.plan, "archiv", "z", n.clock())
-			assert.Equal(t, used, test.used, "%+v", test)
+			c := n.client(0)
+			assert.Equal(t, c.Uses("archiv"), test.used, "%+v", test)
+			assert.Equal(t, c.Admit(t.Context(), n.ask()).Outcome == Granted, test.used, "%+v", test)
 		})
 	}
 }
@@ -277,7 +278,6 @@
 		for range 3 {
 			answer := c.Admit(t.Context(), n.ask())
 			assert.Equal(t, answer.Outcome, Alone)
-			assert.Assert(t, answer.Pooled)
 		}
 	})
 }
--- a/internal/admission/client.go
+++ b/internal/admission/client.go
@@ -91,9 +91,7 @@
 // Answer is the answer to an Ask.
 type Answer struct {
 	Outcome Outcome
-	// Pooled says that the service uses pools. A request that is sent without a ticket must then be counted with SentAlone.
-	Pooled bool
-	Server *fleet.Server
+	Server  *fleet.Server
 	// Ticket must be passed to Finish if the outcome is Granted.
 	Ticket Ticket
 	// RetryAfter is the time after which a denied caller may come back.
@@ -110,6 +108,13 @@
 	incarnation string
 }
 
+// Uses reports whether requests of the service are admitted by pools. Those that are sent without a ticket must then be
+// counted with SentAlone.
+func (c *Client) Uses(service string) bool {
+	_, ok := c.layouts.get(c.config.Fleet, c.config.Plan(), service, c.config.Self.Zone, c.config.Clock())
+	return ok
+}
+
 // Admit waits for a decision on a request. It asks the pool of this host's zone first and, if that has no room and the
 // goal allows, that of one other zone.
 func (c *Client) Admit(ctx context.Context, ask Ask) Answer {
@@ -124,7 +129,6 @@
 	}
 	defer c.asking.Add(-1)
 	answer := c.askZones(ctx, layout, ask)
-	answer.Pooled = true
 	if answer.Outcome == Alone {
 		c.counters.add(countAlone)
 	}
--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -14,6 +14,7 @@
 
 // Admission asks the dispatchers of pools for slots at servers; see admission.Client.
 type Admission interface {
+	Uses(service string) bool
 	Admit(ctx context.Context, ask admission.Ask) admission.Answer
 	Finish(ticket admission.Ticket, end dispatch.PoolEnd, took time.Duration)
 	SentAlone(server fleet.ID) (ended func())
@@ -29,7 +30,7 @@
 // choose returns a server for a request without a key. It returns false and the result of the request if there is none
 // now. A pool decides where one is used and its dispatcher answers, and otherwise this host by itself.
 func (in *Ingress) choose(ctx context.Context, r *Request, k *keylessRequest) (place, Result, bool) {
-	if in.config.Admission == nil {
+	if in.config.Admission == nil || !in.config.Admission.Uses(r.Service.Name) {
 		return in.chooseAlone(r, k)
 	}
 	answer := in.config.Admission.Admit(ctx, admission.Ask{
@@ -53,7 +54,7 @@
 		return place{}, notRun(reasonFull, answer.RetryAfter), false
 	}
 	chosen, result, ok := in.chooseAlone(r, k)
-	if ok && answer.Pooled {
+	if ok {
 		chosen = in.withoutTicket(chosen.server)
 	}
 	return chosen, result, ok
--- a/internal/front/admission_test.go
+++ b/internal/front/admission_test.go
@@ -26,6 +26,8 @@
 	alone, sentAlone int
 }
 
+func (f *fakeAdmission) Uses(service string) bool { return service == "archiv" }
+
 func (f *fakeAdmission) Admit(_ context.Context, ask admission.Ask) admission.Answer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -60,10 +62,10 @@
 				excluded = excluded || id == server.Entry().ID
 			}
 			if !excluded {
-				return admission.Answer{Outcome: admission.Granted, Server: server, Pooled: true}
+				return admission.Answer{Outcome: admission.Granted, Server: server}
 			}
 		}
-		return admission.Answer{Pooled: true}
+		return admission.Answer{}
 	}
 }
 
@@ -99,7 +101,7 @@
 	server := startServer(t, answerOK)
 	s, f := newAdmitted(t, server)
 	f.answer = func(admission.Ask) admission.Answer {
-		return admission.Answer{Outcome: admission.Denied, Pooled: true, RetryAfter: 437 * time.Millisecond}
+		return admission.Answer{Outcome: admission.Denied, RetryAfter: 437 * time.Millisecond}
 	}
 	response, _, err := s.call(t, http.MethodPost, "/post/x", "body")
 	assert.NilError(t, err)
@@ -113,7 +115,7 @@
 func TestHostChoosesByItselfWithoutADispatcher(t *testing.T) {
 	server := startServer(t, answerOK)
 	s, f := newAdmitted(t, server)
-	f.answer = func(admission.Ask) admission.Answer { return admission.Answer{Pooled: true} }
+	f.answer = func(admission.Ask) admission.Answer { return admission.Answer{} }
 	response, _, err := s.call(t, http.MethodGet, "/any/x", "")
 	assert.NilError(t, err)
 	assert.Equal(t, response.StatusCode, 200)
