--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -28,6 +28,8 @@
 type Item struct {
 	// Account is the client account of the request, or empty.
 	Account string
+	// Caller is the same whenever a caller repeats the request, or zero if that is unknown.
+	Caller uint64
 	// Weight is the weight of the account; see Fairness.
 	Weight FairWeight
 	// Priority is the rank of the request; zero is the most urgent.
@@ -60,6 +62,8 @@
 type waiting struct {
 	Item
 	ticket Ticket
+	// returned says that the caller was refused before and has come back at the time that it was told.
+	returned bool
 	// rank is the request's place among the accounts of its priority; see Fairness.
 	rank float64
 }
@@ -74,6 +78,7 @@
 	// meanWork is the moving average of the time that a request takes at the server, or zero
 	// before the first sample.
 	meanWork time.Duration
+	returns  returnSchedule
 	fairness Fairness
 }
 
@@ -102,6 +107,7 @@
 func (q *Queue) Offer(item Item, now time.Duration) (Ticket, []Decision) {
 	q.lastTicket++
 	ticket := q.lastTicket
+	returned := q.returns.arrive(item, now)
 	if q.running < q.slots && len(q.waiting) == 0 {
 		if q.running == 0 {
 			q.fairness.Idle()
@@ -109,7 +115,7 @@
 		q.admit(item)
 		return ticket, []Decision{{Ticket: ticket, Admitted: true}}
 	}
-	w := waiting{Item: item, ticket: ticket}
+	w := waiting{Item: item, ticket: ticket, returned: returned}
 	q.waiting = append(q.waiting, w)
 	q.sort(now)
 	return ticket, q.refuseUnmeetable(now)
@@ -160,7 +166,8 @@
 }
 
 // sort puts the waiting requests in the order in which they are admitted: those that can meet
-// their goal first, then by priority, by turns of the client accounts, by goal and by arrival.
+// their goal first, then by priority, those whose callers come back at their time before new ones, then by
+// turns of the client accounts, by goal and by arrival.
 func (q *Queue) sort(now time.Duration) {
 	slices.SortStableFunc(q.waiting, func(a, b waiting) int {
 		return cmp.Or(
@@ -186,22 +193,16 @@
 	return slices.ContainsFunc(q.waiting, func(w waiting) bool { return w.Account != q.waiting[0].Account })
 }
 
-// compareUrgency compares what counts more than the accounts: whether the goal can be met, and the priority.
+// compareUrgency compares what counts more than the accounts: whether the goal can be met, the priority, and whether
+// the caller has come back at its time.
 func compareUrgency(a, b waiting, now time.Duration) int {
 	return cmp.Or(
-		cmp.Compare(goalMissed(a, now), goalMissed(b, now)),
+		cmp.Compare(itemMissesGoal(a.Item, now), itemMissesGoal(b.Item, now)),
 		cmp.Compare(a.Priority, b.Priority),
+		-cmp.Compare(asInt(a.returned), asInt(b.returned)),
 	)
 }
 
-// goalMissed returns 0 if the request would meet its goal when started now, and 1 otherwise.
-func goalMissed(w waiting, now time.Duration) int {
-	if now+w.Work <= w.Goal {
-		return 0
-	}
-	return 1
-}
-
 // refuseUnmeetable refuses the requests that, by the expected wait, can't meet their deadline.
 func (q *Queue) refuseUnmeetable(now time.Duration) []Decision {
 	var decisions []Decision
@@ -209,7 +210,7 @@
 	for _, w := range q.waiting {
 		wait := q.wait(len(kept))
 		if now+time.Duration(waitMargin*float64(wait))+w.Work > w.Deadline {
-			decisions = append(decisions, Decision{Ticket: w.ticket, RetryAfter: q.retryAfter(w, now)})
+			decisions = append(decisions, Decision{Ticket: w.ticket, RetryAfter: q.retryAfter(w, kept, now)})
 			continue
 		}
 		kept = append(kept, w)
@@ -224,9 +225,12 @@
 	return time.Duration(max(turns, 0) * float64(q.meanWork))
 }
 
-// retryAfter returns when a refused request may be retried: after the time in which the queue is
-// expected to empty, at most a third of the time to the request's deadline, within the limits.
-func (q *Queue) retryAfter(w waiting, now time.Duration) time.Duration {
-	third := (w.Deadline - now) / 3
-	return min(max(min(q.wait(len(q.waiting)), third), minRetryAfter), maxRetryAfter)
+// retryAfter returns when a refused request may be retried. By then the requests at the server and the more urgent ones of
+// those ahead of it should have ended: it will go before the others of its priority.
+func (q *Queue) retryAfter(w waiting, ahead []waiting, now time.Duration) time.Duration {
+	before := q.running
+	for _, other := range ahead {
+		before += asInt(other.Priority < w.Priority)
+	}
+	return q.returns.refuse(w.Item, q.slots, time.Duration(float64(before)*float64(q.meanWork)), now)
 }
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -9,6 +9,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/poplarcroft/poplarcroft/internal/admission"
 	"github.com/poplarcroft/poplarcroft/internal/assign"
 	"github.com/poplarcroft/poplarcroft/internal/clock"
 	"github.com/poplarcroft/poplarcroft/internal/eventlog"
@@ -110,7 +111,10 @@
 	configSharing   *configSharing
 	catchUp         *catchUp
 	reach           *reachSharing
-	shares          *shareLeasing
+	// pools are those that this host dispatches for.
+	pools             *admission.Pools
+	admissionCounters *admission.Counters
+	shares            *shareLeasing
 
 	// leaving says that the host is shutting down.
 	leaving atomic.Bool
@@ -172,9 +176,17 @@
 		CutOff:       h.reach.CutOff,
 		ServersKnown: h.seenServers.Load, Clock: clock.Monotonic, Log: log,
 	})
+	h.admissionCounters = &admission.Counters{}
+	h.pools = admission.NewPools(admission.PoolsConfig{
+		Incarnation: h.self.Incarnation, Fleet: h.fleet, Clock: clock.Monotonic, Log: log,
+	}, h.admissionCounters)
 	h.shares = newShareLeasing(h.self, h.current, h.peers, h.needsShares, clock.Monotonic, log)
 	h.ingress = front.New(front.Config{
 		Self: config.Name,
+		Admission: admission.NewClient(admission.ClientConfig{
+			Self: h.self, Plan: h.current.Plan, Fleet: h.fleet, CutOff: h.reach.CutOff, Own: h.pools,
+			Peers: &dispatchers{pool: peer.NewPool(peer.DialFunc(dialHost))}, Clock: clock.Monotonic, Log: log,
+		}, h.admissionCounters),
 		Hosts: transport.NewPool(transport.Options{
 			Dial: dialHost, Connections: peerConnections, IdleTimeout: idleTimeout, RequestIDHeader: config.Headers.RequestID,
 			RequireID: true,
@@ -257,7 +269,7 @@
 	for _, run := range []func(context.Context){
 		h.followOperatorRecords, h.followState, h.followServers, h.renewer.Run,
 		h.leader.RunElection, h.leader.Run, h.reportLoad, h.evidence.run, h.configSharing.run, h.catchUp.run,
-		h.reach.monitor.Run, h.reach.run, h.shares.run,
+		h.reach.monitor.Run, h.reach.run, h.shares.run, h.pools.Run,
 	} {
 		loops.Go(func() { run(running) })
 	}
@@ -277,6 +289,7 @@
 	h.log.Event("leave", "host", h.self.Name)
 	h.leaving.Store(true)
 	h.ingress.Leave()
+	h.pools.Leave()
 	started := time.Now()
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(h.config.Grace-exitReserve))
 	defer cancel()
--- a/internal/edge/listen.go
+++ b/internal/edge/listen.go
@@ -58,7 +58,7 @@
 	rpcServer := rpc.NewServer()
 	err := rpcServer.RegisterName(rpcName, &rpcService{
 		self: h.self, current: h.current, renewer: h.renewer, leader: h.leader, guard: h.guard, fleet: h.fleet, relay: h.relay,
-		records: h.operatorRecords, reach: h.reach, shares: h.shares, log: h.log,
+		records: h.operatorRecords, reach: h.reach, shares: h.shares, pools: h.pools, log: h.log,
 	})
 	if err != nil {
 		panic(errors.NewAssertionErrorWithWrappedErrf(err, "register RPC methods"))
@@ -99,6 +99,7 @@
 	w.Header().Set("Content-Type", "application/json")
 	err := json.NewEncoder(w).Encode(map[string]any{
 		"door": h.ingress.Counters.Snapshot(), "leads": h.leader.IsLeader(), "plan": uint64(h.current.Plan().Version),
+		"admission":   map[string]any{"counts": h.admissionCounters.Snapshot(), "pools": h.pools.Snapshot()},
 		"body_memory": h.ingress.BodyMemory(), "relay": h.relay.Counters.Snapshot(), "log_lines_dropped": h.log.Dropped(),
 		"servers": h.ingress.Learner.Snapshot(), "shares": h.shares.snapshot(),
 	})
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/poplarcroft/poplarcroft/internal/admission"
 	"github.com/poplarcroft/poplarcroft/internal/assign"
 	"github.com/poplarcroft/poplarcroft/internal/concurrency"
 	"github.com/poplarcroft/poplarcroft/internal/eventlog"
@@ -113,6 +114,7 @@
 	relay   *relay.Relay
 	records *operatorRecords
 	reach   *reachSharing
+	pools   *admission.Pools
 	shares  *shareLeasing
 	log     *eventlog.Log
 }
--- a/internal/front/ingress.go
+++ b/internal/front/ingress.go
@@ -45,6 +45,8 @@
 	Dial  transport.DialFunc
 	// Reach knows which hosts reach servers.
 	Reach Reach
+	// Admission asks for slots at servers of services without keys. If it is nil, this host chooses servers by itself.
+	Admission Admission
 	// Table returns the configuration in force for callers, or nil if there is none yet.
 	Table func() *routetable.Table
 	// KnownTable returns the newest configuration that this host knows, also while it is not in force for callers. It
--- a/internal/front/keyed.go
+++ b/internal/front/keyed.go
@@ -174,6 +174,7 @@
 	k.ingress.followWidth(gate, entry)
 	retryAfter, ok := gate.Acquire(ctx, dispatch.Item{
 		Account:  k.r.Account,
+		Caller:   callerOf(k.r),
 		Priority: k.r.Priority,
 		Goal:     k.r.Arrived + k.r.Route.Goal,
 		Deadline: k.r.Deadline,
