--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -181,6 +181,7 @@
 		Incarnation: h.self.Incarnation, Fleet: h.fleet, Clock: clock.Monotonic, Log: log,
 	}, h.admissionCounters)
 	h.shares = newShareLeasing(h.self, h.current, h.peers, h.needsShares, clock.Monotonic, log)
+	h.shares.meterQuotas(h.hasQuotas, h.quotaOf)
 	h.ingress = front.New(front.Config{
 		Self: config.Name,
 		Admission: admission.NewClient(admission.ClientConfig{
@@ -197,7 +198,7 @@
 			Ratio: config.RetryRatio, Extra: config.RetryExtra, Window: config.RetryWindow, Hosts: h.hostCount,
 		},
 		BodyMemory: config.MemoryBytes / bodyMemoryShare, LinkBytesPerS: config.LinkBytesPerS,
-		Shares: h.shares.holder, Clock: clock.Monotonic, Log: log,
+		Shares: h.shares.holder, Usage: h.shares.usage, Clock: clock.Monotonic, Log: log,
 	})
 	return h
 }
@@ -269,7 +270,7 @@
 	for _, run := range []func(context.Context){
 		h.followOperatorRecords, h.followState, h.followServers, h.renewer.Run,
 		h.leader.RunElection, h.leader.Run, h.reportLoad, h.evidence.run, h.configSharing.run, h.catchUp.run,
-		h.reach.monitor.Run, h.reach.run, h.shares.run, h.pools.Run,
+		h.reach.monitor.Run, h.reach.run, h.shares.run, h.shares.reportUsage, h.pools.Run,
 	} {
 		loops.Go(func() { run(running) })
 	}
--- a/internal/edge/shares.go
+++ b/internal/edge/shares.go
@@ -35,11 +35,15 @@
 	changed   func() <-chan struct{}
 	holder    *sharedlimit.Holder
 	allocator *sharedlimit.Allocator
-	// needed reports whether the deployment has limits of which hosts hold shares.
-	needed func() bool
-	peers  *peers
-	clock  func() time.Duration
-	log    *eventlog.Log
+	// usage counts what this host admits without shares, and meter adds up at the leader what all hosts have admitted.
+	usage *sharedlimit.Usage
+	meter *sharedlimit.Meter
+	// needed reports whether the deployment has limits of which hosts hold shares, and quotas whether accounts have
+	// quotas.
+	needed, quotas func() bool
+	peers          *peers
+	clock          func() time.Duration
+	log            *eventlog.Log
 
 	mu sync.Mutex
 	// members are the hosts of the plan with the version membersOf.
@@ -47,11 +51,13 @@
 	membersOf assign.Fence
 	// equalOf is the incarnation of the leader that does not know the method.
 	equalOf string
+	// tight holds the limits that were tight at the last report, at the leader.
+	tight map[string]bool
 }
 
 // newShareLeasing returns the share leasing of a host.
 func newShareLeasing(self assign.Host, current *assign.Current, p *peers, needed func() bool, clock func() time.Duration, log *eventlog.Log) *shareLeasing {
-	return &shareLeasing{
+	s := &shareLeasing{
 		self: self, office: current.Office,
 		changed: func() <-chan struct{} {
 			_, changed := current.Watch()
@@ -59,8 +65,18 @@
 		},
 		holder: sharedlimit.NewHolder(self.Name, self.Incarnation), needed: needed,
 		allocator: sharedlimit.NewAllocator(self.Incarnation, sharedlimit.DefaultTiming),
-		peers:     p, clock: clock, log: log,
+		usage:     sharedlimit.NewUsage(), quotas: func() bool { return false },
+		peers: p, clock: clock, log: log,
 	}
+	return s
+}
+
+// meterQuotas makes hosts admit requests of accounts without shares while their quotas, which quotaOf returns by name, are
+// far from being reached.
+func (s *shareLeasing) meterQuotas(quotas func() bool, quotaOf func(id string) (sharedlimit.Limit, bool)) {
+	s.quotas = quotas
+	s.meter = sharedlimit.NewMeter(quotaOf)
+	s.allocator.SetMeter(s.meter)
 }
 
 // run is the loop that asks for shares. It also notices each change of the leader.
@@ -121,7 +137,7 @@
 	switch {
 	case err == nil:
 		s.logChanges(leader, answer, s.holder.Answered(ask.Sequence, ask.Leader, answer, leaderOf(newest), now))
-	case lacksMethod(err):
+	case lacksMethod(err, sharesMethod):
 		s.holder.Equal(ask.Sequence, ask.Leader, len(newest.Hosts), sharedlimit.DefaultTiming.Lease, leaderOf(newest), now)
 		if s.equalOf != leader.Incarnation {
 			s.equalOf = leader.Incarnation
@@ -168,9 +184,9 @@
 }
 
 // lacksMethod reports whether a call failed because the other host's build does not have the method.
-func lacksMethod(err error) bool {
+func lacksMethod(err error, method string) bool {
 	var remote rpc.ServerError
-	return errors.As(err, &remote) && strings.HasPrefix(string(remote), "rpc: can't find method "+sharesMethod)
+	return errors.As(err, &remote) && strings.HasPrefix(string(remote), "rpc: can't find method "+method)
 }
 
 // Shares answers another host's ask for shares.
--- a/internal/front/ingress.go
+++ b/internal/front/ingress.go
@@ -67,6 +67,8 @@
 	// Shares holds this host's shares of the quotas of accounts and of the allowances of cold servers. It may be nil if
 	// no quota is to be kept.
 	Shares *sharedlimit.Holder
+	// Usage counts what this host admits of quotas that are far from being reached. Without it every request needs a share.
+	Usage *sharedlimit.Usage
 	// Clock is a monotonic clock; all times in this package are readings of it.
 	Clock func() time.Duration
 	Log   *eventlog.Log
--- a/internal/front/quota.go
+++ b/internal/front/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/poplarcroft/poplarcroft/internal/routetable"
@@ -30,9 +31,26 @@
 	}, true
 }
 
+// accountLimitPrefix precedes the name of the account in the name of its limit.
+const accountLimitPrefix = "account/"
+
+// meteredSlack is the number of requests that are added to the burst of an account where the leader adds up what hosts have
+// admitted. It keeps small accounts from needing shares by chance, and is half of what the rule allows beyond the quota.
+const meteredSlack = 10
+
+// QuotaByID returns the quota of the account whose limit has the given name, and false if it has none.
+func QuotaByID(table *routetable.Table, id string) (sharedlimit.Limit, bool) {
+	name, ok := strings.CutPrefix(id, accountLimitPrefix)
+	account := table.Accounts[name]
+	if !ok || account.RatePerSecond <= 0 {
+		return sharedlimit.Limit{}, false
+	}
+	return sharedlimit.Limit{Rate: account.RatePerSecond, Burst: max(account.Burst, 0) + meteredSlack}, true
+}
+
 // accountLimit returns the name of the limit of an account.
 func accountLimit(account string) string {
-	return "account/" + account
+	return accountLimitPrefix + account
 }
 
 // handleWithinQuota handles a request of a caller if its account's quota allows. A request that has not run does not count
@@ -43,19 +61,33 @@
 		return in.handleIfAdmitted(ctx, r)
 	}
 	id := accountLimit(r.Account)
+	if in.config.Usage != nil && in.config.Usage.Admit(id, in.clock()) {
+		result := in.handleIfAdmitted(ctx, r)
+		in.config.Usage.Spend(id, runsBeyondOne(r, result))
+		return result
+	}
 	if decision := in.takeQuota(ctx, r, id, limit); decision != sharedlimit.Taken {
 		return in.refuseByQuota(r, id, decision)
 	}
 	result := in.handleIfAdmitted(ctx, r)
-	switch {
-	case result.Kind == NotRun:
-		in.config.Shares.Return(id, limit, 1, in.clock())
-	case r.runs > 1:
-		in.config.Shares.Return(id, limit, -float64(r.runs-1), in.clock())
+	beyond := runsBeyondOne(r, result)
+	if beyond != 0 {
+		in.config.Shares.Return(id, limit, -float64(beyond), in.clock())
+	}
+	if in.config.Usage != nil {
+		in.config.Usage.Spend(id, 1+beyond)
 	}
 	return result
 }
 
+// runsBeyondOne returns how many more times than once a request has run by its result: -1 if it has not run.
+func runsBeyondOne(r *Request, result Result) int {
+	if result.Kind == NotRun {
+		return -1
+	}
+	return max(r.runs-1, 0)
+}
+
 // handleIfAdmitted handles a request if this host has the memory and the link for its answer.
 func (in *Ingress) handleIfAdmitted(ctx context.Context, r *Request) Result {
 	if refusal, ok := in.admit(ctx, r); !ok {
--- a/internal/sharedlimit/allocator.go
+++ b/internal/sharedlimit/allocator.go
@@ -50,6 +50,8 @@
 	members       map[string]*member
 	pools         map[string]*pool
 	counters      AllocatorCounters
+	// meter knows what hosts have admitted without shares, or is nil.
+	meter *Meter
 }
 
 // member is a host that has asked in this term.
@@ -76,6 +78,12 @@
 // quota (5 s).
 const unusedFor = 6 * time.Second
 
+// SetMeter tells the allocator of the meter of limits that hosts use without shares while these are far from being reached.
+// Such a limit gives out no shares while hosts have admitted more than its bucket held. It is called before the first ask.
+func (a *Allocator) SetMeter(meter *Meter) {
+	a.meter = meter
+}
+
 // Observe tells the allocator what its host knows of the plan. It is called before each Answer and at intervals, so
 // that no change of leader is missed. It reports whether the host became or ceased to be the leader.
 func (a *Allocator) Observe(view View, now time.Duration) bool {
@@ -148,7 +156,11 @@
 	}
 	for id, need := range ask.Needs {
 		need = need.clean()
-		grant := a.pool(id, now).grant(ask.Host, need, a.total(id, settled, now), now, a.reserved)
+		total := a.total(id, settled, now)
+		if a.meter != nil && a.meter.InDebt(id, now) {
+			total = 0
+		}
+		grant := a.pool(id, now).grant(ask.Host, need, total, now, a.reserved)
 		// While not settled, the next report may free more.
 		grant.Exhausted = grant.Exhausted && settled
 		if grant.Fraction > need.Held {
@@ -220,7 +232,8 @@
 	p := a.pools[id]
 	if p == nil {
 		p = &pool{refilledAt: now}
-		if a.view.First || now >= a.settledAt+unusedFor {
+		// What is left of the bucket of a metered limit is not known here, so its shares begin without tokens.
+		if !a.metered(id) && (a.view.First || now >= a.settledAt+unusedFor) {
 			p.tokens = SettledTotal
 		}
 		a.pools[id] = p
@@ -228,6 +241,15 @@
 	return p
 }
 
+// metered reports whether hosts use the limit without shares while it is far from being reached.
+func (a *Allocator) metered(id string) bool {
+	if a.meter == nil {
+		return false
+	}
+	_, ok := a.meter.limitOf(id)
+	return ok
+}
+
 // total returns the part of a limit that may be given out now. While not settled it is what hosts have reported, as all
 // else may be in use, and the part that the former leader did not give out. The caller holds the lock.
 func (a *Allocator) total(id string, settled bool, now time.Duration) float64 {
