fleet: a leased share of one request a second sends one each second

Cause: a bucket with room for one request and an allowance of one per second never refills: 91 hosts sent 12 requests in 3 s. Change: leased shares below two requests a second are spaced by 1.05 s. Equal shares are unchanged.

--- a/internal/fleet/allowance.go
+++ b/internal/fleet/allowance.go
@@ -6,8 +6,15 @@
 type Allowance struct {
 	// PerSecond is the maximum number of requests in any period of one second.
 	PerSecond float64
+	// Spaced says that a host with fewer than two requests a second sends one in each spacing. A bucket with room for one
+	// request would refill too slowly: with one request a second, not at all.
+	Spaced bool
 }
 
+// spacing is the time between two requests of a spaced allowance: a second, and a margin for different delays on the
+// way to the server.
+const spacing = 1050 * time.Millisecond
+
 // ShareOf returns one host's share of the requests per second that a cold server may get from
 // all hosts together.
 func ShareOf(total float64, hosts int) Allowance {
@@ -28,6 +35,9 @@
 	if allowance.PerSecond < 1 {
 		return false
 	}
+	if allowance.Spaced && allowance.PerSecond < 2 {
+		return b.takeSpaced(now)
+	}
 	burst := max(1, allowance.PerSecond/2)
 	refill := allowance.PerSecond - burst
 	if !b.initialized {
@@ -43,3 +53,12 @@
 	b.tokens--
 	return true
 }
+
+// takeSpaced takes a token of a spaced allowance.
+func (b *bucket) takeSpaced(now time.Duration) bool {
+	if b.initialized && now-b.refilledAt < spacing {
+		return false
+	}
+	b.initialized, b.tokens, b.refilledAt = true, 0, now
+	return true
+}
--- a/internal/front/cold.go
+++ b/internal/front/cold.go
@@ -31,7 +31,7 @@
 		wanted = max(useful, primaryColdPart)
 	}
 	fraction := in.config.Shares.Fraction(coldLimit(server.Entry()), useful, wanted, now)
-	return fleet.Allowance{PerSecond: fraction * total}
+	return fleet.Allowance{PerSecond: fraction * total, Spaced: true}
 }
 
 // coldLimit returns the name of the limit of a cold server. Another incarnation has a limit of its own.
--- a/internal/front/cold_test.go
+++ b/internal/front/cold_test.go
@@ -12,6 +12,7 @@
 	"github.com/poplarcroft/poplarcroft/internal/fleet"
 	"github.com/poplarcroft/poplarcroft/internal/routetable"
 	"github.com/poplarcroft/poplarcroft/internal/sharedlimit"
+	"github.com/poplarcroft/poplarcroft/internal/transport"
 )
 
 // coldTotal is the number of requests per second that a cold server of the tests may get from all hosts.
@@ -109,3 +110,50 @@
 	s.ingress.config.Shares = nil
 	assert.Equal(t, chosen(), warmEntry.ID)
 }
+
+// TestColdServerInEverySecondOverManyHosts guards against a cold server that gets more than its allowance in a second from 91
+// hosts together, or nearly nothing.
+func TestColdServerInEverySecondOverManyHosts(t *testing.T) {
+	const hosts, step, coldFor = 91, 10 * time.Millisecond, 3 * time.Second
+	const id = "cold/archiv-0/1"
+	leader := sharedlimit.Leader{Incarnation: "i0", Plan: 1}
+	allocator := sharedlimit.NewAllocator("i0", sharedlimit.DefaultTiming)
+	view := sharedlimit.View{Leader: "i0", Term: 1, First: true, Verified: time.Minute}
+	var holders []*sharedlimit.Holder
+	var servers []*fleet.Server
+	for i := range hosts {
+		member := sharedlimit.Member{Name: fmt.Sprint("h", i), Incarnation: fmt.Sprint("i", i)}
+		view.Hosts = append(view.Hosts, member)
+		holders = append(holders, sharedlimit.NewHolder(member.Name, member.Incarnation))
+		f := fleet.New(fleet.Options{Target: func(string) *transport.Target { return nil }})
+		f.Set([]fleet.Entry{{ID: "archiv-0", Service: "archiv", Slots: 4, Born: 1, ColdFor: coldFor}}, time.Minute)
+		server, _ := f.Server("archiv-0")
+		servers = append(servers, server)
+	}
+	allocator.Observe(view, time.Minute)
+	var sent []time.Duration
+	useful := oneRequest / float64(coldTotal)
+	for now := time.Minute; now < time.Minute+coldFor; now += step {
+		for i, holder := range holders {
+			allowance := fleet.Allowance{PerSecond: coldTotal * holder.Fraction(id, useful, useful, now), Spaced: true}
+			if servers[i].Begin(allowance, fleet.SoleShare, now) == fleet.NotRefused {
+				sent = append(sent, now)
+			}
+			if ask, due := holder.Ask(leader, false, now); due {
+				answer, err := allocator.Answer(ask, now)
+				assert.NilError(t, err)
+				holder.Answered(ask.Sequence, "i0", answer, leader, now)
+			}
+		}
+	}
+	highest, first := 0, 0
+	for i, at := range sent {
+		for at-sent[first] >= time.Second {
+			first++
+		}
+		highest = max(highest, i-first+1)
+	}
+	t.Logf("%d in %v, at most %d in a second", len(sent), coldFor, highest)
+	assert.Assert(t, highest <= coldTotal)
+	assert.Assert(t, len(sent) >= 3*(coldTotal-3))
+}
