--- a/internal/sharedlimit/usage.go
+++ b/internal/sharedlimit/usage.go
@@ -16,7 +16,9 @@
 	usageCutOff = 10 * time.Second
 	// cutOffFactor is the multiple of its average rate at which a host without answers admits. Usual rates are 1/1.6 of the
 	// limits, so all hosts together stay below them.
-	cutOffFactor = 1.4
+	cutOffFactor = 1.2
+	// cutOffBurst is the time whose tokens such a host may save.
+	cutOffBurst = 2 * time.Second
 )
 
 // Usage counts what one host admits of limits that are far from being reached. Requests for these need no share: a share
@@ -53,7 +55,10 @@
 		d = &demand{updatedAt: now}
 		u.recent[id] = d
 	}
-	d.add(now)
+	if now-u.answeredAt <= usageFresh {
+		// A flood that begins while the leader is out of reach must not raise what the host admits.
+		d.add(now)
+	}
 	if !u.answered || u.tight[id] || now-u.answeredAt > usageCutOff {
 		return false
 	}
@@ -72,7 +77,7 @@
 		u.cutOff[id] = b
 	}
 	rate := cutOffFactor * d.steady / steadyConstant.Seconds()
-	b.refill(Limit{Rate: rate, Burst: rate}, now)
+	b.refill(Limit{Rate: rate, Burst: cutOffBurst.Seconds() * rate}, now)
 	return b.take()
 }
 
