front: a waiting request that is not idempotent ends when its caller disconnects

Requests that are not idempotent ignored the caller's departure from the beginning, also while they waited for a slot at a pool, a gate or another host. Change: they are cancelled when the caller disconnects unless they are being sent to a server; the host that forwarded one cancels the hop, and the primary drops it if it still waits. Result: TestWaitingRequestEndsWithItsCaller fails without the change (directly and over a hop) and passes with it.

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -115,6 +115,11 @@
 		server.End(fleet.Cancelled, 0, started)
 		return attempt{outcome: attemptNotSent, detail: reasonDeadline}
 	}
+	if !r.watch.beginSending() {
+		server.End(fleet.Cancelled, 0, started)
+		return attempt{outcome: attemptNotSent, detail: reasonCallerGone}
+	}
+	defer r.watch.endSending()
 	entry := server.Entry()
 	// A request that waits in the server's queue takes longer although the server isn't slow, so
 	// its latency is not used.
--- a/internal/front/caller_gone_test.go
+++ b/internal/front/caller_gone_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/poplarcroft/poplarcroft/internal/assign"
 )
 
 // startHangingServer starts a server that never answers. It sends "arrived" on the channel when a
@@ -103,3 +105,51 @@
 		assert.Equal(t, response.Header.Get("Retry-After"), "")
 	}
 }
+
+// TestWaitingRequestEndsWithItsCaller guards against a request that is not idempotent, waits for a slot and is sent after
+// its caller has gone: directly, and at the primary to which another host has forwarded it.
+func TestWaitingRequestEndsWithItsCaller(t *testing.T) {
+	const width = 4 + extraSlots
+	for _, forwarded := range []bool{false, true} {
+		server, events := startHangingServer(t)
+		s := newSystem(t, server)
+		entry := s
+		if forwarded {
+			entry = newHost(t, "h0", server.addr)
+			peers := servePeersWith(t, s.ingress.ServeForwarded)
+			for _, host := range []*system{s, entry} {
+				host.assignAllKeys("revize-0", server.addr, 2, assign.Host{Name: "h1", Zone: "zlin", Addr: peers})
+			}
+		}
+		post := func(ctx context.Context, leftMS string) {
+			request, err := http.NewRequestWithContext(ctx, "POST", entry.callers.URL+"/unsafe/x", strings.NewReader("x"))
+			assert.NilError(t, err)
+			request.Host = "a.example"
+			request.Header.Set("X-Id", "i")
+			request.Header.Set("X-Key", "1")
+			request.Header.Set("X-Left", leftMS)
+			if response, err := http.DefaultClient.Do(request); err == nil {
+				response.Body.Close()
+			}
+		}
+		for range width {
+			go post(t.Context(), "1500")
+		}
+		for range width {
+			assert.Equal(t, await(events, 10*time.Second), "arrived")
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			post(ctx, "20000")
+		}()
+		time.Sleep(300 * time.Millisecond)
+		cancel()
+		<-ended
+		for range width {
+			assert.Equal(t, await(events, 10*time.Second), "ended", "forwarded: %v", forwarded)
+		}
+		assert.Equal(t, await(events, 500*time.Millisecond), "", "forwarded: %v", forwarded)
+	}
+}
--- a/internal/front/ingress.go
+++ b/internal/front/ingress.go
@@ -330,8 +330,8 @@
 }
 
 // contextOf returns the context of a request. It ends at the deadline, before the host stops and, for idempotent
-// requests, when the caller disconnects. Requests that are not idempotent go on, because
-// cancelling one leaves unknown whether it was executed.
+// requests, when the caller disconnects. Requests that are not idempotent go on while they are being sent to a server; see
+// callerWatch.
 func (in *Ingress) contextOf(hr *http.Request, r *Request) (context.Context, context.CancelFunc) {
 	parent := hr.Context()
 	if !r.Route.Idempotent {
@@ -339,7 +339,13 @@
 	}
 	ctx, cancel := context.WithTimeout(parent, r.Deadline-in.clock())
 	stop := context.AfterFunc(in.ending, cancel)
+	stopWatch := func() bool { return true }
+	if !r.Route.Idempotent {
+		r.watch = &callerWatch{cancel: cancel}
+		stopWatch = context.AfterFunc(hr.Context(), r.watch.leave)
+	}
 	return ctx, func() {
+		stopWatch()
 		stop()
 		cancel()
 	}
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -73,6 +73,8 @@
 	// Arrived is when this host received the request. Deadline is when the caller stops waiting or
 	// the route's timeout ends, whichever is earlier.
 	Arrived, Deadline time.Duration
+	// watch ends a request that is not idempotent when its caller disconnects; nil for others.
+	watch *callerWatch
 	// runs is the number of attempts in which a server may have executed the request.
 	runs int
 	// delivery writes the answer to the caller, and holds counts the memory of the request and its answer. Both are nil
