--- a/internal/concurrency/width_test.go
+++ b/internal/concurrency/width_test.go
@@ -19,6 +19,7 @@
 // TestNoiseDoesNotNarrowTheGate guards against a gate that stays narrow since its server is 3 times slower for 0.4 s at a
 // time, or since work times vary.
 func TestNoiseDoesNotNarrowTheGate(t *testing.T) {
+	skipReplayWithRaceDetector(t)
 	for _, slots := range []int{2, 4, 8} {
 		for _, load := range []float64{0.6, 0.9} {
 			for _, spread := range []float64{0.3, 0.8} {
@@ -54,6 +55,7 @@
 // TestSlowServerGetsANarrowGateAtOnce checks that the gate of a server that is 4 to 12 times slower for 5 s narrows within
 // about a second, and is wide again about a second after the server has recovered.
 func TestSlowServerGetsANarrowGateAtOnce(t *testing.T) {
+	skipReplayWithRaceDetector(t)
 	for _, factor := range []float64{4, 6, 8, 12} {
 		t.Run(fmt.Sprint(factor), func(t *testing.T) {
 			var narrowAfter, wideAfter []float64
@@ -95,6 +97,7 @@
 // TestCallersGainFromLastingSpeeds checks that more requests are answered within their goal if keys are divided by lasting
 // speeds and the width follows the server, and that this needs fewer moves of keys.
 func TestCallersGainFromLastingSpeeds(t *testing.T) {
+	skipReplayWithRaceDetector(t)
 	for _, factors := range [][]float64{{0.6, 1.0, 1.4}, {0.7, 0.7, 1.7}} {
 		for _, load := range []float64{0.6, 0.9} {
 			for _, slow := range []bool{false, true} {
@@ -127,6 +130,7 @@
 // TestNarrowGateHelpsWhereServersSlowDown checks that the learned width serves more requests within their goal than slots + 1
 // where requests take three times as long when all slots are in use, with the same division of keys.
 func TestNarrowGateHelpsWhereServersSlowDown(t *testing.T) {
+	skipReplayWithRaceDetector(t)
 	for _, load := range []float64{0.6, 0.9} {
 		c := replayConfig{
 			servers: 12, slots: 4, factors: []float64{0.6, 1.0, 1.4}, spread: 0.5, congestion: 2, noise: true, load: load,
@@ -148,6 +152,7 @@
 // TestCalmDayMovesFewKeys checks that division by lasting speed moves at most a few keys more than before where neither noise
 // nor slow times occur.
 func TestCalmDayMovesFewKeys(t *testing.T) {
+	skipReplayWithRaceDetector(t)
 	for _, load := range []float64{0.3, 0.6} {
 		c := replayConfig{servers: 12, slots: 4, factors: []float64{0.6, 1.0, 1.4}, spread: 0.3, load: load, duration: 300 * time.Second}
 		before := newReplay(c).run()
@@ -157,3 +162,12 @@
 		assert.Assert(t, after.moves <= before.moves+5)
 	}
 }
+
+// skipReplayWithRaceDetector leaves a replay to the run without the race detector. Replays are single goroutines in simulated
+// time, in which there is no race to find, and take minutes with it.
+func skipReplayWithRaceDetector(t *testing.T) {
+	t.Helper()
+	if raceEnabled {
+		t.Skip("the replay runs without the race detector")
+	}
+}
