sharedlimit, edge: reports of usage hold totals, so that a late one is not counted twice; asks back off

Change: totals with a sequence number in place of counts since the last report; 0.9 s for a report; 0.5 s between asks after one that got no answer.

--- a/internal/edge/usage.go
+++ b/internal/edge/usage.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/poplarcroft/poplarcroft/internal/assign"
 	"github.com/poplarcroft/poplarcroft/internal/front"
@@ -9,6 +10,10 @@
 	"github.com/poplarcroft/poplarcroft/internal/sharedlimit"
 )
 
+// usageTimeout is the timeout of a report. It is longer than that of other messages: a small host that leads may take long
+// while keys move, and a report that is given up leaves the host without an answer.
+const usageTimeout = 900 * time.Millisecond
+
 // usageMethod is the RPC method for reports of usage. Builds up to b5ff72c lack it.
 const usageMethod = rpcName + ".Usage"
 
@@ -42,10 +47,9 @@
 		// Without answers every request needs a share, of which hosts get equal ones.
 		s.log.Routine("usage", "leader", to.Name, "outcome", "unknown method", "err", err.Error())
 	case err != nil:
-		s.usage.Failed(report)
 		s.log.Routine("usage", "leader", to.Name, "outcome", "failed", "err", err.Error())
 	case !answer.Known:
-		s.usage.Failed(report)
+		s.log.Routine("usage", "leader", to.Name, "outcome", "not the leader")
 	default:
 		s.usage.Answered(answer, sentAt)
 	}
@@ -56,7 +60,7 @@
 	if to.SameIncarnation(s.self) {
 		return s.countUsage(report), nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	ctx, cancel := context.WithTimeout(ctx, usageTimeout)
 	defer cancel()
 	var answer sharedlimit.UsageAnswer
 	err := s.peers.pool.Call(ctx, to.Addr, usageMethod, report, &answer)
--- a/internal/sharedlimit/asking.go
+++ b/internal/sharedlimit/asking.go
@@ -10,7 +10,7 @@
 func (h *Holder) Ask(leader Leader, report bool, now time.Duration) (Ask, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.pending || leader.Incarnation == "" || h.asked && now-h.askedAt < urgentInterval {
+	if h.pending || leader.Incarnation == "" || h.asked && now-h.askedAt < h.interval() {
 		return Ask{}, false
 	}
 	h.forget(now)
@@ -42,7 +42,15 @@
 	if !h.asked {
 		return 0
 	}
-	return max(h.askedAt+urgentInterval-now, 0)
+	return max(h.askedAt+h.interval()-now, 0)
+}
+
+// interval returns the least time between two asks. The caller holds the lock.
+func (h *Holder) interval() time.Duration {
+	if h.failed {
+		return failedInterval
+	}
+	return urgentInterval
 }
 
 // forget removes the limits without demand and without a share. The caller holds the lock.
@@ -113,7 +121,7 @@
 		h.counters.Failures++
 		return nil
 	}
-	h.reportedTo = from
+	h.reportedTo, h.failed = from, false
 	h.counters.Answers++
 	var changed []string
 	for id, grant := range answer.Grants {
@@ -173,6 +181,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.finish(sequence) {
+		h.failed = true
 		h.counters.Failures++
 	}
 }
--- a/internal/sharedlimit/holder.go
+++ b/internal/sharedlimit/holder.go
@@ -13,6 +13,9 @@
 	urgentInterval = 100 * time.Millisecond
 	// exhaustedInterval is the time between two asks for a limit of which nothing is free.
 	exhaustedInterval = 500 * time.Millisecond
+	// failedInterval is the time between two asks after one that got no answer. A leader that is short of processor time would
+	// otherwise get ten asks a second of each host.
+	failedInterval = 500 * time.Millisecond
 	// forgetAfter is how long a limit is kept without demand and without a share. It is longer than the window of a
 	// quota (5 s), so that a bucket does not start anew within it.
 	forgetAfter = 30 * time.Second
@@ -58,6 +61,8 @@
 	pending  bool
 	askedAt  time.Duration
 	asked    bool
+	// failed says that the last ask got no answer.
+	failed bool
 	// reportedTo is the leader that has answered last.
 	reportedTo string
 	counters   HolderCounters
--- a/internal/sharedlimit/meter.go
+++ b/internal/sharedlimit/meter.go
@@ -27,6 +27,8 @@
 
 	mu     sync.Mutex
 	limits map[string]*metered
+	// reported holds the last report of each host in this term.
+	reported map[string]UsageReport
 }
 
 // metered is the state of one limit.
@@ -43,7 +45,7 @@
 
 // NewMeter returns a meter of limits that limitOf returns.
 func NewMeter(limitOf func(id string) (Limit, bool)) *Meter {
-	return &Meter{limitOf: limitOf, limits: make(map[string]*metered)}
+	return &Meter{limitOf: limitOf, limits: make(map[string]*metered), reported: make(map[string]UsageReport)}
 }
 
 // Reset forgets what was reported, at the start of a term as leader.
@@ -51,22 +53,14 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	clear(m.limits)
+	clear(m.reported)
 }
 
 // Add counts a report and returns the limits that are tight.
 func (m *Meter) Add(report UsageReport, now time.Duration) UsageAnswer {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for id, n := range report.Asked {
-		if l := m.get(id, now); l != nil {
-			l.asked += float64(max(n, 0))
-		}
-	}
-	for id, n := range report.Spent {
-		if l := m.get(id, now); l != nil {
-			l.tokens = min(l.tokens-float64(n), l.limit.Burst)
-		}
-	}
+	m.count(report, now)
 	answer := UsageAnswer{Known: true}
 	for id := range m.limits {
 		if l := m.get(id, now); l != nil && l.tight {
@@ -77,6 +71,33 @@
 	return answer
 }
 
+// count adds what a host has counted since its last report. What it had counted before its first report in this term is not
+// known to be recent, and does not count. The caller holds the lock.
+func (m *Meter) count(report UsageReport, now time.Duration) {
+	last, known := m.reported[report.Host]
+	restarted := known && last.Incarnation != report.Incarnation
+	if known && !restarted && report.Sequence <= last.Sequence {
+		return
+	}
+	m.reported[report.Host] = report
+	if !known && report.Sequence > 1 {
+		return
+	}
+	if restarted {
+		last = UsageReport{}
+	}
+	for id, n := range report.Asked {
+		if l := m.get(id, now); l != nil {
+			l.asked += float64(max(n-last.Asked[id], 0))
+		}
+	}
+	for id, n := range report.Spent {
+		if l := m.get(id, now); l != nil {
+			l.tokens = min(l.tokens-float64(n-last.Spent[id]), l.limit.Burst)
+		}
+	}
+}
+
 // InDebt reports whether hosts have admitted more of a limit than its bucket held, so that shares have to wait.
 func (m *Meter) InDebt(id string, now time.Duration) bool {
 	m.mu.Lock()
--- a/internal/sharedlimit/usage.go
+++ b/internal/sharedlimit/usage.go
@@ -1,6 +1,7 @@
 package sharedlimit
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -26,8 +27,9 @@
 // allocator. The leader adds up what all hosts have admitted, and names the limits of which hosts have to hold shares.
 type Usage struct {
 	mu sync.Mutex
-	// spent and asked count since the last report: requests that were admitted, and all.
+	// spent and asked count since the start of the process: requests that were admitted, and all.
 	spent, asked map[string]int
+	sequence     uint64
 	// tight holds the limits of which this host needs shares.
 	tight map[string]bool
 	// recent measures the rate of each limit's requests, for the time without answers.
@@ -89,30 +91,22 @@
 	u.spent[id] += n
 }
 
-// UsageReport is what a host has admitted and been asked for since its last report, by limit.
+// UsageReport is what a host has admitted and been asked for since its start, by limit. Totals can be sent again without being
+// counted twice: a leader that answers late has often counted a report that its sender has given up.
 type UsageReport struct {
 	Host, Incarnation string
-	Spent, Asked      map[string]int
+	// Sequence numbers the reports of an incarnation.
+	Sequence     uint64
+	Spent, Asked map[string]int
 }
 
-// Report returns what has been counted since the last report.
+// Report returns what has been counted.
 func (u *Usage) Report(host, incarnation string) UsageReport {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	report := UsageReport{Host: host, Incarnation: incarnation, Spent: u.spent, Asked: u.asked}
-	u.spent, u.asked = make(map[string]int), make(map[string]int)
-	return report
-}
-
-// Failed adds a report that has got no answer to the next one. If it has arrived, its requests count twice, which admits less.
-func (u *Usage) Failed(report UsageReport) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	for id, n := range report.Spent {
-		u.spent[id] += n
-	}
-	for id, n := range report.Asked {
-		u.asked[id] += n
+	u.sequence++
+	return UsageReport{
+		Host: host, Incarnation: incarnation, Sequence: u.sequence, Spent: maps.Clone(u.spent), Asked: maps.Clone(u.asked),
 	}
 }
 
--- a/internal/sharedlimit/usage_test.go
+++ b/internal/sharedlimit/usage_test.go
@@ -65,7 +65,7 @@
 			}
 			if now >= r.reportAt[i] {
 				r.reportAt[i] += UsageInterval
-				r.usages[i].Answered(r.meter.Add(r.usages[i].Report("h", "1"), now), now)
+				r.usages[i].Answered(r.meter.Add(r.usages[i].Report(fmt.Sprint("h", i), "1"), now), now)
 			}
 			if ask, due := r.holders[i].Ask(leader, false, now); due {
 				answer, err := r.allocator.Answer(ask, now)
@@ -185,3 +185,31 @@
 		}
 	}
 }
+
+// TestReportsCountOnce guards against quotas that become tight although accounts stay below them: a busy leader counts a
+// report whose sender has given it up, and the sender reports again.
+func TestReportsCountOnce(t *testing.T) {
+	m := NewMeter(func(string) (Limit, bool) { return Limit{Rate: 1, Burst: 100}, true })
+	u := NewUsage()
+	now := time.Duration(0)
+	send := func(n int) UsageReport {
+		u.Spend(usageID, n)
+		return u.Report("h", "1")
+	}
+	first := send(5)
+	second := send(7)
+	m.Add(first, now)
+	m.Add(second, now)
+	m.Add(first, now)
+	m.Add(second, now)
+	assert.Equal(t, m.limits[usageID].tokens, initialTokens*100-12)
+	restarted := NewUsage()
+	restarted.Spend(usageID, 3)
+	m.Add(restarted.Report("h", "2"), now)
+	assert.Equal(t, m.limits[usageID].tokens, initialTokens*100-15)
+	// A new leader does not know when a host has spent what it reports first.
+	m.Reset()
+	m.Add(send(4), now)
+	m.Add(send(2), now)
+	assert.Equal(t, m.limits[usageID].tokens, initialTokens*100-2)
+}
