edge, relay: metrics and log lines of how a configuration spreads

An operator could not ask which hosts lack the newest configuration, by how much and why: the log told only when a version came into force. Hosts now measure the time from the first sign of a newer record until it is in force, count reads that fail or are restarted and the bytes of answers that are dropped with them, and name topic and duration when a relay is avoided. The leader lists the hosts that are behind in its metrics, and logs those that are late.

No decision changes.

--- a/internal/edge/config_sharing.go
+++ b/internal/edge/config_sharing.go
@@ -66,6 +66,7 @@
 	if err != nil {
 		return err
 	}
+	c.records.progress.othersHave(reply.Version)
 	if reply.Record != nil {
 		return c.records.adoptConfig(*reply.Record, leader.Name)
 	}
@@ -82,6 +83,9 @@
 			return err
 		}
 	}
+	if late, inForce, since := s.records.progress.reported(args.From, args.Version); late {
+		s.log.Event("config", "from", args.From, "version", uint64(args.Version), "in_force", uint64(inForce), "since_ms", since.Milliseconds(), "outcome", "late")
+	}
 	version, record := s.records.newestConfig()
 	reply.Version = version
 	if version > args.Version {
--- a/internal/edge/listen.go
+++ b/internal/edge/listen.go
@@ -102,6 +102,7 @@
 		"admission":   map[string]any{"counts": h.admissionCounters.Snapshot(), "pools": h.pools.Snapshot()},
 		"body_memory": h.ingress.BodyMemory(), "relay": h.relay.Counters.Snapshot(), "log_lines_dropped": h.log.Dropped(),
 		"servers": h.ingress.Learner.Snapshot(), "shares": h.shares.snapshot(),
+		"configuration": h.operatorRecords.progress.metrics(),
 	})
 	if err != nil {
 		h.log.Routine("metrics", "outcome", "failed", "err", err.Error())
--- a/internal/edge/operator_records.go
+++ b/internal/edge/operator_records.go
@@ -42,9 +42,10 @@
 	evacuated atomic.Pointer[map[string]bool]
 	// next is the ordinal of the position after the last record that was read. A value in behind
 	// says that another host has read further.
-	next   atomic.Uint64
-	behind chan struct{}
-	clock  func() time.Duration
+	next     atomic.Uint64
+	behind   chan struct{}
+	clock    func() time.Duration
+	progress *configProgress
 
 	// mu is held during each change and the call of onChange that follows it.
 	mu sync.Mutex
@@ -68,7 +69,7 @@
 func newOperatorRecords(platform Platform, clock func() time.Duration, log *eventlog.Log, onChange func()) *operatorRecords {
 	o := &operatorRecords{
 		platform: platform, clock: clock, log: log, onChange: onChange, behind: make(chan struct{}, 1),
-		evacuations: make(map[string]evacuation), ended: make(map[string]evacuation),
+		progress: newConfigProgress(clock), evacuations: make(map[string]evacuation), ended: make(map[string]evacuation),
 	}
 	o.evacuated.Store(&map[string]bool{})
 	return o
@@ -92,6 +93,7 @@
 // checkProgress notes that another host has read up to the position with the given ordinal. If that
 // is further than this host, the read in progress is cancelled, as its answer has probably been lost.
 func (o *operatorRecords) checkProgress(furthest uint64) {
+	o.progress.othersHaveRead(furthest)
 	if o.next.Load() >= furthest {
 		return
 	}
@@ -103,11 +105,13 @@
 
 // read reads the topic once and applies the changes.
 func (o *operatorRecords) read(ctx context.Context, follower *follow.Follower) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go o.cancelIfBehind(ctx, cancel)
+	var received follow.Progress
+	ctx, cancel := context.WithCancelCause(follow.WithProgress(ctx, &received))
+	defer cancel(nil)
+	go o.cancelIfBehind(ctx, cancel, &received)
 	change, err := follower.Read(ctx, o.readWait())
 	if err != nil {
+		o.progress.readFailed(errors.Is(context.Cause(ctx), errBehind), received.Bytes())
 		return err
 	}
 	o.next.Store(follower.Next().Ordinal())
@@ -115,6 +119,7 @@
 		o.log.Event("restored", "topic", "operators' records", "era", follower.Next().Era.Number(), "next", follower.Next().Offset)
 	}
 	o.apply(change)
+	o.progress.haveRead(follower.Next().Ordinal())
 	return nil
 }
 
@@ -129,9 +134,12 @@
 	return wait
 }
 
+// errBehind is the cause with which a read is canceled that another host has overtaken.
+var errBehind = errors.New("edge: read canceled because another host has read further")
+
 // cancelIfBehind cancels a read that takes longer than hangTimeout if another host has read
 // further. A shorter time would also cancel reads that are about to get their answer.
-func (o *operatorRecords) cancelIfBehind(ctx context.Context, cancel func()) {
+func (o *operatorRecords) cancelIfBehind(ctx context.Context, cancel context.CancelCauseFunc, received *follow.Progress) {
 	loop.Sleep(ctx, hangTimeout)
 	// A signal from before hangTimeout may be from before this read, so it proves nothing.
 	select {
@@ -140,8 +148,8 @@
 	}
 	select {
 	case <-o.behind:
-		o.log.Event("order", "next", o.next.Load(), "outcome", "another host has read further, restarting the read")
-		cancel()
+		o.log.Event("order", "next", o.next.Load(), "received", received.Bytes(), "outcome", "another host has read further, restarting the read")
+		cancel(errBehind)
 	case <-ctx.Done():
 	}
 }
@@ -237,7 +245,8 @@
 	}
 	o.table.Store(routetable.New(*config))
 	o.configRecord = record
-	o.log.Event("config", append(fields, "routes", len(config.Routes), "outcome", "in force")...)
+	behind := o.progress.inForce(config.Version, len(record.Value))
+	o.log.Event("config", append(fields, "routes", len(config.Routes), "bytes", len(record.Value), "behind_ms", behind.Milliseconds(), "outcome", "in force")...)
 	return true
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -223,12 +223,12 @@
 }
 
 // avoidHost excludes a host from being queried for avoidDuration.
-func (r *Relay) avoidHost(host Host, reason string) {
+func (r *Relay) avoidHost(host Host, topic Topic, after time.Duration, reason string) {
 	r.mu.Lock()
 	r.avoidedUntil[host.Name] = r.config.Clock() + avoidDuration
 	r.failures[host.Name]++
 	r.mu.Unlock()
-	r.config.Log.Event("relay", "relay", host.Name, "outcome", "avoided", "reason", reason)
+	r.config.Log.Event("relay", "relay", host.Name, "topic", string(topic), "after_ms", after.Milliseconds(), "outcome", "avoided", "reason", reason)
 }
 
 // recordAnswered records that a host has answered.
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -176,10 +176,13 @@
 func (s *Source) ask(ctx context.Context, host Host, from follow.Position) (follow.Batch, error) {
 	callCtx, cancel := context.WithTimeout(ctx, relayWait+replyTimeout)
 	defer cancel()
+	asked := s.relay.config.Clock()
 	reply, err := s.relay.config.Ask(callCtx, host, Ask{Topic: s.topic, From: from, Wait: relayWait})
+	after := s.relay.config.Clock() - asked
 	if err != nil {
 		if ctx.Err() == nil {
-			s.relay.avoidHost(host, err.Error())
+			s.relay.Counters.Unanswered.Add(1)
+			s.relay.avoidHost(host, s.topic, after, err.Error())
 		}
 		return follow.Batch{}, err
 	}
@@ -188,7 +191,7 @@
 		s.relay.recordAnswered(host)
 		return follow.Batch{Records: reply.Records, Era: from.Era, End: reply.End, Age: reply.Age}, nil
 	case NoContact:
-		s.relay.avoidHost(host, reply.Outcome.String())
+		s.relay.avoidHost(host, s.topic, after, reply.Outcome.String())
 	}
 	return follow.Batch{}, errors.Wrap(errNotAnswered, reply.Outcome.String())
 }
