platform, edge: tests of a large configuration on narrow links, which fail; stand-in for links of a set width

What callers saw: requests handled by an older configuration after 2.5 s. From the leader, 1 MB over 10 Mbit/s never arrives.

No decision changes.

--- a/internal/edge/config_sharing_test.go
+++ b/internal/edge/config_sharing_test.go
@@ -1,14 +1,20 @@
 package edge
 
 import (
+	"context"
+	"net"
+	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/poplarcroft/poplarcroft/internal/assign"
 	"github.com/poplarcroft/poplarcroft/internal/eventlog"
 	"github.com/poplarcroft/poplarcroft/internal/follow"
+	"github.com/poplarcroft/poplarcroft/internal/peer"
 	"github.com/poplarcroft/poplarcroft/internal/routetable"
+	"github.com/poplarcroft/poplarcroft/internal/standin"
 )
 
 // sharing returns the configuration sharing of a host with the given configuration, or none if empty.
@@ -55,3 +61,25 @@
 	}
 	assert.Equal(t, changes, 1)
 }
+
+// TestLargeConfigurationFromTheLeader guards against a configuration that a host never gets from the leader, because its link
+// takes longer for the record than the host waits, and each try begins anew.
+func TestLargeConfigurationFromTheLeader(t *testing.T) {
+	const configApplyTime = 2500 * time.Millisecond
+	network := standin.NewNetwork()
+	network.AddLink("h1", 10e6/8)
+	atLeader := newTestOperatorRecords()
+	atLeader.apply(follow.Change{Records: []follow.Record{record("config", "6"+strings.Repeat(" ", 1<<20))}, Snapshot: true})
+	leader := assign.Host{Name: "leader", Incarnation: "1", Addr: serveRPC(t, &rpcService{records: atLeader, log: eventlog.Discard()})}
+	c := sharing(t, "5")
+	c.peers = &peers{pool: peer.NewPool(network.Dialer("h1", (&net.Dialer{}).DialContext))}
+	t.Cleanup(c.peers.pool.Close)
+	c.plan = func() assign.Plan { return assign.Plan{Leader: leader} }
+	ctx, stop := context.WithTimeout(t.Context(), configApplyTime)
+	defer stop()
+	go c.run(ctx)
+	for c.records.Table().Version != 6 && ctx.Err() == nil {
+		time.Sleep(10 * time.Millisecond)
+	}
+	assert.Equal(t, c.records.Table().Version, routetable.Version(6))
+}
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -53,8 +53,8 @@
 	// second. Zero means that they are not known.
 	MemoryBytes   int64
 	LinkBytesPerS float64
-	// DialServer opens the connections to backend servers.
-	DialServer transport.DialFunc
+	// DialServer opens the connections to backend servers, and DialHost those to other hosts.
+	DialServer, DialHost transport.DialFunc
 }
 
 const (
@@ -125,14 +125,13 @@
 // New returns a host. Run starts it.
 func New(config Config, platform Platform, log *eventlog.Log) *Host {
 	h := &Host{config: config, platform: platform, log: log}
-	dialHost := transport.Dialer("")
 	h.self = assign.Host{
 		Name: config.Name, Incarnation: uuid.NewString(), Zone: config.Zone, Addr: config.PeerAddr, Capacity: config.Capacity,
 		Weight: config.Weight, KnownOrder: assign.OrderByWeight,
 	}
 	h.current = assign.NewCurrent()
 	h.fleet = fleet.New(fleet.Options{Zone: config.Zone, Target: h.target})
-	h.peers = &peers{pool: peer.NewPool(peer.DialFunc(dialHost))}
+	h.peers = &peers{pool: peer.NewPool(peer.DialFunc(config.DialHost))}
 	h.relay = relay.New(relay.Config{
 		Hosts:            func() ([]relay.Host, int) { return relayOrder(h.current.Plan(), h.self) },
 		MustReadDirectly: func() bool { return h.leader.IsLeader() },
@@ -186,10 +185,10 @@
 		Self: config.Name,
 		Admission: admission.NewClient(admission.ClientConfig{
 			Self: h.self, Plan: h.current.Plan, Fleet: h.fleet, CutOff: h.reach.CutOff, Own: h.pools,
-			Peers: &dispatchers{pool: peer.NewPool(peer.DialFunc(dialHost))}, Clock: clock.Monotonic, Log: log,
+			Peers: &dispatchers{pool: peer.NewPool(peer.DialFunc(config.DialHost))}, Clock: clock.Monotonic, Log: log,
 		}, h.admissionCounters),
 		Hosts: transport.NewPool(transport.Options{
-			Dial: dialHost, Connections: peerConnections, IdleTimeout: idleTimeout, RequestIDHeader: config.Headers.RequestID,
+			Dial: config.DialHost, Connections: peerConnections, IdleTimeout: idleTimeout, RequestIDHeader: config.Headers.RequestID,
 			RequireID: true,
 		}),
 		Headers: config.Headers, Fleet: h.fleet, Guard: h.guard, Dial: config.DialServer, Reach: h.reach, Current: h.current, Table: h.tableForCallers, KnownTable: h.operatorRecords.Table,
