relay, edge: large values travel by reference, beside control and in bounded messages

What callers saw: requests handled by a configuration that had been replaced more than 2.5 s before.

Cause: a relay's answer held the whole record, on the connection of all control calls, and the asking host gave up after 0.8 s whatever the size. What had arrived was dropped, the host avoided the relay, asked the next one for the same bytes and then the store; the bytes under way still came. With links of 10 Mbit/s and records of 0.6 to 1.4 MB each try made the others slower.

Change: a relay's answer refers to values above 64 KiB by a manifest, at once; the host fetches the chunks that it lacks on a connection of its own (package content), and asks the relay again each second, so that a newer version replaces the one under way. Hosts of the build in production get and send whole values as before.

--- a/internal/content/store.go
+++ b/internal/content/store.go
@@ -117,6 +117,24 @@
 	return v
 }
 
+// Missing returns the number of chunks of a value that are not present.
+func (s *Store) Missing(name string, m Manifest) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, v := range s.versions[name] {
+		if v.manifest.Digest == m.Digest {
+			return len(v.missing)
+		}
+	}
+	missing := 0
+	for _, chunk := range m.Chunks {
+		if _, ok := s.chunks[chunk.ID]; !ok {
+			missing++
+		}
+	}
+	return missing
+}
+
 // drop removes a version whose value does not have the digest that its manifest names.
 func (s *Store) drop(name string, v *version) {
 	s.mu.Lock()
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -12,6 +12,7 @@
 	"github.com/poplarcroft/poplarcroft/internal/admission"
 	"github.com/poplarcroft/poplarcroft/internal/assign"
 	"github.com/poplarcroft/poplarcroft/internal/clock"
+	"github.com/poplarcroft/poplarcroft/internal/content"
 	"github.com/poplarcroft/poplarcroft/internal/eventlog"
 	"github.com/poplarcroft/poplarcroft/internal/fleet"
 	"github.com/poplarcroft/poplarcroft/internal/front"
@@ -105,6 +106,7 @@
 	leader          *leader.Leader
 	ingress         *front.Ingress
 	peers           *peers
+	contents        *content.Fetcher
 	relay           *relay.Relay
 	guard           *poison.Guard
 	evidence        *evidenceSharing
@@ -132,11 +134,14 @@
 	h.current = assign.NewCurrent()
 	h.fleet = fleet.New(fleet.Options{Zone: config.Zone, Target: h.target})
 	h.peers = &peers{pool: peer.NewPool(peer.DialFunc(config.DialHost))}
+	// Large values have connections of their own, so that other calls do not wait behind them.
+	h.contents = &content.Fetcher{Store: content.NewStore(), Ask: (&peers{pool: peer.NewPool(peer.DialFunc(config.DialHost))}).chunks}
 	h.relay = relay.New(relay.Config{
 		Hosts:            func() ([]relay.Host, int) { return relayOrder(h.current.Plan(), h.self) },
 		MustReadDirectly: func() bool { return h.leader.IsLeader() },
 		Others:           func() []relay.Host { return otherRelays(h.current.Plan(), h.self) },
 		Ask:              h.peers.read, Clock: clock.Monotonic, Log: log,
+		Contents: h.contents,
 	})
 	wakeLeader := func() { h.leader.Wake() }
 	h.state = &state{
--- a/internal/edge/listen.go
+++ b/internal/edge/listen.go
@@ -58,7 +58,8 @@
 	rpcServer := rpc.NewServer()
 	err := rpcServer.RegisterName(rpcName, &rpcService{
 		self: h.self, current: h.current, renewer: h.renewer, leader: h.leader, guard: h.guard, fleet: h.fleet, relay: h.relay,
-		records: h.operatorRecords, reach: h.reach, shares: h.shares, pools: h.pools, log: h.log,
+		contents: h.contents.Store,
+		records:  h.operatorRecords, reach: h.reach, shares: h.shares, pools: h.pools, log: h.log,
 	})
 	if err != nil {
 		panic(errors.NewAssertionErrorWithWrappedErrf(err, "register RPC methods"))
@@ -102,7 +103,7 @@
 		"admission":   map[string]any{"counts": h.admissionCounters.Snapshot(), "pools": h.pools.Snapshot()},
 		"body_memory": h.ingress.BodyMemory(), "relay": h.relay.Counters.Snapshot(), "log_lines_dropped": h.log.Dropped(),
 		"servers": h.ingress.Learner.Snapshot(), "shares": h.shares.snapshot(),
-		"configuration": h.operatorRecords.progress.metrics(),
+		"configuration": h.operatorRecords.progress.metrics(), "contents": h.contents.Store.Counters.Snapshot(),
 	})
 	if err != nil {
 		h.log.Routine("metrics", "outcome", "failed", "err", err.Error())
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -9,6 +9,7 @@
 	"github.com/poplarcroft/poplarcroft/internal/admission"
 	"github.com/poplarcroft/poplarcroft/internal/assign"
 	"github.com/poplarcroft/poplarcroft/internal/concurrency"
+	"github.com/poplarcroft/poplarcroft/internal/content"
 	"github.com/poplarcroft/poplarcroft/internal/eventlog"
 	"github.com/poplarcroft/poplarcroft/internal/fleet"
 	"github.com/poplarcroft/poplarcroft/internal/front"
@@ -112,11 +113,13 @@
 	guard   *poison.Guard
 	fleet   *fleet.Fleet
 	relay   *relay.Relay
-	records *operatorRecords
-	reach   *reachSharing
-	pools   *admission.Pools
-	shares  *shareLeasing
-	log     *eventlog.Log
+	// contents holds the large values that other hosts may fetch.
+	contents *content.Store
+	records  *operatorRecords
+	reach    *reachSharing
+	pools    *admission.Pools
+	shares   *shareLeasing
+	log      *eventlog.Log
 }
 
 // Read serves what this host, as a relay, has read of a topic.
@@ -125,6 +128,12 @@
 	return nil
 }
 
+// Chunks serves parts of large values.
+func (s *rpcService) Chunks(args content.ChunksArgs, reply *content.ChunksReply) (err error) {
+	*reply, err = s.contents.Serve(args)
+	return err
+}
+
 // Adopt returns when this host acts by the plan and no renewal under an older one is in progress, so
 // that the leader can rely on it not to renew grants that the plan has dropped.
 func (s *rpcService) Adopt(args AdoptArgs, reply *AdoptReply) error {
@@ -256,6 +265,13 @@
 	return reply, err
 }
 
+// chunks asks the host at an address for parts of large values.
+func (p *peers) chunks(ctx context.Context, addr string, args content.ChunksArgs) (content.ChunksReply, error) {
+	var reply content.ChunksReply
+	err := p.pool.Call(ctx, addr, rpcName+".Chunks", args, &reply)
+	return reply, err
+}
+
 // report sends a report to the leader.
 func (p *peers) report(ctx context.Context, host assign.Host, args ReportArgs) error {
 	return p.pool.Call(ctx, host.Addr, rpcName+".Report", args, &Empty{})
--- a/internal/relay/cache.go
+++ b/internal/relay/cache.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/poplarcroft/poplarcroft/internal/content"
 	"github.com/poplarcroft/poplarcroft/internal/follow"
 )
 
@@ -36,10 +37,12 @@
 	changed chan struct{}
 }
 
-// cachedRecord is a record with the time from which it may have been in the topic.
+// cachedRecord is a record with the time from which it may have been in the topic. manifest describes
+// a large value, and is nil otherwise.
 type cachedRecord struct {
 	follow.Record
-	arrived time.Duration
+	arrived  time.Duration
+	manifest *content.Manifest
 }
 
 func newTopicCache(newFilter func() Filter) *topicCache {
@@ -48,7 +51,8 @@
 
 // add adds the result of a read from an offset of the batch's era. The read began at began; now is
 // the present time.
-func (c *topicCache) add(offset uint64, batch follow.Batch, began, now time.Duration) {
+// manifests holds those of large values by the index of their records.
+func (c *topicCache) add(offset uint64, batch follow.Batch, manifests map[int]*content.Manifest, began, now time.Duration) {
 	arrived := now
 	if c.readFailed {
 		arrived = c.confirmedAt
@@ -56,9 +60,9 @@
 	if !c.valid || c.era != batch.Era {
 		c.reset(batch.Era, offset)
 	}
-	for _, record := range batch.Records {
+	for i, record := range batch.Records {
 		if c.keep(record) {
-			c.records = append(c.records, cachedRecord{Record: record, arrived: arrived})
+			c.records = append(c.records, cachedRecord{Record: record, arrived: arrived, manifest: manifests[i]})
 			c.bytes += size(record)
 		}
 	}
@@ -126,9 +130,9 @@
 	return c.valid && from.Era == c.era && from.Offset >= c.first
 }
 
-// recordsSince returns the cached records from an offset on. The outcome is Behind if the cache does not
-// reach the offset.
-func (c *topicCache) recordsSince(offset uint64, now time.Duration) Reply {
+// recordsSince returns the cached records from an offset on, with references to large values if these
+// may be used. The outcome is Behind if the cache does not reach the offset.
+func (c *topicCache) recordsSince(offset uint64, references bool, now time.Duration) Reply {
 	if offset > c.end {
 		return Reply{Outcome: Behind}
 	}
@@ -140,6 +144,10 @@
 		if len(reply.Records) == 0 {
 			reply.Age.Arrived = now - record.arrived
 		}
+		if references && record.manifest != nil {
+			reply.References = append(reply.References, Reference{Record: len(reply.Records), Manifest: *record.manifest})
+			record.Value = nil
+		}
 		reply.Records = append(reply.Records, record.Record)
 	}
 	return reply
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -16,6 +16,9 @@
 // leader. A relay that does not answer, or that has no contact with the platform, is not
 // queried for a few seconds, and event "relay" is logged. A relay whose cache does not reach the
 // requested offset says so, and the querying host reads from the platform (counter Fallback).
+//
+// A reply refers to values above maxInlineBytes instead of holding them, so that its size does not
+// depend on theirs; the querying host fetches them with package content.
 package relay
 
 import (
@@ -27,6 +30,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/poplarcroft/poplarcroft/internal/content"
 	"github.com/poplarcroft/poplarcroft/internal/eventlog"
 	"github.com/poplarcroft/poplarcroft/internal/follow"
 )
@@ -41,6 +45,9 @@
 	From follow.Position
 	// Wait is how long the answer may be delayed until there is a record.
 	Wait time.Duration
+	// References says that the reply may refer to large values instead of holding them. A build that does not know the field
+	// does not set it, and one that does not know it at the relay sends the values.
+	References bool
 }
 
 // Outcome says whether a relay could answer. It is sent between hosts as a number.
@@ -80,6 +87,15 @@
 	// End is the offset after the last record that the relay has read, in the era of the query.
 	End uint64
 	Age follow.Age
+	// References describes the large values of records. These records have no value in Records.
+	References []Reference
+}
+
+// Reference describes the value of a record.
+type Reference struct {
+	// Record is the index of the record in the reply.
+	Record   int
+	Manifest content.Manifest
 }
 
 // Host is a host that may be queried.
@@ -127,6 +143,10 @@
 	Others func() []Host
 	// Ask queries another host.
 	Ask func(ctx context.Context, host Host, ask Ask) (Reply, error)
+	// Contents fetches large values from other hosts. Without it, replies hold all values.
+	Contents *content.Fetcher
+	// OnReference is called when a relay has told of a record whose value this host does not have yet; nil ignores it.
+	OnReference func(topic Topic, record follow.Record)
 	// Clock returns a monotonic reading that includes the time in which the machine is suspended.
 	Clock func() time.Duration
 	Log   *eventlog.Log
@@ -374,7 +394,7 @@
 	if age >= maxContactAge {
 		return Reply{Outcome: NoContact}, nil, 0
 	}
-	reply := c.recordsSince(ask.From.Offset, now)
+	reply := c.recordsSince(ask.From.Offset, ask.References, now)
 	if len(reply.Records) > 0 {
 		return reply, nil, 0
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -277,11 +277,11 @@
 	c := newTopicCache(func() Filter { return all })
 	value := make([]byte, maxCachedBytes/4)
 	for i := range uint64(10) {
-		c.add(i, follow.Batch{Records: []follow.Record{{Value: value, Offset: i}}, End: i + 1}, 0, 0)
+		c.add(i, follow.Batch{Records: []follow.Record{{Value: value, Offset: i}}, End: i + 1}, nil, 0, 0)
 	}
 	assert.Assert(t, c.bytes <= maxCachedBytes)
 	assert.Assert(t, !c.has(follow.Position{Offset: 5}))
-	assert.Equal(t, len(c.recordsSince(6, 0).Records), 4)
+	assert.Equal(t, len(c.recordsSince(6, false, 0).Records), 4)
 }
 
 // TestFilterRestartsAfterGap checks that a record is kept if the host has not read the ones
@@ -298,13 +298,13 @@
 	c := newTopicCache(newFilter)
 	add := func(offset uint64, value string) {
 		c.prepareRead(follow.Position{Offset: offset})
-		c.add(offset, follow.Batch{Records: []follow.Record{{Value: []byte(value), Offset: offset}}, End: offset + 1}, 0, 0)
+		c.add(offset, follow.Batch{Records: []follow.Record{{Value: []byte(value), Offset: offset}}, End: offset + 1}, nil, 0, 0)
 	}
 	add(0, "ready")
 	add(1, "ready")
-	assert.Equal(t, len(c.recordsSince(1, 0).Records), 0)
+	assert.Equal(t, len(c.recordsSince(1, false, 0).Records), 0)
 	add(7, "ready")
-	assert.Equal(t, len(c.recordsSince(7, 0).Records), 1)
+	assert.Equal(t, len(c.recordsSince(7, false, 0).Records), 1)
 }
 
 // firstReadUnanswered is a topic whose first read is never answered.
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -76,7 +76,7 @@
 	if s.relay.hasLostContact() {
 		return s.sinceWithoutContact(ctx, from)
 	}
-	if host, ok := s.relay.chooseRelay(); ok {
+	for host, ok := s.relay.chooseRelay(); ok; host, ok = s.relay.chooseRelay() {
 		batch, err := s.ask(ctx, host, from)
 		if err == nil {
 			s.relay.Counters.Relayed.Add(1)
@@ -85,8 +85,14 @@
 		if ctx.Err() != nil {
 			return follow.Batch{}, err
 		}
+		if errors.Is(err, errInterrupted) {
+			// Bytes are arriving. The next query continues, with the newest version.
+			continue
+		}
 		s.relay.Counters.Fallback.Add(1)
+		s.relay.config.Log.Routine("relay", "relay", host.Name, "topic", string(s.topic), "offset", from.Offset, "outcome", "reading directly", "reason", err.Error())
 		wait = min(wait, fallbackWait)
+		break
 	}
 	loop.Sleep(ctx, s.lastStart+s.minInterval()-s.relay.config.Clock())
 	return s.read(ctx, from, wait)
@@ -167,9 +173,10 @@
 // recordRead caches the result of a read from the platform.
 func (r *Relay) recordRead(topic Topic, offset uint64, batch follow.Batch, began time.Duration) {
 	r.recordContact(began, batch.Era)
+	manifests := r.describe(topic, batch.Records)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.caches[topic].add(offset, batch, began, r.config.Clock())
+	r.caches[topic].add(offset, batch, manifests, began, r.config.Clock())
 }
 
 // ask reads from another host. A host that does not answer or has no contact is not queried again for a while.
@@ -177,7 +184,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, relayWait+replyTimeout)
 	defer cancel()
 	asked := s.relay.config.Clock()
-	reply, err := s.relay.config.Ask(callCtx, host, Ask{Topic: s.topic, From: from, Wait: relayWait})
+	reply, err := s.relay.config.Ask(callCtx, host, Ask{Topic: s.topic, From: from, Wait: relayWait, References: s.relay.config.Contents != nil})
 	after := s.relay.config.Clock() - asked
 	if err != nil {
 		if ctx.Err() == nil {
@@ -189,6 +196,9 @@
 	switch reply.Outcome {
 	case Answered:
 		s.relay.recordAnswered(host)
+		if err := s.resolve(ctx, host, &reply); err != nil {
+			return follow.Batch{}, err
+		}
 		return follow.Batch{Records: reply.Records, Era: from.Era, End: reply.End, Age: reply.Age}, nil
 	case NoContact:
 		s.relay.avoidHost(host, s.topic, after, reply.Outcome.String())
