follow: an answer that is arriving is not read a second time, nor held back by the check

Cause: each waiting read is checked after 0.4 s by one that does not wait (a store may miss a record that was being written). A large record on a narrow link takes longer than that to arrive, so the check read it again at the same time, and the answer of the first was not looked at before the check had ended. The check now happens only if nothing has arrived, and whichever answers first counts.

TestAnswerThatArrivesIsNotReadTwice (2,000 bytes instead of 1,000) and TestAnswerDoesNotWaitForTheCheck (never ended) failed before.

--- a/internal/follow/checked.go
+++ b/internal/follow/checked.go
@@ -7,7 +7,8 @@
 
 // Checked is a Source whose waiting reads cannot miss a record. A read that reaches the platform's
 // log while a record is being written may go on waiting although the record is there
-// (docs/PLATFORM.md, question 5). So each waiting read is checked once by a read that does not wait.
+// (docs/PLATFORM.md, question 5). So each waiting read is checked once by a read that does not wait,
+// unless its answer is arriving by then.
 type Checked struct {
 	Source
 	// CheckAfter is the time from the start of a waiting read to the check. It is longer than a
@@ -28,9 +29,10 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	var received Progress
 	waiting := make(chan readResult, 1)
 	go func() {
-		batch, err := c.Source.Since(ctx, from, wait)
+		batch, err := c.Source.Since(WithProgress(ctx, &received), from, wait)
 		waiting <- readResult{batch, err}
 	}()
 	timer := time.NewTimer(c.CheckAfter)
@@ -40,10 +42,22 @@
 		return result.batch, result.err
 	case <-timer.C:
 	}
-	// The check is only an addition: if it fails, the waiting read is still in flight and decides.
-	if batch, err := c.Source.Since(ctx, from, 0); err == nil && len(batch.Records) > 0 {
+	checked := make(chan Batch, 1)
+	if received.Bytes() == 0 {
+		go c.check(ctx, from, checked)
+	}
+	select {
+	case result := <-waiting:
+		return result.batch, result.err
+	case batch := <-checked:
 		return batch, nil
 	}
-	result := <-waiting
-	return result.batch, result.err
+}
+
+// check reads once without waiting, and sends the batch if it has records. It is only an addition: otherwise the waiting read, which
+// is still in flight, decides.
+func (c Checked) check(ctx context.Context, from Position, checked chan<- Batch) {
+	if batch, err := c.Source.Since(ctx, from, 0); err == nil && len(batch.Records) > 0 {
+		checked <- batch
+	}
 }
--- a/internal/follow/checked_test.go
+++ b/internal/follow/checked_test.go
@@ -59,3 +59,57 @@
 		assert.Equal(t, source.reads.Load(), int64(2))
 	})
 }
+
+// linkSource is a topic behind a link that carries a byte each millisecond. Its record is there from the beginning.
+type linkSource struct{ bytes int }
+
+func (s *linkSource) Newest(context.Context) (Batch, error) { return Batch{}, nil }
+
+func (s *linkSource) Since(ctx context.Context, from Position, _ time.Duration) (Batch, error) {
+	for range 1000 {
+		select {
+		case <-ctx.Done():
+			return Batch{}, ctx.Err()
+		case <-time.After(time.Millisecond):
+		}
+		s.bytes++
+		ReportProgress(ctx, 1)
+	}
+	return Batch{Records: []Record{{Key: "config", Offset: from.Offset}}, End: from.Offset + 1}, nil
+}
+
+// TestAnswerThatArrivesIsNotReadTwice guards against a large configuration that takes twice its time on a narrow link, because it
+// is read once more while it arrives.
+func TestAnswerThatArrivesIsNotReadTwice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &linkSource{}
+		batch, err := Checked{Source: source, CheckAfter: 400 * time.Millisecond}.Since(t.Context(), Position{Offset: 2}, 20*time.Second)
+		assert.NilError(t, err)
+		assert.Equal(t, len(batch.Records), 1)
+		synctest.Wait()
+		assert.Equal(t, source.bytes, 1000)
+	})
+}
+
+// slowCheckSource answers a waiting read after half a second, and does not answer a read that does not wait.
+type slowCheckSource struct{ missingSource }
+
+func (s *slowCheckSource) Since(ctx context.Context, from Position, wait time.Duration) (Batch, error) {
+	if wait == 0 {
+		<-ctx.Done()
+		return Batch{}, ctx.Err()
+	}
+	time.Sleep(500 * time.Millisecond)
+	return Batch{Records: []Record{{Key: "config", Offset: from.Offset}}, End: from.Offset + 1}, nil
+}
+
+// TestAnswerDoesNotWaitForTheCheck guards against a record that is there and is held back until the check has ended.
+func TestAnswerDoesNotWaitForTheCheck(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		started := time.Now()
+		batch, err := Checked{Source: &slowCheckSource{}, CheckAfter: 400 * time.Millisecond}.Since(t.Context(), Position{Offset: 2}, 20*time.Second)
+		assert.NilError(t, err)
+		assert.Equal(t, len(batch.Records), 1)
+		assert.Equal(t, time.Since(started), 500*time.Millisecond)
+	})
+}
