relay, edge: the leader takes operators' records from the relay of its zone

What callers saw: a host that leads handled requests by an older configuration after 2.5 s, if its link is narrow.

Cause: a leader read every topic from the store itself. Leaders are drawn without regard to size, and a configuration of 1.2 MB a second is what a link of 10 Mbit/s carries at most. It still reads the shared state and the service discovery itself, by which it acts for others. If the relay of its zone hangs on this topic, hosts of other zones hand the leader the newer configuration, as before.

--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -138,7 +138,7 @@
 	h.contents = &content.Fetcher{Store: content.NewStore(), Ask: (&peers{pool: peer.NewPool(peer.DialFunc(config.DialHost))}).chunks}
 	h.relay = relay.New(relay.Config{
 		Hosts:            func() ([]relay.Host, int) { return relayOrder(h.current.Plan(), h.self) },
-		MustReadDirectly: func() bool { return h.leader.IsLeader() },
+		MustReadDirectly: h.mustReadDirectly,
 		Others:           func() []relay.Host { return otherRelays(h.current.Plan(), h.self) },
 		Ask:              h.peers.read, Clock: clock.Monotonic, Log: log,
 		Contents: h.contents,
--- a/internal/edge/topics.go
+++ b/internal/edge/topics.go
@@ -95,6 +95,13 @@
 	})
 }
 
+// mustReadDirectly reports whether this host reads a topic from the platform itself while it can. A leader does, since it
+// acts for all hosts by what it reads; but a configuration may be large and the leader's link narrow, and the relay's is
+// chosen to be wide.
+func (h *Host) mustReadDirectly(topic relay.Topic) bool {
+	return topic != topicOperatorRecords && h.leader.IsLeader()
+}
+
 // currentServersInterval returns the minimum time between two reads of the service discovery at
 // the platform.
 func (h *Host) currentServersInterval() time.Duration {
--- a/internal/leader/simulation_test.go
+++ b/internal/leader/simulation_test.go
@@ -333,7 +333,7 @@
 		OperatorOffset: func() uint64 { return 0 }, CutOff: h.sim.isCutOff,
 		ZoneEvacuated: func(string) bool { return false }, ServersKnown: func() bool { return true }, Clock: h.sim.now, Log: log,
 	})
-	h.relay = relay.New(relay.Config{Hosts: h.zoneHosts, Others: h.otherHosts, MustReadDirectly: h.leader.IsLeader, Ask: h.askRelay, Clock: h.sim.now, Log: log})
+	h.relay = relay.New(relay.Config{Hosts: h.zoneHosts, Others: h.otherHosts, MustReadDirectly: func(relay.Topic) bool { return h.leader.IsLeader() }, Ask: h.askRelay, Clock: h.sim.now, Log: log})
 	h.stop = cancel
 	for _, run := range []func(context.Context){h.followPlan, h.pollServers, h.renewer.Run, h.leader.RunElection, h.leader.Run} {
 		go run(ctx)
--- a/internal/relay/reference_test.go
+++ b/internal/relay/reference_test.go
@@ -62,11 +62,11 @@
 	hosts := []Host{{Name: "relay", Addr: "relay"}, {Name: "host", Addr: "host"}}
 	relayContents := &content.Fetcher{Store: content.NewStore()}
 	p.relay = New(Config{
-		Hosts: func() ([]Host, int) { return hosts, 0 }, MustReadDirectly: func() bool { return false }, Others: func() []Host { return nil },
+		Hosts: func() ([]Host, int) { return hosts, 0 }, MustReadDirectly: func(Topic) bool { return false }, Others: func() []Host { return nil },
 		Contents: relayContents, Clock: clock, Log: eventlog.Discard(),
 	})
 	p.host = New(Config{
-		Hosts: func() ([]Host, int) { return hosts, 1 }, MustReadDirectly: func() bool { return false }, Others: func() []Host { return nil },
+		Hosts: func() ([]Host, int) { return hosts, 1 }, MustReadDirectly: func(Topic) bool { return false }, Others: func() []Host { return nil },
 		Ask: func(ctx context.Context, _ Host, ask Ask) (Reply, error) {
 			if p.query != nil {
 				p.query(&ask)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -136,8 +136,8 @@
 	// Hosts returns the hosts of the zone in the order in which they are preferred as relays; all
 	// hosts of a zone use the same order. The list includes this host; self is its index.
 	Hosts func() (hosts []Host, self int)
-	// MustReadDirectly reports whether this host has to read from the platform itself while it can.
-	MustReadDirectly func() bool
+	// MustReadDirectly reports whether this host has to read a topic from the platform itself while it can.
+	MustReadDirectly func(Topic) bool
 	// Others returns the hosts of other zones in the order in which they are queried if no host of
 	// the own zone has contact with the platform.
 	Others func() []Host
@@ -187,14 +187,14 @@
 	}
 }
 
-// chooseRelay returns the relay to query. It returns false if this host has to read from the platform:
+// chooseRelay returns the relay to query for a topic. It returns false if this host has to read from the platform:
 // because it must, because others query it, or because no host before it in the order is available.
 // A host that has lost contact with the platform queries any host.
-func (r *Relay) chooseRelay() (Host, bool) {
+func (r *Relay) chooseRelay(topic Topic) (Host, bool) {
 	if r.hasLostContact() {
 		return r.chooseAnyHost()
 	}
-	if r.config.MustReadDirectly() {
+	if r.config.MustReadDirectly(topic) {
 		return Host{}, false
 	}
 	hosts, self := r.config.Hosts()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -55,7 +55,7 @@
 		h := &testHost{zone: z, name: fmt.Sprint(i)}
 		h.relay = New(Config{
 			Hosts:            func() ([]Host, int) { return list, i },
-			MustReadDirectly: func() bool { return h.leads },
+			MustReadDirectly: func(Topic) bool { return h.leads },
 			Others:           func() []Host { return z.others },
 			Ask:              h.ask, Clock: z.now, Log: eventlog.Discard(),
 		})
@@ -233,7 +233,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		started := time.Now()
 		now := func() time.Duration { return time.Since(started) }
-		r := New(Config{Hosts: func() ([]Host, int) { return nil, 0 }, MustReadDirectly: func() bool { return true }, Clock: now, Log: eventlog.Discard()})
+		r := New(Config{Hosts: func() ([]Host, int) { return nil, 0 }, MustReadDirectly: func(Topic) bool { return true }, Clock: now, Log: eventlog.Discard()})
 		r.Source("servers", nil, Options{})
 		record := follow.Record{Key: "a", Offset: 4}
 		r.recordRead("servers", 4, follow.Batch{Records: []follow.Record{record}, End: 5}, now())
@@ -255,7 +255,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		started := time.Now()
 		now := func() time.Duration { return time.Since(started) }
-		r := New(Config{Hosts: func() ([]Host, int) { return nil, 0 }, MustReadDirectly: func() bool { return true }, Clock: now, Log: eventlog.Discard()})
+		r := New(Config{Hosts: func() ([]Host, int) { return nil, 0 }, MustReadDirectly: func(Topic) bool { return true }, Clock: now, Log: eventlog.Discard()})
 		r.Source("servers", nil, Options{})
 		serve := func(offset uint64) Outcome {
 			return r.Serve(t.Context(), Ask{Topic: "servers", From: follow.Position{Offset: offset}, Wait: relayWait}).Outcome
@@ -361,7 +361,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		started := time.Now()
 		now := func() time.Duration { return time.Since(started) }
-		r := New(Config{Hosts: func() ([]Host, int) { return nil, 0 }, MustReadDirectly: func() bool { return true }, Clock: now, Log: eventlog.Discard()})
+		r := New(Config{Hosts: func() ([]Host, int) { return nil, 0 }, MustReadDirectly: func(Topic) bool { return true }, Clock: now, Log: eventlog.Discard()})
 		orders := r.Source("orders", &firstReadUnanswered{}, Options{})
 		r.recordRead("orders", 0, follow.Batch{End: 1}, now())
 		outcome := make(chan Outcome)
@@ -387,7 +387,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		started := time.Now()
 		now := func() time.Duration { return time.Since(started) }
-		r := New(Config{Hosts: func() ([]Host, int) { return nil, 0 }, MustReadDirectly: func() bool { return true }, Clock: now, Log: eventlog.Discard()})
+		r := New(Config{Hosts: func() ([]Host, int) { return nil, 0 }, MustReadDirectly: func(Topic) bool { return true }, Clock: now, Log: eventlog.Discard()})
 		orders := r.Source("orders", &firstReadUnanswered{}, Options{})
 		r.Source("servers", nil, Options{})
 		serve := func(era follow.Era) Outcome {
@@ -428,7 +428,7 @@
 				outside := &testHost{zone: z, name: "outside"}
 				outside.relay = New(Config{
 					Hosts: func() ([]Host, int) { return []Host{{Name: outside.name}}, 0 }, Others: func() []Host { return nil },
-					MustReadDirectly: func() bool { return false }, Ask: outside.ask, Clock: z.now, Log: eventlog.Discard(),
+					MustReadDirectly: func(Topic) bool { return false }, Ask: outside.ask, Clock: z.now, Log: eventlog.Discard(),
 				})
 				outside.source = outside.relay.Source("servers", outside, Options{MinInterval: func() time.Duration { return time.Second }})
 				z.hosts = append(z.hosts, outside)
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -76,7 +76,7 @@
 	if s.relay.hasLostContact() {
 		return s.sinceWithoutContact(ctx, from)
 	}
-	for host, ok := s.relay.chooseRelay(); ok; host, ok = s.relay.chooseRelay() {
+	for host, ok := s.relay.chooseRelay(s.topic); ok; host, ok = s.relay.chooseRelay(s.topic) {
 		batch, err := s.ask(ctx, host, from)
 		if err == nil {
 			s.relay.Counters.Relayed.Add(1)
@@ -102,7 +102,7 @@
 // finds out in the background whether the platform answers again.
 func (s *Source) sinceWithoutContact(ctx context.Context, from follow.Position) (follow.Batch, error) {
 	s.probe(ctx, from)
-	host, ok := s.relay.chooseRelay()
+	host, ok := s.relay.chooseRelay(s.topic)
 	if !ok {
 		return follow.Batch{}, errNoOtherHost
 	}
