edge: hosts compare configurations by version and hand over large ones by reference

What callers saw: a host that the topic did not bring a configuration to never got it from the leader.

Cause: the answer to the comparison, once a second from each host, was the whole record, with 0.4 s for it whatever the size. At the start of a host it had 0.3 s.

Change: the comparison names the version and, above 64 KiB, a manifest; the host fetches what it lacks, from the relay of its zone first. A transfer under way for the topic and this one are one. Handing a newer configuration to the leader works the same way. A host that starts goes on while its configuration arrives, up to 10 s. Hosts of the build before send and get whole records.

--- a/internal/content/store.go
+++ b/internal/content/store.go
@@ -41,6 +41,9 @@
 
 // Add adds a version of a name, and returns its manifest. The value must not be changed afterwards.
 func (s *Store) Add(name string, value []byte) Manifest {
+	if m, ok := s.known(name, value); ok {
+		return m
+	}
 	m := describe(value)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -51,6 +54,18 @@
 	return m
 }
 
+// known returns the manifest of a value that is present already, if it is the same slice.
+func (s *Store) known(name string, value []byte) (Manifest, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, v := range s.versions[name] {
+		if len(v.missing) == 0 && len(v.value) == len(value) && len(value) > 0 && &v.value[0] == &value[0] {
+			return v.manifest, true
+		}
+	}
+	return Manifest{}, false
+}
+
 func newVersion(m Manifest) *version {
 	v := &version{manifest: m, fetching: make(chan struct{}, 1)}
 	offset := 0
--- a/internal/edge/catch_up.go
+++ b/internal/edge/catch_up.go
@@ -5,7 +5,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/poplarcroft/poplarcroft/internal/assign"
+	"github.com/poplarcroft/poplarcroft/internal/content"
 	"github.com/poplarcroft/poplarcroft/internal/eventlog"
 	"github.com/poplarcroft/poplarcroft/internal/fleet"
 	"github.com/poplarcroft/poplarcroft/internal/front"
@@ -20,6 +23,8 @@
 	// catchUpLimit is how long a host that has read the topics tries to catch up. Without an answer it goes on with what
 	// it has read, so that the loss of all other hosts does not stop it.
 	catchUpLimit = time.Second
+	// catchUpTransferLimit replaces catchUpLimit while a large configuration is arriving.
+	catchUpTransferLimit = 10 * time.Second
 	// catchUpHosts is the number of hosts that are asked in one attempt.
 	catchUpHosts = 3
 )
@@ -46,15 +51,18 @@
 	for !c.known() && ctx.Err() == nil {
 		loop.Sleep(ctx, catchUpInterval)
 	}
-	for began := c.clock(); c.clock()-began < catchUpLimit && ctx.Err() == nil; {
+	for began, limit := c.clock(), catchUpLimit; c.clock()-began < limit && ctx.Err() == nil; {
 		plan := c.plan()
 		hosts := c.candidates(plan)
 		if plan.Version != 0 && len(hosts) == 0 {
 			return
 		}
 		for _, host := range hosts[:min(catchUpHosts, len(hosts))] {
-			if c.ask(ctx, host) {
+			switch err := c.ask(ctx, host); {
+			case err == nil:
 				return
+			case errors.Is(err, content.ErrIncomplete):
+				limit = catchUpTransferLimit
 			}
 		}
 		loop.Sleep(ctx, catchUpInterval)
@@ -74,14 +82,14 @@
 	return hosts
 }
 
-// ask takes over what another host knows. It reports whether the host has answered.
-func (c *catchUp) ask(ctx context.Context, host assign.Host) bool {
-	ctx, cancel := context.WithTimeout(ctx, catchUpCallTimeout)
-	defer cancel()
+// ask takes over what another host knows. It fails if the host does not answer, or its configuration has not arrived in time.
+func (c *catchUp) ask(ctx context.Context, host assign.Host) error {
 	if err := c.sharing.exchange(ctx, host); err != nil {
 		c.log.Event("start", "asked", host.Name, "outcome", "no answer", "err", err.Error())
-		return false
+		return err
 	}
+	ctx, cancel := context.WithTimeout(ctx, catchUpCallTimeout)
+	defer cancel()
 	leaving, err := c.peers.leavingServers(ctx, host, LeavingArgs{From: c.self.Name})
 	if err != nil {
 		// An older build does not have the method.
@@ -92,7 +100,7 @@
 			c.log.Event("server", "id", left.ID, "born", left.Born, "from", host.Name, "outcome", front.Leaving.String())
 		}
 	}
-	return true
+	return nil
 }
 
 // tableForCallers returns the configuration by which callers' requests are served. With client accounts, there is none
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -161,7 +161,7 @@
 		h.fleet.EvacuateZones(*h.operatorRecords.evacuated.Load(), h.coldFor, clock.Monotonic())
 		wakeLeader()
 	})
-	h.configSharing = &configSharing{self: h.self, plan: h.current.Plan, records: h.operatorRecords, peers: h.peers, log: log}
+	h.configSharing = &configSharing{self: h.self, plan: h.current.Plan, records: h.operatorRecords, peers: h.peers, contents: h.contents, log: log}
 	h.catchUp = &catchUp{
 		self: h.self, plan: h.current.Plan, sharing: h.configSharing, peers: h.peers, fleet: h.fleet,
 		known: func() bool { return h.operatorRecords.Table() != nil && h.seenServers.Load() },
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -113,8 +113,8 @@
 	guard   *poison.Guard
 	fleet   *fleet.Fleet
 	relay   *relay.Relay
-	// contents holds the large values that other hosts may fetch.
-	contents *content.Store
+	// contents holds the large values that other hosts may fetch, and fetches theirs.
+	contents *content.Fetcher
 	records  *operatorRecords
 	reach    *reachSharing
 	pools    *admission.Pools
@@ -130,7 +130,7 @@
 
 // Chunks serves parts of large values.
 func (s *rpcService) Chunks(args content.ChunksArgs, reply *content.ChunksReply) (err error) {
-	*reply, err = s.contents.Serve(args)
+	*reply, err = s.contents.Store.Serve(args)
 	return err
 }
 
--- a/internal/relay/reference.go
+++ b/internal/relay/reference.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// maxInlineBytes is the size of the largest value that a reply holds.
-	maxInlineBytes = 64 << 10
+	// MaxInlineBytes is the size of the largest value that a message to another host holds.
+	MaxInlineBytes = 64 << 10
 	// transferRound is how long a host fetches the values of a reply before it queries the relay again, which may have a newer
 	// version by then. What has arrived is kept.
 	transferRound = time.Second
@@ -29,7 +29,7 @@
 	}
 	manifests := make(map[int]*content.Manifest)
 	for i, record := range records {
-		if len(record.Value) > maxInlineBytes {
+		if len(record.Value) > MaxInlineBytes {
 			m := r.config.Contents.Store.Add(ContentName(topic, record.Key), record.Value)
 			manifests[i] = &m
 		}
--- a/internal/relay/reference_test.go
+++ b/internal/relay/reference_test.go
@@ -15,10 +15,10 @@
 	"github.com/poplarcroft/poplarcroft/internal/follow"
 )
 
-// largeValue returns a value above maxInlineBytes that does not compress well.
+// largeValue returns a value above MaxInlineBytes that does not compress well.
 func largeValue(seed uint64) []byte {
 	random := rand.New(rand.NewPCG(seed, 1))
-	value := make([]byte, 2*maxInlineBytes+1)
+	value := make([]byte, 2*MaxInlineBytes+1)
 	for i := range value {
 		value[i] = byte(random.Uint32())
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -17,7 +17,7 @@
 // queried for a few seconds, and event "relay" is logged. A relay whose cache does not reach the
 // requested offset says so, and the querying host reads from the platform (counter Fallback).
 //
-// A reply refers to values above maxInlineBytes instead of holding them, so that its size does not
+// A reply refers to values above MaxInlineBytes instead of holding them, so that its size does not
 // depend on theirs; the querying host fetches them with package content.
 package relay
 
