relay: the cache holds the last record of each key, and large values do not displace others

Cause: the cache was bounded by 512 KiB of all records. A configuration above that was dropped when the next record came, an evacuation say, and each host of the zone that was behind then read it from the store itself, all at once, over narrow links. Followers need only the last record of each key, so replaced ones are dropped; a value that travels by reference does not count, since there is one for each key.

--- a/internal/relay/cache.go
+++ b/internal/relay/cache.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"time"
 
 	"github.com/poplarcroft/poplarcroft/internal/content"
@@ -14,8 +15,8 @@
 	maxCachedBytes   = 512 << 10
 )
 
-// topicCache caches the last records of a topic that this host has read from the platform, without
-// gaps. The relay's lock guards it.
+// topicCache caches the last records of a topic that this host has read from the platform: the last one of
+// each key, without gaps otherwise. The relay's lock guards it.
 type topicCache struct {
 	// newFilter creates keep, which reports whether other hosts need a record.
 	newFilter func() Filter
@@ -23,7 +24,7 @@
 	// valid is set while the cache can answer reads.
 	valid bool
 	// The cache covers the offsets of one era from first to end, without end. records holds those
-	// of their records that keep selects, and bytes is the total size of their keys and values.
+	// of their records that keep selects and that no later one replaces, and bytes is their total size.
 	era        follow.Era
 	first, end uint64
 	records    []cachedRecord
@@ -62,8 +63,9 @@
 	}
 	for i, record := range batch.Records {
 		if c.keep(record) {
+			c.drop(record.Key)
 			c.records = append(c.records, cachedRecord{Record: record, arrived: arrived, manifest: manifests[i]})
-			c.bytes += size(record)
+			c.bytes += c.records[len(c.records)-1].size()
 		}
 	}
 	c.end = batch.End
@@ -73,6 +75,17 @@
 	c.notify()
 }
 
+// drop drops the record of a key, which a later one replaces. Followers need only the last record of each key.
+func (c *topicCache) drop(key string) {
+	for i := len(c.records) - 1; i >= 0; i-- {
+		if c.records[i].Key == key {
+			c.bytes -= c.records[i].size()
+			c.records = slices.Delete(c.records, i, i+1)
+			return
+		}
+	}
+}
+
 // notify wakes all readers that wait for a change.
 func (c *topicCache) notify() {
 	close(c.changed)
@@ -114,14 +127,18 @@
 func (c *topicCache) trim() {
 	for len(c.records) > 1 && (len(c.records) > maxCachedRecords || c.bytes > maxCachedBytes) {
 		c.first = c.records[0].Offset + 1
-		c.bytes -= size(c.records[0].Record)
+		c.bytes -= c.records[0].size()
 		c.records = c.records[1:]
 	}
 }
 
-// size returns the size of a record in bytes, as counted for maxCachedBytes.
-func size(record follow.Record) int {
-	return len(record.Key) + len(record.Value)
+// size returns the size of a record in bytes, as counted for maxCachedBytes. A value with a manifest does not count: there is one
+// for each key, and package content holds it anyway.
+func (r cachedRecord) size() int {
+	if r.manifest != nil {
+		return len(r.Key)
+	}
+	return len(r.Key) + len(r.Value)
 }
 
 // has reports whether the cache has all records from the position on that other hosts need. It has
