edge: a read of operators' records that is receiving is not restarted

What callers saw: requests handled by an older configuration after 2.5 s.

Cause: when a plan says that the leader has read further, a read older than 0.7 s was cancelled as hanging, and begun anew. A read now counts as hanging if no bytes have come for 0.7 s.

The time that a host has been behind now counts from the relay's reference on.

TestReadThatReceivesIsNotCancelled failed before; TestReadThatStallsIsCancelled and the older tests of hanging and slow reads pass.

--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -141,7 +141,7 @@
 		MustReadDirectly: h.mustReadDirectly,
 		Others:           func() []relay.Host { return otherRelays(h.current.Plan(), h.self) },
 		Ask:              h.peers.read, Clock: clock.Monotonic, Log: log,
-		Contents: h.contents,
+		Contents: h.contents, OnReference: h.noteReference,
 	})
 	wakeLeader := func() { h.leader.Wake() }
 	h.state = &state{
--- a/internal/edge/operator_records.go
+++ b/internal/edge/operator_records.go
@@ -137,8 +137,8 @@
 // errBehind is the cause with which a read is canceled that another host has overtaken.
 var errBehind = errors.New("edge: read canceled because another host has read further")
 
-// cancelIfBehind cancels a read that takes longer than hangTimeout if another host has read
-// further. A shorter time would also cancel reads that are about to get their answer.
+// cancelIfBehind cancels a read that takes longer than hangTimeout if another host has read further and
+// no bytes arrive. A shorter time would also cancel reads that are about to get their answer.
 func (o *operatorRecords) cancelIfBehind(ctx context.Context, cancel context.CancelCauseFunc, received *follow.Progress) {
 	loop.Sleep(ctx, hangTimeout)
 	// A signal from before hangTimeout may be from before this read, so it proves nothing.
@@ -148,10 +148,18 @@
 	}
 	select {
 	case <-o.behind:
-		o.log.Event("order", "next", o.next.Load(), "received", received.Bytes(), "outcome", "another host has read further, restarting the read")
-		cancel(errBehind)
 	case <-ctx.Done():
+		return
+	}
+	for before := int64(0); received.Bytes() > before; {
+		before = received.Bytes()
+		loop.Sleep(ctx, hangTimeout)
+	}
+	if ctx.Err() != nil {
+		return
 	}
+	o.log.Event("order", "next", o.next.Load(), "received", received.Bytes(), "outcome", "another host has read further, restarting the read")
+	cancel(errBehind)
 }
 
 // apply applies a change of the topic. A record without a value has been removed.
--- a/internal/edge/operator_records_test.go
+++ b/internal/edge/operator_records_test.go
@@ -164,3 +164,71 @@
 	o.apply(follow.Change{})
 	assert.Assert(t, !o.Evacuated("zlin") && o.Evacuated("brno"))
 }
+
+// receivingSource begins to answer a read of changes after five seconds. Its answer takes two seconds to arrive.
+type receivingSource struct{ hangingSource }
+
+func (s *receivingSource) Since(ctx context.Context, from follow.Position, wait time.Duration) (follow.Batch, error) {
+	time.Sleep(5 * time.Second)
+	for range 20 {
+		select {
+		case <-ctx.Done():
+			return follow.Batch{}, ctx.Err()
+		case <-time.After(100 * time.Millisecond):
+			follow.ReportProgress(ctx, 1000)
+		}
+	}
+	s.reads = 1
+	return s.hangingSource.Since(ctx, from, wait)
+}
+
+// TestReadThatReceivesIsNotCancelled guards against a large configuration that is not in force in time, because the read that is
+// bringing it is cancelled whenever another host has it already.
+func TestReadThatReceivesIsNotCancelled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newTestOperatorRecords()
+		follower := follow.New(&receivingSource{})
+		assert.NilError(t, o.read(t.Context(), follower))
+		ctx, cancel := context.WithTimeout(t.Context(), 8*time.Second)
+		defer cancel()
+		go func() {
+			time.Sleep(5*time.Second + 150*time.Millisecond)
+			for ctx.Err() == nil {
+				o.checkProgress(3)
+				time.Sleep(300 * time.Millisecond)
+			}
+		}()
+		assert.NilError(t, o.read(ctx, follower))
+		assert.Equal(t, o.Table().Version, routetable.Version(7))
+		assert.Equal(t, o.progress.metrics().RestartedReads, int64(0))
+		cancel()
+		time.Sleep(time.Second)
+	})
+}
+
+// stallingSource answers a read of changes in part and then falls silent, but for the second read.
+type stallingSource struct{ hangingSource }
+
+func (s *stallingSource) Since(ctx context.Context, from follow.Position, wait time.Duration) (follow.Batch, error) {
+	if s.reads == 0 {
+		time.Sleep(time.Second)
+		follow.ReportProgress(ctx, 1000)
+	}
+	return s.hangingSource.Since(ctx, from, wait)
+}
+
+// TestReadThatStallsIsCancelled checks that a read whose answer has broken off counts as hanging.
+func TestReadThatStallsIsCancelled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newTestOperatorRecords()
+		follower := follow.New(&stallingSource{})
+		assert.NilError(t, o.read(t.Context(), follower))
+		started := time.Now()
+		time.AfterFunc(1100*time.Millisecond, func() { o.checkProgress(3) })
+		assert.Assert(t, o.read(t.Context(), follower) != nil)
+		assert.NilError(t, o.read(t.Context(), follower))
+		assert.Equal(t, o.Table().Version, routetable.Version(7))
+		assert.Equal(t, time.Since(started), 1100*time.Millisecond+hangTimeout)
+		time.Sleep(time.Second)
+	})
+}
--- a/internal/edge/topics.go
+++ b/internal/edge/topics.go
@@ -95,6 +95,13 @@
 	})
 }
 
+// noteReference notes that the relay has read a topic up to a position, whose last record is still being fetched.
+func (h *Host) noteReference(topic relay.Topic, end follow.Position) {
+	if topic == topicOperatorRecords {
+		h.operatorRecords.progress.othersHaveRead(end.Ordinal())
+	}
+}
+
 // mustReadDirectly reports whether this host reads a topic from the platform itself while it can. A leader does, since it
 // acts for all hosts by what it reads; but a configuration may be large and the leader's link narrow, and the relay's is
 // chosen to be wide.
--- a/internal/relay/reference.go
+++ b/internal/relay/reference.go
@@ -42,9 +42,9 @@
 	return string(topic) + "/" + key
 }
 
-// resolve fetches the values to which a reply refers and puts them into its records. Records that a later
+// resolve fetches the values to which a reply of an era refers and puts them into its records. Records that a later
 // one of the same key replaces are dropped instead.
-func (s *Source) resolve(ctx context.Context, host Host, reply *Reply) error {
+func (s *Source) resolve(ctx context.Context, host Host, era follow.Era, reply *Reply) error {
 	last := make(map[string]int, len(reply.Records))
 	for i, record := range reply.Records {
 		last[record.Key] = i
@@ -60,7 +60,7 @@
 			continue
 		}
 		if s.relay.config.OnReference != nil {
-			s.relay.config.OnReference(s.topic, *record)
+			s.relay.config.OnReference(s.topic, follow.Position{Era: era, Offset: record.Offset + 1})
 		}
 		value, err := s.fetch(ctx, host, record.Key, reference.Manifest)
 		if err != nil {
--- a/internal/relay/reference_test.go
+++ b/internal/relay/reference_test.go
@@ -51,8 +51,8 @@
 	query func(*Ask)
 	// chunks replaces the transfer of chunks; nil leaves it.
 	chunks func(context.Context, content.ChunksArgs) (content.ChunksReply, error)
-	// announced holds the keys of the records that were announced to the host.
-	announced []string
+	// announced holds the positions after the records that were announced to the host.
+	announced []follow.Position
 }
 
 func newPair(direct *topicSource) *pair {
@@ -79,7 +79,7 @@
 			}
 			return relayContents.Store.Serve(args)
 		}},
-		OnReference: func(_ Topic, record follow.Record) { p.announced = append(p.announced, record.Key) },
+		OnReference: func(_ Topic, end follow.Position) { p.announced = append(p.announced, end) },
 		Clock:       clock, Log: eventlog.Discard(),
 	})
 	p.relaySource = p.relay.Source("orders", direct, Options{})
@@ -102,7 +102,7 @@
 		assert.Equal(t, string(batch.Records[0].Value), "small")
 		assert.Assert(t, bytes.Equal(batch.Records[1].Value, largeValue(2)))
 		assert.Equal(t, batch.End, uint64(3))
-		assert.DeepEqual(t, p.announced, []string{"config"})
+		assert.DeepEqual(t, p.announced, []follow.Position{{Offset: 3}})
 		assert.Equal(t, p.direct.reads, 0)
 	})
 }
@@ -179,6 +179,6 @@
 	for _, index := range []int{-1, 1} {
 		p := newPair(&topicSource{})
 		reply := Reply{Records: []follow.Record{{Key: "config"}}, References: []Reference{{Record: index}}}
-		assert.ErrorContains(t, p.hostSource.resolve(t.Context(), Host{Name: "relay"}, &reply), "refers to record")
+		assert.ErrorContains(t, p.hostSource.resolve(t.Context(), Host{Name: "relay"}, follow.UnknownEra, &reply), "refers to record")
 	}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -145,8 +145,8 @@
 	Ask func(ctx context.Context, host Host, ask Ask) (Reply, error)
 	// Contents fetches large values from other hosts. Without it, replies hold all values.
 	Contents *content.Fetcher
-	// OnReference is called when a relay has told of a record whose value this host does not have yet; nil ignores it.
-	OnReference func(topic Topic, record follow.Record)
+	// OnReference is called with the position after a record whose value this host does not have yet; nil ignores it.
+	OnReference func(topic Topic, end follow.Position)
 	// Clock returns a monotonic reading that includes the time in which the machine is suspended.
 	Clock func() time.Duration
 	Log   *eventlog.Log
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -196,7 +196,7 @@
 	switch reply.Outcome {
 	case Answered:
 		s.relay.recordAnswered(host)
-		if err := s.resolve(ctx, host, &reply); err != nil {
+		if err := s.resolve(ctx, host, from.Era, &reply); err != nil {
 			return follow.Batch{}, err
 		}
 		return follow.Batch{Records: reply.Records, Era: from.Era, End: reply.End, Age: reply.Age}, nil
