relay: a connection that was closed is opened again before the relay is avoided

Cause: all calls to a host share a connection, and one that gets no answer in its time closes it. A query that waited on it then failed, the relay was avoided for 3 s, and the next host of the zone was asked, which thereby begins to read from the store itself. TestClosedConnectionIsNoSilentRelay failed before.

--- a/internal/relay/reference_test.go
+++ b/internal/relay/reference_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"math/rand/v2"
+	"net"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -182,3 +183,34 @@
 		assert.ErrorContains(t, p.hostSource.resolve(t.Context(), Host{Name: "relay"}, follow.UnknownEra, &reply), "refers to record")
 	}
 }
+
+// TestClosedConnectionIsNoSilentRelay guards against a relay that is avoided because another call has closed the connection to it: a
+// host with a narrow link that is asked in its place begins to read large records from the platform.
+func TestClosedConnectionIsNoSilentRelay(t *testing.T) {
+	for name, c := range map[string]struct {
+		failures, reads int
+	}{"closed once": {1, 0}, "does not accept connections": {100, 1}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				direct := &topicSource{}
+				direct.append("config", []byte("1"))
+				p := newPair(direct)
+				_, err := p.relaySource.Since(t.Context(), follow.Position{}, 0)
+				assert.NilError(t, err)
+				working := p.host.config.Ask
+				failures := c.failures
+				p.host.config.Ask = func(ctx context.Context, host Host, ask Ask) (Reply, error) {
+					if failures--; failures >= 0 {
+						return Reply{}, net.ErrClosed
+					}
+					return working(ctx, host, ask)
+				}
+				batch, err := p.hostSource.Since(t.Context(), follow.Position{}, 0)
+				assert.NilError(t, err)
+				assert.Equal(t, len(batch.Records), 1)
+				assert.Equal(t, p.direct.reads, c.reads)
+				assert.Equal(t, len(p.host.avoidedUntil), c.reads)
+			})
+		})
+	}
+}
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -184,7 +184,12 @@
 	callCtx, cancel := context.WithTimeout(ctx, relayWait+replyTimeout)
 	defer cancel()
 	asked := s.relay.config.Clock()
-	reply, err := s.relay.config.Ask(callCtx, host, Ask{Topic: s.topic, From: from, Wait: relayWait, References: s.relay.config.Contents != nil})
+	ask := Ask{Topic: s.topic, From: from, Wait: relayWait, References: s.relay.config.Contents != nil}
+	reply, err := s.relay.config.Ask(callCtx, host, ask)
+	if err != nil && callCtx.Err() == nil {
+		// The connection has been closed, perhaps because of another call on it.
+		reply, err = s.relay.config.Ask(callCtx, host, ask)
+	}
 	after := s.relay.config.Clock() - asked
 	if err != nil {
 		if ctx.Err() == nil {
