front: a host that lacks a newer configuration answers unknown routes with 503 instead of 404

What callers saw: a route that had been added was refused with 404, which callers do not repeat. A host often knows that it is behind before it has the configuration: its relay has announced the record, a plan says that the leader has read further, or the leader has a newer version. It cannot know then that there is no such route, so it says that the request has not run and when to come back; another host may have the route. Routes that never existed get 404 as before, within the time that a configuration takes to spread.

TestUnknownRouteWhileBehind.

--- a/internal/edge/config_progress.go
+++ b/internal/edge/config_progress.go
@@ -106,6 +106,13 @@
 	p.behind = behind
 }
 
+// isBehind reports whether another host has a record that this one lacks.
+func (p *configProgress) isBehind() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.behind
+}
+
 // behindFor returns how long this host has been behind. The caller holds the lock.
 func (p *configProgress) behindFor(now time.Duration) time.Duration {
 	if !p.behind {
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -197,6 +197,7 @@
 			RequireID: true,
 		}),
 		Headers: config.Headers, Fleet: h.fleet, Guard: h.guard, Dial: config.DialServer, Reach: h.reach, Current: h.current, Table: h.tableForCallers, KnownTable: h.operatorRecords.Table,
+		Behind:        h.operatorRecords.progress.isBehind,
 		ColdRateLimit: h.coldRateLimit, OnFact: h.broadcastFact,
 		Budget: front.BudgetConfig{
 			Ratio: config.RetryRatio, Extra: config.RetryExtra, Window: config.RetryWindow, Hosts: h.hostCount,
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -175,6 +175,26 @@
 	}
 }
 
+// TestUnknownRouteWhileBehind guards against a route that has been added and is refused with 404 by a host that knows that it lacks a
+// newer configuration: callers do not repeat such a request.
+func TestUnknownRouteWhileBehind(t *testing.T) {
+	s := newSystem(t, startServer(t, answerOK))
+	behind := true
+	s.ingress.config.Behind = func() bool { return behind }
+	for _, want := range []int{503, 404} {
+		request, err := http.NewRequest("GET", s.callers.URL+"/added/x", nil)
+		assert.NilError(t, err)
+		request.Host = "a.example"
+		request.Header.Set("X-Id", "i")
+		response, err := http.DefaultClient.Do(request)
+		assert.NilError(t, err)
+		response.Body.Close()
+		assert.Equal(t, response.StatusCode, want)
+		assert.Equal(t, response.Header.Get("Retry-After") != "", want == 503)
+		behind = false
+	}
+}
+
 // TestPrimaryTakesTheRequest checks that a keyed request goes through the primary of its server,
 // and directly to the server if the primary is shutting down.
 func TestPrimaryTakesTheRequest(t *testing.T) {
--- a/internal/front/ingress.go
+++ b/internal/front/ingress.go
@@ -52,6 +52,9 @@
 	// KnownTable returns the newest configuration that this host knows, also while it is not in force for callers. It
 	// serves for requests of other hosts. Nil stands for Table.
 	KnownTable func() *routetable.Table
+	// Behind reports whether other hosts are known to have a newer configuration, which may have routes that this host does not
+	// know yet. Nil stands for a host that never is.
+	Behind func() bool
 	// ColdRateLimit returns the maximum number of requests per second, from all hosts together,
 	// to one cold server of the service.
 	ColdRateLimit func(service routetable.Service) float64
@@ -113,6 +116,9 @@
 
 // New returns an Ingress that is ready to serve requests.
 func New(config Config) *Ingress {
+	if config.Behind == nil {
+		config.Behind = func() bool { return false }
+	}
 	if config.KnownTable == nil {
 		config.KnownTable = config.Table
 	}
@@ -201,9 +207,7 @@
 	}
 	route, ok := table.Lookup(hr.Host, hr.URL.EscapedPath())
 	if !ok {
-		in.log.Event("answer", "id", hr.Header.Get(in.headers.RequestID), "host", hr.Host, "path", hr.URL.Path,
-			"status", 404, "config", uint64(table.Version))
-		writeRefusal(w, http.StatusNotFound, "no route")
+		in.refuseUnknownRoute(w, hr, table)
 		return
 	}
 	who, refusal := in.authenticate(hr.Header, table, route.Public)
@@ -234,6 +238,19 @@
 	in.finish(r, result, func() int { return writeResult(w, result) })
 }
 
+// refuseUnknownRoute refuses a request for which the configuration has no route. While this host lacks a newer configuration, it
+// cannot know that there is none: the caller may come back, or go to another host.
+func (in *Ingress) refuseUnknownRoute(w http.ResponseWriter, hr *http.Request, table *routetable.Table) {
+	status, reason := http.StatusNotFound, "no route"
+	if in.config.Behind() {
+		status, reason = http.StatusServiceUnavailable, "no route is known yet, a newer configuration is arriving"
+		setRetryAfter(w, defaultRetryAfter)
+	}
+	in.log.Event("answer", "id", hr.Header.Get(in.headers.RequestID), "host", hr.Host, "path", hr.URL.Path, "status", status,
+		"config", uint64(table.Version))
+	writeRefusal(w, status, reason)
+}
+
 // callerStatus returns the HTTP status that the caller gets, or 0 if another host answers the caller.
 func callerStatus(r *Request, status int) int {
 	if r.Forwarded {
