--- a/internal/edge/shares.go
+++ b/internal/edge/shares.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	// sharesInterval is the time between two checks whether an ask for shares is due. One that is due at once does not
+	// sharesInterval is the time between two checks whether a lease request for shares is due. One that is due at once does not
 	// wait for it.
 	sharesInterval = 250 * time.Millisecond
 	// sharesMethod is the RPC method for asks. Builds up to b5ff72c lack it.
@@ -124,7 +124,7 @@
 	return sharedlimit.Leader{Incarnation: plan.Leader.Incarnation, Plan: uint64(plan.Version)}
 }
 
-// ask asks the leader for shares if an ask is due.
+// ask asks the leader for shares if a lease request is due.
 func (s *shareLeasing) ask(ctx context.Context, office assign.Office) {
 	leader := office.Plan.Leader
 	ask, due := s.holder.Ask(leaderOf(office.Plan), s.needed(), s.clock())
@@ -149,7 +149,7 @@
 	}
 }
 
-// call sends an ask to the leader, or answers it directly if this host is the leader.
+// call sends a lease request to the leader, or answers it directly if this host is the leader.
 func (s *shareLeasing) call(ctx context.Context, leader assign.Host, ask sharedlimit.Ask) (sharedlimit.Answer, error) {
 	if leader.SameIncarnation(s.self) {
 		return s.answer(ask)
@@ -159,7 +159,7 @@
 	return s.peers.shares(ctx, leader, ask)
 }
 
-// answer answers an ask by the newest plan.
+// answer answers a lease request by the newest plan.
 func (s *shareLeasing) answer(ask sharedlimit.Ask) (sharedlimit.Answer, error) {
 	s.observe()
 	return s.allocator.Answer(ask, s.clock())
@@ -199,7 +199,7 @@
 	return err
 }
 
-// shares sends an ask for shares to the leader.
+// shares sends a lease request for shares to the leader.
 func (p *peers) shares(ctx context.Context, host assign.Host, ask sharedlimit.Ask) (sharedlimit.Answer, error) {
 	var answer sharedlimit.Answer
 	err := p.pool.Call(ctx, host.Addr, sharesMethod, ask, &answer)
--- a/internal/edge/usage.go
+++ b/internal/edge/usage.go
@@ -37,7 +37,7 @@
 	})
 }
 
-// reportUsageOnce sends one report and takes over the answer.
+// reportUsageOnce sends one report and applies the answer.
 func (s *shareLeasing) reportUsageOnce(ctx context.Context, to assign.Host) {
 	sentAt := s.clock()
 	report := s.usage.Report(s.self.Name, s.self.Incarnation)
--- a/internal/sharedlimit/allocator.go
+++ b/internal/sharedlimit/allocator.go
@@ -7,8 +7,8 @@
 	"github.com/cockroachdb/errors"
 )
 
-// ErrNotAllocator is the error of an ask that this host may not answer, since it is not known to be the leader of the
-// newest plan, or since the ask is outdated.
+// ErrNotAllocator is the error of a lease request that this host may not answer, since it is not known to be the leader of the
+// newest plan, or since the lease request is outdated.
 var ErrNotAllocator = errors.New("sharedlimit: this host does not allocate shares to the asking host now")
 
 // Member is one incarnation of a host in the plan.
@@ -20,7 +20,7 @@
 type View struct {
 	// Leader is the incarnation of the plan's leader.
 	Leader string
-	// Term is the version of the first plan of this leader's time in office. First says that there was no plan before.
+	// Term is the version of the first plan of this leader's term. First says that there was no plan before.
 	Term  uint64
 	First bool
 	// Verified is the reading of the host's clock at which the plan was last known to be the newest.
@@ -29,8 +29,8 @@
 	Hosts []Member
 }
 
-// Allocator gives out the shares while its host is the leader. All its state is in memory; a new leader learns the
-// shares from the holders' asks.
+// Allocator allocates the shares while its host is the leader. It keeps its state in memory only; a new leader learns the
+// shares from the holders' lease requests.
 type Allocator struct {
 	self   string
 	timing Timing
@@ -78,13 +78,13 @@
 // quota (5 s).
 const unusedFor = 6 * time.Second
 
-// SetMeter tells the allocator of the meter of limits that hosts use without shares while these are far from being reached.
-// Such a limit gives out no shares while hosts have admitted more than its bucket held. It is called before the first ask.
+// SetMeter sets the meter of limits that hosts use without shares while these are far from being reached.
+// Such a limit allocates no shares while hosts have admitted more than its bucket held. It is called before the first lease request.
 func (a *Allocator) SetMeter(meter *Meter) {
 	a.meter = meter
 }
 
-// Observe tells the allocator what its host knows of the plan. It is called before each Answer and at intervals, so
+// Observe updates the allocator with what its host knows of the plan. It is called before each Answer and at intervals, so
 // that no change of leader is missed. It reports whether the host became or ceased to be the leader.
 func (a *Allocator) Observe(view View, now time.Duration) bool {
 	a.mu.Lock()
@@ -127,12 +127,12 @@
 	}
 }
 
-// settled reports whether all shares that former leaders gave are known or have ended. The caller holds the lock.
+// settled reports whether all shares that former leaders allocated are known or have ended. The caller holds the lock.
 func (a *Allocator) settled(now time.Duration) bool {
 	return len(a.unreported) == 0 || now >= a.settledAt
 }
 
-// Answer answers an ask that arrives now. The error is ErrNotAllocator.
+// Answer answers a lease request that arrives now. The error is ErrNotAllocator.
 func (a *Allocator) Answer(ask Ask, now time.Duration) (Answer, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -147,7 +147,7 @@
 	for id, p := range a.pools {
 		p.expire(now)
 		if _, asked := ask.Needs[id]; !asked {
-			// An ask lists all shares that the host holds.
+			// A lease request lists all shares that the host holds.
 			p.remove(ask.Host)
 		}
 		if settled && p.full(now) {
@@ -173,7 +173,7 @@
 	return answer, nil
 }
 
-// accept reports whether the ask may be answered, and records its sender. The caller holds the lock.
+// accept reports whether the lease request may be answered, and records its sender. The caller holds the lock.
 func (a *Allocator) accept(ask Ask, now time.Duration) bool {
 	if a.view.Leader != a.self || ask.Leader != a.self || ask.Plan < a.view.Term || now-a.view.Verified > a.timing.MaxPlanAge {
 		return false
@@ -208,7 +208,7 @@
 	return false
 }
 
-// recordReport adds what a host holds from a former leader, at its first ask in this term. The caller holds the lock.
+// recordReport adds what a host holds from a former leader, at its first lease request in this term. The caller holds the lock.
 func (a *Allocator) recordReport(ask Ask, now time.Duration) {
 	if !a.unreported[ask.Host] {
 		return
@@ -226,8 +226,8 @@
 	}
 }
 
-// pool returns the pool of a limit, which it creates if need be. A new one is full if no host can have used the limit
-// lately. The caller holds the lock.
+// pool returns the pool of a limit, which it creates if necessary. A new one is full if no host can have used the limit
+// recently. The caller holds the lock.
 func (a *Allocator) pool(id string, now time.Duration) *pool {
 	p := a.pools[id]
 	if p == nil {
@@ -250,8 +250,8 @@
 	return ok
 }
 
-// total returns the part of a limit that may be given out now. While not settled it is what hosts have reported, as all
-// else may be in use, and the part that the former leader did not give out. The caller holds the lock.
+// total returns the part of a limit that may be allocated now. While not settled it is what hosts have reported, as all
+// else may be in use, and the part that the former leader did not allocate. The caller holds the lock.
 func (a *Allocator) total(id string, settled bool, now time.Duration) float64 {
 	if settled {
 		return SettledTotal
--- a/internal/sharedlimit/asking.go
+++ b/internal/sharedlimit/asking.go
@@ -5,7 +5,7 @@
 // stickyFor is how long a sticky limit counts as needed after its last use. A host renews it only while requests come.
 const stickyFor = 2 * time.Second
 
-// Ask returns the ask that is due now, and false if none is. Report says that the host has to report to a new leader
+// Ask returns the lease request that is due now, and false if none is. Report says that the host has to report to a new leader
 // also if it has no demand. Until Answered, Equal or Failed is called with its sequence number, no other is due.
 func (h *Holder) Ask(leader Leader, report bool, now time.Duration) (Ask, bool) {
 	h.mu.Lock()
@@ -35,7 +35,7 @@
 	return ask, true
 }
 
-// UrgentIn returns the time until the next ask may be sent.
+// UrgentIn returns the time until the next lease request may be sent.
 func (h *Holder) UrgentIn(now time.Duration) time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -45,7 +45,7 @@
 	return max(h.askedAt+h.interval()-now, 0)
 }
 
-// interval returns the least time between two asks. The caller holds the lock.
+// interval returns the least time between two lease requests. The caller holds the lock.
 func (h *Holder) interval() time.Duration {
 	if h.failed {
 		return failedInterval
@@ -109,7 +109,7 @@
 	return need
 }
 
-// Answered takes over the answer to the ask with the sequence number. Leader is the one that the host's plan names now:
+// Answered applies the answer to the lease request with the sequence number. Leader is the one that the host's plan names now:
 // an answer of another one is ignored. It returns the IDs of the shares that have begun or ended.
 func (h *Holder) Answered(sequence uint64, from string, answer Answer, leader Leader, now time.Duration) []string {
 	h.mu.Lock()
@@ -176,7 +176,7 @@
 	h.announce()
 }
 
-// Failed gives up the ask with the sequence number. Its answer is ignored if it arrives later.
+// Failed cancels the lease request with the sequence number. Its answer is ignored if it arrives later.
 func (h *Holder) Failed(sequence uint64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -186,7 +186,7 @@
 	}
 }
 
-// finish ends the pending ask, and reports whether it has the sequence number. The caller holds the lock.
+// finish ends the pending lease request, and reports whether it has the sequence number. The caller holds the lock.
 func (h *Holder) finish(sequence uint64) bool {
 	if !h.pending || sequence != h.sequence {
 		return false
--- a/internal/sharedlimit/bucket.go
+++ b/internal/sharedlimit/bucket.go
@@ -8,7 +8,7 @@
 	started    bool
 	tokens     float64
 	refilledAt time.Duration
-	// surplus is the number of tokens for which there was no room since the last ask. They go back to the allocator.
+	// surplus is the number of tokens for which there was no room since the last lease request. They go back to the allocator.
 	surplus float64
 }
 
--- a/internal/sharedlimit/holder.go
+++ b/internal/sharedlimit/holder.go
@@ -7,23 +7,23 @@
 )
 
 const (
-	// AskInterval is the time between two asks while there is demand. An ask at once follows the previous one after
+	// AskInterval is the time between two lease requests while there is demand. A lease request at once follows the previous one after
 	// urgentInterval at least.
 	AskInterval    = time.Second
 	urgentInterval = 100 * time.Millisecond
-	// exhaustedInterval is the time between two asks for a limit of which nothing is free.
+	// exhaustedInterval is the time between two lease requests for a limit of which nothing is free.
 	exhaustedInterval = 500 * time.Millisecond
-	// failedInterval is the time between two asks after one that got no answer. A leader that is short of processor time would
-	// otherwise get ten asks a second of each host.
+	// failedInterval is the time between two lease requests after one that got no answer. A leader that lacks processor time would
+	// otherwise get ten lease requests a second of each host.
 	failedInterval = 500 * time.Millisecond
 	// forgetAfter is how long a limit is kept without demand and without a share. It is longer than the window of a
 	// quota (5 s), so that a bucket does not start anew within it.
 	forgetAfter = 30 * time.Second
 	// wantFor is the time for which a bucket that ran empty wants tokens at its demand.
 	wantFor = 250 * time.Millisecond
-	// unknownRetryAfter is when a caller should come back that was refused for lack of a share.
+	// unknownRetryAfter is when a caller should retry that was refused for lack of a share.
 	unknownRetryAfter = 300 * time.Millisecond
-	// maxRetryAfter is the longest time after which a refused request is told to come back.
+	// maxRetryAfter is the longest time after which a refused request may be asked to wait before it retries.
 	maxRetryAfter = 10 * time.Second
 )
 
@@ -46,22 +46,22 @@
 	Plan        uint64
 }
 
-// Holder holds the shares of one host. Only one ask is under way at a time.
+// Holder holds the shares of one host. Only one lease request is under way at a time.
 type Holder struct {
 	host, incarnation string
-	// wake gets a value when an ask is due at once.
+	// wake gets a value when a lease request is due at once.
 	wake chan struct{}
 
 	mu     sync.Mutex
 	limits map[string]*held
 	// changed is closed and replaced when an answer arrives.
 	changed chan struct{}
-	// sequence is that of the last ask, and pending is set until its answer has arrived or is given up.
+	// sequence is that of the last lease request, and pending is set until its answer has arrived or it has been cancelled.
 	sequence uint64
 	pending  bool
 	askedAt  time.Duration
 	asked    bool
-	// failed says that the last ask got no answer.
+	// failed says that the last lease request got no answer.
 	failed bool
 	// reportedTo is the leader that has answered last.
 	reportedTo string
@@ -88,9 +88,9 @@
 	bucket             bucket
 	demand             demand
 	usedAt             time.Duration
-	// nextReturn is when the next refused request should come back.
+	// nextReturn is when the next refused request should retry.
 	nextReturn time.Duration
-	// missed is the number of requests since the last ask that found no token.
+	// missed is the number of requests since the last lease request that found no token.
 	missed float64
 	// useful, wanted and sticky are those of a share that is taken with Fraction.
 	useful, wanted float64
@@ -105,7 +105,7 @@
 	}
 }
 
-// Wake returns a channel that gets a value when an ask is due at once.
+// Wake returns a channel that gets a value when a lease request is due at once.
 func (h *Holder) Wake() <-chan struct{} { return h.wake }
 
 // Changed returns a channel that is closed when the next answer arrives.
@@ -129,7 +129,7 @@
 	return Limit{Rate: fraction * l.limit.Rate, Burst: fraction * l.limit.Burst}
 }
 
-// get returns the limit's state, which it creates if need be. The caller holds the lock.
+// get returns the limit's state, which it creates if necessary. The caller holds the lock.
 func (h *Holder) get(id string, limit Limit, now time.Duration) *held {
 	l := h.limits[id]
 	if l == nil {
@@ -184,7 +184,7 @@
 	return l.more(now)
 }
 
-// more returns whether another ask may bring more of a limit whose bucket is empty.
+// more returns whether another lease request may bring more of a limit whose bucket is empty.
 func (l *held) more(now time.Duration) Decision {
 	if l.exhausted && now-l.answeredAt < exhaustedInterval {
 		return Empty
@@ -203,8 +203,8 @@
 	}
 }
 
-// RetryAfter returns the time after which a refused request should come back. Each refused request is told the time of
-// another token, so that they do not all come back for the same one.
+// RetryAfter returns the time after which a refused request should retry. Each refused request gets the time of
+// another token, so that they do not all retry for the same one.
 func (h *Holder) RetryAfter(id string, now time.Duration) time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -242,7 +242,7 @@
 }
 
 // Fraction returns the fraction of a limit that the host may use now, for a limit whose requests are counted
-// elsewhere. It asks for a share of at least useful; wanted is the fraction that the host has use for. Such a share
+// elsewhere. It asks for a share of at least useful; wanted is the fraction that the host can use. Such a share
 // stays as it is while it is held.
 func (h *Holder) Fraction(id string, useful, wanted float64, now time.Duration) float64 {
 	h.mu.Lock()
--- a/internal/sharedlimit/messages.go
+++ b/internal/sharedlimit/messages.go
@@ -2,7 +2,7 @@
 //
 // A limit is named by a text, such as "account/NAME". Each host has a Holder, which holds fractions of limits as
 // leases and turns them into token buckets with the rate and burst of the host's own configuration. The leader of
-// the plan has an Allocator, which answers the holders' asks. The fractions that are usable at any time add up to
+// the plan has an Allocator, which answers the holders' lease requests. The fractions that are usable at any time add up to
 // 1 at most, whatever messages are lost or late, and whichever hosts are cut off, frozen or restarted.
 //
 // Package edge carries the messages, and package front takes the tokens. Both state machines get the time from
@@ -27,7 +27,7 @@
 	Host, Incarnation, Leader string
 	// Plan is the version of the plan by which the host asks this leader.
 	Plan uint64
-	// Sequence numbers the asks of an incarnation from 1.
+	// Sequence numbers the lease requests of an incarnation from 1.
 	Sequence uint64
 	Needs    map[string]Need
 }
@@ -42,7 +42,7 @@
 	Useful float64
 	// Want is the number of tokens that are missing at once, divided by the limit's burst.
 	Want float64
-	// Surplus is the number of tokens since the last ask for which the host's bucket had no room, divided by the burst.
+	// Surplus is the number of tokens since the last lease request for which the host's bucket had no room, divided by the burst.
 	Surplus float64
 	// Refill is the limit's rate divided by its burst, per second.
 	Refill float64
--- a/internal/sharedlimit/pool.go
+++ b/internal/sharedlimit/pool.go
@@ -16,7 +16,7 @@
 	demandFor = 3 * time.Second
 	// emptyPart is the part of what is free that a host whose bucket is empty gets beyond its demand.
 	emptyPart = 0.1
-	// keptPart is the part of a fraction that stays at the next ask while the demand is below the limit. Small
+	// keptPart is the part of a fraction that stays at the next lease request while the demand is below the limit. Small
 	// accounts would otherwise lose their share at each pause.
 	keptPart = 0.9
 	// minFraction is the smallest fraction that is given; a smaller demand counts as none.
@@ -43,7 +43,7 @@
 	// counted is the highest fraction that the host may be using, until expiresAt.
 	counted   float64
 	expiresAt time.Duration
-	// demand is that of the last ask, at askedAt.
+	// demand is that of the last lease request, at askedAt.
 	demand  float64
 	askedAt time.Duration
 }
@@ -58,7 +58,7 @@
 	p.shares = slices.DeleteFunc(p.shares, func(s *share) bool { return s.host == host })
 }
 
-// get returns the share of a host, which it creates if need be.
+// get returns the share of a host, which it creates if necessary.
 func (p *pool) get(host string) *share {
 	for _, s := range p.shares {
 		if s.host == host {
--- a/internal/sharedlimit/timing.go
+++ b/internal/sharedlimit/timing.go
@@ -39,7 +39,7 @@
 	return 2 * t.settling()
 }
 
-// SettledTotal is the part of a limit that a settled allocator gives out. The rest is for a new leader, which gives it
+// SettledTotal is the part of a limit that a settled allocator allocates. The rest is for a new leader, which gives it
 // while it does not yet know how much is free. 8% of the limit is what the callers of one lost host need, one in eleven
 // of an account at 1/1.6 of its limit, and a little more.
 const SettledTotal = 1 / 1.08
--- a/internal/sharedlimit/usage.go
+++ b/internal/sharedlimit/usage.go
@@ -117,7 +117,7 @@
 	Tight []string
 }
 
-// Answered takes over the answer to a report that was sent at the given time.
+// Answered applies the answer to a report that was sent at the given time.
 func (u *Usage) Answered(answer UsageAnswer, sentAt time.Duration) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
