--- a/internal/relay/reference_test.go
+++ b/internal/relay/reference_test.go
@@ -36,7 +36,9 @@
 	s.records = append(s.records, follow.Record{Key: key, Value: value, Offset: uint64(len(s.records))})
 }
 
-func (s *topicSource) Newest(context.Context) (follow.Batch, error) { return follow.Batch{}, nil }
+func (s *topicSource) Newest(context.Context) (follow.Batch, error) {
+	return follow.Batch{Records: s.records, End: uint64(len(s.records))}, nil
+}
 
 func (s *topicSource) Since(_ context.Context, from follow.Position, _ time.Duration) (follow.Batch, error) {
 	s.reads++
@@ -108,6 +110,26 @@
 	})
 }
 
+// TestChangeAfterAStartCostsWhatItChanges checks that a host that has read a large value in a snapshot fetches only the changed part
+// of the next version.
+func TestChangeAfterAStartCostsWhatItChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		direct := &topicSource{}
+		direct.append("config", largeValue(1))
+		p := newPair(direct)
+		_, err := p.hostSource.Newest(t.Context())
+		assert.NilError(t, err)
+		direct.append("config", append([]byte("changed"), largeValue(1)...))
+		_, err = p.relaySource.Since(t.Context(), follow.Position{Offset: 1}, 0)
+		assert.NilError(t, err)
+		batch, err := p.hostSource.Since(t.Context(), follow.Position{Offset: 1}, 0)
+		assert.NilError(t, err)
+		assert.Equal(t, len(batch.Records[0].Value), len(largeValue(1))+len("changed"))
+		fetched := p.host.config.Contents.Store.Counters.BytesFetched.Value()
+		assert.Assert(t, fetched < int64(len(largeValue(1))/8), "%d bytes", fetched)
+	})
+}
+
 // TestHostOfAnotherBuildGetsValues checks that a host whose build knows no references gets the values themselves.
 func TestHostOfAnotherBuildGetsValues(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -68,6 +68,8 @@
 	}
 	s.lastStart = began
 	s.relay.recordContact(began, batch.Era)
+	// The next versions of large values then cost only what changes.
+	s.relay.describe(s.topic, batch.Records)
 	return batch, nil
 }
 
