front, transport: a host that shuts down gives up no request because of a silent connection

Cause: a connection that delivers nothing for ten times the route's usual time, while others of the same server deliver, counts as dead; slow requests of a server with several slots look the same. After the signal to stop, a server's silence is no reason to end an answer. The rule is suspended from then on, also for requests under way.

TestSuspendedRuleEndsNoRequest failed before (ErrSilent).

--- a/internal/front/leaving_test.go
+++ b/internal/front/leaving_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/poplarcroft/poplarcroft/internal/routetable"
 )
 
 // TestLeavingPrimaryAwaitsForwardedRequests guards against a shutdown that cuts off the requests of other hosts: a primary
@@ -61,3 +63,16 @@
 		})
 	}
 }
+
+// TestHostThatShutsDownGivesUpNoSilentRequest guards against requests that a host breaks off after the signal to stop, because the
+// connection to a server that is at work on them is silent (LOST on Moravia, trouble-2).
+func TestHostThatShutsDownGivesUpNoSilentRequest(t *testing.T) {
+	s := newSystem(t, startServer(t, answerOK))
+	s.ingress.baseline.relative("any", attempt{outcome: attemptAnswered}, 40*time.Millisecond)
+	server, ok := s.fleet.Server("archiv-0")
+	assert.Assert(t, ok)
+	rule := s.ingress.silenceOf(&Request{Route: &routetable.Route{Name: "any"}}, server)
+	assert.Assert(t, rule.After > 0 && !rule.Suspended())
+	s.ingress.Leave()
+	assert.Assert(t, rule.Suspended())
+}
--- a/internal/front/silence.go
+++ b/internal/front/silence.go
@@ -19,14 +19,15 @@
 )
 
 // silenceOf returns how the silence of a server is judged that is sent the request. Without a usual time of the route it is
-// not judged.
+// not judged. A host that shuts down gives up no request for it: the server may be at work on the request, and after a shutdown the
+// caller gets whatever answer the server makes.
 func (in *Ingress) silenceOf(r *Request, server *fleet.Server) transport.Silence {
 	usual := in.baseline.get(r.Route.Name)
 	if usual <= 0 {
 		return transport.Silence{}
 	}
 	after := max(silenceFactor*usual, minSilence)
-	return transport.Silence{After: after, OnMute: func() {
+	return transport.Silence{After: after, Suspended: in.isLeaving, OnMute: func() {
 		server.Avoid(in.clock() + muteAvoidFor)
 		in.log.Event("silence", "id", r.ID, "route", r.Route.Name, "server", server.Entry().ID, "after_ms", after.Milliseconds(),
 			"outcome", "no connection delivers: slow, dead or mute, avoided")
--- a/internal/transport/mute_test.go
+++ b/internal/transport/mute_test.go
@@ -109,6 +109,39 @@
 	})
 }
 
+// TestSuspendedRuleEndsNoRequest guards against a request at which its server is at work and which is given up, because the server
+// delivers on other connections, while the host shuts down and may break off nothing.
+func TestSuspendedRuleEndsNoRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var suspended atomic.Bool
+		requests := atomic.Int64{}
+		target := newFakeServer(func(conn net.Conn, request *http.Request) bool {
+			work := 100 * time.Millisecond
+			if requests.Add(1) == 1 {
+				work = 1400 * time.Millisecond
+			}
+			return delayed(work, answerWith(completeAnswer))(conn, request)
+		}).target(t, Options{Connections: 4})
+		slow := get
+		slow.Silence = Silence{After: 500 * time.Millisecond, Suspended: suspended.Load}
+		time.AfterFunc(300*time.Millisecond, func() { suspended.Store(true) })
+		var group sync.WaitGroup
+		group.Go(func() {
+			sent, body, err := send(t, target, slow)
+			assert.Check(t, err)
+			assert.Check(t, sent == Answered)
+			assert.Check(t, body == "done")
+		})
+		for range 8 {
+			time.Sleep(150 * time.Millisecond)
+			sent, _, err := send(t, target, get)
+			assert.Check(t, sent == Answered, "%v", err)
+		}
+		group.Wait()
+		target.Close()
+	})
+}
+
 // TestSilenceIsNotJudgedWithoutARule guards against a change for requests that set no rule.
 func TestSilenceIsNotJudgedWithoutARule(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/transport/silence.go
+++ b/internal/transport/silence.go
@@ -25,6 +25,13 @@
 	// OnMute is called once if no connection of the server has delivered anything either, so that the server is slow, dead
 	// or mute. The request waits on. It must not block, and may be nil.
 	OnMute func()
+	// Suspended reports whether silence ends no request at present. Nil stands for never.
+	Suspended func() bool
+}
+
+// ends reports whether the rule ends requests at present.
+func (s Silence) ends() bool {
+	return s.Suspended == nil || !s.Suspended()
 }
 
 // judgeSilence closes a connection on which nothing has arrived for the time of the rule, if another connection of the
@@ -47,8 +54,10 @@
 		}
 		switch {
 		case a.ended.Load() || conn.deliveredSince(since):
-		case a.target.deliveredSince(since, conn):
+		case a.target.deliveredSince(since, conn) && a.rule.ends():
 			a.cancel(ErrSilent)
+		case a.target.deliveredSince(since, conn):
+			timer.Reset(judgeInterval)
 		default:
 			if !told && a.rule.OnMute != nil {
 				a.rule.OnMute()
