--- a/internal/content/manifest.go
+++ b/internal/content/manifest.go
@@ -48,7 +48,7 @@
 	spread = 4
 )
 
-// gear holds a random number for each byte, for the rolling hash of split.
+// gear holds a random number for each byte, for the rolling hash of boundary.
 var gear = newGear()
 
 // newGear returns the outputs of the generator SplitMix64 with seed zero. All hosts must use the same.
