assign, renew: a plan costs a host what it changes, not hosts x ranges

Change: rankings are kept for each zone as long as the zone's hosts, their weights and the order are the same; what a plan changes of terms, marks and ranges does not matter to them. Hosts of a zone are ranked among themselves. A host that does not lead looks only at ranges of its own zone. The ranking itself is the same. TestRankingsOutlastPlans guards it.

--- a/internal/admission/placement.go
+++ b/internal/admission/placement.go
@@ -165,7 +165,7 @@
 	}
 	ranked, ok := r.byPool[pool]
 	if !ok {
-		ranked = plan.RankedFor(pool.String(), func(host assign.Host) bool { return host.Zone == pool.Zone })
+		ranked = plan.RankedInZone(pool.Zone, pool.String())
 		r.byPool[pool] = ranked
 	}
 	return ranked
--- a/internal/assign/current.go
+++ b/internal/assign/current.go
@@ -140,7 +140,7 @@
 	if first := c.plan.Version == 0; first || !plan.Leader.SameIncarnation(c.plan.Leader) {
 		c.term = Term{Since: plan.Version, First: first}
 	}
-	c.plan = plan.WithRankings()
+	c.plan = plan.WithRankings(c.plan)
 	switch {
 	case plan.Version.Era() < c.era:
 		c.writtenAfter = 0
--- a/internal/assign/order.go
+++ b/internal/assign/order.go
@@ -46,35 +46,32 @@
 
 // rankedHost is a host with its position in an order.
 type rankedHost struct {
-	// index is the host's index in the plan, hash its rendezvous hash, and cost -log2(hash / 2^64).
-	index  int
-	name   string
-	hash   uint64
-	cost   uint64
-	weight uint64
+	// position is the host's position in its group, hash its rendezvous hash, and cost -log2(hash / 2^64).
+	position int
+	name     string
+	hash     uint64
+	cost     uint64
+	weight   uint64
 }
 
-// rankHosts returns the indices of the hosts that are not retired, in the order of preference for the object with the ID.
-func rankHosts(hosts []Host, order HostOrder, id string) []uint16 {
-	ranked := make([]rankedHost, 0, len(hosts))
-	for i, host := range hosts {
-		if host.Retired {
-			continue
-		}
-		r := rankedHost{index: i, name: host.Name, hash: rendezvousHash(host, id)}
+// rankMembers returns the positions of the members of a group, in the order of preference for the object with the ID.
+func rankMembers(members []rankedMember, order HostOrder, id string) []uint16 {
+	ranked := make([]rankedHost, 0, len(members))
+	for i, member := range members {
+		r := rankedHost{position: i, name: member.name, hash: rendezvousHash(member.name, id)}
 		if order == OrderByWeight {
-			r.cost, r.weight = negativeLog(r.hash), host.weight()
+			r.cost, r.weight = negativeLog(r.hash), member.weight
 		}
 		ranked = append(ranked, r)
 	}
 	slices.SortFunc(ranked, func(a, b rankedHost) int {
 		return cmp.Or(compareScores(b, a), cmp.Compare(b.hash, a.hash), cmp.Compare(a.name, b.name))
 	})
-	indices := make([]uint16, len(ranked))
+	positions := make([]uint16, len(ranked))
 	for i, r := range ranked {
-		indices[i] = uint16(r.index)
+		positions[i] = uint16(r.position)
 	}
-	return indices
+	return positions
 }
 
 // compareScores compares weight / cost, exactly. Without weights all scores are equal.
@@ -85,8 +82,8 @@
 }
 
 // rendezvousHash returns the rendezvous hash of a host for an ID; the highest is preferred.
-func rendezvousHash(host Host, id string) uint64 {
-	return xxhash.Sum64String(host.Name + "\x00" + id)
+func rendezvousHash(name, id string) uint64 {
+	return xxhash.Sum64String(name + "\x00" + id)
 }
 
 // weight returns the host's weight in units of weightUnit, at least 1.
--- a/internal/assign/order_test.go
+++ b/internal/assign/order_test.go
@@ -164,7 +164,7 @@
 // TestRankingsAreThoseOfThePlan guards against a ranking of another plan, and against a memory that grows without bound.
 func TestRankingsAreThoseOfThePlan(t *testing.T) {
 	plan := Plan{Hosts: testHosts(30, 1, 2), Order: OrderByWeight}
-	kept := plan.WithRankings()
+	kept := plan.WithRankings(Plan{})
 	var group sync.WaitGroup
 	for range 4 {
 		group.Go(func() {
@@ -178,10 +178,49 @@
 		})
 	}
 	group.Wait()
-	assert.Equal(t, len(kept.rankings.byID), maxRankings)
+	assert.Equal(t, len(kept.rankings.groups[allZones].orders.byID), maxRankings)
 	other := kept.Clone()
 	other.Hosts[3].Weight = 50
 	assert.DeepEqual(t, namesOf(other.RankedFor("7", anyHost)), namesOf(Plan{Hosts: other.Hosts, Order: OrderByWeight}.RankedFor("7", anyHost)))
 	assert.Assert(t, kept.Equal(plan))
 	assert.Assert(t, !kept.Equal(other))
 }
+
+// TestRankingsOutlastPlans guards against ranking all hosts anew for each range of each plan. A zone whose hosts have not
+// changed keeps its rankings, also at other positions in the plan; another zone, another weight or another order does not.
+func TestRankingsOutlastPlans(t *testing.T) {
+	hosts := testHosts(30, 1, 2)
+	for i := range hosts {
+		hosts[i].Zone = []string{"brno", "zlin", "opava"}[i%3]
+	}
+	servers := map[string]Server{"brno": {ID: "s1", Zone: "brno"}, "zlin": {ID: "s1", Zone: "zlin"}, "opava": {ID: "s1", Zone: "opava"}}
+	plan := Plan{Hosts: hosts, Order: OrderByWeight}.WithRankings(Plan{})
+	for _, server := range servers {
+		plan.FirstHosts(server, 1, anyHost)
+	}
+	joined := Host{Name: "a-new-host", Incarnation: "1", Zone: "zlin", KnownOrder: OrderByWeight}
+	for _, test := range map[string]struct {
+		change func(*Plan)
+		kept   []string
+	}{
+		"a later version and term": {func(p *Plan) { p.Version, p.Hosts[4].Since, p.Hosts[5].Led = 7, 6, true }, []string{"brno", "zlin", "opava"}},
+		"a host joins":             {func(p *Plan) { p.Hosts = append([]Host{joined}, p.Hosts...) }, []string{"brno", "opava"}},
+		"a host is retired":        {func(p *Plan) { p.Hosts[3].Retired = true }, []string{"zlin", "opava"}},
+		"another weight":           {func(p *Plan) { p.Hosts[2].Weight = 9 }, []string{"brno", "zlin"}},
+		"another order":            {func(p *Plan) { p.Order = OrderByHash }, nil},
+	} {
+		next := plan.Clone()
+		test.change(&next)
+		next = next.WithRankings(plan)
+		var kept []string
+		for _, zone := range []string{"brno", "zlin", "opava"} {
+			if len(next.rankings.groups[zone].orders.byID) > 0 {
+				kept = append(kept, zone)
+			}
+			want := next
+			want.rankings = nil
+			assert.DeepEqual(t, namesOf(next.RankedHosts(servers[zone], anyHost)), namesOf(want.RankedHosts(servers[zone], anyHost)))
+		}
+		assert.DeepEqual(t, kept, test.kept)
+	}
+}
--- a/internal/assign/plan.go
+++ b/internal/assign/plan.go
@@ -183,10 +183,15 @@
 // MayRenew reports whether the plan allows the host to renew grants with the fencing token.
 func (p Plan) MayRenew(host Host, fence Fence) bool {
 	return slices.ContainsFunc(p.Hosts, func(h Host) bool {
-		return h.SameIncarnation(host) && !h.Retired && h.Since <= fence
+		return h.SameIncarnation(host) && h.mayRenew(fence)
 	})
 }
 
+// mayRenew reports whether a host that a plan lists may renew grants with the fencing token.
+func (h Host) mayRenew(fence Fence) bool {
+	return !h.Retired && h.Since <= fence
+}
+
 // PossibleRenewers returns the hosts that may have renewed grants of servers in the zone: the
 // hosts of the zone, and all hosts that may have renewed in all zones.
 func (p Plan) PossibleRenewers(zone string) []Host {
@@ -204,10 +209,23 @@
 
 // ShouldRenew reports whether the host is one of the Renewers of the assignment's grant.
 func (p Plan) ShouldRenew(host Host, a Assignment) bool {
-	if a.Phase != Held || !p.MayRenew(host, a.Fence) {
-		return false
+	return p.RenewedBy(host)(a)
+}
+
+// RenewedBy returns a function that reports whether the host is one of the Renewers of an assignment's grant. Grants of
+// other zones cost it no ranking, unless the host may renew in all zones.
+func (p Plan) RenewedBy(host Host) func(Assignment) bool {
+	i := slices.IndexFunc(p.Hosts, host.SameIncarnation)
+	if i < 0 {
+		return func(Assignment) bool { return false }
+	}
+	listed := p.Hosts[i]
+	return func(a Assignment) bool {
+		if a.Phase != Held || !listed.mayRenew(a.Fence) || a.Server.Zone != listed.Zone && !listed.Led {
+			return false
+		}
+		return slices.ContainsFunc(p.Renewers(a), host.SameIncarnation)
 	}
-	return slices.ContainsFunc(p.Renewers(a), host.SameIncarnation)
 }
 
 // Renewers returns the hosts that renew the grant of an assignment: the first renewersPerServer hosts of
@@ -215,12 +233,13 @@
 // reaches no server either, hosts that may renew in all zones.
 func (p Plan) Renewers(a Assignment) []Host {
 	eligible := func(h Host) bool { return h.Since <= a.Fence && !h.CutOff }
-	ranked := p.RankedHosts(a.Server, eligible)
-	if len(ranked) == 0 {
-		ranked = p.RankedInAllZones(a.Server, func(h Host) bool { return h.Led && eligible(h) })
-		if i := slices.IndexFunc(ranked, p.Leader.SameIncarnation); i >= 0 {
-			return ranked[i : i+1]
-		}
+	first := p.FirstHosts(a.Server, renewersPerServer, eligible)
+	if len(first) > 0 {
+		return first
+	}
+	ranked := p.RankedInAllZones(a.Server, func(h Host) bool { return h.Led && eligible(h) })
+	if i := slices.IndexFunc(ranked, p.Leader.SameIncarnation); i >= 0 {
+		return ranked[i : i+1]
 	}
 	return ranked[:min(renewersPerServer, len(ranked))]
 }
@@ -234,7 +253,7 @@
 
 // FirstHosts returns the first hosts of RankedHosts, at most n.
 func (p Plan) FirstHosts(server Server, n int, eligible func(Host) bool) []Host {
-	return p.firstRanked(p.rankings.get(p, server.ID), n, func(host *Host) bool { return host.Zone == server.Zone && eligible(*host) })
+	return p.firstRanked(server.Zone, server.ID, n, eligible)
 }
 
 // RankedInAllZones is RankedHosts for the hosts of all zones.
@@ -243,25 +262,45 @@
 }
 
 // RankedFor returns the eligible hosts of all zones that are not retired, in the order of preference for the
-// object with the ID. IDs should be few: their rankings are kept as long as the plan is in use.
+// object with the ID. IDs should be few: their rankings are kept while the hosts stay the same.
 func (p Plan) RankedFor(id string, eligible func(Host) bool) []Host {
-	return p.firstRanked(p.rankings.get(p, id), len(p.Hosts), func(host *Host) bool { return eligible(*host) })
+	return p.firstRanked(allZones, id, len(p.Hosts), eligible)
+}
+
+// RankedInZone is RankedFor for the hosts of one zone.
+func (p Plan) RankedInZone(zone, id string) []Host {
+	return p.firstRanked(zone, id, len(p.Hosts), func(Host) bool { return true })
 }
 
 // RankedByHash is RankedFor in OrderByHash, whatever the order of the plan, for any number of IDs.
 func (p Plan) RankedByHash(id string, eligible func(Host) bool) []Host {
-	return p.firstRanked(rankHosts(p.Hosts, OrderByHash, id), len(p.Hosts), func(host *Host) bool { return eligible(*host) })
+	p.Order = OrderByHash
+	group := newRankings(p, nil).groups[allZones]
+	return p.first(group, rankMembers(group.members, OrderByHash, id), len(p.Hosts), eligible)
+}
+
+// firstRanked returns the first eligible hosts of a zone, or of allZones, in the order of preference for an ID, at most n.
+func (p Plan) firstRanked(zone, id string, n int, eligible func(Host) bool) []Host {
+	r := p.rankings
+	if r == nil {
+		r = newRankings(p, nil)
+	}
+	group, ok := r.groups[zone]
+	if !ok {
+		return nil
+	}
+	return p.first(group, group.ranking(p.Order, id), n, eligible)
 }
 
-// firstRanked returns the first eligible hosts of a ranking, at most n.
-func (p Plan) firstRanked(ranking []uint16, n int, eligible func(*Host) bool) []Host {
+// first returns the first eligible hosts of a group in an order, at most n.
+func (p Plan) first(group *rankedGroup, ranking []uint16, n int, eligible func(Host) bool) []Host {
 	var first []Host
-	for _, index := range ranking {
+	for _, position := range ranking {
 		if len(first) == n {
 			break
 		}
-		if host := &p.Hosts[index]; eligible(host) {
-			first = append(first, *host)
+		if host := p.Hosts[group.indices[position]]; eligible(host) {
+			first = append(first, host)
 		}
 	}
 	return first
--- a/internal/assign/ranking.go
+++ b/internal/assign/ranking.go
@@ -1,44 +1,108 @@
 package assign
 
-import "sync"
+import (
+	"slices"
+	"sync"
+)
 
-// maxRankings bounds the rankings that are kept for a plan. One takes two bytes for each host. Objects beyond it are
+// maxRankings bounds the rankings that are kept for a zone. One takes two bytes for each host of the zone. Objects beyond it are
 // ranked at each call.
 const maxRankings = 2048
 
-// rankings keeps, for one plan, the order of the hosts for each object. All copies of the plan share it. It is safe for
-// concurrent use.
+// allZones is the key of the group of all hosts in rankings.
+const allZones = ""
+
+// rankings finds the order of a plan's hosts for each object: of the hosts of each zone, and of all hosts. All copies of
+// the plan share it. It is safe for concurrent use.
 type rankings struct {
+	order HostOrder
+	// groups holds the hosts of each zone, and all hosts under allZones.
+	groups map[string]*rankedGroup
+}
+
+// rankedGroup is a group of hosts with their order for each object.
+type rankedGroup struct {
+	// indices holds the indices in the plan of the hosts that are not retired, and members what their order depends on.
+	indices []uint16
+	members []rankedMember
+	orders  *groupOrders
+}
+
+// rankedMember is what the order of a host depends on.
+type rankedMember struct {
+	name   string
+	weight uint64
+}
+
+// groupOrders keeps the order of a group's members for each object. It holds positions in the group, so plans with the
+// same members share it. It is safe for concurrent use.
+type groupOrders struct {
 	mu   sync.RWMutex
 	byID map[string][]uint16
 }
 
-func newRankings() *rankings {
-	return &rankings{byID: make(map[string][]uint16)}
+// newRankings returns the rankings of a plan. It keeps what former, which may be nil, knows of groups that are the same.
+func newRankings(plan Plan, former *rankings) *rankings {
+	r := &rankings{order: plan.Order, groups: make(map[string]*rankedGroup)}
+	all := &rankedGroup{}
+	r.groups[allZones] = all
+	for i, host := range plan.Hosts {
+		if host.Retired {
+			continue
+		}
+		zone := r.groups[host.Zone]
+		if zone == nil {
+			zone = &rankedGroup{}
+			r.groups[host.Zone] = zone
+		}
+		zone.add(i, host)
+		if zone != all {
+			all.add(i, host)
+		}
+	}
+	for name, group := range r.groups {
+		group.orders = former.ordersOf(name, plan.Order, group.members)
+	}
+	return r
+}
+
+// add adds a host with its index in the plan.
+func (g *rankedGroup) add(index int, host Host) {
+	g.indices = append(g.indices, uint16(index))
+	g.members = append(g.members, rankedMember{host.Name, host.weight()})
 }
 
-// get returns the ranking for an ID, and computes it if it is not known yet. The caller must not change it.
-func (r *rankings) get(plan Plan, id string) []uint16 {
-	if r == nil {
-		return rankHosts(plan.Hosts, plan.Order, id)
+// ordersOf returns the orders of a group if its members and their order are the given ones, and otherwise empty ones.
+func (r *rankings) ordersOf(name string, order HostOrder, members []rankedMember) *groupOrders {
+	if r != nil && r.order == order {
+		if group, ok := r.groups[name]; ok && slices.Equal(group.members, members) {
+			return group.orders
+		}
 	}
-	r.mu.RLock()
-	ranking, ok := r.byID[id]
-	r.mu.RUnlock()
+	return &groupOrders{byID: make(map[string][]uint16)}
+}
+
+// ranking returns the positions of the group's members in the order of preference for an object, and computes it if it is
+// not known yet. The caller must not change it.
+func (g *rankedGroup) ranking(order HostOrder, id string) []uint16 {
+	g.orders.mu.RLock()
+	ranking, ok := g.orders.byID[id]
+	g.orders.mu.RUnlock()
 	if ok {
 		return ranking
 	}
-	ranking = rankHosts(plan.Hosts, plan.Order, id)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if len(r.byID) < maxRankings {
-		r.byID[id] = ranking
+	ranking = rankMembers(g.members, order, id)
+	g.orders.mu.Lock()
+	defer g.orders.mu.Unlock()
+	if len(g.orders.byID) < maxRankings {
+		g.orders.byID[id] = ranking
 	}
 	return ranking
 }
 
-// WithRankings returns the plan with an empty memory of rankings. Its hosts and its order must not change afterwards.
-func (p Plan) WithRankings() Plan {
-	p.rankings = newRankings()
+// WithRankings returns the plan with a memory of rankings. Its hosts and its order must not change afterwards. It keeps
+// what the former plan knows of zones whose hosts have not changed.
+func (p Plan) WithRankings(former Plan) Plan {
+	p.rankings = newRankings(p, former.rankings)
 	return p
 }
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -137,6 +137,15 @@
 	return plan, nil
 }
 
+// encodePlan encodes a plan as its record holds it.
+func encodePlan(plan assign.Plan) ([]byte, error) {
+	value, err := fastjson.Marshal(plan)
+	if err != nil {
+		return nil, errors.NewAssertionErrorWithWrappedErrf(err, "plan")
+	}
+	return value, nil
+}
+
 // applyHost adds, replaces or removes a registered host.
 func (s *state) applyHost(record follow.Record) {
 	s.mu.Lock()
@@ -198,9 +207,9 @@
 // its version is of an older era, so no leader builds on it without asking the other hosts.
 func (s *state) Write(ctx context.Context, plan assign.Plan, next assign.Fence) (assign.Plan, error) {
 	plan.Era = next.Era()
-	value, err := fastjson.Marshal(plan)
+	value, err := encodePlan(plan)
 	if err != nil {
-		return assign.Plan{}, errors.NewAssertionErrorWithWrappedErrf(err, "plan")
+		return assign.Plan{}, err
 	}
 	at := next.Offset()
 	position, err := s.platform.AppendState(ctx, planKey, value, &at)
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -304,7 +304,7 @@
 	next.Leader.Led = true
 	next.Hosts = l.nextHosts(plan.Hosts, version, now)
 	next.Order = assign.OrderFor(next.Hosts)
-	ranked := next.WithRankings()
+	ranked := next.WithRankings(plan)
 	regrantAll := changed
 	if offset := l.OperatorOffset(); offset > plan.Orders {
 		next.Orders = offset
--- a/internal/renew/renew.go
+++ b/internal/renew/renew.go
@@ -137,10 +137,7 @@
 func (r *Renewer) renewAll(ctx context.Context, plan assign.Plan, changed <-chan struct{}, planWrittenAfter time.Duration) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.planned != changed {
-		r.planned = changed
-		r.track(plan, planWrittenAfter)
-	}
+	r.trackOnce(plan, changed, planWrittenAfter)
 	now := r.clock()
 	next := r.timing.RenewInterval
 	for _, own := range r.mine {
@@ -155,10 +152,28 @@
 	return max(next, time.Millisecond)
 }
 
+// Track finds the grants that this host renews by the present plan, which Run does for each plan.
+func (r *Renewer) Track() {
+	plan, changed := r.current.Watch()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.trackOnce(plan, changed, r.current.WrittenAfter())
+}
+
+// trackOnce calls track unless it was called for the plan before. The caller holds the lock.
+func (r *Renewer) trackOnce(plan assign.Plan, changed <-chan struct{}, planWrittenAfter time.Duration) {
+	if r.planned == changed {
+		return
+	}
+	r.planned = changed
+	r.track(plan, planWrittenAfter)
+}
+
 // track updates tracked and mine for a new plan. The caller holds the lock.
 func (r *Renewer) track(plan assign.Plan, planWrittenAfter time.Duration) {
 	tracked := make(map[grantID]*grantState, len(r.tracked))
 	r.mine = nil
+	renewed := plan.RenewedBy(r.self)
 	for service, assignments := range plan.Services {
 		for _, a := range assignments {
 			if a.Phase != assign.Held {
@@ -170,7 +185,7 @@
 				s = &grantState{issuedAfter: planWrittenAfter}
 			}
 			tracked[id] = s
-			if plan.ShouldRenew(r.self, a) {
+			if renewed(a) {
 				r.mine = append(r.mine, ownGrant{id, s, a})
 			}
 		}
