leader: a step costs what reports hold, not hosts x servers

Cause: for each of 328 servers each step of the leader looked through the reports of 195 hosts twice (latency, limits), and summed up the rates of all keys anew. A host of 0.16 cores may lead, and steps follow each change by 20 ms. Change: one pass over the reports a step; the sum of the rates is used again for 100 ms.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -137,6 +137,8 @@
 	releases map[releaseID]context.CancelFunc
 	// reports holds the last report of each host.
 	reports map[string]timedReport
+	// loads holds the load of each service as last summed up from the reports.
+	loads map[string]serviceLoad
 	// rebalancedAt is when the assignments of a service last changed in a step that was allowed to
 	// move ranges to balance the load.
 	rebalancedAt time.Duration
@@ -166,6 +168,7 @@
 		lost:         make(map[renew.Lost]bool),
 		releases:     make(map[releaseID]context.CancelFunc),
 		reports:      make(map[string]timedReport),
+		loads:        make(map[string]serviceLoad),
 		lastReport:   make(map[string]time.Duration),
 		retiredSince: make(map[string]time.Duration),
 	}
@@ -225,6 +228,7 @@
 	clear(l.lastReport)
 	clear(l.retiredSince)
 	clear(l.reports)
+	clear(l.loads)
 	clear(l.proofs)
 	clear(l.lost)
 }
--- a/internal/leader/reports.go
+++ b/internal/leader/reports.go
@@ -11,6 +11,8 @@
 const (
 	// reportTTL is how long a report is used.
 	reportTTL = 4 * time.Second
+	// loadInterval is the longest time for which the sum of the reported loads is used again.
+	loadInterval = 100 * time.Millisecond
 	// minSlowness and maxSlowness bound the factor by which a server's latency changes its weight.
 	minSlowness = 0.5
 	maxSlowness = 4
@@ -50,46 +52,70 @@
 	l.speeds.add(report.Speeds, l.Clock())
 }
 
-// slowness returns the latency of a server relative to the baseline, averaged over the hosts
-// that report it; 1 if none does. It is bounded so that a brief disturbance cannot move all keys
-// of a server. The caller holds the lock.
-func (l *Leader) slowness(id string, now time.Duration) float64 {
-	sum, n := 0, 0
-	for _, report := range l.reports {
-		if value, ok := report.Slowness[id]; ok && now-report.at <= reportTTL {
-			sum += value
-			n++
-		}
-	}
-	if n == 0 {
+// observation is what recent reports say about one server.
+type observation struct {
+	// slownessSum is the sum of the reported latencies relative to the baseline, in hundredths, and slownessCount their number.
+	slownessSum, slownessCount int
+	// limit is the lowest limit that the server names, in requests per second, or zero.
+	limit float64
+}
+
+// slowness returns the latency of the server relative to the baseline, averaged over the hosts that report it; 1 if none
+// does. It is bounded so that a brief disturbance cannot move all keys of a server.
+func (o observation) slowness() float64 {
+	if o.slownessCount == 0 {
 		return 1
 	}
-	return min(max(float64(sum)/float64(n)/100, minSlowness), maxSlowness)
+	return min(max(float64(o.slownessSum)/float64(o.slownessCount)/100, minSlowness), maxSlowness)
 }
 
-// limit returns the limit that a server names, in requests per second, or zero if no recent report has
-// one. The caller holds the lock.
-func (l *Leader) limit(id string, now time.Duration) float64 {
-	lowest := 0.0
+// observations returns what recent reports say about each server, by ID. It costs what the reports hold, not hosts x
+// servers. The caller holds the lock.
+func (l *Leader) observations(now time.Duration) map[string]observation {
+	servers := make(map[string]observation)
 	for _, report := range l.reports {
-		value, ok := report.Limits[id]
-		if ok && now-report.at <= reportTTL && (lowest == 0 || value < lowest) {
-			lowest = value
+		if now-report.at > reportTTL {
+			continue
+		}
+		for id, value := range report.Slowness {
+			o := servers[id]
+			o.slownessSum += value
+			o.slownessCount++
+			servers[id] = o
+		}
+		for id, value := range report.Limits {
+			o := servers[id]
+			if o.limit == 0 || value < o.limit {
+				o.limit = value
+			}
+			servers[id] = o
 		}
 	}
-	return lowest
+	return servers
 }
 
-// load returns the load on the keys of a service, or nil if no recent report has it. The caller holds the lock.
+// serviceLoad is the load on the keys of a service, as reports gave it at a time.
+type serviceLoad struct {
+	load *keyrange.Load
+	at   time.Duration
+}
+
+// load returns the load on the keys of a service, or nil if no recent report has it. It is at most loadInterval old: steps
+// may follow each other faster than reports change the sum. The caller holds the lock.
 func (l *Leader) load(service string, now time.Duration) *keyrange.Load {
+	if known, ok := l.loads[service]; ok && known.load != nil && now-known.at < loadInterval {
+		return known.load
+	}
 	var rates []map[keyrange.Key]keyrange.CentiRate
 	for _, report := range l.reports {
 		if now-report.at <= reportTTL && report.Rates[service] != nil {
 			rates = append(rates, report.Rates[service])
 		}
 	}
-	if len(rates) == 0 {
-		return nil
+	var load *keyrange.Load
+	if len(rates) > 0 {
+		load = keyrange.NewLoad(rates)
 	}
-	return keyrange.NewLoad(rates)
+	l.loads[service] = serviceLoad{load, now}
+	return load
 }
--- a/internal/leader/snapshot.go
+++ b/internal/leader/snapshot.go
@@ -19,6 +19,7 @@
 	snapshot.NewestByAddr, snapshot.ReusedAddrs = l.newestByAddr(service)
 	var cold []assign.Candidate
 	usual := l.speeds.usual(l.Fleet.Servers(service), now)
+	observed := l.observations(now)
 	for _, server := range l.Fleet.Servers(service) {
 		entry := server.Entry()
 		known := assign.ServerOf(entry)
@@ -27,7 +28,7 @@
 			continue
 		}
 		candidate := assign.Candidate{
-			Server: known, Capacity: float64(max(entry.Slots, 1)) / l.slownessOf(known, usual, now), Limit: l.limit(known.ID, now),
+			Server: known, Capacity: float64(max(entry.Slots, 1)) / l.slownessOf(known, observed[known.ID], usual, now), Limit: observed[known.ID].limit,
 		}
 		if server.Cold(now) {
 			cold = append(cold, candidate)
--- a/internal/leader/speeds.go
+++ b/internal/leader/speeds.go
@@ -77,10 +77,10 @@
 
 // slownessOf returns by how much a server is slower than usual for its service: lastingly, and in the last seconds. As long
 // as its lasting speed is not known, it is what hosts report of the last seconds. The caller holds the lock.
-func (l *Leader) slownessOf(server assign.Server, usual float64, now time.Duration) float64 {
+func (l *Leader) slownessOf(server assign.Server, observed observation, usual float64, now time.Duration) float64 {
 	known, ok := l.speeds.get(server.ID, server.Born, now)
 	if !ok {
-		return l.slowness(server.ID, now)
+		return observed.slowness()
 	}
 	return min(max(known.lasting/usual*known.passing, minSlowness), maxSlowness)
 }
