relay: plans go to hosts compressed, in one reply

The record in the shared state stays as it is: a build of production that is rolled back to, and leads, must be able to read the plan.

--- a/internal/relay/cache.go
+++ b/internal/relay/cache.go
@@ -38,12 +38,18 @@
 	changed chan struct{}
 }
 
-// cachedRecord is a record with the time from which it may have been in the topic. manifest describes
-// a large value, and is nil otherwise.
+// cachedRecord is a record with the time from which it may have been in the topic.
 type cachedRecord struct {
 	follow.Record
-	arrived  time.Duration
-	manifest *content.Manifest
+	forms
+	arrived time.Duration
+}
+
+// forms are the forms in which a value goes to other hosts. manifest describes a large value, and is nil otherwise.
+// compressed is nil if the value is not worth compressing.
+type forms struct {
+	manifest   *content.Manifest
+	compressed []byte
 }
 
 func newTopicCache(newFilter func() Filter) *topicCache {
@@ -52,8 +58,8 @@
 
 // add adds the result of a read from an offset of the batch's era. The read began at began; now is
 // the present time.
-// manifests holds those of large values by the index of their records.
-func (c *topicCache) add(offset uint64, batch follow.Batch, manifests map[int]*content.Manifest, began, now time.Duration) {
+// described holds the forms of values by the index of their records.
+func (c *topicCache) add(offset uint64, batch follow.Batch, described map[int]forms, began, now time.Duration) {
 	arrived := now
 	if c.readFailed {
 		arrived = c.confirmedAt
@@ -64,7 +70,7 @@
 	for i, record := range batch.Records {
 		if c.keep(record) {
 			c.drop(record.Key)
-			c.records = append(c.records, cachedRecord{Record: record, arrived: arrived, manifest: manifests[i]})
+			c.records = append(c.records, cachedRecord{Record: record, arrived: arrived, forms: described[i]})
 			c.bytes += c.records[len(c.records)-1].size()
 		}
 	}
@@ -136,9 +142,9 @@
 // for each key, and package content holds it anyway.
 func (r cachedRecord) size() int {
 	if r.manifest != nil {
-		return len(r.Key)
+		return len(r.Key) + len(r.compressed)
 	}
-	return len(r.Key) + len(r.Value)
+	return len(r.Key) + len(r.Value) + len(r.compressed)
 }
 
 // has reports whether the cache has all records from the position on that other hosts need. It has
@@ -147,9 +153,10 @@
 	return c.valid && from.Era == c.era && from.Offset >= c.first
 }
 
-// recordsSince returns the cached records from an offset on, with references to large values if these
-// may be used. The outcome is Behind if the cache does not reach the offset.
-func (c *topicCache) recordsSince(offset uint64, references bool, now time.Duration) Reply {
+// recordsSince returns the cached records from the offset of a query on, in the forms that the query allows. The outcome is
+// Behind if the cache does not reach the offset.
+func (c *topicCache) recordsSince(ask Ask, now time.Duration) Reply {
+	offset := ask.From.Offset
 	if offset > c.end {
 		return Reply{Outcome: Behind}
 	}
@@ -161,7 +168,11 @@
 		if len(reply.Records) == 0 {
 			reply.Age.Arrived = now - record.arrived
 		}
-		if references && record.manifest != nil {
+		switch {
+		case ask.Compressed && record.compressed != nil:
+			reply.Compressed = append(reply.Compressed, len(reply.Records))
+			record.Value = record.compressed
+		case ask.References && record.manifest != nil:
 			reply.References = append(reply.References, Reference{Record: len(reply.Records), Manifest: *record.manifest})
 			record.Value = nil
 		}
--- a/internal/relay/reference.go
+++ b/internal/relay/reference.go
@@ -21,20 +21,21 @@
 // errInterrupted reports that the values of a reply have arrived in part.
 var errInterrupted = errors.New("relay: a value has arrived in part")
 
-// describe makes the large values among records available to other hosts, and returns their manifests by
-// the indexes of the records.
-func (r *Relay) describe(topic Topic, records []follow.Record) map[int]*content.Manifest {
-	if r.config.Contents == nil {
-		return nil
-	}
-	manifests := make(map[int]*content.Manifest)
+// describe returns the forms in which values go to other hosts, by the indexes of their records, and makes the large
+// values available to them.
+func (r *Relay) describe(topic Topic, records []follow.Record) map[int]forms {
+	described := make(map[int]forms)
 	for i, record := range records {
-		if len(record.Value) > MaxInlineBytes {
+		f := forms{compressed: deflate(record.Value)}
+		if len(record.Value) > MaxInlineBytes && r.config.Contents != nil {
 			m := r.config.Contents.Store.Add(ContentName(topic, record.Key), record.Value)
-			manifests[i] = &m
+			f.manifest = &m
+		}
+		if f.manifest != nil || f.compressed != nil {
+			described[i] = f
 		}
 	}
-	return manifests
+	return described
 }
 
 // ContentName returns the name under which package content keeps the versions of a record's value.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -17,8 +17,8 @@
 // queried for a few seconds, and event "relay" is logged. A relay whose cache does not reach the
 // requested offset says so, and the querying host reads from the platform (counter Fallback).
 //
-// A reply refers to values above MaxInlineBytes instead of holding them, so that its size does not
-// depend on theirs; the querying host fetches them with package content.
+// A reply holds plans compressed. It refers to other values above MaxInlineBytes instead of holding them, so that its size
+// does not depend on theirs; the querying host fetches them with package content.
 package relay
 
 import (
@@ -48,6 +48,8 @@
 	// References says that the reply may refer to large values instead of holding them. A build that does not know the field
 	// does not set it, and one that does not know it at the relay sends the values.
 	References bool
+	// Compressed says that the reply may hold compressed values. Builds up to e2d5c51 do not know it.
+	Compressed bool
 }
 
 // Outcome says whether a relay could answer. It is sent between hosts as a number.
@@ -89,6 +91,8 @@
 	Age follow.Age
 	// References describes the large values of records. These records have no value in Records.
 	References []Reference
+	// Compressed holds the indexes of the records whose values are compressed.
+	Compressed []int
 }
 
 // Reference describes the value of a record.
@@ -394,7 +398,7 @@
 	if age >= maxContactAge {
 		return Reply{Outcome: NoContact}, nil, 0
 	}
-	reply := c.recordsSince(ask.From.Offset, ask.References, now)
+	reply := c.recordsSince(ask, now)
 	if len(reply.Records) > 0 {
 		return reply, nil, 0
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -281,7 +281,7 @@
 	}
 	assert.Assert(t, c.bytes <= maxCachedBytes)
 	assert.Assert(t, !c.has(follow.Position{Offset: 5}))
-	assert.Equal(t, len(c.recordsSince(6, false, 0).Records), 4)
+	assert.Equal(t, len(c.recordsSince(Ask{From: follow.Position{Offset: 6}, References: false}, 0).Records), 4)
 }
 
 // TestReplacedRecordsLeaveTheCache checks that a record is dropped when a later one of its key arrives, and that hosts that are
@@ -294,7 +294,7 @@
 	c.add(1000, follow.Batch{Records: []follow.Record{{Key: "host/a", Offset: 1000}}, End: 1001}, nil, 0, 0)
 	assert.Equal(t, c.bytes, maxCachedBytes/4+len("plan")+len("host/a"))
 	assert.Assert(t, c.has(follow.Position{Offset: 1}))
-	records := c.recordsSince(1, false, 0).Records
+	records := c.recordsSince(Ask{From: follow.Position{Offset: 1}, References: false}, 0).Records
 	assert.Equal(t, len(records), 2)
 	assert.Equal(t, records[0].Offset, uint64(999))
 }
@@ -335,9 +335,9 @@
 	}
 	add(0, "ready")
 	add(1, "ready")
-	assert.Equal(t, len(c.recordsSince(1, false, 0).Records), 0)
+	assert.Equal(t, len(c.recordsSince(Ask{From: follow.Position{Offset: 1}, References: false}, 0).Records), 0)
 	add(7, "ready")
-	assert.Equal(t, len(c.recordsSince(7, false, 0).Records), 1)
+	assert.Equal(t, len(c.recordsSince(Ask{From: follow.Position{Offset: 7}, References: false}, 0).Records), 1)
 }
 
 // firstReadUnanswered is a topic whose first read is never answered.
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -175,10 +175,10 @@
 // recordRead caches the result of a read from the platform.
 func (r *Relay) recordRead(topic Topic, offset uint64, batch follow.Batch, began time.Duration) {
 	r.recordContact(began, batch.Era)
-	manifests := r.describe(topic, batch.Records)
+	described := r.describe(topic, batch.Records)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.caches[topic].add(offset, batch, manifests, began, r.config.Clock())
+	r.caches[topic].add(offset, batch, described, began, r.config.Clock())
 }
 
 // ask reads from another host. A host that does not answer or has no contact is not queried again for a while.
@@ -186,7 +186,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, relayWait+replyTimeout)
 	defer cancel()
 	asked := s.relay.config.Clock()
-	ask := Ask{Topic: s.topic, From: from, Wait: relayWait, References: s.relay.config.Contents != nil}
+	ask := Ask{Topic: s.topic, From: from, Wait: relayWait, References: s.relay.config.Contents != nil, Compressed: true}
 	reply, err := s.relay.config.Ask(callCtx, host, ask)
 	if err != nil && callCtx.Err() == nil {
 		// The connection has been closed, perhaps because of another call on it.
@@ -203,6 +203,9 @@
 	switch reply.Outcome {
 	case Answered:
 		s.relay.recordAnswered(host)
+		if err := reply.inflate(); err != nil {
+			return follow.Batch{}, err
+		}
 		if err := s.resolve(ctx, host, from.Era, &reply); err != nil {
 			return follow.Batch{}, err
 		}
