front: tests of an earlier refusal written again and of an answer that ends in its head

Both pass on the code as it was: a refusal counts only with the ID of the request on a connection that never carries an ID twice, and a head counts only with its last line. 48 cases and each byte of five heads, held and large, directly and over the hop.

--- a/internal/front/answer_faults_test.go
+++ b/internal/front/answer_faults_test.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -277,3 +278,77 @@
 		}
 	}
 }
+
+// TestAnswerThatEndsInItsHeadIsNoAnswer guards against a server that stops in the head of its answer and closes, or resets, the
+// connection: what has arrived so far must not pass for an answer with an empty or a short body. Each byte of the head is
+// tried, on held and on large answers, directly and over the hop.
+func TestAnswerThatEndsInItsHeadIsNoAnswer(t *testing.T) {
+	body := "certificate"
+	for framing, head := range map[string]string{
+		"length first": fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\nX-Id: a\r\nX-Digest: d\r\n\r\n", len(body)),
+		"length last":  fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Digest: d\r\nContent-Length: %d\r\n\r\n", len(body)),
+		"chunked":      "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Digest: d\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"undelimited":  "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Digest: d\r\nConnection: close\r\nX-Load: 1,0,4\r\n\r\n",
+		"line feeds":   fmt.Sprintf("HTTP/1.1 200 OK\nX-Id: a\nX-Digest: d\nContent-Length: %d\n\n", len(body)),
+	} {
+		for _, path := range []string{"/unsafe/x", "/file/x"} {
+			for _, hop := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s, %s, hop %t", framing, path, hop), func(t *testing.T) {
+					t.Parallel()
+					for sent := range len(head) {
+						status, got := answerCutAt(t, head[:sent], path, hop)
+						assert.Assert(t, status != http.StatusOK, "a success of %d bytes after %q", len(got), head[:sent])
+					}
+				})
+			}
+		}
+	}
+}
+
+// answerCutAt returns what a caller gets from a server that sends a part of an answer and closes the connection.
+func answerCutAt(t *testing.T, part, path string, hop bool) (int, string) {
+	addr := serveConns(t, func(conn net.Conn) {
+		defer conn.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			io.WriteString(conn, part)
+		}
+	})
+	s := newHost(t, "h1", addr)
+	if hop {
+		s, _ = throughHop(t, addr)
+	}
+	return s.callAs(t, "a", "POST", path)
+}
+
+// TestEarlierRefusalProvesNothing guards against a server that writes the refusal of an earlier request once more, when a later
+// request of another caller is at work on the connection: the later one must not be answered as not run, nor run again.
+func TestEarlierRefusalProvesNothing(t *testing.T) {
+	for name, refusal := range map[string]string{
+		"shed": answerShed, "not the owner": rawAnswer(421, ""), "too many": rawAnswer(429, "", "X-Not-Run: 1\r\n"), "no ID known": rawAnswer(400, "", "X-Not-Run: 1\r\n"),
+	} {
+		for id, earlier := range map[string]string{
+			"with its ID":   strings.ReplaceAll(refusal, "{id}", "a"),
+			"without an ID": strings.ReplaceAll(refusal, "X-Id: {id}\r\n", ""),
+			"an empty ID":   strings.ReplaceAll(refusal, "{id}", ""),
+		} {
+			for _, path := range []string{"/unsafe/x", "/post/x"} {
+				for _, hop := range []bool{false, true} {
+					t.Run(fmt.Sprintf("%s, %s, %s, hop %t", name, id, path, hop), func(t *testing.T) {
+						t.Parallel()
+						server := &copyingServer{first: answerOK, extra: earlier}
+						addr := server.start(t)
+						s := newHost(t, "h1", addr)
+						if hop {
+							s, _ = throughHop(t, addr)
+						}
+						status, _ := s.callAs(t, "a", "POST", path)
+						assert.Equal(t, status, http.StatusOK)
+						status, body := s.callAs(t, "b", "POST", path)
+						assert.Equal(t, status, http.StatusBadGateway, "%s", body)
+						assert.Equal(t, server.executions("b"), 1)
+					})
+				}
+			}
+		}
+	}
+}
