leader: hosts acknowledge a plan once, not once for each range that is released

When a ninth of the servers leaves, that is 70 ranges x 33 hosts in a second, of a host that may have 0.16 cores, each with a wait for the plan. Change: one call to a host at a time; what it acknowledges, the newest plan, holds for all older ones.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -156,6 +156,9 @@
 	// leaderSince is when this host became leader.
 	leaderSince time.Duration
 
+	// acks holds what hosts have acknowledged. It has a lock of its own.
+	acks acknowledgements
+
 	// recovery is the recovery of the plan after a restore of the log, or nil if there is none. Only
 	// the control loop uses it.
 	recovery *recovery
@@ -231,6 +234,7 @@
 	clear(l.retiredSince)
 	clear(l.reports)
 	clear(l.loads)
+	l.acks.reset()
 	clear(l.proofs)
 	clear(l.lost)
 }
--- a/internal/leader/release.go
+++ b/internal/leader/release.go
@@ -171,15 +171,23 @@
 			return
 		}
 		callCtx, cancel := context.WithTimeout(ctx, l.Timing.CallTimeout+200*time.Millisecond)
-		err := l.Peers.Adopt(callCtx, host, plan)
+		acknowledged := l.acks.await(callCtx, host, plan.Version, func() (assign.Fence, error) { return l.askToAdopt(callCtx, host, plan) })
 		cancel()
-		if err == nil {
+		if acknowledged {
 			return
 		}
 		loop.Sleep(ctx, releaseRetryInterval)
 	}
 }
 
+// askToAdopt asks a host to act by the newest plan, or by the given one if that is newer, and returns its version.
+func (l *Leader) askToAdopt(ctx context.Context, host assign.Host, plan assign.Plan) (assign.Fence, error) {
+	if newest := l.Current.ActedBy(); newest.Version > plan.Version {
+		plan = newest
+	}
+	return plan.Version, l.Peers.Adopt(ctx, host, plan)
+}
+
 // isListed reports whether the newest plan still lists this incarnation of the host. A host is
 // no longer listed once a newer incarnation has replaced it, or once it has been retired for so
 // long that it must have stopped renewing.
