--- a/internal/edge/relays.go
+++ b/internal/edge/relays.go
@@ -51,13 +51,17 @@
 		}
 	}
 	slices.Sort(zones)
+	byZone := make([][]relay.Host, len(zones))
+	longest := 0
+	for i, zone := range zones {
+		byZone[i], _ = relayOrder(plan, assign.Host{Zone: zone})
+		longest = max(longest, len(byZone[i]))
+	}
 	var ordered []relay.Host
-	for rank, found := 0, true; found; rank++ {
-		found = false
-		for _, zone := range zones {
-			if hosts, _ := relayOrder(plan, assign.Host{Zone: zone}); rank < len(hosts) {
+	for rank := range longest {
+		for _, hosts := range byZone {
+			if rank < len(hosts) {
 				ordered = append(ordered, hosts[rank])
-				found = true
 			}
 		}
 	}
