--- a/internal/edge/listen.go
+++ b/internal/edge/listen.go
@@ -99,7 +99,7 @@
 func (h *Host) answerMetrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
 	err := json.NewEncoder(w).Encode(map[string]any{
-		"door": h.ingress.Counters.Snapshot(), "leads": h.leader.IsLeader(), "plan": uint64(h.current.Plan().Version),
+		"door": h.ingress.Counters.Snapshot(), "leads": h.leader.IsLeader(), "leader": h.leader.Metrics(), "plan": uint64(h.current.Plan().Version),
 		"admission":   map[string]any{"counts": h.admissionCounters.Snapshot(), "pools": h.pools.Snapshot()},
 		"body_memory": h.ingress.BodyMemory(), "relay": h.relay.Counters.Snapshot(), "log_lines_dropped": h.log.Dropped(),
 		"servers": h.ingress.Learner.Snapshot(), "shares": h.shares.snapshot(),
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -156,8 +156,9 @@
 	// leaderSince is when this host became leader.
 	leaderSince time.Duration
 
-	// acks holds what hosts have acknowledged. It has a lock of its own.
-	acks acknowledgements
+	// acks holds what hosts have acknowledged, and duties how long steps take. They have locks of their own.
+	acks   acknowledgements
+	duties *duties
 
 	// recovery is the recovery of the plan after a restore of the log, or nil if there is none. Only
 	// the control loop uses it.
@@ -169,6 +170,7 @@
 	return &Leader{
 		Config:       config,
 		wake:         make(chan struct{}, 1),
+		duties:       newDuties(),
 		proofs:       make(map[string]map[keyrange.Key]assign.Proof),
 		lost:         make(map[renew.Lost]bool),
 		releases:     make(map[releaseID]context.CancelFunc),
@@ -186,6 +188,9 @@
 
 // Wake requests a step of the control loop soon. It does not block.
 func (l *Leader) Wake() {
+	if l.IsLeader() {
+		l.duties.requested(l.Clock())
+	}
 	select {
 	case l.wake <- struct{}{}:
 	default:
@@ -286,7 +291,10 @@
 		return
 	}
 	plan := l.Current.Plan()
+	began := l.Clock()
+	requested := l.duties.begin(began)
 	next, changed := l.nextPlan(plan, table, version)
+	l.duties.computed(l.Clock() - began)
 	if changed {
 		ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 		defer cancel()
@@ -295,6 +303,7 @@
 			l.Log.Event("plan", "version", uint64(version), "outcome", "not written", "err", err.Error())
 			return
 		}
+		l.duties.written(l.Clock() - requested)
 		l.noteAdmission(written)
 		l.logChanges(plan, written)
 		l.Current.Adopt(written, l.Clock())
