poison, edge: three hosts send the evidence of another one on, not all

Change: the first three hosts by the request's fingerprint send it on, beside the one that has recorded it; the shared state keeps it besides. TestEvidenceIsNotSentOnByAllHosts: 100 hosts, one request: 400 messages at most, over 4,950 with each host sending.

--- a/internal/assign/order.go
+++ b/internal/assign/order.go
@@ -74,6 +74,26 @@
 	return positions
 }
 
+// AmongFirst reports whether the host is one of the first n in OrderByHash for an ID, among the hosts that are not retired. It
+// costs a hash for each host. A host that the plan does not list counts as if it were listed.
+func (p Plan) AmongFirst(host Host, id string, n int) bool {
+	own := rendezvousHash(host.Name, id)
+	before := 0
+	for _, other := range p.Hosts {
+		if other.Retired || other.Name == host.Name {
+			continue
+		}
+		hash := rendezvousHash(other.Name, id)
+		if hash > own || hash == own && other.Name < host.Name {
+			before++
+		}
+		if before == n {
+			return false
+		}
+	}
+	return true
+}
+
 // compareScores compares weight / cost, exactly. Without weights all scores are equal.
 func compareScores(a, b rankedHost) int {
 	aHigh, aLow := bits.Mul64(a.weight, b.cost)
--- a/internal/assign/order_test.go
+++ b/internal/assign/order_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 
@@ -224,3 +225,19 @@
 		assert.DeepEqual(t, kept, test.kept)
 	}
 }
+
+// TestAmongFirstAgreesWithTheOrder checks that all hosts agree on which ones are first, and that retired ones do not count.
+func TestAmongFirstAgreesWithTheOrder(t *testing.T) {
+	plan := Plan{Hosts: testHosts(40, 1, 5), Order: OrderByWeight}
+	plan.Hosts[7].Retired = true
+	for i := range 200 {
+		id := fmt.Sprint("request-", i)
+		first := namesOf(plan.RankedByHash(id, anyHost))[:3]
+		for _, host := range plan.Hosts {
+			if !host.Retired {
+				assert.Equal(t, plan.AmongFirst(host, id, 3), slices.Contains(first, host.Name))
+			}
+		}
+	}
+	assert.Assert(t, Plan{}.AmongFirst(Host{Name: "alone"}, "x", 1))
+}
--- a/internal/edge/evidence.go
+++ b/internal/edge/evidence.go
@@ -20,6 +20,9 @@
 	// evidenceExpiryInterval is the time between two removals of expired evidence from the shared
 	// state.
 	evidenceExpiryInterval = 30 * time.Second
+	// evidenceSenders is the number of hosts that send the evidence of another one against a request on. If each host did,
+	// the number of messages would be the square of that of the hosts.
+	evidenceSenders = 3
 )
 
 // evidenceSharing makes the evidence against requests that crash servers known to all hosts: it sends
@@ -47,10 +50,17 @@
 }
 
 func newEvidenceSharing(self assign.Host, guard *poison.Guard, plan func() assign.Plan, s *state, p *peers, log *eventlog.Log) *evidenceSharing {
-	return &evidenceSharing{
+	e := &evidenceSharing{
 		self: self, guard: guard, plan: plan, state: s, peers: p, log: log,
 		deliveries: poison.NewDeliveries(guard, evidenceRetryInterval), interval: evidenceInterval,
 	}
+	guard.SendOnIf(e.sendsOn)
+	return e
+}
+
+// sendsOn reports whether this host sends the evidence of other hosts against a request on.
+func (e *evidenceSharing) sendsOn(f poison.Fingerprint) bool {
+	return e.plan().AmongFirst(e.self, f.String(), evidenceSenders)
 }
 
 // run shares evidence until the context ends: at once when there is new evidence, because a host that
--- a/internal/poison/crashes_test.go
+++ b/internal/poison/crashes_test.go
@@ -1,6 +1,8 @@
 package poison
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -192,3 +194,81 @@
 	records, _ = store.Export(start, next)
 	assert.Equal(t, len(records), 0)
 }
+
+// evidenceFleet is a number of hosts that send each other evidence, without the network.
+type evidenceFleet struct {
+	guards     []*Guard
+	deliveries []*Deliveries
+	messages   int
+}
+
+// newEvidenceFleet returns a fleet of which the given hosts send evidence of others on; nil stands for all.
+func newEvidenceFleet(hosts int, senders []int) *evidenceFleet {
+	f := &evidenceFleet{}
+	for i := range hosts {
+		guard := NewGuard(Bounds{CrashLimit: 3, SharedCrashLimit: 3, Retention: time.Minute})
+		if senders != nil {
+			guard.SendOnIf(func(Fingerprint) bool { return slices.Contains(senders, i) })
+		}
+		f.guards = append(f.guards, guard)
+		f.deliveries = append(f.deliveries, NewDeliveries(guard, time.Second))
+	}
+	return f
+}
+
+// deliver delivers what is due, but for the messages of hosts that have ended, until nothing is.
+func (f *evidenceFleet) deliver(ended map[int]bool) {
+	for sent := true; sent; {
+		sent = false
+		for from, deliveries := range f.deliveries {
+			for to, guard := range f.guards {
+				if from == to || ended[from] || ended[to] {
+					continue
+				}
+				if records, due := deliveries.Begin(fmt.Sprint(to)); due {
+					guard.Import(records, OtherHost)
+					deliveries.End(fmt.Sprint(to), true)
+					f.messages++
+					sent = true
+				}
+			}
+		}
+	}
+}
+
+// crash makes a request crash servers as one host sees it.
+func (f *evidenceFleet) crash(host int, servers ...int) {
+	for _, server := range servers {
+		f.guards[host].mu.Lock()
+		f.guards[host].store.Add(time.Now(), suspect, incarnation(server), false, Discovery)
+		f.guards[host].mu.Unlock()
+	}
+}
+
+// TestEvidenceIsNotSentOnByAllHosts guards against messages in proportion to the square of the hosts for each request that has
+// crashed two servers. Three hosts that send it on suffice if the one that has recorded it ends before all have it.
+func TestEvidenceIsNotSentOnByAllHosts(t *testing.T) {
+	const hosts = 100
+	senders := []int{11, 12, 13}
+	f := newEvidenceFleet(hosts, senders)
+	f.crash(0, 1, 2)
+	f.deliver(nil)
+	assert.Assert(t, f.messages <= (1+len(senders))*hosts, "%d messages", f.messages)
+	for _, guard := range f.guards {
+		assert.Equal(t, guard.Check(suspect), Suspect)
+	}
+
+	f = newEvidenceFleet(hosts, senders)
+	f.crash(0, 1, 2, 3)
+	records, _ := f.guards[0].Export(0)
+	f.guards[senders[1]].Import(records, OtherHost)
+	f.deliver(map[int]bool{0: true})
+	for host, guard := range f.guards[1:] {
+		assert.Equal(t, guard.Check(suspect), Blocked, "host %d", host+1)
+	}
+
+	f = newEvidenceFleet(hosts, nil)
+	f.crash(0, 1, 2)
+	f.deliver(nil)
+	assert.Assert(t, f.messages > hosts*(hosts-1)/2, "without a choice each host sends it on: %d messages", f.messages)
+}
--- a/internal/poison/evidence.go
+++ b/internal/poison/evidence.go
@@ -11,7 +11,7 @@
 	// maxCrashes is the maximum number of crashes stored per request.
 	maxCrashes = 8
 	// durableCrashes is the number of crashes from which on the evidence against a request is kept
-	// outside the hosts, and sent on by each host that has it.
+	// outside the hosts, and sent on by other hosts than the one that has recorded it.
 	durableCrashes = 2
 	// evictionDivisor determines how much an eviction frees in addition to the excess:
 	// the maximum number of requests divided by it.
@@ -107,6 +107,8 @@
 	compactAt int
 	// successes holds the requests that this host has lately seen finish.
 	successes recentSuccesses
+	// sendsOn reports whether this host sends evidence of others against a request on.
+	sendsOn func(Fingerprint) bool
 	// onChange is called with each change of the number of crashes that count against a request.
 	onChange func(Change)
 }
@@ -123,7 +125,7 @@
 
 // NewEvidenceStore returns an empty store.
 func NewEvidenceStore(bounds Bounds) *EvidenceStore {
-	s := &EvidenceStore{requests: make(map[Fingerprint]*evidence), compactAt: minCompactAt, onChange: func(Change) {}}
+	s := &EvidenceStore{requests: make(map[Fingerprint]*evidence), compactAt: minCompactAt, sendsOn: func(Fingerprint) bool { return true }, onChange: func(Change) {}}
 	s.Configure(bounds)
 	return s
 }
@@ -216,7 +218,7 @@
 	before, _ := s.countCrashes(now, record.Fingerprint)
 	s.add(now, record, source == OtherHost || source == SharedState)
 	after, _ := s.countCrashes(now, record.Fingerprint)
-	if after >= durableCrashes {
+	if after >= durableCrashes && s.exportable < s.sequence && s.sendsOn(record.Fingerprint) {
 		s.exportable = s.sequence
 	}
 	if before != after {
@@ -271,7 +273,7 @@
 // Export returns the records that changed after the given sequence number, and the
 // sequence number to pass to the next call. Zero returns all records. Imported records of a
 // request are left out until it has crashed durableCrashes servers: the host that they come
-// from sends them to all others.
+// from sends them to all others. From then on some hosts send them on, see Guard.SendOnIf.
 func (s *EvidenceStore) Export(now time.Time, since uint64) ([]Record, uint64) {
 	if since >= s.exportable {
 		return nil, s.sequence
@@ -298,13 +300,13 @@
 }
 
 // mayExport reports whether this host sends a crash on: one that it has recorded itself, or any of a request that has
-// crashed durableCrashes servers.
+// crashed durableCrashes servers, if it sends that on.
 func (s *EvidenceStore) mayExport(now time.Time, f Fingerprint, c crash) bool {
 	if !c.imported {
 		return true
 	}
 	crashes, _ := s.countCrashes(now, f)
-	return crashes >= durableCrashes
+	return crashes >= durableCrashes && s.sendsOn(f)
 }
 
 // ExportDurable returns all records of the requests that have crashed durableCrashes servers, by
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -48,6 +48,15 @@
 	g.store.onChange = onChange
 }
 
+// SendOnIf sets a function that reports whether this host sends evidence of other hosts against a request on, so that the
+// loss of the host that has recorded it loses nothing. Without it, each host sends all on. It must not block or call the
+// guard. SendOnIf is called before the guard is used.
+func (g *Guard) SendOnIf(sendsOn func(Fingerprint) bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.store.sendsOn = sendsOn
+}
+
 // Attempt is one attempt to send one request to one server. Its holder must call End;
 // only the first call has an effect.
 type Attempt struct {
