edge: evidence is looked through for receivers only if there is something to send

Four times a second each host asked for each of 194 others whether evidence is due. Now only after a change of the evidence or the plan, or while a message is on its way or was not taken.

--- a/internal/edge/evidence.go
+++ b/internal/edge/evidence.go
@@ -47,6 +47,10 @@
 	interval time.Duration
 
 	deliveries *poison.Deliveries
+	// deliveredPlan and delivered are the plan's version and the last change of the evidence in the last call of deliverAll.
+	// Only the loop uses them.
+	deliveredPlan assign.Fence
+	delivered     uint64
 }
 
 func newEvidenceSharing(self assign.Host, guard *poison.Guard, plan func() assign.Plan, s *state, p *peers, log *eventlog.Log) *evidenceSharing {
@@ -88,10 +92,15 @@
 	}
 }
 
-// deliverAll starts a message to each host that lacks evidence.
+// deliverAll starts a message to each host that lacks evidence. It does nothing if all have what there is.
 func (e *evidenceSharing) deliverAll(ctx context.Context) {
+	plan, last := e.plan(), e.guard.LastExportable()
+	if plan.Version == e.deliveredPlan && last == e.delivered && !e.deliveries.Pending() {
+		return
+	}
+	e.deliveredPlan, e.delivered = plan.Version, last
 	listed := make(map[string]bool)
-	for _, host := range e.plan().Hosts {
+	for _, host := range plan.Hosts {
 		if host.SameIncarnation(e.self) || host.Retired {
 			continue
 		}
--- a/internal/poison/deliveries.go
+++ b/internal/poison/deliveries.go
@@ -56,6 +56,18 @@
 	return records, true
 }
 
+// Pending reports whether a message is on its way, or the last one to a receiver was not taken.
+func (d *Deliveries) Pending() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, r := range d.receivers {
+		if r.sending || r.failed {
+			return true
+		}
+	}
+	return false
+}
+
 // End records whether the receiver has taken the evidence. It returns true if the last message to it
 // ended otherwise.
 func (d *Deliveries) End(id string, taken bool) (changed bool) {
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -200,6 +200,13 @@
 	return g.store.Export(time.Now(), since)
 }
 
+// LastExportable returns the sequence number of the last change that Export may return.
+func (g *Guard) LastExportable() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.store.exportable
+}
+
 // ExportDurable returns the records that are worth keeping outside the hosts; see
 // EvidenceStore.ExportDurable.
 func (g *Guard) ExportDurable(since uint64, imported bool) (map[Fingerprint][]Record, uint64) {
