--- a/internal/assign/reconcile.go
+++ b/internal/assign/reconcile.go
@@ -258,15 +258,15 @@
 	}
 	for range movesPerStep {
 		loads := rc.relativeLoads()
-		if !rc.relieveOnce(loads) && !rc.rebalanceOnce(loads) {
+		if !rc.moveFromOverLimit(loads) && !rc.rebalanceOnce(loads) {
 			return
 		}
 	}
 }
 
-// relieveOnce starts one move from a server that has more load than its limit allows. It returns false if
+// moveFromOverLimit starts one move from a server that has more load than its limit allows. It returns false if
 // there is none that has a suitable range.
-func (rc *reconciler) relieveOnce(loads map[string]float64) bool {
+func (rc *reconciler) moveFromOverLimit(loads map[string]float64) bool {
 	to := leastLoaded(rc.receivers(), loads, 0)
 	if to.Limit > 0 {
 		return false
--- a/internal/concurrency/server.go
+++ b/internal/concurrency/server.go
@@ -98,7 +98,7 @@
 		if !s.spell.slow {
 			weight = min(1-math.Exp(-float64(max(now-s.passingAt, 0))/float64(passingSpan)), passingWeight)
 		}
-		s.passing = s.passingNow(now)
+		s.passing = s.currentPassing(now)
 		s.passing += weight * (ratio - s.passing)
 	}
 	s.passingAt = max(now, s.passingAt)
@@ -107,8 +107,8 @@
 	}
 }
 
-// passingNow returns the passing slowness, which falls without samples.
-func (s *server) passingNow(now time.Duration) float64 {
+// currentPassing returns the passing slowness, which falls without samples.
+func (s *server) currentPassing(now time.Duration) float64 {
 	return s.passing * math.Exp(-float64(max(now-s.passingAt, 0))/float64(passingDecay))
 }
 
@@ -118,7 +118,7 @@
 	if !ok || now-s.passingAt > speedFreshFor {
 		return Speed{}, false
 	}
-	return Speed{Lasting: math.Exp(lasting + s.curve.loss(s.slots)), Passing: math.Exp(s.passingNow(now))}, true
+	return Speed{Lasting: math.Exp(lasting + s.curve.loss(s.slots)), Passing: math.Exp(s.currentPassing(now))}, true
 }
 
 // chooseWidth returns the width that holds now.
--- a/internal/content/manifest.go
+++ b/internal/content/manifest.go
@@ -48,11 +48,11 @@
 	spread = 4
 )
 
-// gear holds a random number for each byte, for the rolling hash of boundary.
-var gear = newGear()
+// byteHashes holds a random number for each byte, for the rolling hash of boundary.
+var byteHashes = newByteHashes()
 
-// newGear returns the outputs of the generator SplitMix64 with seed zero. All hosts must use the same.
-func newGear() (table [256]uint64) {
+// newByteHashes returns the outputs of the generator SplitMix64 with seed zero. All hosts must use the same.
+func newByteHashes() (table [256]uint64) {
 	state := uint64(0)
 	for i := range table {
 		state += 0x9e3779b97f4a7c15
@@ -93,7 +93,7 @@
 	limit := min(len(value), mean*spread)
 	hash := uint64(0)
 	for i := mean / spread; i < limit; i++ {
-		hash = hash<<1 + gear[value[i]]
+		hash = hash<<1 + byteHashes[value[i]]
 		if hash>>shift == 0 {
 			return i + 1
 		}
--- a/internal/edge/config_progress.go
+++ b/internal/edge/config_progress.go
@@ -48,24 +48,24 @@
 	}
 }
 
-// othersHaveRead notes that another host has read the operators' records up to an ordinal.
-func (p *configProgress) othersHaveRead(furthest uint64) {
+// noteOthersRead notes that another host has read the operators' records up to an ordinal.
+func (p *configProgress) noteOthersRead(furthest uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.furthest = max(p.furthest, furthest)
 	p.update()
 }
 
-// othersHave notes that another host has a version of the configuration.
-func (p *configProgress) othersHave(version routetable.Version) {
+// noteOthersVersion notes that another host has a version of the configuration.
+func (p *configProgress) noteOthersVersion(version routetable.Version) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.newest = max(p.newest, version)
 	p.update()
 }
 
-// haveRead notes that this host has read the operators' records up to an ordinal.
-func (p *configProgress) haveRead(next uint64) {
+// noteRead notes that this host has read the operators' records up to an ordinal.
+func (p *configProgress) noteRead(next uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.next = next
--- a/internal/edge/config_progress_test.go
+++ b/internal/edge/config_progress_test.go
@@ -15,14 +15,14 @@
 	now := time.Duration(0)
 	p := newConfigProgress(func() time.Duration { return now })
 	p.inForce(3, 100)
-	p.haveRead(1)
-	p.othersHaveRead(2)
+	p.noteRead(1)
+	p.noteOthersRead(2)
 	now += 300 * time.Millisecond
-	p.othersHave(6)
+	p.noteOthersVersion(6)
 	now += 400 * time.Millisecond
 	assert.Equal(t, p.metrics().BehindMS, int64(700))
 	assert.Equal(t, p.inForce(6, 200), 700*time.Millisecond)
-	p.haveRead(2)
+	p.noteRead(2)
 	now += time.Second
 	m := p.metrics()
 	assert.Equal(t, m.BehindMS, int64(0))
--- a/internal/edge/config_sharing.go
+++ b/internal/edge/config_sharing.go
@@ -78,7 +78,7 @@
 	if err != nil {
 		return err
 	}
-	c.records.progress.othersHave(reply.Version)
+	c.records.progress.noteOthersVersion(reply.Version)
 	if reply.Record != nil {
 		return c.records.adoptOffered(ctx, c.contents, *reply.Record, reply.Manifest, other.Name, c.sources(other))
 	}
--- a/internal/edge/operator_records.go
+++ b/internal/edge/operator_records.go
@@ -93,7 +93,7 @@
 // checkProgress notes that another host has read up to the position with the given ordinal. If that
 // is further than this host, the read in progress is cancelled, as its answer has probably been lost.
 func (o *operatorRecords) checkProgress(furthest uint64) {
-	o.progress.othersHaveRead(furthest)
+	o.progress.noteOthersRead(furthest)
 	if o.next.Load() >= furthest {
 		return
 	}
@@ -119,7 +119,7 @@
 		o.log.Event("restored", "topic", "operators' records", "era", follower.Next().Era.Number(), "next", follower.Next().Offset)
 	}
 	o.apply(change)
-	o.progress.haveRead(follower.Next().Ordinal())
+	o.progress.noteRead(follower.Next().Ordinal())
 	return nil
 }
 
--- a/internal/edge/topics.go
+++ b/internal/edge/topics.go
@@ -103,7 +103,7 @@
 // noteReference notes that the relay has read a topic up to a position, whose last record is still being fetched.
 func (h *Host) noteReference(topic relay.Topic, end follow.Position) {
 	if topic == topicOperatorRecords {
-		h.operatorRecords.progress.othersHaveRead(end.Ordinal())
+		h.operatorRecords.progress.noteOthersRead(end.Ordinal())
 	}
 }
 
--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -71,7 +71,7 @@
 	now := in.clock()
 	server, ok := in.fleet.Choose(r.Service.Name, k.excluded, in.sharedWithHosts, now)
 	if ok {
-		return place{in.relievedByCold(r, server, k.excluded, now), func(*attempt) {}}, Result{}, true
+		return place{in.preferLeasedCold(r, server, k.excluded, now), func(*attempt) {}}, Result{}, true
 	}
 	if limited, ok := in.fleet.Limited(r.Service.Name, in.sharedWithHosts, now); ok && !k.reachedServer {
 		return place{}, in.refusedBy(fleet.RefusedLimit, limited, in.sharedWithHosts(limited)), false
--- a/internal/front/cold.go
+++ b/internal/front/cold.go
@@ -39,9 +39,9 @@
 	return "cold/" + string(entry.ID) + "/" + strconv.FormatInt(entry.Born, 10)
 }
 
-// relievedByCold returns a cold server of which this host holds a leased share if the server that was chosen for the
+// preferLeasedCold returns a cold server of which this host holds a leased share if the server that was chosen for the
 // request has no free slot, and otherwise the chosen one.
-func (in *Ingress) relievedByCold(r *Request, chosen *fleet.Server, excluded []fleet.ID, now time.Duration) *fleet.Server {
+func (in *Ingress) preferLeasedCold(r *Request, chosen *fleet.Server, excluded []fleet.ID, now time.Duration) *fleet.Server {
 	if chosen.Cold(now) || chosen.Occupancy(now) < 1 {
 		return chosen
 	}
--- a/internal/front/cold_test.go
+++ b/internal/front/cold_test.go
@@ -98,7 +98,7 @@
 	warm, _ := s.fleet.Server("archiv-warm")
 	r := &Request{Service: routetable.Service{Name: "archiv"}}
 	chosen := func() fleet.ID {
-		return s.ingress.relievedByCold(r, warm, nil, clock.Monotonic()).Entry().ID
+		return s.ingress.preferLeasedCold(r, warm, nil, clock.Monotonic()).Entry().ID
 	}
 	assert.Equal(t, chosen(), warmEntry.ID)
 	for range warmEntry.Slots {
--- a/internal/poison/tracker.go
+++ b/internal/poison/tracker.go
@@ -200,9 +200,9 @@
 	delete(t.unanswered, server)
 	// The service discovery tells late of the first crash under an identity. What is in flight since then is at
 	// another process.
-	toldLate := source == Discovery && t.recordedCrashes[server].count > 0
+	reportedLate := source == Discovery && t.recordedCrashes[server].count > 0
 	for number, r := range t.tracked[server] {
-		if r.sentAt != 0 && !r.crashCounted && !toldLate {
+		if r.sentAt != 0 && !r.crashCounted && !reportedLate {
 			involved = append(involved, r)
 			r.crashCounted = true
 			t.tracked[server][number] = r
--- a/internal/sharedlimit/allocator.go
+++ b/internal/sharedlimit/allocator.go
@@ -157,7 +157,7 @@
 	for id, need := range ask.Needs {
 		need = need.clean()
 		total := a.total(id, settled, now)
-		if a.meter != nil && a.meter.InDebt(id, now) {
+		if a.meter != nil && a.meter.Overdrawn(id, now) {
 			total = 0
 		}
 		grant := a.pool(id, now).grant(ask.Host, need, total, now, a.reserved)
--- a/internal/sharedlimit/meter.go
+++ b/internal/sharedlimit/meter.go
@@ -98,8 +98,8 @@
 	}
 }
 
-// InDebt reports whether hosts have admitted more of a limit than its bucket held, so that shares have to wait.
-func (m *Meter) InDebt(id string, now time.Duration) bool {
+// Overdrawn reports whether hosts have admitted more of a limit than its bucket held, so that shares have to wait.
+func (m *Meter) Overdrawn(id string, now time.Duration) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	l := m.get(id, now)
--- a/internal/sharedlimit/timing.go
+++ b/internal/sharedlimit/timing.go
@@ -17,21 +17,21 @@
 // clockDrift is the most by which one host's clock runs faster than another's, in parts of the time.
 const clockDrift = 0.02
 
-// drifted returns the longest time that d can last by another host's clock.
-func drifted(d time.Duration) time.Duration {
+// longestByOtherClock returns the longest time that d can last by another host's clock.
+func longestByOtherClock(d time.Duration) time.Duration {
 	return d + time.Duration(clockDrift*float64(d))
 }
 
 // reserved is how long the allocator counts a share after its last answer to the holder. It is longer than the lease:
 // a former leader must not free a share that its holder has reported to the new one, before it stops answering.
 func (t Timing) reserved() time.Duration {
-	return drifted(t.Lease + t.MaxPlanAge)
+	return longestByOtherClock(t.Lease + t.MaxPlanAge)
 }
 
 // settling is how long a new leader does not know which shares hosts hold that have not reported to it: the former
 // leader may answer until MaxPlanAge after the change, and its last leases follow.
 func (t Timing) settling() time.Duration {
-	return drifted(t.Lease + t.MaxPlanAge)
+	return longestByOtherClock(t.Lease + t.MaxPlanAge)
 }
 
 // handover is how long a leader must have been in office for all shares that it gave while settling to have ended.
--- a/internal/transport/attempt.go
+++ b/internal/transport/attempt.go
@@ -28,10 +28,10 @@
 	reused bool
 	// silence runs while the request waits for an answer on a reused connection.
 	silence *time.Timer
-	// judgement runs while the request waits for an answer on a connection that is judged by its silence.
+	// judgement runs while the request waits for an answer on a connection that is withSilenceRule by its silence.
 	judgement *time.Timer
 	rule      Silence
-	// ended is set when the round trip has returned, after which the connection is no longer judged.
+	// ended is set when the round trip has returned, after which the connection is no longer withSilenceRule.
 	ended atomic.Bool
 }
 
@@ -50,17 +50,17 @@
 		return
 	}
 	a.reused = info.Reused || info.WasIdle
-	tainted := conn.hasStrayed() || a.target.requireID && conn.hasCarried(a.requestID)
+	unusable := conn.hasUnexpectedBytes() || a.target.requireID && conn.hasCarried(a.requestID)
 	conn.beginRequest(a)
 	a.conns = append(a.conns, conn)
-	if tainted || a.needsFresh && a.stale(conn) {
+	if unusable || a.needsFresh && a.stale(conn) {
 		conn.blockWrites()
 		return
 	}
 	if a.reused && !a.needsFresh {
 		a.watchForSilence(conn)
 	}
-	a.judgeSilence(conn)
+	a.checkSilence(conn)
 }
 
 // watchForSilence closes the target's idle connections if neither conn nor another one has delivered anything after
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -36,8 +36,8 @@
 	// requests counts the requests that were given the connection, and carried holds the IDs of the last ones.
 	requests int
 	carried  []string
-	// strayed says that bytes arrived while no request used the connection.
-	strayed bool
+	// unexpectedBytes says that bytes arrived while no request used the connection.
+	unexpectedBytes bool
 }
 
 // maxCarried is the number of request IDs that a connection remembers. A server's late second copy of an answer
@@ -77,18 +77,18 @@
 	return n, err
 }
 
-// recordRead marks the connection as strayed if no request uses it. What arrives then is no answer to a later request.
+// recordRead marks the connection as unexpectedBytes if no request uses it. What arrives then is no answer to a later request.
 func (c *trackedConn) recordRead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.strayed = c.strayed || c.user == nil
+	c.unexpectedBytes = c.unexpectedBytes || c.user == nil
 }
 
-// hasStrayed reports whether bytes have arrived while no request used the connection.
-func (c *trackedConn) hasStrayed() bool {
+// hasUnexpectedBytes reports whether bytes have arrived while no request used the connection.
+func (c *trackedConn) hasUnexpectedBytes() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.strayed
+	return c.unexpectedBytes
 }
 
 // hasCarried reports whether the connection has carried a request with this ID before, such as the first attempt of a
--- a/internal/transport/dialer_test.go
+++ b/internal/transport/dialer_test.go
@@ -57,7 +57,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			if name == "no HTTP" {
-				listener := greeter(t)
+				listener := startGreetingServer(t)
 				c.egress = listener
 			}
 			target := NewTarget(addr, Options{Dial: Dialer(c.egress), Connections: 1})
@@ -74,8 +74,8 @@
 	}
 }
 
-// greeter starts a server that sends the greeting of another protocol and closes the connection.
-func greeter(t *testing.T) string {
+// startGreetingServer starts a server that sends the greeting of another protocol and closes the connection.
+func startGreetingServer(t *testing.T) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { listener.Close() })
--- a/internal/transport/late_answer_test.go
+++ b/internal/transport/late_answer_test.go
@@ -25,9 +25,9 @@
 	return "HTTP/1.1 200 OK\r\n" + header + "Content-Length: " + string(rune('0'+len(id))) + "\r\n\r\n" + id
 }
 
-// secondCopies is a server that answers each request, and sends a second copy of each answer at a
+// duplicatingServer is a server that answers each request, and sends a second copy of each answer at a
 // moment that the test sets.
-type secondCopies struct {
+type duplicatingServer struct {
 	// send sends the copy; it is called after each answer.
 	send func(conn net.Conn, copied string)
 	// withID says that the copy carries the ID of its request.
@@ -35,7 +35,7 @@
 	ran    atomic.Int64
 }
 
-func (s *secondCopies) serve(conn net.Conn, req *http.Request) bool {
+func (s *duplicatingServer) serve(conn net.Conn, req *http.Request) bool {
 	s.ran.Add(1)
 	answer := numberedAnswer(req.Header.Get(backend.HeaderRequestID), true)
 	_, err := io.WriteString(conn, answer)
@@ -69,7 +69,7 @@
 			for _, idempotent := range []bool{true, false} {
 				t.Run(fmt.Sprintf("%s, with ID %t, idempotent %t", name, withID, idempotent), func(t *testing.T) {
 					synctest.Test(t, func(t *testing.T) {
-						copies := &secondCopies{send: sendCopy, withID: withID}
+						copies := &duplicatingServer{send: sendCopy, withID: withID}
 						slow := func(conn net.Conn, req *http.Request) bool {
 							time.Sleep(30 * time.Millisecond)
 							return copies.serve(conn, req)
@@ -120,7 +120,7 @@
 // TestBytesOnAnIdleConnectionTaintIt guards against bytes that arrive on an idle connection just before a request takes it:
 // the HTTP library would take them for the answer if the request came before it noticed them.
 func TestBytesOnAnIdleConnectionTaintIt(t *testing.T) {
-	for name, c := range map[string]struct{ inUse, strayed bool }{"idle": {false, true}, "in use": {true, false}} {
+	for name, c := range map[string]struct{ inUse, unexpectedBytes bool }{"idle": {false, true}, "in use": {true, false}} {
 		near, far := net.Pipe()
 		conn := track(near, fakeClock, func(*trackedConn) {})
 		if c.inUse {
@@ -129,7 +129,7 @@
 		go io.WriteString(far, "HTTP")
 		_, err := conn.Read(make([]byte, 4))
 		assert.NilError(t, err)
-		assert.Equal(t, conn.hasStrayed(), c.strayed, name)
+		assert.Equal(t, conn.hasUnexpectedBytes(), c.unexpectedBytes, name)
 		assert.Assert(t, conn.hasCarried("one") == c.inUse && !conn.hasCarried("two"), name)
 		far.Close()
 		conn.Close()
--- a/internal/transport/mute_test.go
+++ b/internal/transport/mute_test.go
@@ -45,8 +45,8 @@
 	return err == nil
 }
 
-// judged returns a request whose connection is judged after half a second.
-func judged(request Request, mute *atomic.Int64) Request {
+// withSilenceRule returns a request whose connection is withSilenceRule after half a second.
+func withSilenceRule(request Request, mute *atomic.Int64) Request {
 	request.Silence = Silence{After: 500 * time.Millisecond, OnMute: func() { mute.Add(1) }}
 	return request
 }
@@ -64,7 +64,7 @@
 				for range 15 {
 					group.Go(func() {
 						started := time.Now()
-						result := target.Send(t.Context(), judged(request, &mute))
+						result := target.Send(t.Context(), withSilenceRule(request, &mute))
 						if result.Sent == Answered {
 							answered.Add(1)
 							io.Copy(io.Discard, result.Response.Body)
@@ -97,7 +97,7 @@
 		var group sync.WaitGroup
 		for range 3 {
 			group.Go(func() {
-				sent, body, err := send(t, target, judged(get, &mute))
+				sent, body, err := send(t, target, withSilenceRule(get, &mute))
 				assert.Check(t, err)
 				assert.Check(t, sent == Answered)
 				assert.Check(t, body == "done")
