assign: hot keys are spread over many servers at once, not by halves over a few

Cause: the 200 keys are one server's range of 328. The leader moved at most 8 parts in a round, each half of the difference, so that the receivers were overloaded in their turn, and a round waited until all moves of the last one had ended, of which one takes as long as the longest request. Constants of 12 to 20 servers. Change: a receiver gets only what it has room for; a round moves a part for each four servers (at least 8); a round does not wait for the last one, as moving ranges count for their receivers. Candidates are indexed, loads are kept between the moves of a round.

--- a/internal/assign/reconcile.go
+++ b/internal/assign/reconcile.go
@@ -57,11 +57,17 @@
 	// overloadRatio is the load of a server relative to its fair share above which keys are moved
 	// away from it. An allowance for noise is added; see noiseSigmas.
 	overloadRatio = 1.35
+	// receiverRatio is the load of a server relative to its fair share up to which it is given more, and minRoomRatio the least
+	// part of the fair share that it is given.
+	receiverRatio = 1.2
+	minRoomRatio  = 0.2
 	// noiseSigmas is the allowance for random variation, in standard deviations of the number of
 	// requests in one second (Poisson: the square root of the rate).
 	noiseSigmas = 1.5
-	// movesPerStep bounds the moves that one call of Reconcile starts to balance the load.
-	movesPerStep = 8
+	// minMovesPerStep and serversPerMove bound the moves that one call of Reconcile starts to balance the load: one for each
+	// serversPerMove servers, and at least minMovesPerStep.
+	minMovesPerStep = 8
+	serversPerMove  = 4
 	// minMoveRatio and maxMoveRatio bound the load of a moved range relative to the load to be moved.
 	minMoveRatio = 0.25
 	maxMoveRatio = 1.3
@@ -78,6 +84,7 @@
 func Reconcile(current []Assignment, snapshot Snapshot, fence Fence) ([]Assignment, bool) {
 	rc := &reconciler{snapshot: snapshot, fence: fence, next: slices.Clone(current)}
 	rc.applyLimits()
+	rc.indexCandidates()
 	if len(rc.next) == 0 {
 		rc.assignInitially()
 	} else {
@@ -96,6 +103,16 @@
 	snapshot Snapshot
 	fence    Fence
 	next     []Assignment
+	// byID holds the index of each candidate, by server ID.
+	byID map[string]int
+}
+
+// indexCandidates fills byID.
+func (rc *reconciler) indexCandidates() {
+	rc.byID = make(map[string]int, len(rc.snapshot.Candidates))
+	for i, c := range rc.snapshot.Candidates {
+		rc.byID[c.ID] = i
+	}
 }
 
 // applyLimits lowers the capacities of servers that name a limit, so that their fair share of the load
@@ -250,43 +267,49 @@
 	}
 }
 
-// rebalance moves load from overloaded servers to the least loaded one. It waits until earlier
-// moves are complete.
+// rebalance moves load from overloaded servers to the least loaded ones. A range that is still moving counts for the server that will
+// get it, so no round waits for the moves of the last one, of which some take as long as the longest request.
 func (rc *reconciler) rebalance() {
-	if rc.snapshot.Load == nil || rc.snapshot.Load.Total() < minRebalanceLoad || rc.moveInProgress() {
+	if rc.snapshot.Load == nil || rc.snapshot.Load.Total() < minRebalanceLoad {
 		return
 	}
-	for range movesPerStep {
-		loads := rc.relativeLoads()
-		if !rc.moveFromOverLimit(loads) && !rc.rebalanceOnce(loads) {
+	loads := rc.relativeLoads()
+	for range max(minMovesPerStep, len(rc.snapshot.Candidates)/serversPerMove) {
+		m, ok := rc.moveFromOverLimit(loads)
+		if !ok {
+			m, ok = rc.moveFromOverloaded(loads)
+		}
+		if !ok {
 			return
 		}
+		rc.splitAndRelease(m.at, m.keys, m.to.ID)
+		loads[m.from.ID] -= m.load / m.from.Capacity
+		loads[m.to.ID] += m.load / m.to.Capacity
 	}
 }
 
-// moveFromOverLimit starts one move from a server that has more load than its limit allows. It returns false if
+// moveFromOverLimit returns a move from a server that has more load than its limit allows. It returns false if
 // there is none that has a suitable range.
-func (rc *reconciler) moveFromOverLimit(loads map[string]float64) bool {
+func (rc *reconciler) moveFromOverLimit(loads map[string]float64) (move, bool) {
 	to := leastLoaded(rc.receivers(), loads, 0)
 	if to.Limit > 0 {
-		return false
+		return move{}, false
 	}
 	for _, from := range rc.byLoad(loads) {
 		load := loads[from.ID] * from.Capacity
 		if from.Limit == 0 || load <= limitedLoadRatio*from.Limit {
 			continue
 		}
-		if m, ok := rc.bestMove(from.ID, load-limitTargetRatio*from.Limit); ok {
-			rc.splitAndRelease(m.at, m.keys, to.ID)
-			return true
+		if m, ok := rc.bestMove(from, to, load-limitTargetRatio*from.Limit); ok {
+			return m, true
 		}
 	}
-	return false
+	return move{}, false
 }
 
-// rebalanceOnce starts one move from the most loaded server that has a suitable range. It returns
+// moveFromOverloaded returns a move from the most loaded server that has a suitable range. It returns
 // false if no overloaded server has one.
-func (rc *reconciler) rebalanceOnce(loads map[string]float64) bool {
+func (rc *reconciler) moveFromOverloaded(loads map[string]float64) (move, bool) {
 	fair := rc.fairLoad()
 	to := leastLoaded(rc.receivers(), loads, 0)
 	for _, from := range rc.byLoad(loads) {
@@ -295,30 +318,37 @@
 			continue
 		}
 		if most < overloadRatio*fair+noiseSigmas*math.Sqrt(most*from.Capacity)/from.Capacity {
-			return false
+			return move{}, false
 		}
-		wanted := min((most-loads[to.ID])/2, most-fair) * min(from.Capacity, to.Capacity)
-		if m, ok := rc.bestMove(from.ID, wanted); ok {
-			rc.splitAndRelease(m.at, m.keys, to.ID)
-			return true
+		if m, ok := rc.bestMove(from, to, rc.wantedLoad(from, to, loads, fair)); ok {
+			return m, true
 		}
 	}
-	return false
+	return move{}, false
+}
+
+// wantedLoad returns how much load to move from an overloaded server to another one: not so much that this one becomes
+// overloaded in its turn. Otherwise the load would spread only by halves, from each of the receivers again.
+func (rc *reconciler) wantedLoad(from, to Candidate, loads map[string]float64, fair float64) float64 {
+	excess := min((loads[from.ID]-loads[to.ID])/2, loads[from.ID]-fair) * min(from.Capacity, to.Capacity)
+	room := (receiverRatio*fair - loads[to.ID]) * to.Capacity
+	return min(excess, max(room, minRoomRatio*fair*to.Capacity))
 }
 
 // move is all or part of a range, considered for a move. at is the index of the assignment.
 type move struct {
-	at   int
-	keys keyrange.Range
-	load float64
+	from, to Candidate
+	at       int
+	keys     keyrange.Range
+	load     float64
 }
 
 // bestMove returns the part of a server's ranges whose load is closest to the wanted one. A
 // single key cannot be split: if it carries most of the load, the keys beside it are moved instead.
-func (rc *reconciler) bestMove(id string, wanted float64) (move, bool) {
+func (rc *reconciler) bestMove(from, to Candidate, wanted float64) (move, bool) {
 	best, found := move{}, false
 	for i, a := range rc.next {
-		if a.Phase != Held || a.Server.ID != id {
+		if a.Phase != Held || a.Server.ID != from.ID {
 			continue
 		}
 		for _, keys := range rc.movableParts(a.Range, wanted) {
@@ -327,7 +357,7 @@
 				continue
 			}
 			if !found || math.Abs(load-wanted) < math.Abs(best.load-wanted) {
-				best, found = move{at: i, keys: keys, load: load}, true
+				best, found = move{from: from, to: to, at: i, keys: keys, load: load}, true
 			}
 		}
 	}
@@ -393,22 +423,14 @@
 		a.Fence == b.Fence && a.Handover == b.Handover
 }
 
-// moveInProgress reports whether a server that may hold keys is still releasing a range. Rebalancing
-// waits for these moves, because they change the load that it acts on.
-func (rc *reconciler) moveInProgress() bool {
-	return slices.ContainsFunc(rc.next, func(a Assignment) bool {
-		return a.Phase == Releasing && rc.isCandidate(a.Server.ID)
-	})
-}
-
 func (rc *reconciler) isCandidate(id string) bool {
 	_, ok := rc.candidate(id)
 	return ok
 }
 
 func (rc *reconciler) candidate(id string) (Candidate, bool) {
-	i := slices.IndexFunc(rc.snapshot.Candidates, func(c Candidate) bool { return c.ID == id })
-	if i < 0 {
+	i, ok := rc.byID[id]
+	if !ok {
 		return Candidate{}, false
 	}
 	return rc.snapshot.Candidates[i], true
--- a/internal/keyrange/load.go
+++ b/internal/keyrange/load.go
@@ -67,10 +67,9 @@
 	}
 	base := l.upTo(int(r.First) - 1)
 	best, bestDistance := r.First, math.Abs(l.Of(Range{r.First, r.First})-load)
-	for i, key := range l.keys {
-		if !r.Contains(key) || key == r.Last {
-			continue
-		}
+	start, _ := slices.BinarySearch(l.keys, r.First)
+	for i := start; i < len(l.keys) && l.keys[i] < r.Last; i++ {
+		key := l.keys[i]
 		if distance := math.Abs(l.sums[i] - base - load); distance < bestDistance {
 			best, bestDistance = key, distance
 		}
