--- a/internal/edge/start_test.go
+++ b/internal/edge/start_test.go
@@ -139,9 +139,18 @@
 	log    *sharedLog
 	polled *sharedLog
 	now    func() time.Duration
+
+	mu     sync.Mutex
 	byName map[string]*Host
 }
 
+// host returns the host with a name.
+func (f *sharedFleet) host(name string) *Host {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.byName[name]
+}
+
 func newSharedFleet() *sharedFleet {
 	started := time.Now()
 	return &sharedFleet{
@@ -163,7 +172,9 @@
 			self.Capacity = 0.8
 		}
 		h := f.newHost(self, i == 0)
+		f.mu.Lock()
 		f.byName[self.Name] = h
+		f.mu.Unlock()
 		hosts = append(hosts, h)
 	}
 	return hosts
@@ -178,7 +189,7 @@
 		Others:           func() []relay.Host { return otherRelays(h.current.Plan(), h.self) },
 		Ask: func(ctx context.Context, host relay.Host, ask relay.Ask) (relay.Reply, error) {
 			time.Sleep(time.Millisecond)
-			return f.byName[host.Name].relay.Serve(ctx, ask), nil
+			return f.host(host.Name).relay.Serve(ctx, ask), nil
 		},
 		Clock: f.now, Log: h.log,
 	})
@@ -206,7 +217,7 @@
 			time.Sleep(delay)
 			go h.leader.RunElection(ctx)
 			go h.leader.Run(ctx)
-			go loop.Every(ctx, reportInterval, func(context.Context) { f.byName["front-000"].leader.Report(h.self.Name, leader.Report{}, nil) })
+			go loop.Every(ctx, reportInterval, func(context.Context) { f.host("front-000").leader.Report(h.self.Name, leader.Report{}, nil) })
 			go f.poll(ctx, h)
 			h.followState(ctx)
 		}()
