front, edge: a host that shuts down tells others, which then give up no sign-off that it has forwarded

The host to which it had been forwarded judged the connection by its silence, since it did not know of the shutdown. Change: Leaves to all hosts when a shutdown begins; a forwarded request that is not idempotent names its forwarder.

--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -295,6 +295,7 @@
 	h.log.Event("leave", "host", h.self.Name)
 	h.leaving.Store(true)
 	h.ingress.Leave()
+	h.announceShutdown()
 	h.pools.Leave()
 	started := time.Now()
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(h.config.Grace-exitReserve))
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -119,7 +119,9 @@
 	reach    *reachSharing
 	pools    *admission.Pools
 	shares   *shareLeasing
-	log      *eventlog.Log
+	// hostLeaves is called with the name of a host that is shutting down.
+	hostLeaves func(name string)
+	log        *eventlog.Log
 }
 
 // Read serves what this host, as a relay, has read of a topic.
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -21,6 +21,9 @@
 	// HeaderForward marks a request that one host forwards to another, and carries what the first
 	// host knows about it; see encodeForward.
 	HeaderForward = "Poplarcroft-Hop"
+	// headerForwarder names the host that forwards a request which is not idempotent. Builds up to e2d5c51 do not send it, and
+	// pass it on to the server.
+	headerForwarder = "Poplarcroft-Forwarder"
 	// headerResult marks a reply to a forwarded request that is not a server's answer, and
 	// carries the kind of the result, its reason and when to retry.
 	headerResult = "Poplarcroft-End"
@@ -47,6 +50,9 @@
 	header := r.Header.Clone()
 	header.Set(in.headers.DeadlineMS, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
 	header.Set(HeaderForward, encodeForward(r, in.clock()))
+	if !r.Route.Idempotent {
+		header.Set(headerForwarder, in.config.Self)
+	}
 	sent := in.config.Hosts.Target(to.Addr).Send(ctx, transport.Request{
 		Method:     r.Method,
 		Path:       r.Path,
@@ -358,7 +364,9 @@
 		return nil, "", err
 	}
 	r.Header = transport.EndToEnd(hr.Header)
+	r.Forwarder = r.Header.Get(headerForwarder)
 	r.Header.Del(HeaderForward)
+	r.Header.Del(headerForwarder)
 	in.identify(r, who)
 	r.Deadline = now + callerTimeout(hr.Header, in.headers.DeadlineMS, 0)
 	return r, "", nil
--- a/internal/front/ingress.go
+++ b/internal/front/ingress.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -112,6 +113,8 @@
 	mu sync.Mutex
 	// leaving says that the host is shutting down.
 	leaving bool
+	// leavingHosts holds when each other host that is shutting down has told so, by name.
+	leavingHosts map[string]time.Duration
 }
 
 // New returns an Ingress that is ready to serve requests.
@@ -135,6 +138,7 @@
 		memory:    bodyMemory{bound: config.BodyMemory},
 		link:      linkMeter{rate: config.LinkBytesPerS, clock: config.Clock},
 	}
+	in.leavingHosts = make(map[string]time.Duration)
 	in.ending, in.endRequests = context.WithCancel(context.Background())
 	in.Learner.OnChange = in.logWidth
 	return in
@@ -174,6 +178,29 @@
 	return in.leaving
 }
 
+// hostLeavingFor is how long a host counts as shutting down, longer than any grace time.
+const hostLeavingFor = time.Minute
+
+// HostLeaves records that another host is shutting down.
+func (in *Ingress) HostLeaves(name string) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	now := in.clock()
+	maps.DeleteFunc(in.leavingHosts, func(_ string, at time.Duration) bool { return now-at > hostLeavingFor })
+	in.leavingHosts[name] = now
+}
+
+// forwarderLeaves reports whether the host that has forwarded the request is shutting down.
+func (in *Ingress) forwarderLeaves(r *Request) bool {
+	if r.Forwarder == "" {
+		return false
+	}
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	at, ok := in.leavingHosts[r.Forwarder]
+	return ok && in.clock()-at <= hostLeavingFor
+}
+
 // BodyMemory returns the bound of the memory for bodies in bytes (0 for none), the bytes that are held and the most that
 // were held, for the metrics endpoint.
 func (in *Ingress) BodyMemory() map[string]int64 {
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -68,6 +68,8 @@
 	Caller string
 	// Forwarded says that another host forwards the request.
 	Forwarded bool
+	// Forwarder is the name of that host if the request is not idempotent and the host's build tells it.
+	Forwarder string
 	// Fingerprint is the same whenever the caller repeats the request, from any address; the ID is not.
 	Fingerprint poison.Fingerprint
 	// Arrived is when this host received the request. Deadline is when the caller stops waiting or
--- a/internal/front/silence.go
+++ b/internal/front/silence.go
@@ -19,15 +19,16 @@
 )
 
 // silenceOf returns how the silence of a server is judged that is sent the request. Without a usual time of the route it is
-// not judged. A host that shuts down gives up no request for it: the server may be at work on the request, and after a shutdown the
-// caller gets whatever answer the server makes.
+// not judged. A request at a host that shuts down is not given up for it, nor one that is not idempotent and that such a host has
+// forwarded: the server may be at work on the request, and after a shutdown the caller gets whatever answer the server makes.
 func (in *Ingress) silenceOf(r *Request, server *fleet.Server) transport.Silence {
 	usual := in.baseline.get(r.Route.Name)
 	if usual <= 0 {
 		return transport.Silence{}
 	}
 	after := max(silenceFactor*usual, minSilence)
-	return transport.Silence{After: after, Suspended: in.isLeaving, OnMute: func() {
+	suspended := func() bool { return in.isLeaving() || in.forwarderLeaves(r) }
+	return transport.Silence{After: after, Suspended: suspended, OnMute: func() {
 		server.Avoid(in.clock() + muteAvoidFor)
 		in.log.Event("silence", "id", r.ID, "route", r.Route.Name, "server", server.Entry().ID, "after_ms", after.Milliseconds(),
 			"outcome", "no connection delivers: slow, dead or mute, avoided")
--- a/internal/transport/attempt.go
+++ b/internal/transport/attempt.go
@@ -28,10 +28,10 @@
 	reused bool
 	// silence runs while the request waits for an answer on a reused connection.
 	silence *time.Timer
-	// judgement runs while the request waits for an answer on a connection that is withSilenceRule by its silence.
+	// judgement runs while the request waits for an answer on a connection whose silence is judged.
 	judgement *time.Timer
 	rule      Silence
-	// ended is set when the round trip has returned, after which the connection is no longer withSilenceRule.
+	// ended is set when the round trip has returned, after which the connection is no longer judged.
 	ended atomic.Bool
 }
 
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -77,7 +77,7 @@
 	return n, err
 }
 
-// recordRead marks the connection as unexpectedBytes if no request uses it. What arrives then is no answer to a later request.
+// recordRead notes bytes that arrive while no request uses the connection. What arrives then is no answer to a later request.
 func (c *trackedConn) recordRead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/transport/mute_test.go
+++ b/internal/transport/mute_test.go
@@ -45,7 +45,7 @@
 	return err == nil
 }
 
-// withSilenceRule returns a request whose connection is withSilenceRule after half a second.
+// withSilenceRule returns a request whose connection is judged after half a second of silence.
 func withSilenceRule(request Request, mute *atomic.Int64) Request {
 	request.Silence = Silence{After: 500 * time.Millisecond, OnMute: func() { mute.Add(1) }}
 	return request
--- a/internal/transport/silence.go
+++ b/internal/transport/silence.go
@@ -18,9 +18,9 @@
 // servers never answer a request that they cannot queue, nor any later one on that connection.
 var ErrSilent = errors.New("transport: the connection is silent while others deliver")
 
-// Silence says how the silence of a server is withSilenceRule that is sent a request.
+// Silence says how the silence of a server is judged that is sent a request.
 type Silence struct {
-	// After is how long a connection may be silent. Zero means that it is not withSilenceRule.
+	// After is how long a connection may be silent. Zero means that it is not judged.
 	After time.Duration
 	// OnMute is called once if no connection of the server has delivered anything either, so that the server is slow, dead
 	// or mute. The request waits on. It must not block, and may be nil.
