--- a/internal/edge/shutdown_test.go
+++ b/internal/edge/shutdown_test.go
@@ -13,9 +13,11 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/poplarcroft/poplarcroft/internal/assign"
 	"github.com/poplarcroft/poplarcroft/internal/clock"
 	"github.com/poplarcroft/poplarcroft/internal/eventlog"
 	"github.com/poplarcroft/poplarcroft/internal/front"
+	"github.com/poplarcroft/poplarcroft/internal/peer"
 )
 
 // leavingHost is a host with a server for callers whose shutdown a test observes.
@@ -31,7 +33,8 @@
 	assert.NilError(t, err)
 	h := &leavingHost{
 		Host: &Host{
-			config: Config{Grace: grace}, log: eventlog.Discard(),
+			config: Config{Grace: grace}, log: eventlog.Discard(), current: assign.NewCurrent(),
+			peers:   &peers{pool: peer.NewPool((&net.Dialer{}).DialContext)},
 			ingress: front.New(front.Config{Clock: clock.Monotonic, Log: eventlog.Discard()}),
 			pools:   newTestPools(),
 		},
@@ -146,3 +149,24 @@
 	waiting.Wait()
 	assert.Assert(t, time.Since(began) <= h.config.Grace, "%v", time.Since(began))
 }
+
+// TestOtherHostsAreToldOfAShutdown checks that all hosts of the plan learn at once that a host is shutting down, but for those that
+// are retired.
+func TestOtherHostsAreToldOfAShutdown(t *testing.T) {
+	receiver, addr := startReceiver(t)
+	told := make(chan string, 4)
+	receiver.hostLeaves = func(name string) { told <- name }
+	h := newLeavingHost(t, 20*time.Second, answerOK)
+	h.self = assign.Host{Name: "h1", Incarnation: "1"}
+	h.current.Adopt(assign.Plan{Version: 1, Hosts: []assign.Host{
+		h.self, {Name: "h2", Incarnation: "1", Addr: addr}, {Name: "h3", Incarnation: "1", Addr: addr, Retired: true},
+	}}, time.Second)
+	h.announceShutdown()
+	select {
+	case name := <-told:
+		assert.Equal(t, name, "h1")
+	case <-time.After(10 * time.Second):
+		t.Fatal("nobody is told")
+	}
+	assert.Equal(t, len(told), 0)
+}
