--- a/internal/assign/order_test.go
+++ b/internal/assign/order_test.go
@@ -179,7 +179,7 @@
 		})
 	}
 	group.Wait()
-	assert.Equal(t, len(kept.rankings.groups[allZones].orders.byID), maxRankings)
+	assert.Equal(t, len(kept.rankings.all.orders.byID), maxRankings)
 	other := kept.Clone()
 	other.Hosts[3].Weight = 50
 	assert.DeepEqual(t, namesOf(other.RankedFor("7", anyHost)), namesOf(Plan{Hosts: other.Hosts, Order: OrderByWeight}.RankedFor("7", anyHost)))
@@ -215,7 +215,7 @@
 		next = next.WithRankings(plan)
 		var kept []string
 		for _, zone := range []string{"brno", "zlin", "opava"} {
-			if len(next.rankings.groups[zone].orders.byID) > 0 {
+			if len(next.rankings.zones[zone].orders.byID) > 0 {
 				kept = append(kept, zone)
 			}
 			want := next
@@ -241,3 +241,19 @@
 	}
 	assert.Assert(t, Plan{}.AmongFirst(Host{Name: "alone"}, "x", 1))
 }
+
+// TestServerWithoutAZone guards against a server whose entry has an empty zone and whose grants are renewed by hosts of any zone: a
+// release waits only for the hosts of the server's zone and for those that may renew in all zones.
+func TestServerWithoutAZone(t *testing.T) {
+	plan := Plan{Hosts: testHosts(6, 1), Order: OrderByWeight}
+	plan.Hosts[2].Led = true
+	plan.Leader = plan.Hosts[2]
+	plan = plan.WithRankings(Plan{})
+	a := Assignment{Phase: Held, Fence: 9, Server: Server{ID: "s1"}}
+	assert.Equal(t, len(plan.RankedHosts(a.Server, anyHost)), 0)
+	assert.DeepEqual(t, namesOf(plan.Renewers(a)), []string{plan.Leader.Name})
+	for _, host := range plan.Hosts {
+		assert.Equal(t, plan.ShouldRenew(host, a), host.Led)
+	}
+	assert.DeepEqual(t, namesOf(plan.PossibleRenewers("")), []string{plan.Leader.Name})
+}
--- a/internal/assign/plan.go
+++ b/internal/assign/plan.go
@@ -253,7 +253,7 @@
 
 // FirstHosts returns the first hosts of RankedHosts, at most n.
 func (p Plan) FirstHosts(server Server, n int, eligible func(Host) bool) []Host {
-	return p.firstRanked(server.Zone, server.ID, n, eligible)
+	return p.firstInZone(server.Zone, server.ID, n, eligible)
 }
 
 // RankedInAllZones is RankedHosts for the hosts of all zones.
@@ -264,28 +264,32 @@
 // RankedFor returns the eligible hosts of all zones that are not retired, in the order of preference for the
 // object with the ID. IDs should be few: their rankings are kept while the hosts stay the same.
 func (p Plan) RankedFor(id string, eligible func(Host) bool) []Host {
-	return p.firstRanked(allZones, id, len(p.Hosts), eligible)
+	all := p.ranked().all
+	return p.first(all, all.ranking(p.Order, id), len(p.Hosts), eligible)
 }
 
 // RankedInZone is RankedFor for the hosts of one zone.
 func (p Plan) RankedInZone(zone, id string) []Host {
-	return p.firstRanked(zone, id, len(p.Hosts), func(Host) bool { return true })
+	return p.firstInZone(zone, id, len(p.Hosts), func(Host) bool { return true })
 }
 
 // RankedByHash is RankedFor in OrderByHash, whatever the order of the plan, for any number of IDs.
 func (p Plan) RankedByHash(id string, eligible func(Host) bool) []Host {
-	p.Order = OrderByHash
-	group := newRankings(p, nil).groups[allZones]
-	return p.first(group, rankMembers(group.members, OrderByHash, id), len(p.Hosts), eligible)
+	all := p.ranked().all
+	return p.first(all, rankMembers(all.members, OrderByHash, id), len(p.Hosts), eligible)
 }
 
-// firstRanked returns the first eligible hosts of a zone, or of allZones, in the order of preference for an ID, at most n.
-func (p Plan) firstRanked(zone, id string, n int, eligible func(Host) bool) []Host {
-	r := p.rankings
-	if r == nil {
-		r = newRankings(p, nil)
+// ranked returns the plan's rankings, or new ones if it keeps none.
+func (p Plan) ranked() *rankings {
+	if p.rankings != nil {
+		return p.rankings
 	}
-	group, ok := r.groups[zone]
+	return newRankings(p, nil)
+}
+
+// firstInZone returns the first eligible hosts of a zone in the order of preference for an ID, at most n.
+func (p Plan) firstInZone(zone, id string, n int, eligible func(Host) bool) []Host {
+	group, ok := p.ranked().zones[zone]
 	if !ok {
 		return nil
 	}
--- a/internal/assign/ranking.go
+++ b/internal/assign/ranking.go
@@ -9,15 +9,13 @@
 // ranked at each call.
 const maxRankings = 2048
 
-// allZones is the key of the group of all hosts in rankings.
-const allZones = ""
-
 // rankings finds the order of a plan's hosts for each object: of the hosts of each zone, and of all hosts. All copies of
 // the plan share it. It is safe for concurrent use.
 type rankings struct {
 	order HostOrder
-	// groups holds the hosts of each zone, and all hosts under allZones.
-	groups map[string]*rankedGroup
+	// all holds all hosts, and zones those of each zone. A zone may have the empty name.
+	all   *rankedGroup
+	zones map[string]*rankedGroup
 }
 
 // rankedGroup is a group of hosts with their order for each object.
@@ -43,25 +41,25 @@
 
 // newRankings returns the rankings of a plan. It keeps what former, which may be nil, knows of groups that are the same.
 func newRankings(plan Plan, former *rankings) *rankings {
-	r := &rankings{order: plan.Order, groups: make(map[string]*rankedGroup)}
-	all := &rankedGroup{}
-	r.groups[allZones] = all
+	r := &rankings{order: plan.Order, all: &rankedGroup{}, zones: make(map[string]*rankedGroup)}
 	for i, host := range plan.Hosts {
 		if host.Retired {
 			continue
 		}
-		zone := r.groups[host.Zone]
+		zone := r.zones[host.Zone]
 		if zone == nil {
 			zone = &rankedGroup{}
-			r.groups[host.Zone] = zone
+			r.zones[host.Zone] = zone
 		}
 		zone.add(i, host)
-		if zone != all {
-			all.add(i, host)
-		}
+		r.all.add(i, host)
 	}
-	for name, group := range r.groups {
-		group.orders = former.ordersOf(name, plan.Order, group.members)
+	if former == nil || former.order != plan.Order {
+		former = &rankings{}
+	}
+	r.all.keepOrders(former.all)
+	for name, zone := range r.zones {
+		zone.keepOrders(former.zones[name])
 	}
 	return r
 }
@@ -72,14 +70,13 @@
 	g.members = append(g.members, rankedMember{host.Name, host.weight()})
 }
 
-// ordersOf returns the orders of a group if its members and their order are the given ones, and otherwise empty ones.
-func (r *rankings) ordersOf(name string, order HostOrder, members []rankedMember) *groupOrders {
-	if r != nil && r.order == order {
-		if group, ok := r.groups[name]; ok && slices.Equal(group.members, members) {
-			return group.orders
-		}
+// keepOrders takes over the orders of a former group, which may be nil, if its members are the same. Otherwise it begins with none.
+func (g *rankedGroup) keepOrders(former *rankedGroup) {
+	if former != nil && slices.Equal(former.members, g.members) {
+		g.orders = former.orders
+		return
 	}
-	return &groupOrders{byID: make(map[string][]uint16)}
+	g.orders = &groupOrders{byID: make(map[string][]uint16)}
 }
 
 // ranking returns the positions of the group's members in the order of preference for an object, and computes it if it is
