--- a/review/standin/target.go
+++ b/review/standin/target.go
@@ -218,7 +218,7 @@
 		t.running[key]--
 		t.mu.Unlock()
 	}()
-	t.world.recordRun(id, t.id, born, r.Method, r.URL.RequestURI(), string(body))
+	t.world.recordRun(id, t.id, born, r.Method, r.RequestURI, string(body))
 	if t.behave != nil && t.behave(t, w, r, id) {
 		return
 	}
