--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -29,9 +29,15 @@
 var (
 	cleanMu  sync.Mutex
 	cleaners []func()
+	// startMu is held while a host is started. No host starts once closing is set.
+	startMu sync.Mutex
+	closing bool
 )
 
 func cleanUp() {
+	startMu.Lock()
+	closing = true
+	startMu.Unlock()
 	cleanMu.Lock()
 	defer cleanMu.Unlock()
 	for _, f := range cleaners {
@@ -212,15 +218,25 @@
 
 // start starts the program as the deploy file says.
 func (h *host) start() {
+	startMu.Lock()
+	defer startMu.Unlock()
+	if closing {
+		return
+	}
 	var err error
 	if h.log == nil {
-		h.log, err = os.Create(filepath.Join(h.world.dir, h.name+".log"))
-		check(err)
+		if h.log, err = os.Create(filepath.Join(h.world.dir, h.name+".log")); err != nil {
+			fmt.Fprintln(os.Stderr, "cannot run:", err)
+			os.Exit(2)
+		}
 	}
 	process := exec.Command(h.world.binary, "platform")
 	process.Env = []string{"POPLARCROFT_CONFIG=" + h.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + h.world.dir}
 	process.Stdout, process.Stderr = h.log, h.log
-	check(process.Start())
+	if err := process.Start(); err != nil {
+		fmt.Fprintln(os.Stderr, "cannot run:", err)
+		os.Exit(2)
+	}
 	exited := make(chan struct{})
 	h.mu.Lock()
 	h.process, h.exited, h.stopping = process, exited, false
