assign: a service without servers that may get keys ends no leader

Cause: rebalance chose the least loaded receiver without a check that there is one; slices.MinFunc panics on an empty list. assignFree had that check. The state is stored and shared, so each next leader met it as well.

Change: leastLoaded returns whether there is a candidate, so that no caller can forget the case. Looked at for the same cause: hotkey.mostLoaded, relay.chooseAnyHost, fleet.best, leader.markCutOff and the divisors over servers, hosts and zones in assign, leader, admission, dispatch, sharedlimit and fleet; all of them exclude the empty case before. No recover around the step of the leader: it would hide a plan that is wrong.

Evidence: TestNoServerMayReceiveKeys and the property test TestReconcileInAnyState (drawn states: no server, none that may receive, all over their limit, draining, gone, restarted, replaced, address reused) end in that panic on.

--- a/internal/assign/reconcile.go
+++ b/internal/assign/reconcile.go
@@ -246,9 +246,6 @@
 			free = append(free, i)
 		}
 	}
-	if len(free) == 0 || len(rc.snapshot.Candidates) == 0 {
-		return
-	}
 	loads := rc.relativeLoads()
 	slices.SortFunc(free, func(i, j int) int {
 		return cmp.Compare(rc.loadOf(rc.next[j].Range), rc.loadOf(rc.next[i].Range))
@@ -257,7 +254,10 @@
 		a := &rc.next[i]
 		server, ok := rc.candidate(a.Next)
 		if !ok {
-			server = leastLoaded(rc.snapshot.Candidates, loads, rc.loadOf(a.Range))
+			server, ok = leastLoaded(rc.snapshot.Candidates, loads, rc.loadOf(a.Range))
+		}
+		if !ok {
+			return
 		}
 		loads[server.ID] += rc.loadOf(a.Range) / server.Capacity
 		a.Phase = Held
@@ -275,9 +275,13 @@
 	}
 	loads := rc.relativeLoads()
 	for range max(minMovesPerStep, len(rc.snapshot.Candidates)/serversPerMove) {
-		m, ok := rc.moveFromOverLimit(loads)
+		to, ok := leastLoaded(rc.receivers(), loads, 0)
+		if !ok {
+			return
+		}
+		m, ok := rc.moveFromOverLimit(to, loads)
 		if !ok {
-			m, ok = rc.moveFromOverloaded(loads)
+			m, ok = rc.moveFromOverloaded(to, loads)
 		}
 		if !ok {
 			return
@@ -288,10 +292,9 @@
 	}
 }
 
-// moveFromOverLimit returns a move from a server that has more load than its limit allows. It returns false if
+// moveFromOverLimit returns a move to the given server from one that has more load than its limit allows. It returns false if
 // there is none that has a suitable range.
-func (rc *reconciler) moveFromOverLimit(loads map[string]float64) (move, bool) {
-	to := leastLoaded(rc.receivers(), loads, 0)
+func (rc *reconciler) moveFromOverLimit(to Candidate, loads map[string]float64) (move, bool) {
 	if to.Limit > 0 {
 		return move{}, false
 	}
@@ -307,11 +310,10 @@
 	return move{}, false
 }
 
-// moveFromOverloaded returns a move from the most loaded server that has a suitable range. It returns
+// moveFromOverloaded returns a move to the given server from the most loaded one that has a suitable range. It returns
 // false if no overloaded server has one.
-func (rc *reconciler) moveFromOverloaded(loads map[string]float64) (move, bool) {
+func (rc *reconciler) moveFromOverloaded(to Candidate, loads map[string]float64) (move, bool) {
 	fair := rc.fairLoad()
-	to := leastLoaded(rc.receivers(), loads, 0)
 	for _, from := range rc.byLoad(loads) {
 		most := loads[from.ID]
 		if from.Limit > 0 {
@@ -475,13 +477,17 @@
 	return rc.loadOf(keyrange.All) / capacity
 }
 
-// leastLoaded returns the server whose load relative to capacity is the lowest after the extra load is added to it.
-func leastLoaded(candidates []Candidate, loads map[string]float64, extra float64) Candidate {
+// leastLoaded returns the server whose load relative to capacity is the lowest after the extra load is added to it, and
+// false if there are no candidates, as while all servers drain.
+func leastLoaded(candidates []Candidate, loads map[string]float64, extra float64) (Candidate, bool) {
+	if len(candidates) == 0 {
+		return Candidate{}, false
+	}
 	return slices.MinFunc(candidates, func(a, b Candidate) int {
 		return cmp.Or(
 			cmp.Compare(loads[a.ID]+extra/a.Capacity, loads[b.ID]+extra/b.Capacity),
 			cmp.Compare(a.ID, b.ID))
-	})
+	}), true
 }
 
 // byLoad returns the candidates, the most loaded first.
