front: silence of a server ends no idempotent request whose forwarder leaves, and none twice

Cause: the host that a request is forwarded to gives it up after 1.5 s or more without a byte while other connections of the server deliver, unless its forwarder shuts down. Only requests that are not idempotent named their forwarder. Each repeat was judged in the same way, at the same server, which is no less silent the second time.

Change: every forwarded request that may last longer than the shortest silence names its forwarder. The limit keeps the header off short requests, whose silence is never judged (bytes between zones). A request that does not name its forwarder comes from a build that does not tell it, and is not given up. At most one attempt of a request is ended for silence: a second silent connection shows long work, not two dead connections.

--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -21,8 +21,8 @@
 	// HeaderForward marks a request that one host forwards to another, and carries what the first
 	// host knows about it; see encodeForward.
 	HeaderForward = "Poplarcroft-Hop"
-	// headerForwarder names the host that forwards a request which is not idempotent. Builds up to e2d5c51 do not send it, and
-	// pass it on to the server.
+	// headerForwarder names the host that forwards a request, if the request may last so long that the silence of its server
+	// is judged. Builds up to 85684b2 send it only with requests that are not idempotent, and builds up to e2d5c51 never.
 	headerForwarder = "Poplarcroft-Forwarder"
 	// headerResult marks a reply to a forwarded request that is not a server's answer, and
 	// carries the kind of the result, its reason and when to retry.
@@ -50,7 +50,7 @@
 	header := r.Header.Clone()
 	header.Set(in.headers.DeadlineMS, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
 	header.Set(HeaderForward, encodeForward(r, in.clock()))
-	if !r.Route.Idempotent {
+	if left > minSilence {
 		header.Set(headerForwarder, in.config.Self)
 	}
 	sent := in.config.Hosts.Target(to.Addr).Send(ctx, transport.Request{
--- a/internal/front/ingress.go
+++ b/internal/front/ingress.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -110,11 +109,12 @@
 	ending      context.Context
 	endRequests context.CancelFunc
 
+	// forwarders knows which other hosts are shutting down.
+	forwarders leavingHosts
+
 	mu sync.Mutex
 	// leaving says that the host is shutting down.
 	leaving bool
-	// leavingHosts holds when each other host that is shutting down has told so, by name.
-	leavingHosts map[string]time.Duration
 }
 
 // New returns an Ingress that is ready to serve requests.
@@ -126,19 +126,19 @@
 		config.KnownTable = config.Table
 	}
 	in := &Ingress{
-		config:    config,
-		headers:   config.Headers,
-		fleet:     config.Fleet,
-		clock:     config.Clock,
-		log:       config.Log,
-		budgets:   budgets{config: config.Budget},
-		primaries: newPrimaries(config.Self, config.Reach, config.Clock),
-		gates:     admissionGates{clock: config.Clock},
-		probes:    newProbes(config),
-		memory:    bodyMemory{bound: config.BodyMemory},
-		link:      linkMeter{rate: config.LinkBytesPerS, clock: config.Clock},
+		config:     config,
+		headers:    config.Headers,
+		fleet:      config.Fleet,
+		clock:      config.Clock,
+		log:        config.Log,
+		budgets:    budgets{config: config.Budget},
+		primaries:  newPrimaries(config.Self, config.Reach, config.Clock),
+		gates:      admissionGates{clock: config.Clock},
+		probes:     newProbes(config),
+		memory:     bodyMemory{bound: config.BodyMemory},
+		link:       linkMeter{rate: config.LinkBytesPerS, clock: config.Clock},
+		forwarders: leavingHosts{clock: config.Clock, until: make(map[string]time.Duration)},
 	}
-	in.leavingHosts = make(map[string]time.Duration)
 	in.ending, in.endRequests = context.WithCancel(context.Background())
 	in.Learner.OnChange = in.logWidth
 	return in
@@ -178,29 +178,6 @@
 	return in.leaving
 }
 
-// hostLeavingFor is how long a host counts as shutting down, longer than any grace time.
-const hostLeavingFor = time.Minute
-
-// HostLeaves records that another host is shutting down.
-func (in *Ingress) HostLeaves(name string) {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	now := in.clock()
-	maps.DeleteFunc(in.leavingHosts, func(_ string, at time.Duration) bool { return now-at > hostLeavingFor })
-	in.leavingHosts[name] = now
-}
-
-// forwarderLeaves reports whether the host that has forwarded the request is shutting down.
-func (in *Ingress) forwarderLeaves(r *Request) bool {
-	if r.Forwarder == "" {
-		return false
-	}
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	at, ok := in.leavingHosts[r.Forwarder]
-	return ok && in.clock()-at <= hostLeavingFor
-}
-
 // BodyMemory returns the bound of the memory for bodies in bytes (0 for none), the bytes that are held and the most that
 // were held, for the metrics endpoint.
 func (in *Ingress) BodyMemory() map[string]int64 {
--- a/internal/front/leaving_hosts_test.go
+++ b/internal/front/leaving_hosts_test.go
@@ -27,61 +27,104 @@
 	})
 }
 
-// TestShutdownOfTheForwarderEndsNoRequestAtWork guards against a sign-off that a host had forwarded before it was stopped, and that
+// forwardedRun is a request that one host forwards to another and at which the server works longer than a connection may be silent,
+// while it delivers on others.
+type forwardedRun struct {
+	receiver, primary *system
+	mu                sync.Mutex
+	// runs counts the requests that the server got, and leaked holds the headers between hosts among theirs.
+	runs   int
+	leaked []string
+}
+
+func newForwardedRun(t *testing.T) *forwardedRun {
+	f := &forwardedRun{}
+	addr := startSlowServer(t, func(header http.Header) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.runs++
+		for name := range header {
+			if strings.HasPrefix(name, "Poplarcroft") {
+				f.leaked = append(f.leaked, name)
+			}
+		}
+	})
+	f.receiver, f.primary = throughHop(t, addr)
+	for _, route := range []string{"unsafe", "keyed"} {
+		for range 20 {
+			f.primary.ingress.baseline.relative(route, attempt{outcome: attemptAnswered}, 40*time.Millisecond)
+		}
+	}
+	return f
+}
+
+// call sends the slow request while the server delivers on other connections, and returns the status and how often it ran.
+func (f *forwardedRun) call(t *testing.T, path string) (status, runs int) {
+	done := make(chan struct{})
+	var busy sync.WaitGroup
+	busy.Go(func() {
+		for {
+			select {
+			case <-done:
+				return
+			case <-time.After(60 * time.Millisecond):
+				f.primary.callAs(t, "g", http.MethodGet, "/keyed/x")
+			}
+		}
+	})
+	status, _ = f.receiver.callAs(t, "a", http.MethodPost, path)
+	close(done)
+	busy.Wait()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	assert.Equal(t, len(f.leaked), 0, "the server gets %v", f.leaked)
+	return status, f.runs
+}
+
+// TestShutdownOfTheForwarderEndsNoRequestAtWork guards against a request that a host had forwarded before it was stopped, and that
 // the host which it was forwarded to gave up since the connection to the server was silent while others delivered: the server
-// was at work, and its answer was lost (LOST after SIGTERM).
+// was at work, and its answer was lost (LOST after SIGTERM). It holds for idempotent requests too.
 func TestShutdownOfTheForwarderEndsNoRequestAtWork(t *testing.T) {
 	for name, test := range map[string]struct {
+		path string
 		told bool
 		want int
 	}{
-		"told":     {true, http.StatusOK},
-		"not told": {false, http.StatusBadGateway},
+		"told":             {"/unsafe/x", true, http.StatusOK},
+		"not told":         {"/unsafe/x", false, http.StatusBadGateway},
+		"told, idempotent": {"/keyed/x", true, http.StatusOK},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			var mu sync.Mutex
-			var forwarded []string
-			addr := startSlowServer(t, func(header http.Header) {
-				mu.Lock()
-				defer mu.Unlock()
-				for name := range header {
-					if strings.HasPrefix(name, "Poplarcroft") {
-						forwarded = append(forwarded, name)
-					}
-				}
-			})
-			receiver, primary := throughHop(t, addr)
-			for _, route := range []string{"unsafe", "keyed"} {
-				for range 20 {
-					primary.ingress.baseline.relative(route, attempt{outcome: attemptAnswered}, 40*time.Millisecond)
-				}
-			}
+			f := newForwardedRun(t)
 			time.AfterFunc(300*time.Millisecond, func() {
-				receiver.ingress.Leave()
+				f.receiver.ingress.Leave()
 				if test.told {
-					primary.ingress.HostLeaves("h1")
-				}
-			})
-			done := make(chan struct{})
-			var busy sync.WaitGroup
-			busy.Go(func() {
-				for {
-					select {
-					case <-done:
-						return
-					case <-time.After(60 * time.Millisecond):
-						primary.callAs(t, "g", http.MethodGet, "/keyed/x")
-					}
+					f.primary.ingress.HostLeaves("h1")
 				}
 			})
-			status, _ := receiver.callAs(t, "a", http.MethodPost, "/unsafe/x")
-			close(done)
-			busy.Wait()
+			status, runs := f.call(t, test.path)
 			assert.Equal(t, status, test.want)
-			mu.Lock()
-			defer mu.Unlock()
-			assert.Equal(t, len(forwarded), 0, "the server gets %v", forwarded)
+			assert.Equal(t, runs, 1)
 		})
 	}
 }
+
+// TestForwarderOfAnOlderBuildMayLeave checks that a request whose forwarder has not told its name is not given up, since that host
+// may be shutting down.
+func TestForwarderOfAnOlderBuildMayLeave(t *testing.T) {
+	s := newSystem(t, startServer(t, answerOK))
+	assert.Assert(t, s.ingress.mustOutwaitSilence(&Request{Forwarded: true}))
+	assert.Assert(t, !s.ingress.mustOutwaitSilence(&Request{Forwarded: true, Forwarder: "h2"}))
+	assert.Assert(t, !s.ingress.mustOutwaitSilence(&Request{}))
+}
+
+// TestSlowWorkIsNotTakenForADeadConnectionTwice guards against a request at a healthy server that works long on it, which was
+// given up for the silence of each connection in turn and ended without an answer.
+func TestSlowWorkIsNotTakenForADeadConnectionTwice(t *testing.T) {
+	t.Parallel()
+	f := newForwardedRun(t)
+	status, runs := f.call(t, "/keyed/x")
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, runs, 2)
+}
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -68,7 +68,7 @@
 	Caller string
 	// Forwarded says that another host forwards the request.
 	Forwarded bool
-	// Forwarder is the name of that host if the request is not idempotent and the host's build tells it.
+	// Forwarder is the name of that host, or empty if it has not told it; see headerForwarder.
 	Forwarder string
 	// Fingerprint is the same whenever the caller repeats the request, from any address; the ID is not.
 	Fingerprint poison.Fingerprint
@@ -79,6 +79,8 @@
 	watch *callerWatch
 	// runs is the number of attempts in which a server may have executed the request.
 	runs int
+	// wasSilent says that an attempt was given up because its connection was silent.
+	wasSilent bool
 	// delivery writes the answer to the caller, and holds counts the memory of the request and its answer. Both are nil
 	// in tests that need neither.
 	delivery *delivery
--- a/internal/front/silence.go
+++ b/internal/front/silence.go
@@ -19,18 +19,27 @@
 )
 
 // silenceOf returns how the silence of a server is judged that is sent the request. Without a usual time of the route it is
-// not judged. A request at a host that shuts down is not given up for it, nor one that is not idempotent and that such a host has
-// forwarded: the server may be at work on the request, and after a shutdown the caller gets whatever answer the server makes.
+// not judged.
 func (in *Ingress) silenceOf(r *Request, server *fleet.Server) transport.Silence {
 	usual := in.baseline.get(r.Route.Name)
 	if usual <= 0 {
 		return transport.Silence{}
 	}
 	after := max(silenceFactor*usual, minSilence)
-	suspended := func() bool { return in.isLeaving() || in.forwarderLeaves(r) }
+	// A second connection that is silent shows that the work takes long rather than that both connections are dead. The rule runs
+	// in a goroutine of its own, so it does not read the field.
+	wasSilent := r.wasSilent
+	suspended := func() bool { return wasSilent || in.mustOutwaitSilence(r) }
 	return transport.Silence{After: after, Suspended: suspended, OnMute: func() {
 		server.Avoid(in.clock() + muteAvoidFor)
 		in.log.Event("silence", "id", r.ID, "route", r.Route.Name, "server", server.Entry().ID, "after_ms", after.Milliseconds(),
 			"outcome", "no connection delivers: slow, dead or mute, avoided")
 	}}
 }
+
+// mustOutwaitSilence reports whether the request may not be given up because its server is silent: the host that has taken it
+// from its caller is or may be shutting down, and the server may be at work on it. After a shutdown the caller gets whatever answer
+// the server makes.
+func (in *Ingress) mustOutwaitSilence(r *Request) bool {
+	return in.isLeaving() || in.forwarderMayLeave(r)
+}
