front, edge: a host asks the forwarder whether it leaves before it gives up its request

Cause: a host tells its shutdown once, to the hosts that the plan lists at that moment. One that starts later, or loses the message, never learns it, and gives up the requests of the leaving host after 1.5 s of silence.

Weighed: the request's own word comes too early if it was forwarded before the SIGTERM; a message that is repeated can still come too late; silence that ends no forwarded request at all would leave connections that are dead to the deadline. A question at the moment of the decision is none of that. - A host that starts or restarts needs no former message. - One that is cut off from the forwarder gets no answer within 300 ms, takes that for a yes, and asks again 0.5 s later. - A forwarder of the build before lacks the method, which counts as a yes; its own message still counts, and it still gets ours. - A forwarder that the plan does not list cannot be asked, which counts as a yes. Left: a SIGTERM between the answer and the end of the attempt, some ms.

The rule of silence may block now, so an answer that begins meanwhile is read on (it was cut off).

--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -196,7 +196,8 @@
 			Dial: config.DialHost, Connections: peerConnections, IdleTimeout: idleTimeout, RequestIDHeader: config.Headers.RequestID,
 			RequireID: true,
 		}),
-		Headers: config.Headers, Fleet: h.fleet, Guard: h.guard, Dial: config.DialServer, Reach: h.reach, Current: h.current, Table: h.tableForCallers, KnownTable: h.operatorRecords.Table,
+		AskLeaving: h.peers.askLeaving,
+		Headers:    config.Headers, Fleet: h.fleet, Guard: h.guard, Dial: config.DialServer, Reach: h.reach, Current: h.current, Table: h.tableForCallers, KnownTable: h.operatorRecords.Table,
 		Behind:        h.operatorRecords.progress.isBehind,
 		ColdRateLimit: h.coldRateLimit, OnFact: h.broadcastFact,
 		Budget: front.BudgetConfig{
--- a/internal/edge/listen.go
+++ b/internal/edge/listen.go
@@ -59,7 +59,8 @@
 	err := rpcServer.RegisterName(rpcName, &rpcService{
 		self: h.self, current: h.current, renewer: h.renewer, leader: h.leader, guard: h.guard, fleet: h.fleet, relay: h.relay,
 		contents: h.contents,
-		records:  h.operatorRecords, reach: h.reach, shares: h.shares, pools: h.pools, hostLeaves: h.ingress.HostLeaves, log: h.log,
+		records:  h.operatorRecords, reach: h.reach, shares: h.shares, pools: h.pools, hostLeaves: h.ingress.HostLeaves,
+		isLeaving: h.leaving.Load, log: h.log,
 	})
 	if err != nil {
 		panic(errors.NewAssertionErrorWithWrappedErrf(err, "register RPC methods"))
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -121,7 +121,9 @@
 	shares   *shareLeasing
 	// hostLeaves is called with the name of a host that is shutting down.
 	hostLeaves func(name string)
-	log        *eventlog.Log
+	// isLeaving reports whether this host is shutting down.
+	isLeaving func() bool
+	log       *eventlog.Log
 }
 
 // Read serves what this host, as a relay, has read of a topic.
--- a/internal/edge/shutdown_test.go
+++ b/internal/edge/shutdown_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"net/rpc"
 	"sync"
 	"testing"
 	"time"
@@ -170,3 +172,28 @@
 	}
 	assert.Equal(t, len(told), 0)
 }
+
+// TestHostSaysWhetherItIsShuttingDown checks the answer to another host's question, which that host asks before it gives up a
+// request that this one has forwarded to it. A build without the method gives no answer.
+func TestHostSaysWhetherItIsShuttingDown(t *testing.T) {
+	receiver, addr := startReceiver(t)
+	asking := &peers{pool: peer.NewPool((&net.Dialer{}).DialContext)}
+	for _, leaving := range []bool{false, true} {
+		receiver.isLeaving = func() bool { return leaving }
+		got, err := asking.askLeaving(t.Context(), assign.Host{Addr: addr})
+		assert.NilError(t, err)
+		assert.Equal(t, got, leaving)
+	}
+	older := rpc.NewServer()
+	assert.NilError(t, older.RegisterName(rpcName, &buildBeforeQuestions{}))
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { peer.ServeRPC(t.Context(), older, w) }))
+	t.Cleanup(server.Close)
+	_, err := asking.askLeaving(t.Context(), assign.Host{Addr: server.Listener.Addr().String()})
+	assert.ErrorContains(t, err, "can't find method")
+}
+
+// buildBeforeQuestions is that of a build which is not asked whether it is shutting down.
+type buildBeforeQuestions struct{}
+
+// Leaves does nothing.
+func (buildBeforeQuestions) Leaves(LeavesArgs, *Empty) error { return nil }
--- a/internal/front/fixture_test.go
+++ b/internal/front/fixture_test.go
@@ -179,6 +179,8 @@
 type system struct {
 	ingress *Ingress
 	reach   *fakeReach
+	// askLeaving answers the questions whether another host is shutting down. Nil stands for no.
+	askLeaving atomic.Pointer[func() (bool, error)]
 	// read is the number of bytes that the Ingress has read from servers and hosts.
 	read    atomic.Int64
 	fleet   *fleet.Fleet
@@ -250,6 +252,12 @@
 		Guard: poison.NewGuard(poison.Bounds{CrashLimit: 3, SharedCrashLimit: 3, Retention: time.Minute}), Dial: dial,
 		Table: s.table.Load, ColdRateLimit: func(routetable.Service) float64 { return 10 },
 		OnFact: func(fleet.Entry, Fact) {}, Reach: s.reach,
+		AskLeaving: func(context.Context, assign.Host) (bool, error) {
+			if ask := s.askLeaving.Load(); ask != nil {
+				return (*ask)()
+			}
+			return false, nil
+		},
 		Budget: BudgetConfig{Ratio: 0.2, Extra: 60, Window: 10 * time.Second, Hosts: func() int { return 1 }},
 		Clock:  clock.Monotonic, Log: eventlog.Discard(),
 	})
--- a/internal/front/ingress.go
+++ b/internal/front/ingress.go
@@ -39,6 +39,8 @@
 	// Self is the name of this host. Hosts holds the connections to the other hosts.
 	Self  string
 	Hosts *transport.Pool
+	// AskLeaving asks another host whether it is shutting down.
+	AskLeaving func(ctx context.Context, host assign.Host) (bool, error)
 	// Guard detects requests that crash servers. Dial opens the connections that show whether a
 	// server has crashed.
 	Guard *poison.Guard
--- a/internal/transport/mute_test.go
+++ b/internal/transport/mute_test.go
@@ -142,6 +142,44 @@
 	})
 }
 
+// TestAnswerDuringTheQuestionIsRead guards against an answer that is cut off because it begins while the rule is asked whether it is
+// suspended, which takes a while if another host has to be asked.
+func TestAnswerDuringTheQuestionIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		requests := atomic.Int64{}
+		head, body := completeAnswer[:len(completeAnswer)-len("done")], "done"
+		target := newFakeServer(func(conn net.Conn, request *http.Request) bool {
+			if requests.Add(1) > 1 {
+				return delayed(100*time.Millisecond, answerWith(completeAnswer))(conn, request)
+			}
+			time.Sleep(1400 * time.Millisecond)
+			io.WriteString(conn, head)
+			time.Sleep(200 * time.Millisecond)
+			io.WriteString(conn, body)
+			return true
+		}).target(t, Options{Connections: 4})
+		slow := get
+		slow.Silence = Silence{After: 500 * time.Millisecond, Suspended: func() bool {
+			time.Sleep(time.Second)
+			return false
+		}}
+		var group sync.WaitGroup
+		group.Go(func() {
+			sent, got, err := send(t, target, slow)
+			assert.Check(t, err)
+			assert.Check(t, sent == Answered)
+			assert.Check(t, got == body)
+		})
+		for range 3 {
+			time.Sleep(150 * time.Millisecond)
+			sent, _, err := send(t, target, get)
+			assert.Check(t, sent == Answered, "%v", err)
+		}
+		group.Wait()
+		target.Close()
+	})
+}
+
 // TestSilenceIsNotJudgedWithoutARule guards against a change for requests that set no rule.
 func TestSilenceIsNotJudgedWithoutARule(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/transport/silence.go
+++ b/internal/transport/silence.go
@@ -25,7 +25,8 @@
 	// OnMute is called once if no connection of the server has delivered anything either, so that the server is slow, dead
 	// or mute. The request waits on. It must not block, and may be nil.
 	OnMute func()
-	// Suspended reports whether silence ends no request at present. Nil stands for never.
+	// Suspended reports whether silence ends no request at present. It may block, as for a question to another host. Nil
+	// stands for never.
 	Suspended func() bool
 }
 
@@ -52,19 +53,28 @@
 		if timer == nil {
 			timer = <-stored
 		}
-		switch {
-		case a.ended.Load() || conn.deliveredSince(since):
-		case a.target.deliveredSince(since, conn) && a.rule.ends():
-			a.cancel(ErrSilent)
-		case a.target.deliveredSince(since, conn):
-			timer.Reset(judgeInterval)
-		default:
+		answered := func() bool { return a.ended.Load() || conn.deliveredSince(since) }
+		if answered() {
+			return
+		}
+		if !a.target.deliveredSince(since, conn) {
 			if !told && a.rule.OnMute != nil {
 				a.rule.OnMute()
 			}
 			told = true
 			timer.Reset(judgeInterval)
+			return
+		}
+		ends := a.rule.ends()
+		// The answer may have come while the rule was asked.
+		if answered() {
+			return
+		}
+		if !ends {
+			timer.Reset(judgeInterval)
+			return
 		}
+		a.cancel(ErrSilent)
 	})
 	stored <- a.judgement
 }
