front: the silence that ends an attempt doubles with each, instead of ending only one

At a keyed server that never answers while it is full, the second attempt may meet that too, and then held its caller to the deadline: TestUnansweredRequestIsTriedElsewhereOrEndsAsUnknown/ keyed,_not_idempotent failed (its busy caller hung for 20 s; "no request has met a full server").

Change: each silent attempt doubles the time for the next one, as retries with a backoff do. Work of 2.2 s still ends well at the second attempt (TestSlowWorkIsNotTakenForADeadConnectionTwice).

Measured: go test ./internal/front passes.

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -156,7 +156,9 @@
 	}
 	a := in.interpret(ctx, r, result)
 	a.silent = errors.Is(result.Err, transport.ErrSilent)
-	r.wasSilent = r.wasSilent || a.silent
+	if a.silent {
+		r.silentAttempts++
+	}
 	a.suspect = guarded.Crashes > 0
 	ending := a.guardEnding(ctx)
 	guarded.End(ending)
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -79,8 +79,8 @@
 	watch *callerWatch
 	// runs is the number of attempts in which a server may have executed the request.
 	runs int
-	// wasSilent says that an attempt was given up because its connection was silent.
-	wasSilent bool
+	// silentAttempts counts the attempts that were given up because their connections were silent.
+	silentAttempts int
 	// delivery writes the answer to the caller, and holds counts the memory of the request and its answer. Both are nil
 	// in tests that need neither.
 	delivery *delivery
--- a/internal/front/silence.go
+++ b/internal/front/silence.go
@@ -25,11 +25,9 @@
 	if usual <= 0 {
 		return transport.Silence{}
 	}
-	after := max(silenceFactor*usual, minSilence)
-	// A second connection that is silent shows that the work takes long rather than that both connections are dead. The rule runs
-	// in a goroutine of its own, so it does not read the field.
-	wasSilent := r.wasSilent
-	suspended := func() bool { return wasSilent || in.mustOutwaitSilence(r) }
+	// Each further connection that is silent makes it likelier that the work takes long.
+	after := max(silenceFactor*usual, minSilence) << r.silentAttempts
+	suspended := func() bool { return in.mustOutwaitSilence(r) }
 	return transport.Silence{After: after, Suspended: suspended, OnMute: func() {
 		server.Avoid(in.clock() + muteAvoidFor)
 		in.log.Event("silence", "id", r.ID, "route", r.Route.Name, "server", server.Entry().ID, "after_ms", after.Milliseconds(),
