front, edge: a stopping host refuses at once what it might have to break off at the end of the grace time

Cause: the listener closes after the lame-duck period, but a connection that was accepted late keeps a second for its first request, and a request counts as soon as it is complete. Nothing asked whether it could end before all requests get their final answer.

Change: once the lame-duck period is over, a request that has not been sent to a server or another host, and whose deadline lies behind the end, is refused as not run, to come back at once (10 ms: another host takes it). That holds as well for requests that wait for a slot, an owner or a quota, for bodies that arrive late, and for requests of other hosts, whose forwarder then tries elsewhere. The deadline decides, not the usual time of the route: only it is certain. What must end in time by it is served. Few requests are concerned, since kept connections are closed at that moment. Left: a request that was forwarded before and waits at the other host ends as unknown, without having run.

--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -291,7 +291,8 @@
 
 // leave ends the service for callers. The host reports not ready at once, accepts connections for the
 // lame-duck period, and then waits for the remaining requests, also those that other hosts have forwarded, until the
-// grace time is nearly over. Requests that have not ended by then get their final answer.
+// grace time is nearly over. Requests that have not ended by then get their final answer. After the lame-duck period, requests that
+// might get no other are refused before they are sent.
 func (h *Host) leave(listener *callerListener, callers *http.Server) {
 	h.log.Event("leave", "host", h.self.Name)
 	h.leaving.Store(true)
@@ -301,9 +302,12 @@
 	started := time.Now()
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(h.config.Grace-exitReserve))
 	defer cancel()
-	lastAnswers := time.AfterFunc(h.config.Grace-exitReserve-answerReserve, h.ingress.EndRequests)
+	untilLastAnswers := h.config.Grace - exitReserve - answerReserve
+	end := clock.Monotonic() + untilLastAnswers
+	lastAnswers := time.AfterFunc(untilLastAnswers, h.ingress.EndRequests)
 	defer lastAnswers.Stop()
 	time.Sleep(min(lameDuckPeriod, h.config.Grace/2))
+	h.ingress.RefuseUnsent(end)
 	listener.stop(ctx)
 	listener.drain(ctx)
 	h.ingress.AwaitForwarded(ctx)
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -78,6 +78,11 @@
 // retry budget allows it. Otherwise it returns false and the result of the request. A retry that no
 // server gets costs nothing of the budget.
 func (in *Ingress) sendIfAllowed(ctx context.Context, r *Request, server *fleet.Server, retry bool) (attempt, Result, bool) {
+	if !r.unsent.begin() {
+		return attempt{}, notRun(reasonLeaving, leavingRetryAfter), false
+	}
+	mayHaveRun := false
+	defer func() { r.unsent.end(mayHaveRun) }()
 	now := in.clock()
 	if retry && !in.budgets.take(r.Service.Name, now) {
 		return attempt{}, notRun(reasonBudget, defaultRetryAfter), false
@@ -93,7 +98,8 @@
 	if a.outcome == attemptBlocked {
 		in.giveBack(r, retry)
 	}
-	if a.mayHaveRun() {
+	mayHaveRun = a.mayHaveRun()
+	if mayHaveRun {
 		r.runs++
 	}
 	return a, Result{}, true
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -46,6 +46,16 @@
 // result is not final, so that this host may send the request again: the other host did not execute the
 // request, or its answer was lost and the request is idempotent. The kind is Unknown in the latter case.
 func (in *Ingress) forward(ctx context.Context, r *Request, to assign.Host) (Result, bool) {
+	if !r.unsent.begin() {
+		return notRun(reasonLeaving, leavingRetryAfter), true
+	}
+	result, final := in.forwardOnce(ctx, r, to)
+	r.unsent.end(result.Kind == Done || result.Kind == Unknown)
+	return result, final
+}
+
+// forwardOnce is forward for a request that may be sent.
+func (in *Ingress) forwardOnce(ctx context.Context, r *Request, to assign.Host) (Result, bool) {
 	left := r.Deadline - in.clock()
 	header := r.Header.Clone()
 	header.Set(in.headers.DeadlineMS, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
@@ -304,6 +314,7 @@
 	if ok {
 		result = in.sendForwarded(ctx, r)
 	}
+	result = r.refusedUnsent(result)
 	r.tellRuns(r.runs)
 	in.finish(r, result, func() int {
 		writeForwardResult(w, result)
--- a/internal/front/ingress.go
+++ b/internal/front/ingress.go
@@ -105,6 +105,8 @@
 	// Learner learns how fast servers are and how many requests they take well.
 	Learner concurrency.Learner
 
+	// lastPhase is that of the shutdown.
+	lastPhase *lastPhase
 	// forwarded is the number of requests of other hosts in progress.
 	forwarded atomic.Int64
 	// ending ends when requests have to end at once because the host is about to stop.
@@ -139,6 +141,7 @@
 		probes:     newProbes(config),
 		memory:     bodyMemory{bound: config.BodyMemory},
 		link:       linkMeter{rate: config.LinkBytesPerS, clock: config.Clock},
+		lastPhase:  newLastPhase(),
 		forwarders: leavingHosts{clock: config.Clock, until: make(map[string]time.Duration)},
 	}
 	in.ending, in.endRequests = context.WithCancel(context.Background())
@@ -156,6 +159,7 @@
 
 // EndRequests gives all requests in progress their final answer, as if their deadline had passed.
 func (in *Ingress) EndRequests() {
+	in.lastPhase.begin()
 	in.endRequests()
 }
 
@@ -237,7 +241,7 @@
 	r.delivery.stall = in.stallOf(r, callerStall)
 	ctx, cancel := in.contextOf(hr, r)
 	defer cancel()
-	result := in.handleWithinQuota(ctx, table, r)
+	result := r.refusedUnsent(in.handleWithinQuota(ctx, table, r))
 	if hr.Context().Err() != nil && result.Kind != Done {
 		result.Reason = reasonCallerGone
 	}
@@ -361,7 +365,7 @@
 		parent = context.WithoutCancel(parent)
 	}
 	ctx, cancel := context.WithTimeout(parent, r.Deadline-in.clock())
-	stop := context.AfterFunc(in.ending, cancel)
+	stop := in.watchUnsent(r, cancel)
 	stopWatch := func() bool { return true }
 	if !r.Route.Idempotent {
 		r.watch = &callerWatch{cancel: cancel}
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -77,6 +77,8 @@
 	Arrived, Deadline time.Duration
 	// watch ends a request that is not idempotent when its caller disconnects; nil for others.
 	watch *callerWatch
+	// unsent ends the request if it may not be sent any more because the host is shutting down.
+	unsent *unsentWatch
 	// runs is the number of attempts in which a server may have executed the request.
 	runs int
 	// silentAttempts counts the attempts that were given up because their connections were silent.
