platform, edge, peer: headers of all that others send are bounded

Cause: answers to requests were bounded (64 KiB of header, bodies by their memory), but answers to grants and releases, of the store and to the handshake with a peer were read with the limits of the HTTP library, 10 MB or none, and callers' headers with 1 MB. A header of short lines takes many times its size once it is parsed.

--- a/internal/bounded/bounded.go
+++ b/internal/bounded/bounded.go
@@ -8,6 +8,10 @@
 	"github.com/cockroachdb/errors"
 )
 
+// MaxHeaderBytes is the maximum size of the header of a request or an answer. The HTTP library holds a parsed header in several
+// times its size, and its own limits are 1 MB for requests and 10 MB for answers.
+const MaxHeaderBytes = 64 << 10
+
 // ErrTooLarge reports a body that is longer than its limit, or never ends.
 var ErrTooLarge = errors.New("bounded: body is too large")
 
--- a/internal/edge/listen.go
+++ b/internal/edge/listen.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/poplarcroft/poplarcroft/internal/bounded"
 	"github.com/poplarcroft/poplarcroft/internal/front"
 	"github.com/poplarcroft/poplarcroft/internal/peer"
 )
@@ -50,11 +51,14 @@
 // serve starts the HTTP servers on the listeners and returns the one for callers. The one for
 // other hosts serves both RPC and forwarded requests.
 func (h *Host) serve(ctx context.Context, l listeners) *http.Server {
-	callers := &http.Server{Handler: h.ingress, ReadHeaderTimeout: headerTimeout, ConnContext: front.ConnContext, ConnState: l.callers.track}
+	callers := newServer(h.ingress)
+	callers.ReadHeaderTimeout = headerTimeout
+	callers.ConnContext = front.ConnContext
+	callers.ConnState = l.callers.track
 	go h.serveOn("callers", callers, l.callers)
 	ready := http.NewServeMux()
 	ready.HandleFunc(h.config.ReadyPath, h.answerReady)
-	go h.serveOn("readiness", &http.Server{Handler: ready}, l.ready)
+	go h.serveOn("readiness", newServer(ready), l.ready)
 	rpcServer := rpc.NewServer()
 	err := rpcServer.RegisterName(rpcName, &rpcService{
 		self: h.self, current: h.current, renewer: h.renewer, leader: h.leader, guard: h.guard, fleet: h.fleet, relay: h.relay,
@@ -72,15 +76,24 @@
 		}
 		peer.ServeRPC(ctx, rpcServer, w)
 	})
-	go h.serveOn("hosts", &http.Server{Handler: peers, ConnContext: front.ConnContext}, l.peers)
+	hosts := newServer(peers)
+	hosts.ConnContext = front.ConnContext
+	// A forwarded request has the caller's header and those between hosts.
+	hosts.MaxHeaderBytes = 2 * bounded.MaxHeaderBytes
+	go h.serveOn("hosts", hosts, l.peers)
 	if l.metrics != nil {
 		metrics := http.NewServeMux()
 		metrics.HandleFunc(h.config.MetricsPath, h.answerMetrics)
-		go h.serveOn("metrics", &http.Server{Handler: metrics}, l.metrics)
+		go h.serveOn("metrics", newServer(metrics), l.metrics)
 	}
 	return callers
 }
 
+// newServer returns an HTTP server that bounds the headers which it reads.
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, MaxHeaderBytes: bounded.MaxHeaderBytes}
+}
+
 // serveOn serves until the server is shut down, and logs any other end.
 func (h *Host) serveOn(name string, server *http.Server, listener net.Listener) {
 	if err := server.Serve(listener); !errors.IsAny(err, http.ErrServerClosed, errAcceptEnded) {
--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/poplarcroft/poplarcroft/internal/bounded"
 	"github.com/poplarcroft/poplarcroft/internal/peer"
 )
 
@@ -26,7 +27,7 @@
 
 // start serves a listener in the background.
 func start(listener net.Listener, handler http.Handler) *http.Server {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: bounded.MaxHeaderBytes}
 	go server.Serve(listener)
 	return server
 }
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/poplarcroft/poplarcroft/internal/bounded"
 )
 
 // DialFunc opens a connection.
@@ -145,12 +147,13 @@
 	return rpc.NewClient(raw), nil
 }
 
-// handshake sends the CONNECT request that ServeRPC expects and checks its answer.
+// handshake sends the CONNECT request that ServeRPC expects and checks its answer. Another process may have the address by then.
 func handshake(raw net.Conn) error {
 	if _, err := io.WriteString(raw, "CONNECT "+PathRPC+" HTTP/1.0\n\n"); err != nil {
 		return errors.Wrap(err, "peer: handshake")
 	}
-	resp, err := http.ReadResponse(bufio.NewReader(raw), &http.Request{Method: http.MethodConnect})
+	reader := bufio.NewReader(io.LimitReader(raw, bounded.MaxHeaderBytes))
+	resp, err := http.ReadResponse(reader, &http.Request{Method: http.MethodConnect})
 	if err != nil {
 		return errors.Wrap(err, "peer: handshake")
 	}
--- a/internal/transport/target.go
+++ b/internal/transport/target.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/poplarcroft/poplarcroft/internal/backend"
+	"github.com/poplarcroft/poplarcroft/internal/bounded"
 	"github.com/poplarcroft/poplarcroft/internal/clock"
 )
 
@@ -28,8 +29,6 @@
 )
 
 const (
-	// maxHeaderBytes bounds the header of an answer.
-	maxHeaderBytes = 64 << 10
 	// bufferBytes is the size of each connection's read buffer and of its write buffer.
 	bufferBytes = 8 << 10
 )
@@ -146,7 +145,7 @@
 		DisableCompression:     true,
 		IdleConnTimeout:        options.IdleTimeout,
 		MaxIdleConnsPerHost:    max(options.Connections, 1),
-		MaxResponseHeaderBytes: maxHeaderBytes,
+		MaxResponseHeaderBytes: bounded.MaxHeaderBytes,
 		ReadBufferSize:         bufferBytes,
 		WriteBufferSize:        bufferBytes,
 		Protocols:              new(http.Protocols),
