front, socket: a request whose caller closed before it was read is not sent

What callers saw: nothing; servers worked for callers that had left (GONE).

Cause: on a host that is short of processor time a request waits in the kernel until its caller gives up and closes. The HTTP library looks for a close only once the request is being handled, in a goroutine of its own, so the request is on its way to a server by then. One that is not idempotent is not broken off there either, since that would leave unknown whether it was executed.

Change: before a request is handled, here and at a host to which it was forwarded, the kernel is asked whether the other end has closed the connection. Such a request ends as not run, with a reason of its own in the log. The question that the shutdown asked (unread bytes) moves with it to package socket.

--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/poplarcroft/poplarcroft/internal/loop"
+	"github.com/poplarcroft/poplarcroft/internal/socket"
 )
 
 const (
@@ -135,5 +136,5 @@
 // quiet reports whether no request has begun to arrive. Bytes may have arrived that this process has not read yet,
 // because it waits for a processor.
 func (c *callerConn) quiet() bool {
-	return c.idle.Load() && !c.received.Load() && time.Since(c.accepted) >= firstRequestTime && !hasUnread(c.TCPConn)
+	return c.idle.Load() && !c.received.Load() && time.Since(c.accepted) >= firstRequestTime && !socket.HasUnread(c.TCPConn)
 }
--- a/internal/front/delivery.go
+++ b/internal/front/delivery.go
@@ -5,10 +5,12 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/poplarcroft/poplarcroft/internal/socket"
 	"github.com/poplarcroft/poplarcroft/internal/transport"
 )
 
@@ -71,6 +73,13 @@
 	}
 }
 
+// callerHasLeft reports whether the caller has closed its connection. The HTTP library notices that only once the request is being
+// handled: one that has waited in the kernel for a processor may be that of a caller that has left long ago.
+func (d *delivery) callerHasLeft() bool {
+	conn, ok := d.conn.(syscall.Conn)
+	return ok && socket.ClosedByPeer(conn)
+}
+
 // hasBegun reports whether a part of an answer may have been written. A nil delivery has not begun.
 func (d *delivery) hasBegun() bool {
 	return d != nil && d.begun
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -310,11 +310,10 @@
 	r.delivery.stall = in.stallOf(r, hostStall)
 	ctx, cancel := in.contextOf(hr, r)
 	defer cancel()
-	result, ok := in.admit(ctx, r)
-	if ok {
-		result = in.sendForwarded(ctx, r)
+	result := notRun(reasonCallerWasGone, 0)
+	if !d.callerHasLeft() {
+		result = r.refusedUnsent(in.handleForwarded(ctx, r))
 	}
-	result = r.refusedUnsent(result)
 	r.tellRuns(r.runs)
 	in.finish(r, result, func() int {
 		writeForwardResult(w, result)
@@ -322,6 +321,14 @@
 	})
 }
 
+// handleForwarded handles a forwarded request if this host has the memory and the link for its answer.
+func (in *Ingress) handleForwarded(ctx context.Context, r *Request) Result {
+	if refusal, ok := in.admit(ctx, r); !ok {
+		return refusal
+	}
+	return in.sendForwarded(ctx, r)
+}
+
 // endForwarded counts a request of another host as ended. While the host is leaving, the process may stop once none is
 // in progress, so the answer is written before.
 func (in *Ingress) endForwarded(w http.ResponseWriter) {
--- a/internal/front/ingress.go
+++ b/internal/front/ingress.go
@@ -241,9 +241,12 @@
 	r.delivery.stall = in.stallOf(r, callerStall)
 	ctx, cancel := in.contextOf(hr, r)
 	defer cancel()
-	result := r.refusedUnsent(in.handleWithinQuota(ctx, table, r))
-	if hr.Context().Err() != nil && result.Kind != Done {
-		result.Reason = reasonCallerGone
+	result := notRun(reasonCallerWasGone, 0)
+	if !d.callerHasLeft() {
+		result = r.refusedUnsent(in.handleWithinQuota(ctx, table, r))
+		if hr.Context().Err() != nil && result.Kind != Done {
+			result.Reason = reasonCallerGone
+		}
 	}
 	in.finish(r, result, func() int { return writeResult(w, result) })
 }
--- a/internal/front/result.go
+++ b/internal/front/result.go
@@ -71,6 +71,8 @@
 	// reasonTrialElsewhere: only another host may send the request now.
 	reasonTrialElsewhere = "servers crashed that ran this request, and another host tries it"
 	reasonCallerGone     = "the caller has gone"
+	// reasonCallerWasGone: the caller had closed its connection before its request was read.
+	reasonCallerWasGone = "the caller had gone before its request was read"
 	// reasonBrokeOff: the caller has a part of the answer.
 	reasonBrokeOff = "the answer broke off"
 	// reasonNotTaken: the caller has not read the answer for too long, or has closed the connection.
