--- a/internal/assign/reconcile.go
+++ b/internal/assign/reconcile.go
@@ -88,14 +88,21 @@
 // chooseCandidates keeps the candidates that get keys. One whose address has been taken over by another incarnation or
 // service would lose its keys in the next step.
 func (rc *reconciler) chooseCandidates() {
-	present := slices.DeleteFunc(slices.Clone(rc.snapshot.Candidates), func(c Candidate) bool {
+	warm := make([]Candidate, 0, len(rc.snapshot.Candidates))
+	var cold []Candidate
+	for _, c := range rc.snapshot.Candidates {
 		_, replaced := rc.newerIncarnation(c.Server)
-		return replaced || rc.addressReused(c.Server)
-	})
-	isCold := func(c Candidate) bool { return c.Cold }
-	rc.snapshot.Candidates = slices.DeleteFunc(slices.Clone(present), isCold)
-	if len(rc.snapshot.Candidates) == 0 {
-		rc.snapshot.Candidates = present
+		switch {
+		case replaced || rc.addressReused(c.Server):
+		case c.Cold:
+			cold = append(cold, c)
+		default:
+			warm = append(warm, c)
+		}
+	}
+	rc.snapshot.Candidates = warm
+	if len(warm) == 0 {
+		rc.snapshot.Candidates = cold
 	}
 }
 
@@ -228,6 +235,9 @@
 			free = append(free, i)
 		}
 	}
+	if len(free) == 0 {
+		return
+	}
 	loads := rc.relativeLoads()
 	slices.SortFunc(free, func(i, j int) int {
 		return cmp.Compare(rc.loadOf(rc.next[j].Range), rc.loadOf(rc.next[i].Range))
