--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -274,7 +274,7 @@
 	defer stop()
 	var loops sync.WaitGroup
 	for _, run := range []func(context.Context){
-		h.followOperatorRecords, h.followState, h.followServers, h.renewer.Run,
+		h.followOperatorRecords, h.followState, h.followServers, h.relay.Run, h.renewer.Run,
 		h.leader.RunElection, h.leader.Run, h.reportLoad, h.evidence.run, h.configSharing.run, h.catchUp.run,
 		h.reach.monitor.Run, h.reach.run, h.shares.run, h.shares.reportUsage, h.pools.Run,
 	} {
--- a/internal/edge/topics.go
+++ b/internal/edge/topics.go
@@ -23,6 +23,10 @@
 	// leaderServersInterval that on the leader.
 	serversInterval       = time.Second
 	leaderServersInterval = 400 * time.Millisecond
+	// stateMaxAge and serversMaxAge are the ages of the last confirmation from which on the shared state and the service
+	// discovery count as not confirmed.
+	stateMaxAge   = 4 * time.Second
+	serversMaxAge = 3 * time.Second
 	// unlistedStateInterval is the least time between two reads of the shared state by a host that the plan does not list yet.
 	// It has no relay, and while many hosts start each registration would end its read.
 	unlistedStateInterval = 200 * time.Millisecond
@@ -74,7 +78,7 @@
 // followState is the loop that follows the hosts' shared state. It registers this host there once it
 // knows the era of the log, and after each restore.
 func (h *Host) followState(ctx context.Context) {
-	follower := follow.New(h.relay.Source(topicState, h.platform.State(), relay.Options{MinInterval: h.currentStateInterval}))
+	follower := follow.New(h.relay.Source(topicState, h.platform.State(), relay.Options{MinInterval: h.currentStateInterval, MaxAge: stateMaxAge}))
 	h.readLoop(ctx, "state", func(ctx context.Context) error {
 		if err := h.state.read(ctx, follower, stateWait); err != nil {
 			return err
@@ -92,6 +96,7 @@
 	source := h.relay.Source(topicServers, h.platform.Servers(), relay.Options{
 		NewFilter:   func() relay.Filter { return newEntryFilter(h.platform).keep },
 		MinInterval: h.currentServersInterval,
+		MaxAge:      serversMaxAge,
 	})
 	follower := follow.New(source)
 	h.readLoop(ctx, "servers", func(ctx context.Context) error {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -165,6 +165,8 @@
 	// mu guards all fields below.
 	mu     sync.Mutex
 	caches map[Topic]*topicCache
+	// progress holds how each topic is read at present.
+	progress map[Topic]*topicProgress
 	// lastContact is when the last read that the platform answered began; hadContact is set if there was one.
 	lastContact time.Duration
 	hadContact  bool
@@ -186,7 +188,7 @@
 // New returns a Relay without topics; Source adds them.
 func New(config Config) *Relay {
 	return &Relay{
-		config: config, caches: make(map[Topic]*topicCache), avoidedUntil: make(map[string]time.Duration), failures: make(map[string]int),
+		config: config, caches: make(map[Topic]*topicCache), progress: make(map[Topic]*topicProgress), avoidedUntil: make(map[string]time.Duration), failures: make(map[string]int),
 		reads: make(map[*context.CancelCauseFunc]time.Duration),
 	}
 }
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -43,8 +43,14 @@
 	NewFilter func() Filter
 	// MinInterval returns the least time between the starts of two reads from the platform; nil sets no bound.
 	MinInterval func() time.Duration
+	// MaxAge is the age of the last confirmation from which on the topic counts as not confirmed; zero stands for
+	// defaultMaxAge.
+	MaxAge time.Duration
 }
 
+// defaultMaxAge is the age of a topic's last confirmation from which on it counts as not confirmed, unless Options say otherwise.
+const defaultMaxAge = 2 * time.Second
+
 // Source adds a topic to the relay and returns a Source for it. direct reads the topic from the platform.
 func (r *Relay) Source(topic Topic, direct follow.Source, options Options) *Source {
 	if options.NewFilter == nil {
@@ -53,21 +59,28 @@
 	if options.MinInterval == nil {
 		options.MinInterval = func() time.Duration { return 0 }
 	}
+	if options.MaxAge == 0 {
+		options.MaxAge = defaultMaxAge
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.caches[topic] = newTopicCache(options.NewFilter)
+	r.progress[topic] = &topicProgress{maxAge: options.MaxAge, confirmedAt: r.config.Clock()}
 	return &Source{relay: r, topic: topic, direct: direct, minInterval: options.MinInterval}
 }
 
 // Newest implements follow.Source. It always reads from the platform, since relays have only recent records.
 func (s *Source) Newest(ctx context.Context) (follow.Batch, error) {
 	began := s.relay.config.Clock()
+	s.relay.beginRead(s.topic, fromPlatform)
+	defer s.relay.endRead(s.topic)
 	batch, err := s.direct.Newest(ctx)
 	if err != nil {
 		return follow.Batch{}, err
 	}
 	s.lastStart = began
 	s.relay.recordContact(began, batch.Era)
+	s.relay.confirm(s.topic, began)
 	// The next versions of large values then cost only what changes.
 	s.relay.describe(s.topic, batch.Records)
 	return batch, nil
@@ -148,8 +161,10 @@
 	s.relay.Counters.Direct.Add(1)
 	began := s.relay.config.Clock()
 	s.lastStart = began
-	readCtx, endRead := s.relay.trackRead(ctx, began)
-	defer endRead()
+	s.relay.beginRead(s.topic, fromPlatform)
+	defer s.relay.endRead(s.topic)
+	readCtx, untrack := s.relay.trackRead(ctx, began)
+	defer untrack()
 	batch, err := s.direct.Since(readCtx, from, wait)
 	if err != nil {
 		if cause := context.Cause(readCtx); cause != nil {
@@ -159,6 +174,7 @@
 		return follow.Batch{}, err
 	}
 	s.relay.recordRead(s.topic, from.Offset, batch, began)
+	s.relay.confirm(s.topic, began)
 	return batch, nil
 }
 
@@ -186,6 +202,8 @@
 	callCtx, cancel := context.WithTimeout(ctx, relayWait+replyTimeout)
 	defer cancel()
 	asked := s.relay.config.Clock()
+	s.relay.beginRead(s.topic, host.Name)
+	defer s.relay.endRead(s.topic)
 	ask := Ask{Topic: s.topic, From: from, Wait: relayWait, References: s.relay.config.Contents != nil, Compressed: true}
 	reply, err := s.relay.config.Ask(callCtx, host, ask)
 	if err != nil && callCtx.Err() == nil {
@@ -209,6 +227,7 @@
 		if err := s.resolve(ctx, host, from.Era, &reply); err != nil {
 			return follow.Batch{}, err
 		}
+		s.relay.confirm(s.topic, asked-reply.Age.Confirmed)
 		return follow.Batch{Records: reply.Records, Era: from.Era, End: reply.End, Age: reply.Age}, nil
 	case NoContact:
 		s.relay.avoidHost(host, s.topic, after, reply.Outcome.String())
