--- a/internal/standin/link.go
+++ b/internal/standin/link.go
@@ -27,11 +27,49 @@
 	mu    sync.Mutex
 	links map[string]*link
 	conns map[*linkConn]bool
+	// frozen holds the IP addresses of the machines that are frozen. thawed is closed and replaced whenever one is no longer.
+	frozen map[string]bool
+	thawed chan struct{}
 }
 
 // NewNetwork returns a network without links.
 func NewNetwork() *Network {
-	return &Network{links: make(map[string]*link), conns: make(map[*linkConn]bool)}
+	return &Network{
+		links: make(map[string]*link), conns: make(map[*linkConn]bool), frozen: make(map[string]bool), thawed: make(chan struct{}),
+	}
+}
+
+// Freeze lets all connections from and to a machine carry nothing until Thaw is called.
+func (n *Network) Freeze(ip string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.frozen[ip] = true
+}
+
+// Thaw ends Freeze.
+func (n *Network) Thaw(ip string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.frozen, ip)
+	close(n.thawed)
+	n.thawed = make(chan struct{})
+}
+
+// awaitThaw waits until neither of two machines is frozen, or done is closed.
+func (n *Network) awaitThaw(done <-chan struct{}, a, b string) {
+	for {
+		n.mu.Lock()
+		frozen, thawed := n.frozen[a] || n.frozen[b], n.thawed
+		n.mu.Unlock()
+		if !frozen {
+			return
+		}
+		select {
+		case <-done:
+			return
+		case <-thawed:
+		}
+	}
 }
 
 // AddLink gives the machine with an IP address a link with a width in bytes per second.
@@ -55,6 +93,8 @@
 // Dialer returns a function that opens connections from the machine with the given IP address. It uses dial to open them.
 func (n *Network) Dialer(ip string, dial func(ctx context.Context, network, addr string) (net.Conn, error)) func(ctx context.Context, network, addr string) (net.Conn, error) {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		to, _, _ := net.SplitHostPort(addr)
+		n.awaitThaw(ctx.Done(), ip, to)
 		inner, err := dial(ctx, network, addr)
 		if err != nil {
 			return nil, err
@@ -63,10 +103,9 @@
 			tcp.SetReadBuffer(linkWindow)
 			tcp.SetWriteBuffer(linkWindow)
 		}
-		to, _, _ := net.SplitHostPort(addr)
 		n.mu.Lock()
 		defer n.mu.Unlock()
-		conn := &linkConn{Conn: inner, network: n, from: ip, closed: make(chan struct{})}
+		conn := &linkConn{Conn: inner, network: n, from: ip, to: to, closed: make(chan struct{})}
 		if l := n.links[ip]; l != nil {
 			conn.reading, conn.writing = append(conn.reading, l.in), append(conn.writing, l.out)
 		}
@@ -82,7 +121,7 @@
 type linkConn struct {
 	net.Conn
 	network          *Network
-	from             string
+	from, to         string
 	reading, writing []*rate.Limiter
 
 	close  sync.Once
@@ -113,6 +152,7 @@
 
 // transfer waits until the links have carried a packet, or the connection is closed.
 func (c *linkConn) transfer(limiters []*rate.Limiter, bytes int) {
+	c.network.awaitThaw(c.closed, c.from, c.to)
 	for _, limiter := range limiters {
 		timer := time.NewTimer(limiter.ReserveN(time.Now(), bytes).Delay())
 		select {
