relay, follow, edge: each topic's confirmation has a bound; reads that are not answered are repeated; no host alone tells of a version

Cause: contact with the platform was a fact of a host, not of a topic. A relay whose read of the operators' records was not answered (a read waited up to 20 s) went on telling its zone that there is nothing new, since its reads of other topics were answered; what would have found it, plans and the comparison of configurations, depended on the leader, which was frozen. Change: a read of the operators' records waits a quarter of config_apply_s; a read of any topic that is not answered when it should be is repeated beside it, twice (follow.Hedged, in place of the one check of follow.Checked, whose tests move with it); a relay whose topic is not confirmed recently says so, and the asking host judges the age itself; a host whose reads of a topic are not answered asks others; a host that gets no answer from the leader, or is not confirmed, compares configurations with hosts of other zones; an unknown route is refused with 503 while the configuration is not confirmed. The stand-in's frozen machines hold back what arrives, not what is written.

--- a/internal/edge/config_sharing.go
+++ b/internal/edge/config_sharing.go
@@ -18,6 +18,10 @@
 	configSharingInterval = time.Second
 	// transferTimeout is how long a host fetches a configuration before it compares again. What has arrived is kept.
 	transferTimeout = 2 * time.Second
+	// sharingTries is the number of other hosts that a host asks in turn until one answers, if the leader does not suffice, and
+	// sharingHosts the number of those among which it chooses: the first relays of the other zones.
+	sharingTries = 2
+	sharingHosts = 6
 )
 
 // ConfigArgs compares the caller's configuration with that of the called host.
@@ -49,28 +53,61 @@
 // configSharing compares this host's configuration with the leader's, and hands the newer one to the
 // host with the older one. The topic alone does not suffice: an older version that is written again
 // after a restore of the log replaces a newer one, which then only the hosts know that read it in time.
+// If the leader does not answer, or reading the topic has not confirmed this host's configuration, it compares with hosts of other
+// zones too, so that no single host can keep a configuration from others.
 type configSharing struct {
 	self     assign.Host
 	plan     func() assign.Plan
 	records  *operatorRecords
 	peers    *peers
 	contents *content.Fetcher
-	log      *eventlog.Log
+	// late reports whether reading the topic has not confirmed this host's configuration recently.
+	late func() bool
+	log  *eventlog.Log
+	// next is the index of the host of another zone with which this host compares next.
+	next int
 }
 
 // run is the loop that compares the configurations.
 func (c *configSharing) run(ctx context.Context) {
 	loop.Every(ctx, configSharingInterval, func(ctx context.Context) {
-		leader := c.plan().Leader
-		if leader.Addr == "" || leader.SameIncarnation(c.self) {
-			return
-		}
-		if err := c.exchange(ctx, leader); err != nil {
-			c.log.Routine("config", "leader", leader.Name, "outcome", "not compared", "err", err.Error())
+		if !c.exchangeWithLeader(ctx) || c.late() {
+			c.exchangeWithOthers(ctx)
 		}
 	})
 }
 
+// exchangeWithLeader compares the configurations with the leader. It returns false if this host leads, or the leader does not answer.
+func (c *configSharing) exchangeWithLeader(ctx context.Context) bool {
+	leader := c.plan().Leader
+	if leader.Addr == "" || leader.SameIncarnation(c.self) {
+		return false
+	}
+	return c.tryExchange(ctx, leader)
+}
+
+// exchangeWithOthers compares the configurations with a host of another zone, another one each time.
+func (c *configSharing) exchangeWithOthers(ctx context.Context) {
+	hosts := otherRelays(c.plan(), c.self)
+	hosts = hosts[:min(len(hosts), sharingHosts)]
+	for range min(len(hosts), sharingTries) {
+		host := hosts[c.next%len(hosts)]
+		c.next++
+		if c.tryExchange(ctx, assign.Host{Name: host.Name, Addr: host.Addr}) {
+			return
+		}
+	}
+}
+
+// tryExchange compares the configurations with another host, and reports whether that has answered.
+func (c *configSharing) tryExchange(ctx context.Context, other assign.Host) bool {
+	err := c.exchange(ctx, other)
+	if err != nil {
+		c.log.Routine("config", "other", other.Name, "outcome", "not compared", "err", err.Error())
+	}
+	return err == nil
+}
+
 // exchange compares the configurations once, and hands over the newer one.
 func (c *configSharing) exchange(ctx context.Context, other assign.Host) error {
 	version, record := c.records.newestConfig()
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -43,6 +43,8 @@
 	// RetryRatio, RetryExtra and RetryWindow are the retry budget; see front.BudgetConfig.
 	RetryRatio, RetryExtra float64
 	RetryWindow            time.Duration
+	// ConfigApply is the time within which a configuration must be in force on all hosts, from when the platform's log has it.
+	ConfigApply time.Duration
 	// Grace is the time from the signal to stop until the platform kills the process.
 	Grace  time.Duration
 	Timing grants.Timing
@@ -161,7 +163,10 @@
 		h.fleet.EvacuateZones(*h.operatorRecords.evacuated.Load(), h.coldFor, clock.Monotonic())
 		wakeLeader()
 	})
-	h.configSharing = &configSharing{self: h.self, plan: h.current.Plan, records: h.operatorRecords, peers: h.peers, contents: h.contents, log: log}
+	h.configSharing = &configSharing{
+		self: h.self, plan: h.current.Plan, records: h.operatorRecords, peers: h.peers, contents: h.contents,
+		late: func() bool { return h.relay.Late(topicOperatorRecords) }, log: log,
+	}
 	h.catchUp = &catchUp{
 		self: h.self, plan: h.current.Plan, sharing: h.configSharing, peers: h.peers, fleet: h.fleet,
 		known: func() bool { return h.operatorRecords.Table() != nil && h.seenServers.Load() },
@@ -198,7 +203,7 @@
 		}),
 		AskLeaving: h.peers.askLeaving,
 		Headers:    config.Headers, Fleet: h.fleet, Guard: h.guard, Dial: config.DialServer, Reach: h.reach, Current: h.current, Table: h.tableForCallers, KnownTable: h.operatorRecords.Table,
-		Behind:        h.operatorRecords.progress.isBehind,
+		Behind:        h.mayLackRoutes,
 		ColdRateLimit: h.coldRateLimit, OnFact: h.broadcastFact,
 		Budget: front.BudgetConfig{
 			Ratio: config.RetryRatio, Extra: config.RetryExtra, Window: config.RetryWindow, Hosts: h.hostCount,
@@ -225,6 +230,11 @@
 	return table.Services[service].ColdFor
 }
 
+// mayLackRoutes reports whether there may be a configuration with routes that this host does not know.
+func (h *Host) mayLackRoutes() bool {
+	return h.operatorRecords.progress.isBehind() || h.relay.Late(topicOperatorRecords)
+}
+
 // hostCount returns the number of hosts in the plan, at least 1.
 func (h *Host) hostCount() int {
 	return max(len(h.current.Plan().Hosts), 1)
--- a/internal/edge/operator_records.go
+++ b/internal/edge/operator_records.go
@@ -15,13 +15,8 @@
 	"github.com/poplarcroft/poplarcroft/internal/routetable"
 )
 
-const (
-	// maxReadWait is how long one read of the operators' records waits for a change (long polling).
-	maxReadWait = 20 * time.Second
-	// recheckAfter is the time into such a read after which a second one checks whether the first
-	// has missed a record; see follow.Checked.
-	recheckAfter = 400 * time.Millisecond
-)
+// maxReadWait is how long one read of the operators' records waits for a change (long polling). The relay bounds it further.
+const maxReadWait = 20 * time.Second
 
 // hangTimeout is how long a read must have been in progress before it can count as hanging.
 const hangTimeout = 700 * time.Millisecond
--- a/internal/edge/topics.go
+++ b/internal/edge/topics.go
@@ -24,9 +24,17 @@
 	serversInterval       = time.Second
 	leaderServersInterval = 400 * time.Millisecond
 	// stateMaxAge and serversMaxAge are the ages of the last confirmation from which on the shared state and the service
-	// discovery count as not confirmed.
-	stateMaxAge   = 4 * time.Second
-	serversMaxAge = 3 * time.Second
+	// discovery count as not confirmed. Without failures they are up to twice stateWait and serversInterval.
+	stateMaxAge   = 5 * time.Second
+	serversMaxAge = 2500 * time.Millisecond
+	// readDetour is the part of Config.ConfigApply that is left for a host to get a configuration in another way than through its
+	// relay: the time until it notices that the relay does not answer, and a read.
+	readDetour = 600 * time.Millisecond
+	// configReads is the number of reads of the operators' records that fit into Config.ConfigApply while there is nothing new.
+	configReads = 4
+	// minHedgeDelay and maxHedgeDelay bound the time after which a read that is not answered is repeated; see follow.Hedged.
+	minHedgeDelay = 250 * time.Millisecond
+	maxHedgeDelay = 1500 * time.Millisecond
 	// unlistedStateInterval is the least time between two reads of the shared state by a host that the plan does not list yet.
 	// It has no relay, and while many hosts start each registration would end its read.
 	unlistedStateInterval = 200 * time.Millisecond
@@ -68,17 +76,29 @@
 
 // followOperatorRecords is the loop that follows the operators' records.
 func (h *Host) followOperatorRecords(ctx context.Context) {
-	source := follow.Checked{Source: h.platform.OperatorRecords(), CheckAfter: recheckAfter}
-	follower := follow.New(h.relay.Source(topicOperatorRecords, source, relay.Options{}))
+	follower := follow.New(h.relay.Source(topicOperatorRecords, hedged(h.platform.OperatorRecords()), relay.Options{
+		MaxWait: h.config.ConfigApply / configReads,
+		MaxAge:  h.configMaxAge(),
+	}))
 	h.readLoop(ctx, "operators' records", func(ctx context.Context) error {
 		return h.operatorRecords.read(ctx, follower)
 	})
 }
 
+// hedged returns a source whose reads are repeated if they are not answered.
+func hedged(source follow.Source) follow.Source {
+	return &follow.Hedged{Source: source, MinDelay: minHedgeDelay, MaxDelay: maxHedgeDelay}
+}
+
+// configMaxAge returns the age of the last confirmation from which on the operators' records count as not confirmed.
+func (h *Host) configMaxAge() time.Duration {
+	return max(h.config.ConfigApply-readDetour, h.config.ConfigApply/2)
+}
+
 // followState is the loop that follows the hosts' shared state. It registers this host there once it
 // knows the era of the log, and after each restore.
 func (h *Host) followState(ctx context.Context) {
-	follower := follow.New(h.relay.Source(topicState, h.platform.State(), relay.Options{MinInterval: h.currentStateInterval, MaxAge: stateMaxAge}))
+	follower := follow.New(h.relay.Source(topicState, hedged(h.platform.State()), relay.Options{MinInterval: h.currentStateInterval, MaxAge: stateMaxAge}))
 	h.readLoop(ctx, "state", func(ctx context.Context) error {
 		if err := h.state.read(ctx, follower, stateWait); err != nil {
 			return err
@@ -93,7 +113,7 @@
 // followServers is the loop that follows the service discovery. The host is not ready before the
 // first successful read.
 func (h *Host) followServers(ctx context.Context) {
-	source := h.relay.Source(topicServers, h.platform.Servers(), relay.Options{
+	source := h.relay.Source(topicServers, hedged(h.platform.Servers()), relay.Options{
 		NewFilter:   func() relay.Filter { return newEntryFilter(h.platform).keep },
 		MinInterval: h.currentServersInterval,
 		MaxAge:      serversMaxAge,
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -77,6 +77,8 @@
 	Arrived time.Duration
 	// Confirmed is how long before its answer the topic is known to have had no further records.
 	Confirmed time.Duration
+	// Waited is how long the other host held the query before it answered. Builds up to 88eb5c1 do not send it.
+	Waited time.Duration
 }
 
 // Source is a topic of keyed records.
--- a/internal/relay/contact.go
+++ b/internal/relay/contact.go
@@ -10,11 +10,15 @@
 )
 
 // hasLostContact reports whether the platform has not answered this host for lostContactAge, although
-// it was asked.
-func (r *Relay) hasLostContact() bool {
+// it was asked, or has not answered its reads of the topic.
+func (r *Relay) hasLostContact(topic Topic) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.contactLost && r.contactAge(r.config.Clock()) >= lostContactAge
+	now := r.config.Clock()
+	if r.contactLost && r.contactAge(now) >= lostContactAge {
+		return true
+	}
+	return r.progress[topic].unanswered && now-r.caches[topic].confirmedAt >= lostContactAge
 }
 
 // errContactRegained is the cause with which reads are canceled that began before an outage ended,
@@ -73,6 +77,7 @@
 	case errors.IsAny(err, follow.ErrCompacted, follow.ErrRestored):
 		c.invalidate()
 	case !errors.IsAny(err, context.Canceled, errContactRegained, errContactLost):
+		r.progress[topic].unanswered = true
 		r.contactLost = true
 		r.cancelHangingReads()
 	}
--- a/internal/relay/progress.go
+++ b/internal/relay/progress.go
@@ -25,6 +25,8 @@
 	from    string
 	// confirmedAt is the latest time at which this host is known to have had all records of the topic.
 	confirmedAt time.Duration
+	// unanswered is set while the platform has not answered this host's last read.
+	unanswered bool
 	// late is set while the topic is not confirmed and a log line has said so.
 	late bool
 }
@@ -55,6 +57,21 @@
 	r.updateLate(topic, p)
 }
 
+// recordAnswer notes that the platform has answered a read of a topic.
+func (r *Relay) recordAnswer(topic Topic) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.progress[topic].unanswered = false
+}
+
+// Late reports whether a topic is not confirmed recently enough.
+func (r *Relay) Late(topic Topic) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.progress[topic]
+	return r.config.Clock()-p.confirmedAt >= p.maxAge
+}
+
 // Run logs which topics are not confirmed, until the context ends.
 func (r *Relay) Run(ctx context.Context) {
 	loop.Every(ctx, progressInterval, func(context.Context) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -17,6 +17,11 @@
 // queried for a few seconds, and event "relay" is logged. A relay whose cache does not reach the
 // requested offset says so, and the querying host reads from the platform (counter Fallback).
 //
+// That the platform answers reads of one topic says nothing about another: one read may never be answered while the others are. So
+// each topic has a time as of which the platform has confirmed it, and a bound on the age of that (Options.MaxAge). A relay beyond
+// the bound says so (Stale) instead of that there is nothing new, and the querying host judges the age in an answer by its own bound.
+// Event "topic" and the metrics tell which topics of a host are beyond the bound.
+//
 // A reply holds plans compressed. It refers to other values above MaxInlineBytes instead of holding them, so that its size
 // does not depend on theirs; the querying host fetches them with package content.
 package relay
@@ -61,6 +66,9 @@
 	Behind
 	// NoContact means that the relay cannot reach the platform.
 	NoContact
+	// Stale means that the platform has not confirmed recently what the relay has read of this topic. Builds up to 88eb5c1 do not
+	// know it and read from the platform.
+	Stale
 )
 
 // String returns the outcome as it appears in log lines and errors. "told" stands for Answered.
@@ -74,6 +82,8 @@
 		return "behind"
 	case NoContact:
 		return "no contact"
+	case Stale:
+		return "stale"
 	}
 	return "unknown"
 }
@@ -175,8 +185,8 @@
 	// lastQueried is when another host last queried this one; wasQueried is set if one has.
 	lastQueried time.Duration
 	wasQueried  bool
-	// avoidedUntil holds the time until which a host is not queried, by host name.
-	avoidedUntil map[string]time.Duration
+	// avoidedUntil holds the time until which a host is not queried for a topic, or for any with the topic "".
+	avoidedUntil map[avoidance]time.Duration
 	// failures counts how often in a row a host failed to answer, by host name.
 	failures map[string]int
 }
@@ -184,7 +194,7 @@
 // New returns a Relay without topics; Source adds them.
 func New(config Config) *Relay {
 	return &Relay{
-		config: config, caches: make(map[Topic]*topicCache), progress: make(map[Topic]*topicProgress), avoidedUntil: make(map[string]time.Duration), failures: make(map[string]int),
+		config: config, caches: make(map[Topic]*topicCache), progress: make(map[Topic]*topicProgress), avoidedUntil: make(map[avoidance]time.Duration), failures: make(map[string]int),
 		reads: make(map[*context.CancelCauseFunc]time.Duration),
 	}
 }
@@ -193,9 +203,10 @@
 // as the query allows, but not longer than contact with the platform counts as current.
 func (r *Relay) Serve(ctx context.Context, ask Ask) Reply {
 	r.Counters.Served.Add(1)
-	deadline := r.config.Clock() + min(ask.Wait, relayWait)
+	began := r.config.Clock()
+	deadline := began + min(ask.Wait, relayWait)
 	for {
-		reply, changed, wait := r.tryAnswer(ask, deadline)
+		reply, changed, wait := r.tryAnswer(ask, began, deadline)
 		if wait <= 0 {
 			return reply
 		}
@@ -211,9 +222,9 @@
 	}
 }
 
-// tryAnswer tries to answer a query from the cache. If the returned duration is positive, there are no
+// tryAnswer tries to answer a query that arrived at began from the cache. If the returned duration is positive, there are no
 // records yet, and the caller tries again after that time or when the channel is closed.
-func (r *Relay) tryAnswer(ask Ask, deadline time.Duration) (Reply, <-chan struct{}, time.Duration) {
+func (r *Relay) tryAnswer(ask Ask, began, deadline time.Duration) (Reply, <-chan struct{}, time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.config.Clock()
@@ -231,8 +242,13 @@
 		return Reply{Outcome: NoContact}, nil, 0
 	}
 	reply := c.recordsSince(ask, now)
+	reply.Age.Waited = now - began
 	if len(reply.Records) > 0 {
 		return reply, nil, 0
 	}
-	return reply, c.changed, min(deadline-now, maxContactAge-age)
+	untilStale := r.progress[ask.Topic].maxAge - reply.Age.Confirmed
+	if untilStale <= 0 {
+		return Reply{Outcome: Stale}, nil, 0
+	}
+	return reply, c.changed, min(deadline-now, maxContactAge-age, untilStale)
 }
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -26,6 +26,10 @@
 	// lastStart is when the last one started.
 	minInterval func() time.Duration
 	lastStart   time.Duration
+	// maxWait bounds how long a read from the platform waits for a record; zero sets no bound.
+	maxWait time.Duration
+	// maxAge is Options.MaxAge.
+	maxAge time.Duration
 	// probing is set while a probe of the platform is in progress.
 	probing atomic.Bool
 }
@@ -43,6 +47,9 @@
 	NewFilter func() Filter
 	// MinInterval returns the least time between the starts of two reads from the platform; nil sets no bound.
 	MinInterval func() time.Duration
+	// MaxWait bounds how long a read from the platform waits for a record; zero sets no bound. Only a read that ends confirms the
+	// topic.
+	MaxWait time.Duration
 	// MaxAge is the age of the last confirmation from which on the topic counts as not confirmed; zero stands for
 	// defaultMaxAge.
 	MaxAge time.Duration
@@ -66,7 +73,9 @@
 	defer r.mu.Unlock()
 	r.caches[topic] = newTopicCache(options.NewFilter)
 	r.progress[topic] = &topicProgress{maxAge: options.MaxAge, confirmedAt: r.config.Clock()}
-	return &Source{relay: r, topic: topic, direct: direct, minInterval: options.MinInterval}
+	return &Source{
+		relay: r, topic: topic, direct: direct, minInterval: options.MinInterval, maxWait: options.MaxWait, maxAge: options.MaxAge,
+	}
 }
 
 // Newest implements follow.Source. It always reads from the platform, since relays have only recent records.
@@ -88,7 +97,7 @@
 
 // Since implements follow.Source. It queries the relay first, if there is one.
 func (s *Source) Since(ctx context.Context, from follow.Position, wait time.Duration) (follow.Batch, error) {
-	if s.relay.hasLostContact() {
+	if s.relay.hasLostContact(s.topic) {
 		return s.sinceWithoutContact(ctx, from)
 	}
 	for host, ok := s.relay.chooseRelay(s.topic); ok; host, ok = s.relay.chooseRelay(s.topic) {
@@ -144,6 +153,7 @@
 		batch, err := s.direct.Since(ctx, from, 0)
 		if err == nil || errors.IsAny(err, follow.ErrCompacted, follow.ErrRestored) {
 			s.relay.recordContact(began, batch.Era)
+			s.relay.recordAnswer(s.topic)
 		}
 	}()
 }
@@ -158,6 +168,9 @@
 		// The cache can answer other hosts only after this read, so the read must not wait.
 		wait = 0
 	}
+	if s.maxWait > 0 {
+		wait = min(wait, s.maxWait)
+	}
 	s.relay.Counters.Direct.Add(1)
 	began := s.relay.config.Clock()
 	s.lastStart = began
@@ -173,6 +186,7 @@
 		s.relay.recordFailedRead(s.topic, err)
 		return follow.Batch{}, err
 	}
+	s.relay.recordAnswer(s.topic)
 	s.relay.recordRead(s.topic, from.Offset, batch, began)
 	s.relay.confirm(s.topic, began)
 	return batch, nil
@@ -220,6 +234,11 @@
 	}
 	switch reply.Outcome {
 	case Answered:
+		if len(reply.Records) == 0 && reply.Age.Confirmed >= s.maxAge {
+			// A build that does not know the bound, or has another one, has answered.
+			s.relay.avoidForTopic(host, s.topic, after, Stale.String())
+			return follow.Batch{}, errors.Wrap(errNotAnswered, Stale.String())
+		}
 		s.relay.recordAnswered(host)
 		if err := reply.inflate(); err != nil {
 			return follow.Batch{}, err
@@ -227,10 +246,12 @@
 		if err := s.resolve(ctx, host, from.Era, &reply); err != nil {
 			return follow.Batch{}, err
 		}
-		s.relay.confirm(s.topic, asked-reply.Age.Confirmed)
+		s.relay.confirm(s.topic, asked+reply.Age.Waited-reply.Age.Confirmed)
 		return follow.Batch{Records: reply.Records, Era: from.Era, End: reply.End, Age: reply.Age}, nil
 	case NoContact:
 		s.relay.avoidHost(host, s.topic, after, reply.Outcome.String())
+	case Stale:
+		s.relay.avoidForTopic(host, s.topic, after, reply.Outcome.String())
 	}
 	return follow.Batch{}, errors.Wrap(errNotAnswered, reply.Outcome.String())
 }
--- a/internal/standin/link.go
+++ b/internal/standin/link.go
@@ -39,7 +39,8 @@
 	}
 }
 
-// Freeze lets all connections from and to a machine carry nothing until Thaw is called.
+// Freeze holds back what arrives on all connections from and to a machine, and new connections, until Thaw is called. What is
+// written meanwhile goes into the buffers of the connections, as with a machine whose processes are frozen.
 func (n *Network) Freeze(ip string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -131,6 +132,7 @@
 // Read reads at most one packet.
 func (c *linkConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p[:min(len(p), linkPacket)])
+	c.network.awaitThaw(c.closed, c.from, c.to)
 	c.transfer(c.reading, n)
 	return n, err
 }
@@ -152,7 +154,6 @@
 
 // transfer waits until the links have carried a packet, or the connection is closed.
 func (c *linkConn) transfer(limiters []*rate.Limiter, bytes int) {
-	c.network.awaitThaw(c.closed, c.from, c.to)
 	for _, limiter := range limiters {
 		timer := time.NewTimer(limiter.ReserveN(time.Now(), bytes).Delay())
 		select {
