inbound, edge, front: connections, heads and bodies of clients that do not behave stay within the memory and the descriptors

Callers saw: a process ended by clients that send legal requests of very many short lines, heads held open, or many bodies that stop short. Cause: nothing counted heads, their lines or connections over all clients; a body's buffer grew to a multiple of what was counted, and waited for its end for ever; the configuration's max_header_bytes, header_timeout_s and idle_timeout_s were not read; the garbage collector did not know the process's memory. Change: package inbound accepts the connections of all listeners: a limit on their number (descriptors and memory), on the memory of large heads together, on the time of a head and without a request; bodies count with their buffers, arrive within the request's time (408) and may take half of the memory for bodies; a memory limit for the garbage collector. One request at the limits is served in calm. The send buffer of a caller that gets a large answer is small again, as package front means it: since connections of callers have a type of their own, it was not.

--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/poplarcroft/poplarcroft/internal/inbound"
 	"github.com/poplarcroft/poplarcroft/internal/loop"
 	"github.com/poplarcroft/poplarcroft/internal/socket"
 )
@@ -33,6 +34,7 @@
 // arrive while the previous one counts as the last. It is safe for concurrent use.
 type callerListener struct {
 	*net.TCPListener
+	guard    *inbound.Guard
 	stopping atomic.Bool
 	// ended is closed when no more connections are accepted.
 	ended    chan struct{}
@@ -44,20 +46,20 @@
 
 // callerConn is a caller's connection.
 type callerConn struct {
-	*net.TCPConn
+	*inbound.Conn
 	accepted time.Time
 	// idle says that the last request has been answered, or that there has been none. received says that bytes have arrived
 	// since.
 	idle, received atomic.Bool
 }
 
-func newCallerListener(listener *net.TCPListener) *callerListener {
-	return &callerListener{TCPListener: listener, ended: make(chan struct{}), conns: make(map[*callerConn]bool)}
+func newCallerListener(listener *net.TCPListener, guard *inbound.Guard) *callerListener {
+	return &callerListener{TCPListener: listener, guard: guard, ended: make(chan struct{}), conns: make(map[*callerConn]bool)}
 }
 
 // Accept implements net.Listener. After stop it returns the connections that are waiting, and then an error.
 func (l *callerListener) Accept() (net.Conn, error) {
-	conn, err := l.AcceptTCP()
+	conn, err := l.guard.Accept(l.TCPListener)
 	if err != nil {
 		if l.stopping.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
 			err = errAcceptEnded
@@ -67,7 +69,7 @@
 		}
 		return nil, err
 	}
-	c := &callerConn{TCPConn: conn, accepted: time.Now()}
+	c := &callerConn{Conn: conn, accepted: time.Now()}
 	c.idle.Store(true)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -77,7 +79,7 @@
 
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
+	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.received.Store(true)
 	}
@@ -90,6 +92,7 @@
 	if !ok {
 		return
 	}
+	l.guard.ConnState(conn, state)
 	switch state {
 	case http.StateActive:
 		c.idle.Store(false)
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -56,6 +56,8 @@
 	// second. Zero means that they are not known.
 	MemoryBytes   int64
 	LinkBytesPerS float64
+	// Descriptors is the number of descriptors that the process may open, or zero if it is not known.
+	Descriptors int
 	// DialServer opens the connections to backend servers, and DialHost those to other hosts.
 	DialServer, DialHost transport.DialFunc
 }
@@ -88,7 +90,7 @@
 	idleTimeout = 8 * time.Second
 	// bodyMemoryShare is the divisor for the part of the memory that bodies of requests and answers may take.
 	bodyMemoryShare = 4
-	// headerTimeout is the time within which a caller must send the header of a request.
+	// headerTimeout is the time within which a caller must send the header of a request, unless the configuration sets another one.
 	headerTimeout = 10 * time.Second
 )
 
@@ -119,6 +121,7 @@
 	pools             *admission.Pools
 	admissionCounters *admission.Counters
 	shares            *shareLeasing
+	guards            guards
 
 	// leaving says that the host is shutting down.
 	leaving atomic.Bool
@@ -129,6 +132,7 @@
 // New returns a host. Run starts it.
 func New(config Config, platform Platform, log *eventlog.Log) *Host {
 	h := &Host{config: config, platform: platform, log: log}
+	h.guards = h.newGuards()
 	h.self = assign.Host{
 		Name: config.Name, Incarnation: uuid.NewString(), Zone: config.Zone, Addr: config.PeerAddr, Capacity: config.Capacity,
 		Weight: config.Weight, KnownOrder: assign.OrderByWeight,
--- a/internal/edge/listen.go
+++ b/internal/edge/listen.go
@@ -9,8 +9,8 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/poplarcroft/poplarcroft/internal/bounded"
 	"github.com/poplarcroft/poplarcroft/internal/front"
+	"github.com/poplarcroft/poplarcroft/internal/inbound"
 	"github.com/poplarcroft/poplarcroft/internal/peer"
 )
 
@@ -43,7 +43,7 @@
 		*entry.listener = listener
 	}
 	if tcp, ok := l.callersTCP.(*net.TCPListener); ok {
-		l.callers = newCallerListener(tcp)
+		l.callers = newCallerListener(tcp, h.guards.callers)
 	}
 	return l, nil
 }
@@ -51,14 +51,16 @@
 // serve starts the HTTP servers on the listeners and returns the one for callers. The one for
 // other hosts serves both RPC and forwarded requests.
 func (h *Host) serve(ctx context.Context, l listeners) *http.Server {
-	callers := newServer(h.ingress)
-	callers.ReadHeaderTimeout = headerTimeout
-	callers.ConnContext = front.ConnContext
+	for _, guard := range []*inbound.Guard{h.guards.callers, h.guards.hosts, h.guards.ready, h.guards.metrics} {
+		go guard.Run(ctx)
+	}
+	callers := h.guards.callers.Server(h.ingress)
+	callers.ConnContext = withFront(callers.ConnContext)
 	callers.ConnState = l.callers.track
 	go h.serveOn("callers", callers, l.callers)
 	ready := http.NewServeMux()
 	ready.HandleFunc(h.config.ReadyPath, h.answerReady)
-	go h.serveOn("readiness", newServer(ready), l.ready)
+	go h.serveOn("readiness", h.guards.ready.Server(ready), h.guards.ready.Listener(l.ready))
 	rpcServer := rpc.NewServer()
 	err := rpcServer.RegisterName(rpcName, &rpcService{
 		self: h.self, current: h.current, renewer: h.renewer, leader: h.leader, guard: h.guard, fleet: h.fleet, relay: h.relay,
@@ -76,22 +78,22 @@
 		}
 		peer.ServeRPC(ctx, rpcServer, w)
 	})
-	hosts := newServer(peers)
-	hosts.ConnContext = front.ConnContext
-	// A forwarded request has the caller's header and those between hosts.
-	hosts.MaxHeaderBytes = 2 * bounded.MaxHeaderBytes
-	go h.serveOn("hosts", hosts, l.peers)
+	hosts := h.guards.hosts.Server(peers)
+	hosts.ConnContext = withFront(hosts.ConnContext)
+	go h.serveOn("hosts", hosts, h.guards.hosts.Listener(l.peers))
 	if l.metrics != nil {
 		metrics := http.NewServeMux()
 		metrics.HandleFunc(h.config.MetricsPath, h.answerMetrics)
-		go h.serveOn("metrics", newServer(metrics), l.metrics)
+		go h.serveOn("metrics", h.guards.metrics.Server(metrics), h.guards.metrics.Listener(l.metrics))
 	}
 	return callers
 }
 
-// newServer returns an HTTP server that bounds the headers which it reads.
-func newServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, MaxHeaderBytes: bounded.MaxHeaderBytes}
+// withFront returns a ConnContext function that stores the connection for package front too.
+func withFront(inner func(context.Context, net.Conn) context.Context) func(context.Context, net.Conn) context.Context {
+	return func(ctx context.Context, conn net.Conn) context.Context {
+		return front.ConnContext(inner(ctx, conn), conn)
+	}
 }
 
 // serveOn serves until the server is shut down, and logs any other end.
@@ -118,6 +120,7 @@
 		"body_memory": h.ingress.BodyMemory(), "relay": h.relay.Counters.Snapshot(), "topics": h.relay.Topics(), "log_lines_dropped": h.log.Dropped(),
 		"servers": h.ingress.Learner.Snapshot(), "shares": h.shares.snapshot(),
 		"configuration": h.operatorRecords.progress.metrics(), "contents": h.contents.Store.Counters.Snapshot(),
+		"inbound": map[string]inbound.Metrics{"callers": h.guards.callers.Metrics(), "hosts": h.guards.hosts.Metrics()},
 	})
 	if err != nil {
 		h.log.Routine("metrics", "outcome", "failed", "err", err.Error())
--- a/internal/edge/shutdown_test.go
+++ b/internal/edge/shutdown_test.go
@@ -19,6 +19,7 @@
 	"github.com/poplarcroft/poplarcroft/internal/clock"
 	"github.com/poplarcroft/poplarcroft/internal/eventlog"
 	"github.com/poplarcroft/poplarcroft/internal/front"
+	"github.com/poplarcroft/poplarcroft/internal/inbound"
 	"github.com/poplarcroft/poplarcroft/internal/peer"
 )
 
@@ -40,7 +41,7 @@
 			ingress: front.New(front.Config{Clock: clock.Monotonic, Log: eventlog.Discard()}),
 			pools:   newTestPools(),
 		},
-		listener: newCallerListener(listener.(*net.TCPListener)),
+		listener: newCallerListener(listener.(*net.TCPListener), newTestGuard()),
 	}
 	h.callers = &http.Server{Handler: handler, ConnState: h.listener.track}
 	t.Cleanup(func() { h.callers.Close() })
@@ -197,3 +198,8 @@
 
 // Leaves does nothing.
 func (buildBeforeQuestions) Leaves(LeavesArgs, *Empty) error { return nil }
+
+// newTestGuard returns a guard without limits.
+func newTestGuard() *inbound.Guard {
+	return inbound.New(inbound.Config{Limits: func() inbound.Limits { return inbound.Limits{} }, Log: eventlog.Discard()})
+}
--- a/internal/front/body_memory.go
+++ b/internal/front/body_memory.go
@@ -14,6 +14,11 @@
 	// smallRoom is the part of the bound, in bytes, that has to be free for a request whose answer is held. It is not
 	// reserved; most answers are smaller.
 	smallRoom = 64 << 10
+	// arrivingShare is the part of the memory for bodies beyond which no request's body may grow that is larger than smallRoom. So
+	// bodies that arrive slowly leave room for small ones and for answers.
+	arrivingShare = 0.5
+	// loneShare is the multiple of the memory for bodies that a body may take while there is no other.
+	loneShare = 2
 )
 
 // bodyMemory counts the bytes of the bodies of requests and answers that this host holds. It is safe for concurrent use.
@@ -40,6 +45,25 @@
 	return true
 }
 
+// takeBody is take for the body of a request that holds own bytes already.
+func (m *bodyMemory) takeBody(own, n int64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	part := 1.0
+	switch {
+	case m.held == own:
+		part = loneShare
+	case own+n > smallRoom:
+		part = arrivingShare
+	}
+	if m.bound > 0 && m.held+n > int64(part*float64(m.bound)) {
+		return false
+	}
+	m.held += n
+	m.most = max(m.most, m.held)
+	return true
+}
+
 // giveBack ends the counting of n bytes.
 func (m *bodyMemory) giveBack(n int64) {
 	m.mu.Lock()
@@ -111,6 +135,27 @@
 	return true
 }
 
+// takeBody counts n more bytes of the request's body while it arrives. It returns false if there is no room for them.
+func (h *holding) takeBody(n int64) bool {
+	if h == nil {
+		return true
+	}
+	if !h.memory.takeBody(h.bytes, n) {
+		return false
+	}
+	h.bytes += n
+	return true
+}
+
+// giveBack ends the counting of n bytes of the request.
+func (h *holding) giveBack(n int64) {
+	if h == nil {
+		return
+	}
+	h.memory.giveBack(n)
+	h.bytes -= n
+}
+
 // await counts n bytes for a large answer, and waits a short time for them.
 func (h *holding) await(ctx context.Context, n int64) bool {
 	if h == nil {
--- a/internal/front/delivery.go
+++ b/internal/front/delivery.go
@@ -158,7 +158,7 @@
 // limitSendBuffer makes the kernel's send buffer small, so that it does not fill with what a slow caller does not read, and
 // so that each part that the caller reads shows as progress.
 func (d *delivery) limitSendBuffer() {
-	if conn, ok := d.conn.(*net.TCPConn); ok {
+	if conn, ok := d.conn.(interface{ SetWriteBuffer(bytes int) error }); ok {
 		// A failure leaves the kernel's default.
 		conn.SetWriteBuffer(sendBufferBytes)
 	}
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -286,7 +286,9 @@
 	d := in.newDelivery(w, hr)
 	holds := &holding{memory: &in.memory}
 	defer holds.release()
+	end := limitBody(w, hr, callerTimeout(hr.Header, in.headers.DeadlineMS, 0))
 	r, refusal, err := in.readForwarded(hr, now, holds)
+	end(err)
 	if errors.Is(err, errNoMemory) {
 		writeForwardResult(w, notRun(reasonMemory, defaultRetryAfter))
 		return
--- a/internal/front/ingress.go
+++ b/internal/front/ingress.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -227,7 +228,9 @@
 	}
 	holds := &holding{memory: &in.memory}
 	defer holds.release()
+	end := limitBody(w, hr, callerTimeout(hr.Header, in.headers.DeadlineMS, route.Timeout))
 	r, status, err := in.read(hr, table, route, who, arrived, holds)
+	end(err)
 	if err != nil {
 		if errors.Is(err, errNoMemory) {
 			setRetryAfter(w, defaultRetryAfter)
@@ -343,6 +346,9 @@
 	if errors.Is(err, errBodyTooBig) {
 		return nil, http.StatusRequestEntityTooLarge, err
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, http.StatusRequestTimeout, errBodyLate
+	}
 	if err != nil {
 		return nil, http.StatusBadRequest, err
 	}
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -87,8 +87,13 @@
 	RatePerSecond, Burst float64
 }
 
-// Limits bounds the size of callers' requests.
+// Limits bounds callers' requests, and the time that callers may take. Zero sets no limit.
 type Limits struct {
+	// HeadBytes is the maximum size of the head of a request, and HeadTimeout the time within which it must arrive.
+	HeadBytes   int
+	HeadTimeout time.Duration
+	// IdleTimeout is how long a connection may be without a request.
+	IdleTimeout time.Duration
 	// BodyBytes is the maximum size of a request body; zero sets no limit.
 	BodyBytes int64
 }
