payload, route, host: the product's own interface has the same limits for connections, heads and bodies

Cause: the product's own doors for callers and hosts held bodies of 8 MB for ever and bounded neither the heads of all requests nor the connections. Change: the memory for bodies has a package of its own (payload), which package route uses too; both doors accept connections with package inbound. The door for administration keeps its present limits: operators authenticate.

--- a/internal/edge/inbound.go
+++ b/internal/edge/inbound.go
@@ -32,7 +32,7 @@
 	guard := func(name string, socketShare int, limits func() inbound.Limits) *inbound.Guard {
 		return inbound.New(inbound.Config{
 			Name: name, Limits: limits, Connections: h.maxInboundConnections(socketShare),
-			HeadMemory: h.config.MemoryBytes / headMemoryShare, Log: h.log,
+			HeadMemory: h.config.MemoryBytes / headMemoryShare, Log: h.log.Event,
 		})
 	}
 	return guards{
--- a/internal/edge/shutdown_test.go
+++ b/internal/edge/shutdown_test.go
@@ -201,5 +201,5 @@
 
 // newTestGuard returns a guard without limits.
 func newTestGuard() *inbound.Guard {
-	return inbound.New(inbound.Config{Limits: func() inbound.Limits { return inbound.Limits{} }, Log: eventlog.Discard()})
+	return inbound.New(inbound.Config{Limits: func() inbound.Limits { return inbound.Limits{} }, Log: eventlog.Discard().Event})
 }
--- a/internal/front/answer_memory.go
+++ b/internal/front/answer_memory.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/poplarcroft/poplarcroft/internal/bounded"
+	"github.com/poplarcroft/poplarcroft/internal/payload"
 )
 
 const (
@@ -28,7 +29,7 @@
 // read reads a body of the given length, or of a negative one if it is not known, to its end. One that is too large, by itself or together with others, gives
 // bounded.ErrTooLarge.
 // The bytes stay counted in holds.
-func (m *answerMemory) read(body io.Reader, length int64, holds *holding) ([]byte, error) {
+func (m *answerMemory) read(body io.Reader, length int64, holds *payload.Holding) ([]byte, error) {
 	if length >= 0 && length <= smallAnswerBytes {
 		return readSized(body, length, holds)
 	}
@@ -38,8 +39,8 @@
 }
 
 // readSized reads a body of a known length into a buffer of this size.
-func readSized(body io.Reader, length int64, holds *holding) ([]byte, error) {
-	if !holds.take(length) {
+func readSized(body io.Reader, length int64, holds *payload.Holding) ([]byte, error) {
+	if !holds.Take(length) {
 		return nil, errors.Wrapf(bounded.ErrTooLarge, "%d bytes, and the host has no memory for them", length)
 	}
 	buffer := make([]byte, length)
@@ -59,7 +60,7 @@
 type countedReader struct {
 	io.Reader
 	memory *answerMemory
-	holds  *holding
+	holds  *payload.Holding
 	// size is the number of bytes read, and large the number that count towards maxLargeBytes.
 	size, large int64
 }
@@ -68,7 +69,7 @@
 func (r *countedReader) Read(p []byte) (int, error) {
 	n, err := r.Reader.Read(p)
 	r.size += int64(n)
-	if !r.holds.take(int64(n)) {
+	if !r.holds.Take(int64(n)) {
 		return n, errors.Wrapf(bounded.ErrTooLarge, "%d bytes, and the host has no memory for more", r.size)
 	}
 	if r.size <= smallAnswerBytes {
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/poplarcroft/poplarcroft/internal/assign"
+	"github.com/poplarcroft/poplarcroft/internal/payload"
 	"github.com/poplarcroft/poplarcroft/internal/poison"
 	"github.com/poplarcroft/poplarcroft/internal/routetable"
 	"github.com/poplarcroft/poplarcroft/internal/transport"
@@ -284,12 +285,12 @@
 	// The forwarding host adds the date; sending it here would only add traffic between zones.
 	w.Header()["Date"] = nil
 	d := in.newDelivery(w, hr)
-	holds := &holding{memory: &in.memory}
-	defer holds.release()
-	end := limitBody(w, hr, callerTimeout(hr.Header, in.headers.DeadlineMS, 0))
+	holds := payload.NewHolding(in.memory)
+	defer holds.Release()
+	end := payload.LimitTime(w, hr, callerTimeout(hr.Header, in.headers.DeadlineMS, 0))
 	r, refusal, err := in.readForwarded(hr, now, holds)
 	end(err)
-	if errors.Is(err, errNoMemory) {
+	if errors.Is(err, payload.ErrNoMemory) {
 		writeForwardResult(w, notRun(reasonMemory, defaultRetryAfter))
 		return
 	}
@@ -356,7 +357,7 @@
 
 // readForwarded parses a forwarded request. The settings of its service come from this host's own
 // configuration if that contains the service. The refusal is the reason if it is a caller's request without a known key.
-func (in *Ingress) readForwarded(hr *http.Request, now time.Duration, holds *holding) (r *Request, refusal string, err error) {
+func (in *Ingress) readForwarded(hr *http.Request, now time.Duration, holds *payload.Holding) (r *Request, refusal string, err error) {
 	r, err = decodeForward(hr.Header.Get(HeaderForward), now)
 	if err != nil {
 		return nil, "", err
@@ -380,7 +381,7 @@
 			return nil, "", err
 		}
 	}
-	if r.Body, err = readBody(hr, 0, holds); err != nil {
+	if r.Body, err = payload.Read(hr, 0, holds); err != nil {
 		return nil, "", err
 	}
 	r.Header = transport.EndToEnd(hr.Header)
--- a/internal/front/ingress.go
+++ b/internal/front/ingress.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +16,7 @@
 	"github.com/poplarcroft/poplarcroft/internal/fleet"
 	"github.com/poplarcroft/poplarcroft/internal/keyrange"
 	"github.com/poplarcroft/poplarcroft/internal/loop"
+	"github.com/poplarcroft/poplarcroft/internal/payload"
 	"github.com/poplarcroft/poplarcroft/internal/poison"
 	"github.com/poplarcroft/poplarcroft/internal/routetable"
 	"github.com/poplarcroft/poplarcroft/internal/sharedlimit"
@@ -95,7 +95,7 @@
 	gates     admissionGates
 	probes    *probes
 	answers   answerMemory
-	memory    bodyMemory
+	memory    *payload.Memory
 	link      linkMeter
 	// unauthorizedLines bounds the log lines about requests without a known key.
 	unauthorizedLines boundedLines
@@ -140,7 +140,7 @@
 		primaries:  newPrimaries(config.Self, config.Reach, config.Clock),
 		gates:      admissionGates{clock: config.Clock},
 		probes:     newProbes(config),
-		memory:     bodyMemory{bound: config.BodyMemory},
+		memory:     payload.NewMemory(config.BodyMemory),
 		link:       linkMeter{rate: config.LinkBytesPerS, clock: config.Clock},
 		lastPhase:  newLastPhase(),
 		forwarders: leavingHosts{clock: config.Clock, until: make(map[string]time.Duration)},
@@ -188,7 +188,7 @@
 // BodyMemory returns the bound of the memory for bodies in bytes (0 for none), the bytes that are held and the most that
 // were held, for the metrics endpoint.
 func (in *Ingress) BodyMemory() map[string]int64 {
-	return in.memory.snapshot()
+	return in.memory.Snapshot()
 }
 
 // KeyRates returns the request rate of each key, by service, of the requests that this host
@@ -226,13 +226,13 @@
 		in.refuseUnauthorized(w, hr, route.Name, refusal)
 		return
 	}
-	holds := &holding{memory: &in.memory}
-	defer holds.release()
-	end := limitBody(w, hr, callerTimeout(hr.Header, in.headers.DeadlineMS, route.Timeout))
+	holds := payload.NewHolding(in.memory)
+	defer holds.Release()
+	end := payload.LimitTime(w, hr, callerTimeout(hr.Header, in.headers.DeadlineMS, route.Timeout))
 	r, status, err := in.read(hr, table, route, who, arrived, holds)
 	end(err)
 	if err != nil {
-		if errors.Is(err, errNoMemory) {
+		if errors.Is(err, payload.ErrNoMemory) {
 			setRetryAfter(w, defaultRetryAfter)
 		}
 		in.log.Event("answer", "id", hr.Header.Get(in.headers.RequestID), "route", route.Name, "status", status, "err", err.Error())
@@ -278,7 +278,7 @@
 // stallOf returns how long the caller may read nothing of the answer, or zero if that is not limited: the bound holds
 // where answers are large or the memory is bounded.
 func (in *Ingress) stallOf(r *Request, limit time.Duration) time.Duration {
-	if r.Route.Large || in.memory.bound > 0 {
+	if r.Route.Large || in.memory.Bounded() {
 		return limit
 	}
 	return 0
@@ -314,7 +314,7 @@
 
 // read parses a caller's request that has been authenticated. If the request is not acceptable it returns the HTTP status
 // to answer with, and an error.
-func (in *Ingress) read(hr *http.Request, table *routetable.Table, route *routetable.Route, who identity, arrived time.Duration, holds *holding) (*Request, int, error) {
+func (in *Ingress) read(hr *http.Request, table *routetable.Table, route *routetable.Route, who identity, arrived time.Duration, holds *payload.Holding) (*Request, int, error) {
 	r := &Request{
 		ID:       hr.Header.Get(in.headers.RequestID),
 		Route:    route,
@@ -339,15 +339,15 @@
 		}
 		r.Key = key
 	}
-	body, err := readBody(hr, table.Limits.BodyBytes, holds)
-	if errors.Is(err, errNoMemory) {
+	body, err := payload.Read(hr, table.Limits.BodyBytes, holds)
+	if errors.Is(err, payload.ErrNoMemory) {
 		return nil, http.StatusServiceUnavailable, err
 	}
-	if errors.Is(err, errBodyTooBig) {
+	if errors.Is(err, payload.ErrTooBig) {
 		return nil, http.StatusRequestEntityTooLarge, err
 	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return nil, http.StatusRequestTimeout, errBodyLate
+	if errors.Is(err, payload.ErrLate) {
+		return nil, http.StatusRequestTimeout, payload.ErrLate
 	}
 	if err != nil {
 		return nil, http.StatusBadRequest, err
--- a/internal/front/large.go
+++ b/internal/front/large.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/poplarcroft/poplarcroft/internal/payload"
 )
 
 const (
@@ -36,7 +38,7 @@
 	if r.Route.Large {
 		return in.admitLarge(ctx, r)
 	}
-	if !in.memory.hasRoom(smallRoom) {
+	if !in.memory.HasRoom(payload.SmallRoom) {
 		return notRun(reasonMemory, in.returnWithin(r, defaultRetryAfter)), false
 	}
 	return Result{}, true
@@ -50,7 +52,7 @@
 		in.Counters.countLarge(largeRefusedLink)
 		return notRun(reasonLink, in.returnWithin(r, excess)), false
 	}
-	if !r.holds.await(ctx, largeAnswerBytes) {
+	if !r.holds.AwaitLarge(ctx, largeAnswerBytes) {
 		use.end(false)
 		in.Counters.countLarge(largeRefusedMemory)
 		return notRun(reasonMemory, in.returnWithin(r, defaultRetryAfter)), false
--- a/internal/front/large_test.go
+++ b/internal/front/large_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/poplarcroft/poplarcroft/internal/assign"
 	"github.com/poplarcroft/poplarcroft/internal/fleet"
+	"github.com/poplarcroft/poplarcroft/internal/payload"
 	"github.com/poplarcroft/poplarcroft/internal/poison"
 )
 
@@ -285,7 +286,7 @@
 	server := &largeServer{framing: framingLength, body: strings.Repeat(largeBody, 2), cutAfter: noCut}
 	s := newHost(t, "h1", server.start(t))
 	const bound, callers = 3 << 20, 40
-	s.ingress.memory.bound = bound
+	s.ingress.memory = payload.NewMemory(bound)
 	var calls sync.WaitGroup
 	var mu sync.Mutex
 	whole, refused := int64(0), 0
@@ -326,20 +327,22 @@
 func TestHeldBodiesCountAgainstTheBound(t *testing.T) {
 	server := startServer(t, rawAnswer(200, strings.Repeat("x", 100<<10)))
 	s := newSystem(t, server)
-	s.ingress.memory.bound = 80 << 10
+	s.ingress.memory = payload.NewMemory(80 << 10)
 	response, _, err := s.call(t, "GET", "/keyed/x", "")
 	assert.NilError(t, err)
 	assert.Equal(t, response.StatusCode, http.StatusBadGateway, "the answer is over the bound")
 	awaitUntil(t, 5*time.Second, "memory is given back", func() bool { return s.ingress.BodyMemory()["held"] == 0 })
 	sent := len(server.seen())
-	assert.Assert(t, s.ingress.memory.take(50<<10, 1))
+	other := payload.NewHolding(s.ingress.memory)
+	assert.Assert(t, other.Take(50<<10))
 	response, _, err = s.call(t, "GET", "/any/x", "")
 	assert.NilError(t, err)
 	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable, "there is no room for the answer")
 	assert.Assert(t, response.Header.Get("Retry-After") != "")
 	assert.Equal(t, len(server.seen()), sent, "a refused request reached the server")
-	s.ingress.memory.giveBack(50 << 10)
-	s.ingress.memory.bound = 500
+	other.Release()
+	// The only body may take twice the bound.
+	s.ingress.memory = payload.NewMemory(400)
 	response, _, err = s.call(t, "POST", "/post/x", strings.Repeat("x", 900))
 	assert.NilError(t, err)
 	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -14,8 +14,6 @@
 package front
 
 import (
-	"io"
-	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -25,6 +23,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/poplarcroft/poplarcroft/internal/keyrange"
+	"github.com/poplarcroft/poplarcroft/internal/payload"
 	"github.com/poplarcroft/poplarcroft/internal/poison"
 	"github.com/poplarcroft/poplarcroft/internal/routetable"
 )
@@ -87,7 +86,7 @@
 	// delivery writes the answer to the caller, and holds counts the memory of the request and its answer. Both are nil
 	// in tests that need neither.
 	delivery *delivery
-	holds    *holding
+	holds    *payload.Holding
 }
 
 // credentialHeaders are the headers that say on whose behalf a request is made.
@@ -119,97 +118,16 @@
 	return addr
 }
 
-// firstBodyBytes is the size of the first buffer of a body.
-const firstBodyBytes = 4 << 10
-
 // maxDeadline is the longest time until the deadline that a caller may set.
 const maxDeadline = 10 * time.Minute
 
 var (
-	errNoID       = errors.New("the request has no ID")
-	errBadKey     = errors.New("the key is missing or no number from 0 to 65535")
-	errNoMemory   = errors.New("host has no memory for the body")
-	errBodyTooBig = errors.New("the body exceeds the limit")
-	errBodyLate   = errors.New("the body has not arrived in time")
+	errNoID   = errors.New("the request has no ID")
+	errBadKey = errors.New("the key is missing or no number from 0 to 65535")
 	// errForwardedRoute: the other host knows the route from a newer configuration.
 	errForwardedRoute = errors.New("the route of a forwarded request that is not authenticated is unknown")
 )
 
-// readBody reads a body of at most limit bytes; zero sets no limit. It returns errBodyTooBig for
-// a longer one, and errNoMemory if this host has no memory for it. The buffer grows with what arrives, and all of it counts.
-func readBody(r *http.Request, limit int64, holds *holding) ([]byte, error) {
-	if r.ContentLength == 0 || r.Body == nil {
-		return nil, nil
-	}
-	if limit > 0 && r.ContentLength > limit {
-		return nil, errBodyTooBig
-	}
-	largest := int64(math.MaxInt64)
-	if r.ContentLength > 0 {
-		largest = r.ContentLength
-	} else if limit > 0 {
-		largest = limit
-	}
-	var body []byte
-	for {
-		var err error
-		body, err = growBody(body, largest, holds)
-		if err != nil {
-			return nil, err
-		}
-		n, err := r.Body.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		switch {
-		case errors.Is(err, io.EOF):
-			return body, nil
-		case err != nil:
-			return nil, err
-		case limit > 0 && int64(len(body)) > limit:
-			return nil, errBodyTooBig
-		}
-	}
-}
-
-// limitBody sets the time within which the body of a request must have arrived: nobody waits for its answer afterwards. The returned
-// function must be called with the error of reading the body. It ends the limit, or the connection if there is more of the body.
-func limitBody(w http.ResponseWriter, r *http.Request, limit time.Duration) (end func(err error)) {
-	if r.ContentLength == 0 {
-		return func(error) {}
-	}
-	controller := http.NewResponseController(w)
-	if err := controller.SetReadDeadline(time.Now().Add(limit)); err != nil {
-		// The connection is not one of the HTTP library's.
-		return func(error) {}
-	}
-	return func(err error) {
-		if errors.IsAny(err, errNoMemory, errBodyTooBig, errBodyLate) {
-			w.Header().Set("Connection", "close")
-			return
-		}
-		// An error means that the connection has ended, which shows otherwise.
-		_ = controller.SetReadDeadline(time.Time{})
-	}
-}
-
-// growBody returns the body with room for more bytes. It doubles the buffer, up to one byte more than the largest size of the body, by
-// which a longer body shows.
-func growBody(body []byte, largest int64, holds *holding) ([]byte, error) {
-	if len(body) < cap(body) {
-		return body, nil
-	}
-	size := int64(max(2*cap(body), firstBodyBytes))
-	if size > largest {
-		size = largest + 1
-	}
-	if !holds.takeBody(size) {
-		return nil, errNoMemory
-	}
-	grown := make([]byte, len(body), size)
-	copy(grown, body)
-	holds.giveBack(int64(cap(body)))
-	return grown, nil
-}
-
 // callerTimeout returns how long the caller waits by the header with the given name, at most the
 // route's timeout. Zero stands for a route without a timeout. A missing or malformed header
 // gives the longest time.
--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -10,21 +10,46 @@
 	"time"
 
 	"github.com/poplarcroft/poplarcroft/internal/bounded"
+	"github.com/poplarcroft/poplarcroft/internal/inbound"
 	"github.com/poplarcroft/poplarcroft/internal/peer"
 )
 
-// headerTimeout bounds the reading of a request's header.
-const headerTimeout = 5 * time.Second
+const (
+	// headerTimeout bounds the reading of a request's header.
+	headerTimeout = 5 * time.Second
+	// maxConnections is the maximum number of connections of callers, and of those of other hosts without RPC.
+	maxConnections = 4096
+	// maxHeadMemory bounds the memory in bytes that the large heads of requests may take at one listener.
+	maxHeadMemory = 32 << 20
+)
 
 // serve starts the host's HTTP servers. The end of the context does not cancel requests in flight.
 func (h *Host) serve(ctx context.Context) []*http.Server {
 	return []*http.Server{
-		start(h.listeners.caller, h.callerHandler()),
-		start(h.listeners.peer, h.peerHandler(ctx)),
+		h.startGuarded(ctx, "callers", bounded.MaxHeaderBytes, h.listeners.caller, h.callerHandler()),
+		// A forwarded request has the caller's header and those between hosts.
+		h.startGuarded(ctx, "hosts", 2*bounded.MaxHeaderBytes, h.listeners.peer, h.peerHandler(ctx)),
 		start(h.adminListener(), h.adminHandler()),
 	}
 }
 
+// startGuarded serves a listener in the background whose clients need not keep to any limit.
+func (h *Host) startGuarded(ctx context.Context, name string, headBytes int, listener net.Listener, handler http.Handler) *http.Server {
+	limits := inbound.Limits{HeadBytes: headBytes, HeadTimeout: headerTimeout}
+	guard := inbound.New(inbound.Config{
+		Name: name, Limits: func() inbound.Limits { return limits }, Connections: maxConnections, HeadMemory: maxHeadMemory, Log: h.logInbound,
+	})
+	go guard.Run(ctx)
+	server := guard.Server(handler)
+	go server.Serve(guard.Listener(listener))
+	return server
+}
+
+// logInbound writes a log line about refused connections and requests.
+func (h *Host) logInbound(event string, fields ...any) {
+	h.logger.Warn(event, append(fields, "host", h.config.Name)...)
+}
+
 // start serves a listener in the background.
 func start(listener net.Listener, handler http.Handler) *http.Server {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: bounded.MaxHeaderBytes}
--- a/internal/inbound/guard.go
+++ b/internal/inbound/guard.go
@@ -19,7 +19,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/poplarcroft/poplarcroft/internal/eventlog"
 	"github.com/poplarcroft/poplarcroft/internal/loop"
 	"github.com/poplarcroft/poplarcroft/internal/socket"
 )
@@ -43,7 +42,8 @@
 	// may take together. Zero sets no limit.
 	Connections int
 	HeadMemory  int64
-	Log         *eventlog.Log
+	// Log writes a log line. fields alternates names and values.
+	Log func(event string, fields ...any)
 }
 
 const (
--- a/internal/inbound/guard_test.go
+++ b/internal/inbound/guard_test.go
@@ -15,8 +15,6 @@
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
-
-	"github.com/poplarcroft/poplarcroft/internal/eventlog"
 )
 
 // testServer is an HTTP server behind a guard. It answers each request after its body has been read, and those for /wait when the
@@ -29,7 +27,7 @@
 func newTestServer(t *testing.T, config Config, limits Limits) *testServer {
 	t.Helper()
 	config.Limits = func() Limits { return limits }
-	config.Log = eventlog.Discard()
+	config.Log = func(string, ...any) {}
 	s := &testServer{guard: New(config)}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
--- a/internal/inbound/metrics.go
+++ b/internal/inbound/metrics.go
@@ -55,7 +55,7 @@
 	if m.refusals() == told.refusals() || now-told.toldAt < tellInterval {
 		return told
 	}
-	g.config.Log.Event("inbound", "listener", g.config.Name, "connections", m.Connections, "head_memory", m.HeadMemory,
+	g.config.Log("inbound", "listener", g.config.Name, "connections", m.Connections, "head_memory", m.HeadMemory,
 		"refused", m.Refused-told.Refused, "evicted", m.Evicted-told.Evicted, "slow_heads", m.SlowHeads-told.SlowHeads,
 		"large_heads", m.LargeHeads-told.LargeHeads, "no_memory", m.NoMemory-told.NoMemory)
 	m.toldAt = now
--- a/internal/route/forward.go
+++ b/internal/route/forward.go
@@ -131,7 +131,13 @@
 // this one as the primary.
 func (in *Ingress) ForwardHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		r, refusal, ok := readForwarded(req)
+		body, release, refusal, ok := in.bodies.read(w, req, requestTimeout(req.Header, maxForwardTimeout))
+		if !ok {
+			writeForwarded(w, Result{Refusal: refusal})
+			return
+		}
+		defer release()
+		r, refusal, ok := readForwarded(req, body)
 		if !ok {
 			writeForwarded(w, Result{Refusal: refusal})
 			return
@@ -142,9 +148,9 @@
 	})
 }
 
-// readForwarded reads a forwarded request. It returns a refusal and false if the
+// readForwarded returns a forwarded request with the given body. It returns a refusal and false if the
 // request is malformed.
-func readForwarded(req *http.Request) (*Request, outcome.Refusal, bool) {
+func readForwarded(req *http.Request, body []byte) (*Request, outcome.Refusal, bool) {
 	header := req.Header
 	path := strings.TrimPrefix(req.URL.EscapedPath(), peer.PathForward)
 	parts := strings.SplitN(strings.TrimPrefix(path, "/"), "/", 3)
@@ -158,10 +164,7 @@
 		return nil, badRequest("malformed key"), false
 	}
 	rest := strings.TrimPrefix(path, "/"+parts[0]+"/"+parts[1])
-	r, refusal, ok := readRequest(req, parts[0], parts[1], rest, maxForwardTimeout)
-	if !ok {
-		return nil, refusal, false
-	}
+	r := newRequest(req, body, parts[0], parts[1], rest, maxForwardTimeout)
 	r.ID = header.Get(backend.HeaderRequestID)
 	r.Key = key
 	r.Slice = slice
--- a/internal/route/ingress.go
+++ b/internal/route/ingress.go
@@ -69,6 +69,7 @@
 	guard     *poison.Guard
 	routes    *routeCache
 	counters  *Counters
+	bodies    *bodyReader
 }
 
 // IngressConfig holds the dependencies of an Ingress.
@@ -100,6 +101,7 @@
 		budgets:   budgets,
 		routes:    newRouteCache(),
 		counters:  config.Counters,
+		bodies:    newBodyReader(),
 	}
 }
 
@@ -115,7 +117,7 @@
 
 // serve handles one request, counts its outcome and writes the answer or refusal.
 func (in *Ingress) serve(w http.ResponseWriter, r *http.Request) {
-	result := in.handle(r)
+	result := in.handle(w, r)
 	in.counters.count(result)
 	if result.Answer != nil {
 		writeAnswer(w, result.Answer)
@@ -126,7 +128,7 @@
 
 // handle validates the request and routes it by its service: to the owner of its
 // key, or to any server of a keyless service.
-func (in *Ingress) handle(r *http.Request) Result {
+func (in *Ingress) handle(w http.ResponseWriter, r *http.Request) Result {
 	vars := mux.Vars(r)
 	key, err := url.PathUnescape(vars["key"])
 	if err != nil || strings.ContainsFunc(key, isControl) {
@@ -140,10 +142,12 @@
 			Detail:  "no service of this name",
 		}}
 	}
-	request, refusal, ok := readRequest(r, service.Name, vars["key"], vars["rest"], service.Values.RequestTimeout)
+	body, release, refusal, ok := in.bodies.read(w, r, requestTimeout(r.Header, service.Values.RequestTimeout))
 	if !ok {
 		return Result{Refusal: refusal}
 	}
+	defer release()
+	request := newRequest(r, body, service.Name, vars["key"], vars["rest"], service.Values.RequestTimeout)
 	request.Key = key
 	ctx, cancel := context.WithDeadline(r.Context(), request.Deadline)
 	defer cancel()
--- a/internal/route/request.go
+++ b/internal/route/request.go
@@ -16,7 +16,6 @@
 
 import (
 	"bytes"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -32,12 +31,8 @@
 	"github.com/poplarcroft/poplarcroft/internal/transport"
 )
 
-const (
-	// maxBodyBytes is the largest request body. It is held in memory until the answer.
-	maxBodyBytes = 8 << 20
-	// maxAnswerBytes is the largest answer body.
-	maxAnswerBytes = 64 << 20
-)
+// maxAnswerBytes is the largest answer body.
+const maxAnswerBytes = 64 << 20
 
 // Request is a caller's request, held in memory so that it can be sent more than once.
 type Request struct {
@@ -148,16 +143,8 @@
 // defaultRetryAfter is the retry-after time of a refusal without a better estimate.
 const defaultRetryAfter = time.Second
 
-// readRequest reads a request for the service and the escaped key. rest is the part of
-// the path after them. It returns a refusal and false if the request is malformed.
-func readRequest(r *http.Request, service, key, rest string, timeout time.Duration) (*Request, outcome.Refusal, bool) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes+1))
-	if err != nil {
-		return nil, badRequest("the body could not be read"), false
-	}
-	if len(body) > maxBodyBytes {
-		return nil, badRequest("the body exceeds " + strconv.Itoa(maxBodyBytes) + " bytes"), false
-	}
+// newRequest returns the request with the given body for the service and the escaped key. rest is the part of the path after them.
+func newRequest(r *http.Request, body []byte, service, key, rest string, timeout time.Duration) *Request {
 	id := r.Header.Get(backend.HeaderIdempotencyKey)
 	if id == "" {
 		id = uuid.NewString()
@@ -175,7 +162,7 @@
 		Header:   endToEnd(r.Header),
 		Body:     body,
 		Deadline: time.Now().Add(requestTimeout(r.Header, timeout)),
-	}, outcome.Refusal{}, true
+	}
 }
 
 func badRequest(detail string) outcome.Refusal {
