--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -299,7 +299,8 @@
 	h.leave(listeners.callers, servers)
 	stop()
 	loops.Wait()
-	h.log.Event("stop", "host", h.self.Name)
+	requests, unanswered := h.ingress.Counters.Callers()
+	h.log.Event("stop", "host", h.self.Name, "requests", requests, "unanswered", unanswered)
 	return nil
 }
 
--- a/internal/front/counters.go
+++ b/internal/front/counters.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -10,6 +11,9 @@
 
 // Counters counts requests by their result and records their latency. It is safe for concurrent use.
 type Counters struct {
+	// read is the number of callers' requests that have been read, and answered that of those whose answers were written.
+	read, answered atomic.Int64
+
 	mu sync.Mutex
 	// results holds the number of requests by kind of result and reason.
 	results map[string]int64
@@ -21,6 +25,13 @@
 	large map[string]int64
 }
 
+// Callers returns the number of callers' requests that have been read, and of those among them without a complete answer so far.
+func (c *Counters) Callers() (requests, unanswered int64) {
+	answered := c.answered.Load()
+	requests = c.read.Load()
+	return requests, requests - answered
+}
+
 // Names of the counters of large answers.
 const (
 	largePassedOn      = "passed on"
--- a/internal/front/ingress.go
+++ b/internal/front/ingress.go
@@ -205,6 +205,17 @@
 
 // ServeHTTP handles one request of a caller.
 func (in *Ingress) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
+	in.Counters.read.Add(1)
+	in.serveCaller(w, hr)
+	if in.isLeaving() && http.NewResponseController(w).Flush() != nil {
+		// The connection has ended.
+		return
+	}
+	in.Counters.answered.Add(1)
+}
+
+// serveCaller handles one request of a caller. It panics with http.ErrAbortHandler to end the connection within an answer.
+func (in *Ingress) serveCaller(w http.ResponseWriter, hr *http.Request) {
 	if in.isLeaving() {
 		w.Header().Set("Connection", "close")
 	}
