--- a/internal/cmd/hostcmd/hostile_clients_test.go
+++ b/cmd/poplarcroft/hostile_clients_test.go
@@ -1,19 +1,16 @@
-package hostcmd
+package main
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
-	"os/signal"
 	"regexp"
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
@@ -36,9 +33,8 @@
 
 func TestMain(m *testing.M) {
 	if args := os.Getenv(devEnvVar); args != "" {
-		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
-		defer stop()
-		os.Exit(dev(ctx, strings.Fields(args), os.Stdout, os.Stderr))
+		os.Args = append([]string{"poplarcroft", "dev"}, strings.Fields(args)...)
+		main()
 	}
 	os.Exit(m.Run())
 }
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -283,7 +283,7 @@
 	if err != nil {
 		return err
 	}
-	h.log.Event("start", "host", h.self.Name, "zone", h.self.Zone, "incarnation", h.self.Incarnation)
+	h.log.Lifecycle("start", "host", h.self.Name, "zone", h.self.Zone, "incarnation", h.self.Incarnation)
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var loops sync.WaitGroup
@@ -300,7 +300,7 @@
 	stop()
 	loops.Wait()
 	requests, unanswered := h.ingress.Counters.Callers()
-	h.log.Event("stop", "host", h.self.Name, "requests", requests, "unanswered", unanswered)
+	h.log.Lifecycle("stop", "host", h.self.Name, "requests", requests, "unanswered", unanswered)
 	return nil
 }
 
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -67,6 +67,11 @@
 	l.enqueue(l.important, line{event: event, fields: fields})
 }
 
+// Lifecycle logs the start or the end of the process. These lines have no rate limit.
+func (l *Log) Lifecycle(event string, fields ...any) {
+	l.enqueue(nil, line{event: event, fields: fields})
+}
+
 // Routine logs a frequent, expected event. Its rate limit is lower, so these lines are dropped first.
 func (l *Log) Routine(event string, fields ...any) {
 	l.enqueue(l.routine, line{event: event, fields: fields})
@@ -77,9 +82,9 @@
 	return l.dropped.Load()
 }
 
-// enqueue adds a line to the queue, or drops and counts it.
+// enqueue adds a line to the queue, or drops and counts it. A nil limiter sets no limit.
 func (l *Log) enqueue(limiter *rate.Limiter, entry line) {
-	if !limiter.AllowN(time.Now(), 1) {
+	if limiter != nil && !limiter.AllowN(time.Now(), 1) {
 		l.dropped.Add(1)
 		return
 	}
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -62,3 +62,16 @@
 	}
 	assert.Equal(t, l.Dropped(), routine)
 }
+
+// TestEndIsToldUnderLoad guards against a process whose last line is dropped, because many requests are being refused.
+func TestEndIsToldUnderLoad(t *testing.T) {
+	var w bytes.Buffer
+	l := New(&w)
+	for range 2 * importantLinesPerSecond * burstSeconds {
+		l.Event("answer")
+	}
+	assert.Assert(t, l.Dropped() > 0)
+	l.Lifecycle("stop")
+	l.drain()
+	assert.Assert(t, strings.Contains(w.String(), "msg=stop"))
+}
