--- a/cmd/poplarcroft/hostile_clients_test.go
+++ b/cmd/poplarcroft/hostile_clients_test.go
@@ -7,14 +7,13 @@
 	"net/http"
 	"os"
 	"os/exec"
-	"regexp"
-	"strconv"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/poplarcroft/poplarcroft/internal/standin"
 )
 
 const (
@@ -77,19 +76,6 @@
 	return false
 }
 
-var peakMemoryLine = regexp.MustCompile(`VmHWM:\s*(\d+) kB`)
-
-// peakMemoryMB returns the largest memory of a process so far in MB.
-func peakMemoryMB(t *testing.T, pid int) int {
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	assert.NilError(t, err, "the process has ended")
-	line := peakMemoryLine.FindSubmatch(status)
-	assert.Assert(t, line != nil, "the process has ended: %s", status)
-	kb, err := strconv.Atoi(string(line[1]))
-	assert.NilError(t, err)
-	return kb / 1024
-}
-
 // TestHostileClientsOfTheProductsOwnInterface guards against clients that end a process by what they send to the product's own
 // interface. Ordinary callers get answers meanwhile.
 func TestHostileClientsOfTheProductsOwnInterface(t *testing.T) {
@@ -109,53 +95,19 @@
 		t.Run(name, func(t *testing.T) {
 			process, caller := startDevProcess(t)
 			assert.Assert(t, awaitAnswer(caller), "the system does not start")
-			stop := startCrowd(caller, request)
+			stop := standin.StartCrowd(caller, hostileClients, func(conn net.Conn) {
+				go io.WriteString(conn, request)
+				io.Copy(io.Discard, conn)
+			})
 			time.Sleep(hostileFor)
 			beside := awaitAnswer(caller)
 			stop()
 			assert.Check(t, beside, "an ordinary request beside the crowd is not answered")
 			assert.Check(t, awaitAnswer(caller), "an ordinary request after the crowd is not answered")
-			peak := peakMemoryMB(t, process.Process.Pid)
+			peak, err := standin.PeakMemoryMB(process.Process.Pid)
+			assert.NilError(t, err)
 			t.Logf("at most %d MB", peak)
 			assert.Check(t, peak <= hostileMemoryMB, "the process took %d MB of %d", peak, hostileMemoryMB)
 		})
 	}
 }
-
-// startCrowd lets clients send a request on one connection after the other, and hold each open until it is closed or the returned
-// function is called.
-func startCrowd(addr, request string) (stop func()) {
-	done := make(chan struct{})
-	var clients sync.WaitGroup
-	for range hostileClients {
-		clients.Go(func() {
-			for {
-				select {
-				case <-done:
-					return
-				default:
-				}
-				conn, err := net.DialTimeout("tcp", addr, time.Second)
-				if err != nil {
-					time.Sleep(10 * time.Millisecond)
-					continue
-				}
-				ended := make(chan struct{})
-				go func() {
-					select {
-					case <-done:
-					case <-ended:
-					}
-					conn.Close()
-				}()
-				go io.WriteString(conn, request)
-				io.Copy(io.Discard, conn)
-				close(ended)
-			}
-		})
-	}
-	return func() {
-		close(done)
-		clients.Wait()
-	}
-}
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -157,7 +157,7 @@
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		if !c.removed {
-			g.await(c)
+			g.addWaiting(c)
 		}
 	case http.StateHijacked:
 		c.release()
@@ -189,7 +189,7 @@
 	c.receivingHead.Store(false)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.stopWaiting(c)
+	g.removeWaiting(c)
 	return !c.removed
 }
 
--- a/internal/inbound/guard.go
+++ b/internal/inbound/guard.go
@@ -99,7 +99,7 @@
 	}
 	c := &Conn{TCPConn: tcp, guard: g}
 	g.open++
-	g.await(c)
+	g.addWaiting(c)
 	return c
 }
 
@@ -120,16 +120,16 @@
 	return false
 }
 
-// await adds a connection to those without a complete request. The caller holds the lock.
-func (g *Guard) await(c *Conn) {
+// addWaiting adds a connection to those without a complete request. The caller holds the lock.
+func (g *Guard) addWaiting(c *Conn) {
 	c.since = monotonic()
 	c.headBegun.Store(false)
 	c.receivingHead.Store(true)
 	c.element = g.waiting.PushBack(c)
 }
 
-// stopWaiting removes a connection from those without a complete request. The caller holds the lock.
-func (g *Guard) stopWaiting(c *Conn) {
+// removeWaiting removes a connection from those without a complete request. The caller holds the lock.
+func (g *Guard) removeWaiting(c *Conn) {
 	if c.element != nil {
 		g.waiting.Remove(c.element)
 		c.element = nil
@@ -143,7 +143,7 @@
 	}
 	c.removed = true
 	g.open--
-	g.stopWaiting(c)
+	g.removeWaiting(c)
 }
 
 // takeHeadMemory counts more memory for a large head. It refuses that beyond the limit, but not for the only large head.
--- a/internal/relay/progress.go
+++ b/internal/relay/progress.go
@@ -68,8 +68,7 @@
 func (r *Relay) Late(topic Topic) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	p := r.progress[topic]
-	return r.config.Clock()-p.confirmedAt >= p.maxAge
+	return r.progress[topic].isLate(r.config.Clock())
 }
 
 // Run logs which topics are not confirmed, until the context ends.
@@ -86,7 +85,7 @@
 // updateLate logs when a topic is no longer confirmed, and when it is confirmed again. The caller holds the lock.
 func (r *Relay) updateLate(topic Topic, p *topicProgress) {
 	now := r.config.Clock()
-	late := now-p.confirmedAt >= p.maxAge
+	late := p.isLate(now)
 	if late == p.late {
 		return
 	}
@@ -99,6 +98,11 @@
 		"confirmed_ms", (now - p.confirmedAt).Milliseconds(), "asked_ms", r.askedAgo(now).Milliseconds(), "outcome", outcome)
 }
 
+// isLate reports whether the topic is not confirmed recently enough.
+func (p *topicProgress) isLate(now time.Duration) bool {
+	return now-p.confirmedAt >= p.maxAge
+}
+
 // readingFor returns how long the read in flight has lasted, or zero if there is none.
 func (p *topicProgress) readingFor(now time.Duration) time.Duration {
 	if !p.reading {
@@ -136,7 +140,7 @@
 	for topic, p := range r.progress {
 		metrics[topic] = TopicMetrics{
 			From: p.from, ReadingMS: p.readingFor(now).Milliseconds(), ConfirmedMS: (now - p.confirmedAt).Milliseconds(),
-			Late: now-p.confirmedAt >= p.maxAge,
+			Late: p.isLate(now),
 		}
 	}
 	return metrics
