inbound: the lines of a body that arrives with its head do not count as those of the head

Found by reading: an ordinary request whose body has many lines would be refused while other clients take the memory for large heads. TestLinesOfABodyAreNoLinesOfAHead gets 503 before. What arrives after the end of a head no longer counts, and a head counts with its exact size once it has been parsed.

--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -50,8 +50,8 @@
 	held atomic.Int64
 
 	// The guard's lock guards the fields below.
-	// since is when the connection was accepted or its last request was answered, as returned by monotonic, element its place in the guard's list, and
-	// removed says that the guard no longer counts the connection.
+	// since is when the connection was accepted or its last request was answered, as returned by monotonic. element is its place in
+	// the guard's list, and removed says that the guard no longer counts the connection.
 	since   time.Duration
 	element *list.Element
 	removed bool
@@ -68,8 +68,9 @@
 		c.headBegun.Store(true)
 		c.bytes, c.lines = 0, 0
 	}
-	c.bytes += n
-	c.lines += bytes.Count(p[:n], []byte{'\n'})
+	part := beforeEnd(p[:n])
+	c.bytes += len(part)
+	c.lines += bytes.Count(part, []byte{'\n'})
 	if limit := c.guard.config.Limits().HeadBytes; limit > 0 && c.bytes > limit+readSlack {
 		c.guard.counters.largeHeads.Add(1)
 		return 0, c.refuse(answerHeadTooLarge, errHeadTooLarge)
@@ -81,6 +82,17 @@
 	return n, err
 }
 
+// beforeEnd returns the part of what has arrived that belongs to a head, if its end is in it. A head whose end is divided between two
+// reads counts with what follows until Handler knows it.
+func beforeEnd(arrived []byte) []byte {
+	for _, end := range []string{"\n\r\n", "\n\n"} {
+		if i := bytes.Index(arrived, []byte(end)); i >= 0 {
+			arrived = arrived[:i+len(end)]
+		}
+	}
+	return arrived
+}
+
 // refuse writes an answer and returns an error with which the HTTP library ends the connection without another answer. It reads on for a
 // short time: the connection would be reset if it were closed with unread bytes, and the answer might get lost.
 func (c *Conn) refuse(answer string, reason error) error {
@@ -171,15 +183,23 @@
 // Handler returns a handler that refuses heads above the limit, and otherwise calls the given one.
 func (g *Guard) Handler(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, _ := r.Context().Value(connKey{}).(*Conn); c != nil && !g.beginRequest(c) {
+		c, _ := r.Context().Value(connKey{}).(*Conn)
+		if c != nil && !g.beginRequest(c) {
 			panic(http.ErrAbortHandler)
 		}
-		if limit := g.config.Limits().HeadBytes; limit > 0 && headBytes(r) > limit {
+		size, lines := headSize(r)
+		if limit := g.config.Limits().HeadBytes; limit > 0 && size > limit {
 			g.counters.largeHeads.Add(1)
 			w.Header().Set("Connection", "close")
 			w.WriteHeader(http.StatusRequestHeaderFieldsTooLarge)
 			return
 		}
+		if c != nil && !c.hold(headCost(size, lines)) {
+			g.counters.noMemory.Add(1)
+			w.Header().Set("Retry-After", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		handler.ServeHTTP(w, r)
 	})
 }
@@ -193,14 +213,16 @@
 	return !c.removed
 }
 
-// headBytes returns the least size that the head of a request can have had, without white space that has no meaning.
-func headBytes(r *http.Request) int {
+// headSize returns the least size that the head of a request can have had, without white space that has no meaning, and its lines.
+func headSize(r *http.Request) (size, lines int) {
 	const lineBytes, fieldBytes = len("  HTTP/1.1\r\n\r\n"), len(":\r\n")
-	size := len(r.Method) + len(r.RequestURI) + lineBytes + len("Host") + len(r.Host) + fieldBytes
+	size = len(r.Method) + len(r.RequestURI) + lineBytes + len("Host") + len(r.Host) + fieldBytes
+	lines = 2
 	for name, values := range r.Header {
+		lines += len(values)
 		for _, value := range values {
 			size += len(name) + len(value) + fieldBytes
 		}
 	}
-	return size
+	return size, lines
 }
--- a/internal/inbound/guard.go
+++ b/internal/inbound/guard.go
@@ -146,10 +146,11 @@
 	g.removeWaiting(c)
 }
 
-// takeHeadMemory counts more memory for a large head. It refuses that beyond the limit, but not for the only large head.
+// takeHeadMemory counts more memory, or less if negative, for a large head that takes its own already. It refuses more beyond the limit,
+// but not for the only large head.
 func (g *Guard) takeHeadMemory(own, more int64) bool {
 	total := g.headMemory.Add(more)
-	if g.config.HeadMemory > 0 && total > g.config.HeadMemory && total > own+more {
+	if more > 0 && g.config.HeadMemory > 0 && total > g.config.HeadMemory && total > own+more {
 		g.headMemory.Add(-more)
 		return false
 	}
--- a/internal/inbound/guard_test.go
+++ b/internal/inbound/guard_test.go
@@ -141,6 +141,24 @@
 	waiting.Close()
 }
 
+// TestLinesOfABodyAreNoLinesOfAHead guards against ordinary requests that are refused, because the lines of their bodies, which arrive with
+// the heads, count as those of heads.
+func TestLinesOfABodyAreNoLinesOfAHead(t *testing.T) {
+	const lines = 1000
+	s := newTestServer(t, Config{HeadMemory: lines * lineCost}, Limits{HeadBytes: 64 << 10})
+	s.dial(t, head("/wait", lines))
+	s.await(t, func(m Metrics) bool { return m.HeadMemory > 0 })
+	body := strings.Repeat("\n", 3000)
+	conn := s.dial(t, fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
+	assert.Equal(t, status(conn), http.StatusOK)
+	// The end of this head is divided between two reads. What follows counts until the head is known.
+	conn = s.dial(t, "GET / HTTP/1.1\r\nHost: a\r\n")
+	s.awaitWaiting(t, 2)
+	_, err := io.WriteString(conn, "\r\n")
+	assert.NilError(t, err)
+	assert.Equal(t, status(conn), http.StatusOK)
+}
+
 // TestLoneLargeHeadIsServed checks that a head within the limit is served while there is no other, again and again.
 func TestLoneLargeHeadIsServed(t *testing.T) {
 	s := newTestServer(t, Config{HeadMemory: 1}, Limits{HeadBytes: 64 << 10})
