--- a/internal/payload/memory.go
+++ b/internal/payload/memory.go
@@ -46,6 +46,11 @@
 func (m *Memory) take(n int64, part float64) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.takeWithin(n, part)
+}
+
+// takeWithin is take for a caller that holds the lock.
+func (m *Memory) takeWithin(n int64, part float64) bool {
 	if m.bound > 0 && m.held+n > int64(part*float64(m.bound)) {
 		return false
 	}
@@ -67,12 +72,7 @@
 	case own+n > firstBodyBytes:
 		part = smallShare
 	}
-	if m.bound > 0 && m.held+n > int64(part*float64(m.bound)) {
-		return false
-	}
-	m.held += n
-	m.most = max(m.most, m.held)
-	return true
+	return m.takeWithin(n, part)
 }
 
 // giveBack ends the counting of n bytes.
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -21,15 +21,10 @@
 	relay *Relay
 	topic Topic
 	// direct reads from the platform.
-	direct follow.Source
-	// minInterval returns the least time between the starts of two reads from the platform;
-	// lastStart is when the last one started.
-	minInterval func() time.Duration
-	lastStart   time.Duration
-	// maxWait bounds how long a read from the platform waits for a record; zero sets no bound.
-	maxWait time.Duration
-	// maxAge is Options.MaxAge.
-	maxAge time.Duration
+	direct  follow.Source
+	options Options
+	// lastStart is when the last read from the platform started.
+	lastStart time.Duration
 	// probing is set while a probe of the platform is in progress.
 	probing atomic.Bool
 }
@@ -73,9 +68,7 @@
 	defer r.mu.Unlock()
 	r.caches[topic] = newTopicCache(options.NewFilter)
 	r.progress[topic] = &topicProgress{maxAge: options.MaxAge, confirmedAt: r.config.Clock()}
-	return &Source{
-		relay: r, topic: topic, direct: direct, minInterval: options.MinInterval, maxWait: options.MaxWait, maxAge: options.MaxAge,
-	}
+	return &Source{relay: r, topic: topic, direct: direct, options: options}
 }
 
 // Newest implements follow.Source. It always reads from the platform, since relays have only recent records.
@@ -118,7 +111,7 @@
 		wait = min(wait, fallbackWait)
 		break
 	}
-	loop.Sleep(ctx, s.lastStart+s.minInterval()-s.relay.config.Clock())
+	loop.Sleep(ctx, s.lastStart+s.options.MinInterval()-s.relay.config.Clock())
 	return s.read(ctx, from, wait)
 }
 
@@ -168,8 +161,8 @@
 		// The cache can answer other hosts only after this read, so the read must not wait.
 		wait = 0
 	}
-	if s.maxWait > 0 {
-		wait = min(wait, s.maxWait)
+	if s.options.MaxWait > 0 {
+		wait = min(wait, s.options.MaxWait)
 	}
 	s.relay.Counters.Direct.Add(1)
 	began := s.relay.config.Clock()
@@ -234,7 +227,7 @@
 	}
 	switch reply.Outcome {
 	case Answered:
-		if len(reply.Records) == 0 && reply.Age.Confirmed >= s.maxAge {
+		if len(reply.Records) == 0 && reply.Age.Confirmed >= s.options.MaxAge {
 			// A build that does not know the bound, or has another one, has answered.
 			s.relay.avoidForTopic(host, s.topic, after, Stale.String())
 			return follow.Batch{}, errors.Wrap(errNotAnswered, Stale.String())
