--- a/review/standin-2/plan.go
+++ b/review/standin-2/plan.go
@@ -96,6 +96,8 @@
 
 	mu           sync.Mutex
 	sent, served int
+	// measuring is set during the measured times, whose requests get a line each in the record.
+	measuring bool
 }
 
 // run sends requests at planRate until the context ends.
@@ -137,19 +139,23 @@
 	request.Header.Set("X-Attempt-Id", id)
 	request.Header.Set("X-Deadline-Ms", strconv.FormatInt(clientDeadline.Milliseconds(), 10))
 	request.Header.Set("X-Shard-Key", strconv.Itoa(l.key()))
+	var a answer
 	response, err := client.Do(request)
-	ok := false
 	if err == nil {
 		_, err = io.Copy(io.Discard, response.Body)
 		response.Body.Close()
-		ok = err == nil && response.StatusCode == http.StatusOK
+		a.status = response.StatusCode
 	}
+	a.err = err
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.sent++
-	if ok {
+	if err == nil && a.status == http.StatusOK {
 		l.served++
 	}
+	if l.measuring {
+		l.w.record.line("%s to %s: %v; runs: %d", id, h.name, a, len(ranAs(l.w.targets, id)))
+	}
 }
 
 func (l *load) total() string {
@@ -162,10 +168,12 @@
 func (l *load) measure(when string) float64 {
 	l.mu.Lock()
 	sent, served := l.sent, l.served
+	l.measuring = true
 	l.mu.Unlock()
 	time.Sleep(measuredFor)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.measuring = false
 	sent, served = l.sent-sent, l.served-served
 	l.w.record.line("%s: %d of %d requests served", when, served, sent)
 	return float64(served) / float64(max(sent, 1))
