--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -18,7 +18,7 @@
 	targetCount = 4
 )
 
-// small and large are the sizes of the machines of the first sites, and of the larger machines of the large one.
+// The sizes of machines: small is that of the first sites, and large that of the larger machines of the large one.
 var (
 	small = limits{cpuShare: 0.32, memoryMB: 284, descriptors: 4100}
 	large = limits{cpuShare: 0.8, memoryMB: 536, descriptors: 8192}
