--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -29,6 +29,8 @@
 	"crowd": crowd,
 	"path":  path,
 	"plan":  plan,
+	"life":  life,
+	"churn": churn,
 }
 
 // configuration returns the operator's configuration.
--- a/review/standin-2/host.go
+++ b/review/standin-2/host.go
@@ -37,7 +37,7 @@
 func startHost(dir, program string, index int, zone string, s *store, l limits) *host {
 	// Each host has a loopback address of its own, since the port for metrics is the same on all machines.
 	pid := os.Getpid()
-	ip := fmt.Sprintf("127.%d.%d.%d", 20+pid/250%200, 1+pid%250, 10+index)
+	ip := fmt.Sprintf("127.%d.%d.%d", 20+(pid/250+index/200)%200, 1+pid%250, 10+index%200)
 	h := &host{name: fmt.Sprintf("front-%s-%d", zone, index), front: freeAddr(ip), ready: freeAddr(ip)}
 	_, internal, _ := net.SplitHostPort(freeAddr(ip))
 	text := fmt.Sprintf(`node_name = %q
--- a/review/standin-2/plan.go
+++ b/review/standin-2/plan.go
@@ -54,7 +54,7 @@
 	}
 	w.addHosts(hostsPerZone)
 	w.awaitService(keyedPrefix)
-	l := &load{w: w}
+	l := &load{w: w, hosts: w.hosts, even: !w.trouble}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go l.run(ctx)
@@ -91,7 +91,10 @@
 
 // load sends requests for keys.
 type load struct {
-	w       *world
+	w *world
+	// hosts are those that get the requests, and even says that all keys are asked for alike.
+	hosts   []*host
+	even    bool
 	hotSpot atomic.Int64
 
 	mu           sync.Mutex
@@ -124,14 +127,14 @@
 
 // key returns the key of the next request.
 func (l *load) key() int {
-	if l.w.trouble && rand.Float64() < hotShare {
+	if !l.even && rand.Float64() < hotShare {
 		return int(l.hotSpot.Load()) + rand.IntN(hotKeys)
 	}
 	return rand.IntN(65536)
 }
 
 func (l *load) send(client *http.Client, n int) {
-	h := l.w.hosts[n%(hostsPerZone*len(planZones))]
+	h := l.hosts[n%len(l.hosts)]
 	id := fmt.Sprintf("read-%d", n)
 	request, err := http.NewRequest(http.MethodGet, "http://"+h.front+keyedPrefix+"x", nil)
 	check(err, "request")
@@ -178,3 +181,10 @@
 	l.w.record.line("%s: %d of %d requests served", when, served, sent)
 	return float64(served) / float64(max(sent, 1))
 }
+
+// share returns the share of all requests so far that was served.
+func (l *load) share() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return float64(l.served) / float64(max(l.sent, 1))
+}
--- a/review/standin-2/target.go
+++ b/review/standin-2/target.go
@@ -35,7 +35,13 @@
 	record *record
 	born   int64
 
-	mu       sync.Mutex
+	// onGrant is called with each grant that the target takes; it may be nil. The lock is held.
+	onGrant func(first, last int, fence uint64)
+
+	mu     sync.Mutex
+	server *http.Server
+	// down says that the target has crashed and is not back yet.
+	down     bool
 	sequence int
 	keys     [65536]grantState
 	running  map[int]int
@@ -53,7 +59,7 @@
 		id: id, service: service, zone: zone, addr: listener.Addr().String(), sharded: sharded, store: s, record: rec,
 		born: time.Now().UnixMilli(), running: make(map[int]int), slots: make(chan struct{}, slots), ran: make(map[string]string),
 	}
-	go http.Serve(listener, t)
+	t.serve(listener)
 	go func() {
 		for {
 			t.register()
@@ -65,15 +71,43 @@
 
 func (t *target) register() {
 	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.down {
+		return
+	}
 	t.sequence++
-	sequence := t.sequence
-	t.mu.Unlock()
 	t.store.write("keyed.servers", t.id, map[string]any{
 		"service": t.service, "address": t.addr, "zone": t.zone, "version": "v1", "concurrency": slots, "state": "ready",
-		"warmup_left_s": 0, "sequence": sequence, "born": t.born,
+		"warmup_left_s": 0, "sequence": t.sequence, "born": t.born,
 	})
 }
 
+// serve starts to answer on the listener.
+func (t *target) serve(listener net.Listener) {
+	t.server = &http.Server{Handler: t}
+	go t.server.Serve(listener)
+}
+
+// restart crashes the target, and starts it again after a while at the same address and under the same id. It then holds and knows
+// nothing of before, and its counts start anew.
+func (t *target) restart(after time.Duration) {
+	t.mu.Lock()
+	t.down = true
+	t.server.Close()
+	t.mu.Unlock()
+	time.Sleep(after)
+	listener, err := net.Listen("tcp", t.addr)
+	check(err, "restart of a target")
+	t.mu.Lock()
+	t.keys = [65536]grantState{}
+	t.born = time.Now().UnixMilli()
+	t.sequence = 0
+	t.down = false
+	t.serve(listener)
+	t.mu.Unlock()
+	t.register()
+}
+
 // ServeHTTP implements http.Handler.
 func (t *target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
@@ -122,6 +156,9 @@
 			return
 		}
 	}
+	if t.onGrant != nil {
+		t.onGrant(call.First, call.Last, call.Fence)
+	}
 	until := time.Now().UnixNano() + int64(min(call.Hold, 10)*float64(time.Second))
 	for key := call.First; key <= call.Last; key++ {
 		t.keys[key] = grantState{call.Fence, until}
