--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Plays case 6 (plan). TROUBLE=0 leaves out the disruption. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# Plays case 6 (late). TROUBLE=0 leaves out the disruption. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/standin-2 ] && [ -x target/poplarcroft ] || exit 2
-exec target/standin-2 plan review/6 "target/poplarcroft platform"
+exec target/standin-2 late review/6 "target/poplarcroft platform"
--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -31,6 +31,7 @@
 	"plan":  plan,
 	"life":  life,
 	"churn": churn,
+	"late":  late,
 }
 
 // configuration returns the operator's configuration.
@@ -65,7 +66,7 @@
 		w.targets = append(w.targets, newTarget(w.store, w.record, fmt.Sprintf("i-archiv-%d", i), "archiv", zone, false))
 	}
 	for i := range hostCount {
-		w.hosts = append(w.hosts, startHost(w.dir, w.program, i, zone, w.store, small))
+		w.hosts = append(w.hosts, startHost(w.dir, w.program, i, zone, w.store.addr, small))
 	}
 	w.awaitService(keyedPrefix, plainPrefix)
 }
--- a/review/standin-2/churn.go
+++ b/review/standin-2/churn.go
@@ -64,7 +64,7 @@
 	for range replacing {
 		running.Go(func() {
 			for time.Now().Before(end) && done.Load() < replaced && refused.Load() < enoughRefused {
-				h := startHost(w.dir, w.program, int(next.Add(1)), zone, w.store, small)
+				h := startHost(w.dir, w.program, int(next.Add(1)), zone, w.store.addr, small)
 				for began := time.Now(); time.Since(began) < registerTime && !w.store.hasKey(topicOf, h.name); {
 					time.Sleep(10 * time.Millisecond)
 				}
--- a/review/standin-2/host.go
+++ b/review/standin-2/host.go
@@ -20,9 +20,11 @@
 // host is one process of the program under test.
 type host struct {
 	name, front, ready string
-	program, settings  string
-	process            *exec.Cmd
-	ended              chan struct{}
+	// internal is the address at which other hosts reach it.
+	internal          string
+	program, settings string
+	process           *exec.Cmd
+	ended             chan struct{}
 }
 
 // freeAddr returns an address of a loopback IP with a port that is free now.
@@ -34,12 +36,20 @@
 }
 
 // startHost starts a host of the deploy file's command with the settings of a machine.
-func startHost(dir, program string, index int, zone string, s *store, l limits) *host {
+func startHost(dir, program string, index int, zone, storeAddr string, l limits) *host {
+	h := newHost(dir, program, index, zone, storeAddr, l)
+	h.start()
+	return h
+}
+
+// newHost writes the settings of a host that is not started yet.
+func newHost(dir, program string, index int, zone, storeAddr string, l limits) *host {
 	// Each host has a loopback address of its own, since the port for metrics is the same on all machines.
 	pid := os.Getpid()
 	ip := fmt.Sprintf("127.%d.%d.%d", 20+(pid/250+index/200)%200, 1+pid%250, 10+index%200)
 	h := &host{name: fmt.Sprintf("front-%s-%d", zone, index), front: freeAddr(ip), ready: freeAddr(ip)}
-	_, internal, _ := net.SplitHostPort(freeAddr(ip))
+	h.internal = freeAddr(ip)
+	_, internal, _ := net.SplitHostPort(h.internal)
 	text := fmt.Sprintf(`node_name = %q
 role = "host"
 machine_class = "front"
@@ -79,10 +89,9 @@
 keep_s = 300
 partition_mb = 200
 ttl_min_s = 1
-`, h.name, ip, zone, internal, h.front, h.ready, l.cpuShare, l.memoryMB, l.descriptors, s.addr, maxRecordBytes)
+`, h.name, ip, zone, internal, h.front, h.ready, l.cpuShare, l.memoryMB, l.descriptors, storeAddr, maxRecordBytes)
 	h.program, h.settings = program, filepath.Join(dir, h.name+".toml")
 	check(os.WriteFile(h.settings, []byte(text), 0o600), "settings")
-	h.start()
 	return h
 }
 
--- a/review/standin-2/plan.go
+++ b/review/standin-2/plan.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -85,7 +86,7 @@
 func (w *world) addHosts(perZone int) {
 	for range perZone * len(planZones) {
 		i := len(w.hosts)
-		w.hosts = append(w.hosts, startHost(w.dir, w.program, i, planZones[i%len(planZones)], w.store, large))
+		w.hosts = append(w.hosts, startHost(w.dir, w.program, i, planZones[i%len(planZones)], w.store.addr, large))
 	}
 }
 
@@ -93,8 +94,10 @@
 type load struct {
 	w *world
 	// hosts are those that get the requests, and even says that all keys are asked for alike.
-	hosts   []*host
-	even    bool
+	hosts []*host
+	even  bool
+	// rate is the number of requests a second; zero stands for planRate.
+	rate    int
 	hotSpot atomic.Int64
 
 	mu           sync.Mutex
@@ -103,7 +106,7 @@
 	measuring bool
 }
 
-// run sends requests at planRate until the context ends.
+// run sends requests until the context ends.
 func (l *load) run(ctx context.Context) {
 	client := &http.Client{Timeout: clientDeadline, Transport: &http.Transport{MaxIdleConnsPerHost: planWorkers}}
 	next := make(chan int, planWorkers)
@@ -114,7 +117,8 @@
 			}
 		}()
 	}
-	ticker := time.NewTicker(time.Second / planRate)
+	rate := cmp.Or(l.rate, planRate)
+	ticker := time.NewTicker(time.Second / time.Duration(rate))
 	defer ticker.Stop()
 	for n := 0; ctx.Err() == nil; n++ {
 		<-ticker.C
@@ -161,6 +165,13 @@
 	}
 }
 
+// recordAll gives each request from now on a line in the record.
+func (l *load) recordAll() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.measuring = true
+}
+
 func (l *load) total() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -4,9 +4,9 @@
 	"encoding/binary"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -27,6 +27,8 @@
 	generation int
 	// onRefused is called with the topic and the size of each record that is refused because it is larger than maxRecordBytes.
 	onRefused func(topic string, size int)
+	// lateBy returns how much later an append is carried out, whose call gets no answer; zero stands for now. It may be nil.
+	lateBy func(topic, key string) time.Duration
 }
 
 // topic is a partition. records holds all of its records; none expires within a case.
@@ -35,19 +37,27 @@
 	changed chan struct{}
 }
 
+// view is how one side of a network sees the records: the addresses that it uses, in place of those in the topics.
+type view struct {
+	// read replaces the addresses in what is read, and write those in what is written.
+	read, write *strings.Replacer
+}
+
 // newStore starts a store on a free port.
 func newStore() *store {
 	s := &store{topics: make(map[string]*topic), joined: make(map[string]time.Time)}
+	s.addr = newDoor(s.through(view{strings.NewReplacer(), strings.NewReplacer()})).addr
+	return s
+}
+
+// through returns the store's interface for those who have the view.
+func (s *store) through(v view) http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /log-append", s.append)
-	mux.HandleFunc("GET /log-read", s.read)
-	mux.HandleFunc("GET /log-newest", s.newest)
+	mux.HandleFunc("POST /log-append", func(w http.ResponseWriter, r *http.Request) { s.append(w, r, v) })
+	mux.HandleFunc("GET /log-read", func(w http.ResponseWriter, r *http.Request) { s.read(w, r, v) })
+	mux.HandleFunc("GET /log-newest", func(w http.ResponseWriter, r *http.Request) { s.newest(w, r, v) })
 	mux.HandleFunc("POST /log-join", s.join)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	check(err, "store")
-	s.addr = listener.Addr().String()
-	go http.Serve(listener, mux)
-	return s
+	return mux
 }
 
 // largest returns the size of the largest record of a topic.
@@ -90,7 +100,7 @@
 	s.topicOf(name).add(content)
 }
 
-func (s *store) append(w http.ResponseWriter, r *http.Request) {
+func (s *store) append(w http.ResponseWriter, r *http.Request, v view) {
 	name := r.URL.Query().Get("topic")
 	if name == "keyed.op" || name == "keyed.servers" {
 		w.WriteHeader(http.StatusForbidden)
@@ -114,24 +124,46 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
-		records = append(records, body[4:4+length])
+		records = append(records, []byte(v.write.Replace(string(body[4:4+length]))))
 		body = body[4+length:]
 	}
+	at := r.URL.Query().Get("at")
+	if s.lateBy != nil && len(records) > 0 {
+		if late := s.lateBy(name, keyOf(records[0])); late > 0 {
+			time.AfterFunc(late, func() { s.carryOut(name, at, records) })
+			// The connection returns nothing further.
+			<-r.Context().Done()
+			return
+		}
+	}
+	if first, end, ok := s.carryOut(name, at, records); ok {
+		answerJSON(w, http.StatusOK, map[string]any{"offset": first, "end_offset": end})
+	} else {
+		answerJSON(w, http.StatusPreconditionFailed, map[string]any{"end_offset": end})
+	}
+}
+
+// carryOut appends records if the partition ends at the given offset or none is given. It returns the first record's offset and the end.
+func (s *store) carryOut(name, at string, records [][]byte) (first, end int, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.topicOf(name)
-	if at := r.URL.Query().Get("at"); at != "" && at != strconv.Itoa(len(t.records)) {
-		answerJSON(w, http.StatusPreconditionFailed, map[string]any{"end_offset": len(t.records)})
-		return
+	first = len(t.records)
+	if at != "" && at != strconv.Itoa(first) {
+		return 0, first, false
 	}
-	first := len(t.records)
 	for _, record := range records {
 		t.add(record)
 	}
-	answerJSON(w, http.StatusOK, map[string]any{"offset": first, "end_offset": len(t.records)})
+	return first, len(t.records), true
+}
+
+// keyOf returns the key of a record.
+func keyOf(record []byte) string {
+	return string(record[1 : 1+int(record[0])])
 }
 
-func (s *store) read(w http.ResponseWriter, r *http.Request) {
+func (s *store) read(w http.ResponseWriter, r *http.Request, v view) {
 	query := r.URL.Query()
 	from, _ := strconv.Atoi(query.Get("start_key"))
 	wait, _ := strconv.Atoi(query.Get("wait_ms"))
@@ -149,6 +181,7 @@
 			body := binary.BigEndian.AppendUint64(nil, uint64(len(records)))
 			body = binary.BigEndian.AppendUint64(body, 0)
 			for _, record := range records[from:] {
+				record := v.read.Replace(string(record))
 				body = binary.BigEndian.AppendUint32(body, uint32(len(record)))
 				body = append(body, record...)
 			}
@@ -165,7 +198,7 @@
 	}
 }
 
-func (s *store) newest(w http.ResponseWriter, r *http.Request) {
+func (s *store) newest(w http.ResponseWriter, r *http.Request, v view) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.topicOf(r.URL.Query().Get("topic"))
@@ -180,7 +213,7 @@
 		key := string(record[1:end])
 		delete(last, key)
 		if len(record) > end {
-			last[key] = item{key, record[end:], offset}
+			last[key] = item{key, []byte(v.read.Replace(string(record[end:]))), offset}
 		}
 	}
 	items := make([]item, 0, len(last))
--- a/review/standin-2/target.go
+++ b/review/standin-2/target.go
@@ -35,18 +35,20 @@
 	record *record
 	born   int64
 
+	// onRun is called when a request for a key has begun to run; it may be nil.
+	onRun func(key int, id string)
 	// onGrant is called with each grant that the target takes; it may be nil. The lock is held.
 	onGrant func(first, last int, fence uint64)
 
 	mu     sync.Mutex
 	server *http.Server
-	// down says that the target has crashed and is not back yet.
-	down     bool
-	sequence int
-	keys     [65536]grantState
-	running  map[int]int
-	waiting  int
-	slots    chan struct{}
+	// down says that the target has crashed and is not back yet, and isolated that it does not reach the store.
+	down, isolated bool
+	sequence       int
+	keys           [65536]grantState
+	running        map[int]int
+	waiting        int
+	slots          chan struct{}
 	// ran holds the request line of each request that has begun to run, by its X-Attempt-Id.
 	ran map[string]string
 }
@@ -72,7 +74,7 @@
 func (t *target) register() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.down {
+	if t.down || t.isolated {
 		return
 	}
 	t.sequence++
@@ -88,6 +90,26 @@
 	go t.server.Serve(listener)
 }
 
+// cut cuts the target off from the store, which removes its entry after some heartbeats, and from all who reach it at its address.
+func (t *target) cut() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.isolated = true
+	t.server.Close()
+	time.AfterFunc(heartbeats*beat, func() { t.store.write("keyed.servers", t.id, nil) })
+}
+
+// heal ends the cut.
+func (t *target) heal() {
+	listener, err := net.Listen("tcp", t.addr)
+	check(err, "listen")
+	t.mu.Lock()
+	t.isolated = false
+	t.serve(listener)
+	t.mu.Unlock()
+	t.register()
+}
+
 // restart crashes the target, and starts it again after a while at the same address and under the same id. It then holds and knows
 // nothing of before, and its counts start anew.
 func (t *target) restart(after time.Duration) {
@@ -213,6 +235,9 @@
 	t.running[key]++
 	t.ran[id] = r.Method + " " + r.RequestURI
 	t.mu.Unlock()
+	if t.onRun != nil {
+		t.onRun(key, id)
+	}
 	if t.record != nil {
 		t.record.line("target %s runs %s: %s %s", t.id, id, r.Method, r.RequestURI)
 	}
