--- a/review/standin-2/target.go
+++ b/review/standin-2/target.go
@@ -110,12 +110,16 @@
 	t.register()
 }
 
-// restart crashes the target, and starts it again after a while at the same address and under the same id. It then holds and knows
-// nothing of before, and its counts start anew.
-func (t *target) restart(after time.Duration) {
+// restart crashes the target, and starts it again after a while at the same address, under the same id or a new one. It then holds and
+// knows nothing of before, and its counts start anew. The entry of an id that is not used any more is removed after some heartbeats.
+func (t *target) restart(after time.Duration, id string) {
 	t.mu.Lock()
 	t.down = true
 	t.server.Close()
+	if former := t.id; former != id {
+		time.AfterFunc(heartbeats*beat, func() { t.store.write("keyed.servers", former, nil) })
+	}
+	t.id = id
 	t.mu.Unlock()
 	time.Sleep(after)
 	listener, err := net.Listen("tcp", t.addr)
