leader, edge: log lines and metrics of the incarnations of hosts, and of the proofs that renewers have stopped

Change: events 'registration' and 'incarnation', fields 'acknowledged' and 'others' of 'renewals stopped', metrics leader.incarnations. The logic is the same.

--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -164,9 +164,21 @@
 		s.log.Event("host", "key", record.Key, "outcome", "rejected", "err", err.Error())
 		return
 	}
+	s.logRegistration(s.hosts[record.Key], host, record.Offset)
 	s.hosts[record.Key] = host
 }
 
+// logRegistration logs that the record of another incarnation has been read, or the first record of a host.
+func (s *state) logRegistration(former, host assign.Host, offset uint64) {
+	switch {
+	case former.SameIncarnation(host):
+	case former.Name == "":
+		s.log.Routine("registration", "name", host.Name, "incarnation", host.Incarnation, "offset", offset, "outcome", "read")
+	default:
+		s.log.Event("registration", "name", host.Name, "incarnation", host.Incarnation, "offset", offset, "outcome", "read", "replaces", former.Incarnation)
+	}
+}
+
 // list returns the registered hosts in order of their names.
 func (s *state) list() []assign.Host {
 	s.mu.Lock()
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -156,9 +156,11 @@
 	// leaderSince is when this host became leader.
 	leaderSince time.Duration
 
-	// acks holds what hosts have acknowledged, and duties how long steps take. They have locks of their own.
-	acks   acknowledgements
-	duties *duties
+	// acks holds what hosts have acknowledged, duties how long steps take, and incarnationCounters what has become of the hosts.
+	// They have locks of their own.
+	acks                acknowledgements
+	duties              *duties
+	incarnationCounters incarnationCounters
 
 	// recovery is the recovery of the plan after a restore of the log, or nil if there is none. Only
 	// the control loop uses it.
@@ -403,6 +405,7 @@
 		}
 	}
 	if !slices.Equal(before.Hosts, after.Hosts) || before.Order != after.Order {
+		l.logHosts(before, after)
 		l.Log.Event("hosts", "plan", uint64(after.Version), "hosts", len(after.Hosts), "order", string(after.Order))
 	}
 }
--- a/internal/leader/metrics.go
+++ b/internal/leader/metrics.go
@@ -33,6 +33,8 @@
 	ReportingHosts int   `json:"reporting_hosts"`
 	// Releases is the number of ranges that are being released.
 	Releases int `json:"releases"`
+	// Incarnations counts what has become of the incarnations of hosts.
+	Incarnations IncarnationCounts `json:"incarnations"`
 }
 
 // duties records how long the leader's duties take. It is safe for concurrent use.
@@ -108,5 +110,6 @@
 		}
 	}
 	m.Releases = len(l.releases)
+	m.Incarnations = l.incarnationCounters.snapshot()
 	return m
 }
--- a/internal/leader/release.go
+++ b/internal/leader/release.go
@@ -135,13 +135,14 @@
 // awaitExpiry returns true once every host that may have renewed the grant has stopped and the
 // last grant must have expired. It returns false if the context ends before.
 func (l *Leader) awaitExpiry(ctx context.Context, id releaseID, a assign.Assignment, plan assign.Plan) bool {
-	stopped := l.stopRenewers(ctx, a, plan)
+	stopped, renewers := l.stopRenewers(ctx, a, plan)
 	if ctx.Err() != nil {
 		return false
 	}
 	expired := stopped + l.Timing.MaxGrantLifetime()
 	l.Log.Event("release", "service", id.service, "keys", a.Range.String(), "server", a.Server.ID,
-		"fence", uint64(a.Fence), "outcome", "renewals stopped", "lapses_in_ms", (expired - l.Clock()).Milliseconds())
+		"fence", uint64(a.Fence), "outcome", "renewals stopped", "lapses_in_ms", (expired - l.Clock()).Milliseconds(),
+		"acknowledged", renewers.acknowledged(), "others", renewers.others())
 	return l.sleepUntil(ctx, expired)
 }
 
@@ -152,32 +153,37 @@
 }
 
 // stopRenewers waits until all hosts that may have renewed the grant have stopped, and returns
-// the reading of the clock. A host has stopped if it has acknowledged the plan, or if so much
-// time has passed that it can no longer rely on an older plan.
-func (l *Leader) stopRenewers(ctx context.Context, a assign.Assignment, plan assign.Plan) time.Duration {
+// the reading of the clock and the proofs.
+func (l *Leader) stopRenewers(ctx context.Context, a assign.Assignment, plan assign.Plan) (time.Duration, *stoppedRenewers) {
 	deadline := l.Clock() + l.Timing.RenewalsStopWithin()
+	stopped := &stoppedRenewers{}
 	var wg sync.WaitGroup
 	for _, host := range plan.PossibleRenewers(a.Server.Zone) {
-		wg.Go(func() { l.stopRenewer(ctx, host, plan, deadline) })
+		wg.Go(func() {
+			proof := l.stopRenewer(ctx, host, plan, deadline)
+			stopped.add(host, proof)
+			l.incarnationCounters.stopped(proof)
+		})
 	}
 	wg.Wait()
-	return l.Clock()
+	return l.Clock(), stopped
 }
 
-// stopRenewer returns once the host has acknowledged the plan, is no longer listed, or the deadline has passed.
-func (l *Leader) stopRenewer(ctx context.Context, host assign.Host, plan assign.Plan, deadline time.Duration) {
+// stopRenewer returns once it is proved that the host has stopped, or the context has ended.
+func (l *Leader) stopRenewer(ctx context.Context, host assign.Host, plan assign.Plan, deadline time.Duration) StopProof {
 	for ctx.Err() == nil && l.Clock() < deadline {
 		if !l.isListed(host) {
-			return
+			return NoLongerListed
 		}
 		callCtx, cancel := context.WithTimeout(ctx, l.Timing.CallTimeout+200*time.Millisecond)
 		acknowledged := l.acks.await(callCtx, host, plan.Version, func() (assign.Fence, error) { return l.askToAdopt(callCtx, host, plan) })
 		cancel()
 		if acknowledged {
-			return
+			return Acknowledged
 		}
 		loop.Sleep(ctx, releaseRetryInterval)
 	}
+	return Expired
 }
 
 // askToAdopt asks a host to act by the newest plan, or by the given one if that is newer, and returns its version.
