edge, poison: evidence that a late write or removal has replaced in the shared state is written again

What callers would have seen: after the loss of all hosts, a request that has crashed three servers is sent on to more of them. Evidence and its removal are written without a condition, so the log may carry out an older write, or the removal of what had expired, after newer evidence. Change: a host that reads less than it knows writes all again, if it has recorded some of it itself, or leads.

--- a/internal/edge/builds_test.go
+++ b/internal/edge/builds_test.go
@@ -37,7 +37,7 @@
 	f := poison.Fingerprint{7}
 	var evidence []poison.Record
 	s := newState(assign.Host{Name: "h2", Incarnation: "1"}, nil, assign.NewCurrent(), clock.Monotonic, eventlog.Discard())
-	s.onEvidence = func(records []poison.Record) { evidence = append(evidence, records...) }
+	s.onEvidence = func(_ poison.Fingerprint, records []poison.Record) { evidence = append(evidence, records...) }
 	host := assign.Host{Name: "h1", Incarnation: "a", Zone: "zlin", Addr: "127.0.0.1:1"}
 	plan := assign.Plan{Leader: host, Hosts: []assign.Host{host}, Services: map[string][]assign.Assignment{
 		"revize": {{Range: keyrange.All, Phase: assign.Held, Server: assign.Server{ID: "s1", Born: 5}}},
--- a/internal/edge/evidence.go
+++ b/internal/edge/evidence.go
@@ -46,6 +46,10 @@
 	// interval is evidenceInterval, except in tests.
 	interval time.Duration
 
+	mu sync.Mutex
+	// replaced holds the evidence in the shared state of requests that may have to be written again.
+	replaced map[poison.Fingerprint][]poison.Record
+
 	deliveries *poison.Deliveries
 	// deliveredPlan and delivered are the plan's version and the last change of the evidence in the last call of deliverAll.
 	// Only the loop uses them.
@@ -57,6 +61,7 @@
 	e := &evidenceSharing{
 		self: self, guard: guard, plan: plan, state: s, peers: p, log: log,
 		deliveries: poison.NewDeliveries(guard, evidenceRetryInterval), interval: evidenceInterval,
+		replaced: make(map[poison.Fingerprint][]poison.Record),
 	}
 	guard.SendOnIf(e.sendsOn)
 	return e
@@ -135,14 +140,65 @@
 	}
 }
 
-// keep writes the new evidence that this host has recorded to the shared state. A restore of the log
-// may have lost evidence: then each host writes its own again, and the leader all. What cannot be
-// written is written in a later round.
+// read takes over the evidence against a request that the shared state holds now. The log may have carried out an older write or a
+// removal late, so it may be less than what this host knows.
+func (e *evidenceSharing) read(f poison.Fingerprint, records []poison.Record) {
+	e.guard.Import(records, poison.SharedState)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.replaced[f] = records
+}
+
+// keepAgain writes the evidence against requests again of which the shared state holds less than this host knows, if this host
+// has recorded some of it itself, or leads. What cannot be written is written in a later round.
+func (e *evidenceSharing) keepAgain(ctx context.Context, leads bool) {
+	for f, kept := range e.takeReplaced() {
+		records := e.guard.DurableRecords(f, kept, leads)
+		if len(records) == 0 {
+			continue
+		}
+		if err := e.state.writeEvidence(ctx, f, records); err != nil {
+			e.log.Routine("suspects", "fingerprint", f.String(), "outcome", "not kept", "err", err.Error())
+			e.putBack(f, kept)
+			continue
+		}
+		e.log.Event("suspects", "fingerprint", f.String(), "crashes", len(records), "before", len(kept), "outcome", "kept again")
+	}
+}
+
+// takeReplaced returns what read has noted since the last call.
+func (e *evidenceSharing) takeReplaced() map[poison.Fingerprint][]poison.Record {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	replaced := e.replaced
+	e.replaced = make(map[poison.Fingerprint][]poison.Record)
+	return replaced
+}
+
+// putBack notes evidence again, unless newer one has been read.
+func (e *evidenceSharing) putBack(f poison.Fingerprint, kept []poison.Record) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, newer := e.replaced[f]; !newer {
+		e.replaced[f] = kept
+	}
+}
+
+// keep writes the evidence to the shared state that is missing there.
 func (e *evidenceSharing) keep(ctx context.Context) {
+	leads := e.plan().Leader.SameIncarnation(e.self)
+	if e.keepNew(ctx, leads) {
+		e.keepAgain(ctx, leads)
+	}
+}
+
+// keepNew writes the new evidence that this host has recorded to the shared state. A restore of the log
+// may have lost evidence: then each host writes its own again, and the leader all. What cannot be
+// written is written in a later round, and it returns false.
+func (e *evidenceSharing) keepNew(ctx context.Context, leads bool) bool {
 	if era := e.state.NextVersion().Era(); era != e.eraKept {
 		e.kept, e.eraKept, e.lost = 0, era, true
 	}
-	leads := e.plan().Leader.SameIncarnation(e.self)
 	if e.lost && leads {
 		e.kept = 0
 	}
@@ -150,12 +206,21 @@
 	for fingerprint, records := range durable {
 		if err := e.state.writeEvidence(ctx, fingerprint, records); err != nil {
 			e.log.Routine("suspects", "fingerprint", fingerprint.String(), "outcome", "not kept", "err", err.Error())
-			return
+			return false
 		}
 		e.log.Event("suspects", "fingerprint", fingerprint.String(), "crashes", len(records), "outcome", "kept")
+		e.forgetReplaced(fingerprint)
 	}
 	e.kept = next
 	e.lost = e.lost && !leads
+	return true
+}
+
+// forgetReplaced forgets what the shared state held against a request before its evidence was written.
+func (e *evidenceSharing) forgetReplaced(f poison.Fingerprint) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.replaced, f)
 }
 
 // removeExpired removes evidence from the shared state that no longer counts, on the leader.
--- a/internal/edge/evidence_test.go
+++ b/internal/edge/evidence_test.go
@@ -55,9 +55,9 @@
 	guard := poison.NewGuard(testBounds)
 	self := assign.Host{Name: name, Incarnation: name}
 	s := newState(self, platform, assign.NewCurrent(), clock.Monotonic, eventlog.Discard())
-	s.onEvidence = func(records []poison.Record) { guard.Import(records, poison.SharedState) }
-	p := &peers{pool: peer.NewPool(dial)}
-	return newEvidenceSharing(self, guard, plan, s, p, eventlog.Discard()), guard
+	sharing := newEvidenceSharing(self, guard, plan, s, &peers{pool: peer.NewPool(dial)}, eventlog.Discard())
+	s.onEvidence = sharing.read
+	return sharing, guard
 }
 
 // TestEvidenceIsSentUntilItIsTaken is a regression test (BUDGET on Moravia): evidence was sent once, so a
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -156,7 +156,7 @@
 	h.guard = poison.NewGuard(poison.Bounds{CrashLimit: maxCrashes, SharedCrashLimit: maxCrashes, Retention: crashRetention})
 	h.evidence = newEvidenceSharing(h.self, h.guard, h.current.Plan, h.state, h.peers, log)
 	h.guard.Observe(h.logEvidence)
-	h.state.onEvidence = func(records []poison.Record) { h.guard.Import(records, poison.SharedState) }
+	h.state.onEvidence = h.evidence.read
 	h.servers = newServers(platform, h.fleet, clock.Monotonic, log, wakeLeader)
 	h.servers.onEnded = func(entry fleet.Entry) { h.guard.ServerCrashed(front.GuardServer(entry), poison.Discovery) }
 	h.servers.onContact = func(inContact bool) { h.guard.SetBlind(!inContact) }
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -38,8 +38,8 @@
 	log      *eventlog.Log
 	// onChange is called after each read with changes, onRead after each successful read.
 	onChange, onRead func()
-	// onEvidence is called with the evidence against a request that has been read.
-	onEvidence func([]poison.Record)
+	// onEvidence is called with the evidence against a request that has been read, or none if it has been removed.
+	onEvidence func(poison.Fingerprint, []poison.Record)
 
 	// selfKey is the key of this host's registration, which registration writes. Only the goroutine that reads uses them.
 	selfKey      string
@@ -63,7 +63,7 @@
 func newState(self assign.Host, platform Platform, current *assign.Current, clock func() time.Duration, log *eventlog.Log) *state {
 	return &state{
 		platform: platform, current: current, clock: clock, log: log,
-		onChange: func() {}, onRead: func() {}, onEvidence: func([]poison.Record) {},
+		onChange: func() {}, onRead: func() {}, onEvidence: func(poison.Fingerprint, []poison.Record) {},
 		selfKey: registry.Key(self.Name), registration: registry.NewRegistration(self),
 		evidenceWritten: make(map[string]time.Time),
 	}
--- a/internal/edge/state_evidence.go
+++ b/internal/edge/state_evidence.go
@@ -43,17 +43,24 @@
 	return err
 }
 
-// applyEvidence passes on the evidence of one record.
+// applyEvidence passes on the evidence of one record, none if the record has been removed.
 func (s *state) applyEvidence(record follow.Record) {
+	var fingerprint poison.Fingerprint
+	if err := fingerprint.UnmarshalText([]byte(strings.TrimPrefix(record.Key, evidencePrefix))); err != nil {
+		s.log.Event("suspects", "key", record.Key, "outcome", "rejected", "err", err.Error())
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(record.Value) == 0 {
 		delete(s.evidenceWritten, record.Key)
+		s.onEvidence(fingerprint, nil)
 		return
 	}
 	var kept keptEvidence
 	if err := json.Unmarshal(record.Value, &kept); err != nil {
 		s.log.Event("suspects", "key", record.Key, "outcome", "rejected", "err", err.Error())
+		s.onEvidence(fingerprint, nil)
 		return
 	}
 	s.evidenceWritten[record.Key] = time.UnixMilli(kept.WrittenMS)
@@ -61,9 +68,9 @@
 	for i := range kept.Records {
 		kept.Records[i].Age += age
 	}
-	s.log.Event("suspects", "fingerprint", strings.TrimPrefix(record.Key, evidencePrefix), "crashes", len(kept.Records),
+	s.log.Event("suspects", "fingerprint", fingerprint.String(), "crashes", len(kept.Records),
 		"offset", record.Offset, "age_ms", age.Milliseconds(), "outcome", "read")
-	s.onEvidence(kept.Records)
+	s.onEvidence(fingerprint, kept.Records)
 }
 
 // removeExpiredEvidence removes the evidence that was written longer than crashRetention ago.
--- a/internal/poison/evidence.go
+++ b/internal/poison/evidence.go
@@ -322,15 +322,43 @@
 		if crashes, _ := s.countCrashes(now, f); crashes < durableCrashes || !e.changedSince(since, imported) {
 			continue
 		}
-		for server, c := range e.crashes {
-			if !s.expired(now, c) {
-				durable[f] = append(durable[f], c.record(now, f, server))
-			}
-		}
+		durable[f] = s.records(now, f)
 	}
 	return durable, s.sequence
 }
 
+// DurableRecords returns the records of a request if the given ones, which are kept outside the hosts, no longer tell that it must be
+// stopped or tried with care as this host does, and otherwise nil: another host's older write may have replaced the newest ones,
+// or their removal may have come late. Only crashes that this host has recorded itself or, if imported is set, any make it answer.
+func (s *EvidenceStore) DurableRecords(now time.Time, f Fingerprint, kept []Record, imported bool) []Record {
+	e, ok := s.requests[f]
+	crashes, _ := s.countCrashes(now, f)
+	if !ok || crashes < durableCrashes || !e.changedSince(0, imported) {
+		return nil
+	}
+	keptCrashes := 0
+	for _, record := range kept {
+		if !record.Cleared && record.Age < s.bounds.Retention && !e.crashes[record.Death].cleared {
+			keptCrashes++
+		}
+	}
+	if keptCrashes >= min(crashes, s.bounds.SharedCrashLimit) {
+		return nil
+	}
+	return s.records(now, f)
+}
+
+// records returns the records of a request that have not expired.
+func (s *EvidenceStore) records(now time.Time, f Fingerprint) []Record {
+	var records []Record
+	for server, c := range s.requests[f].crashes {
+		if !s.expired(now, c) {
+			records = append(records, c.record(now, f, server))
+		}
+	}
+	return records
+}
+
 // changedSince reports whether a crash changed after the given sequence number that was recorded by
 // this host itself or, if imported is set, by any.
 func (e *evidence) changedSince(since uint64, imported bool) bool {
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -215,6 +215,13 @@
 	return g.store.ExportDurable(time.Now(), since, imported)
 }
 
+// DurableRecords returns the records of a request that must be kept again; see EvidenceStore.DurableRecords.
+func (g *Guard) DurableRecords(f Fingerprint, kept []Record, imported bool) []Record {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.store.DurableRecords(time.Now(), f, kept, imported)
+}
+
 // Import adds records of other hosts; the source is OtherHost or SharedState.
 func (g *Guard) Import(records []Record, source Source) {
 	g.mu.Lock()
