edge: a late entry of a server's former life does not replace the present one

What callers would have seen: a server's keys released and given again, its limit and its leaving forgotten, for up to a heartbeat. Change: an entry whose start lies before that of the known life is set aside, and counts if the server writes no other within 3 s; so a server whose clock was set back before its restart is found 3 s later than before.

--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -21,6 +21,11 @@
 // that are only seconds old.
 const endedRetention = time.Minute
 
+// olderLifeGrace is how long an entry of an incarnation that began before the known one does not count. The log may have carried it out
+// late; then the known incarnation, which runs, writes its next entry meanwhile. If it does not, the clock of a restarted server has been
+// set back.
+const olderLifeGrace = 3 * time.Second
+
 // servers follows the service discovery and keeps the fleet's entries up to date. It must be
 // used by one goroutine only.
 type servers struct {
@@ -39,6 +44,8 @@
 	// missing holds the keys of removed entries that may come back, with the time at which
 	// they count as gone.
 	missing map[string]time.Duration
+	// older holds the records of incarnations that began before the known ones, by key.
+	older map[string]olderEntry
 	// ended holds the last entry of each key that counts as gone, with the time. A restore of the
 	// log can bring it back.
 	ended map[string]endedEntry
@@ -54,6 +61,13 @@
 	at time.Duration
 }
 
+// olderEntry is the record of an incarnation that began before the known one, and when it was read.
+type olderEntry struct {
+	record follow.Record
+	born   int64
+	at     time.Duration
+}
+
 func newServers(platform Platform, f *fleet.Fleet, clock func() time.Duration, log *eventlog.Log, onChange func()) *servers {
 	return &servers{
 		platform: platform, fleet: f, clock: clock, log: log, onChange: onChange,
@@ -61,6 +75,7 @@
 		onContact:   func(bool) {},
 		entries:     make(map[string]fleet.Entry),
 		missing:     make(map[string]time.Duration),
+		older:       make(map[string]olderEntry),
 		ended:       make(map[string]endedEntry),
 		recoveredAt: -returnGrace,
 	}
@@ -94,18 +109,20 @@
 
 // apply applies a change of the topic and passes all entries on to the fleet.
 func (s *servers) apply(change follow.Change, now time.Duration) {
-	if len(change.Records) == 0 && !change.Snapshot && len(s.missing) == 0 {
+	if len(change.Records) == 0 && !change.Snapshot && len(s.missing) == 0 && len(s.older) == 0 {
 		return
 	}
 	present := make(map[string]bool, len(change.Records))
 	for _, record := range change.Records {
 		present[record.Key] = true
 		if len(record.Value) == 0 {
+			delete(s.older, record.Key)
 			s.markMissing(record.Key, now)
 			continue
 		}
-		s.applyEntry(record, change.Restored)
+		s.applyEntry(record, change.Restored, now)
 	}
+	s.acceptOlder(now)
 	if change.Snapshot {
 		for key := range s.entries {
 			if !present[key] {
@@ -125,7 +142,7 @@
 
 // applyEntry adds or replaces one entry. A malformed record removes the entry, since it names no
 // server that could be used. restored says that the record is in the snapshot of a restored log.
-func (s *servers) applyEntry(record follow.Record, restored bool) {
+func (s *servers) applyEntry(record follow.Record, restored bool, now time.Duration) {
 	entry, err := s.platform.DecodeServer(record)
 	if err == nil && s.outdated(record.Key, entry, restored) {
 		s.log.Routine("server", "id", record.Key, "born", entry.Born, "sequence", entry.Sequence, "offset", record.Offset, "outcome", "outdated")
@@ -133,10 +150,54 @@
 	}
 	if err != nil {
 		s.log.Event("server", "id", record.Key, "outcome", "rejected", "err", err.Error())
+		delete(s.older, record.Key)
 		delete(s.entries, record.Key)
 		delete(s.missing, record.Key)
 		return
 	}
+	if s.isOlderLife(record.Key, entry) {
+		s.setAside(record, entry, now)
+		return
+	}
+	delete(s.older, record.Key)
+	s.setEntry(record, entry)
+}
+
+// isOlderLife reports whether an entry is of an incarnation that began before the one that this host knows last.
+func (s *servers) isOlderLife(key string, entry fleet.Entry) bool {
+	if known, ok := s.entries[key]; ok {
+		return entry.Born < known.Born
+	}
+	ended, ok := s.ended[key]
+	return ok && entry.Born < ended.Born
+}
+
+// setAside keeps an entry of an older incarnation. The time of the first one counts.
+func (s *servers) setAside(record follow.Record, entry fleet.Entry, now time.Duration) {
+	at := now
+	if before, ok := s.older[record.Key]; ok && before.born == entry.Born {
+		at = before.at
+	} else {
+		s.log.Event("server", "id", record.Key, "born", entry.Born, "sequence", entry.Sequence, "offset", record.Offset, "outcome", "older incarnation")
+	}
+	s.older[record.Key] = olderEntry{record, entry.Born, at}
+}
+
+// acceptOlder adopts the entries of older incarnations whose servers have written no other for olderLifeGrace.
+func (s *servers) acceptOlder(now time.Duration) {
+	for key, older := range s.older {
+		if now-older.at < olderLifeGrace {
+			continue
+		}
+		delete(s.older, key)
+		if entry, err := s.platform.DecodeServer(older.record); err == nil {
+			s.setEntry(older.record, entry)
+		}
+	}
+}
+
+// setEntry adds or replaces an entry.
+func (s *servers) setEntry(record follow.Record, entry fleet.Entry) {
 	known, ok := s.entries[record.Key]
 	if !ok || !known.SameIncarnation(entry) || known.Draining != entry.Draining {
 		s.log.Event("server", "id", record.Key, "service", entry.Service, "zone", entry.Zone, "addr", entry.Addr,
