--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/poplarcroft/poplarcroft/internal/answer"
 	"github.com/poplarcroft/poplarcroft/internal/bounded"
 )
 
@@ -149,10 +150,11 @@
 
 // handshake sends the CONNECT request that ServeRPC expects and checks its answer. Another process may have the address by then.
 func handshake(raw net.Conn) error {
-	if _, err := io.WriteString(raw, "CONNECT "+PathRPC+" HTTP/1.0\n\n"); err != nil {
+	checked := answer.NewConn(raw)
+	if _, err := io.WriteString(checked, "CONNECT "+PathRPC+" HTTP/1.0\r\n\r\n"); err != nil {
 		return errors.Wrap(err, "peer: handshake")
 	}
-	reader := bufio.NewReader(io.LimitReader(raw, bounded.MaxHeaderBytes))
+	reader := bufio.NewReader(io.LimitReader(checked, bounded.MaxHeaderBytes))
 	resp, err := http.ReadResponse(reader, &http.Request{Method: http.MethodConnect})
 	if err != nil {
 		return errors.Wrap(err, "peer: handshake")
--- a/internal/transport/dialer.go
+++ b/internal/transport/dialer.go
@@ -26,6 +26,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/poplarcroft/poplarcroft/internal/answer"
 )
 
 const (
@@ -128,10 +130,11 @@
 		Host:   addr,
 		Header: http.Header{},
 	}
-	if err := req.Write(conn); err != nil {
+	checked := answer.NewConn(conn)
+	if err := req.Write(checked); err != nil {
 		return nil, errors.Wrap(err, "transport: send CONNECT to egress proxy")
 	}
-	reader := bufio.NewReader(conn)
+	reader := bufio.NewReader(checked)
 	resp, err := http.ReadResponse(reader, req)
 	if err != nil {
 		return nil, errors.Wrap(err, "transport: read egress proxy's answer")
--- a/internal/transport/target.go
+++ b/internal/transport/target.go
@@ -15,6 +15,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/poplarcroft/poplarcroft/internal/answer"
 	"github.com/poplarcroft/poplarcroft/internal/backend"
 	"github.com/poplarcroft/poplarcroft/internal/bounded"
 	"github.com/poplarcroft/poplarcroft/internal/clock"
@@ -82,8 +83,8 @@
 	// a second copy of that one's answer. On a new connection it is the answer of whoever accepted the connection. A
 	// request is not sent on a connection that has carried one with its ID: a retry has the ID of the first attempt.
 	RequireID bool
-	// Undelimited accepts answers without a length, which end with their connection. Such
-	// an answer is complete only if the connection was closed and not reset.
+	// Undelimited accepts answers without a length, which end with their connection. See package answer for when
+	// such an answer is whole.
 	Undelimited bool
 }
 
@@ -298,7 +299,7 @@
 		t.limiter.release()
 		return nil, err
 	}
-	tracked := track(conn, t.clock, t.connClosed)
+	tracked := track(answer.NewConn(conn), t.clock, t.connClosed)
 	t.addConn(tracked)
 	return tracked, nil
 }
