answer, transport: answers with a malformed status line or field are none (MIXED)

What callers saw: a status 000 or 042 got no answer at all, since the handler ended in a panic (on other systems the caller got it); an answer whose head held a blank in or beside the name of a field came through, with a body that went on to the close where the line was the length, and with the sizes of the chunks where it was the encoding. A 421 or 503 with such a line was believed: a sign-off was sent again. Cause: the HTTP library accepts these: any three characters that make a number as status, names with blanks, folded lines, chunks in version 1.0 as a body without a length. What it makes of them need not be what the server wrote, and nobody looked after it. Change: the connections of package answer check each line of a head, also of interim answers, as it arrives: version 1.0 or 1.1; status 100 to 599, not 101; names that are tokens, values without control characters, no folded lines; no encoding in 1.0. The names in a trailer are checked at the end of the body. A fault fails the read, so facts, refusals and confirmations are not read from such an answer, wherever. A status from 600 on is a fault, as HTTP has none.

--- a/internal/answer/conn.go
+++ b/internal/answer/conn.go
@@ -12,7 +12,7 @@
 const writeStall = 250 * time.Millisecond
 
 // Conn is a connection of an HTTP/1.1 client, which sends one request at a time. Its reads fail with an error marked ErrFaulty if
-// what arrives is no whole answer.
+// what arrives is no well-formed, whole answer.
 type Conn struct {
 	net.Conn
 	// progress gets a value after each write and when the connection is closed.
@@ -20,6 +20,7 @@
 
 	mu      sync.Mutex
 	request requestWriter
+	head    headReader
 	closed  bool
 	// err is the error of the first faulty answer. It ends the connection for reading.
 	err error
@@ -44,7 +45,10 @@
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
-	c.request.begin()
+	if c.request.begin() {
+		// The answer may arrive before the write returns.
+		c.head.expect()
+	}
 	c.mu.Unlock()
 	n, err := c.Conn.Write(p)
 	c.mu.Lock()
@@ -57,13 +61,29 @@
 
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
+	if err := c.check(nil); err != nil {
+		return 0, err
+	}
 	n, err := c.Conn.Read(p)
+	if faulty := c.check(p[:n]); faulty != nil {
+		return 0, faulty
+	}
 	if err == io.EOF && !c.awaitRequest() {
 		return 0, c.fail(FaultUnsent)
 	}
 	return n, err
 }
 
+// check checks bytes that have arrived.
+func (c *Conn) check(p []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.err == nil && c.request.begun {
+		c.err = c.head.read(p)
+	}
+	return c.err
+}
+
 // fail makes all reads fail.
 func (c *Conn) fail(fault Fault) error {
 	c.mu.Lock()
--- a/internal/transport/attempt.go
+++ b/internal/transport/attempt.go
@@ -1,14 +1,18 @@
 package transport
 
 import (
+	"cmp"
 	"context"
 	"io"
+	"net/http"
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/poplarcroft/poplarcroft/internal/answer"
 )
 
 // attempt tracks one round trip: the connections that the HTTP library took for it, and
@@ -119,14 +123,18 @@
 
 // answerBody is the body of an answer. Closing it before its end closes the connection.
 type answerBody struct {
-	body    io.ReadCloser
-	attempt *attempt
-	once    sync.Once
+	body     io.ReadCloser
+	attempt  *attempt
+	response *http.Response
+	once     sync.Once
 }
 
-// Read implements io.Reader. An answer that ends before its declared end gives ErrIncompleteAnswer.
+// Read implements io.Reader. An answer that ends before its declared end, or has a malformed trailer, gives ErrIncompleteAnswer.
 func (b *answerBody) Read(p []byte) (int, error) {
 	n, err := b.body.Read(p)
+	if err == io.EOF {
+		err = cmp.Or(answer.CheckTrailer(b.response.Trailer), io.EOF)
+	}
 	if err != nil && err != io.EOF {
 		err = errors.Mark(err, ErrIncompleteAnswer)
 	}
--- a/internal/transport/target.go
+++ b/internal/transport/target.go
@@ -248,7 +248,7 @@
 	if err != nil {
 		return t.failedAttempt(ctx, a, resp, err), a.reused
 	}
-	resp.Body = &answerBody{body: resp.Body, attempt: a}
+	resp.Body = &answerBody{body: resp.Body, attempt: a, response: resp}
 	return Result{Sent: Answered, Response: resp}, a.reused
 }
 
