--- a/internal/answer/answer_test.go
+++ b/internal/answer/answer_test.go
@@ -15,6 +15,8 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/net/http/httpguts"
 	"gotest.tools/v3/assert"
+
+	"github.com/poplarcroft/poplarcroft/internal/conntest"
 )
 
 // heads are the heads of answers with the fault that each has, or none.
@@ -149,18 +151,8 @@
 // pair returns a connection that checks answers, and its other end.
 func pair(t *testing.T) (*Conn, *net.TCPConn) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer listener.Close()
-	dialled, err := net.Dial("tcp", listener.Addr().String())
-	assert.NilError(t, err)
-	accepted, err := listener.Accept()
-	assert.NilError(t, err)
-	t.Cleanup(func() {
-		dialled.Close()
-		accepted.Close()
-	})
-	return NewConn(dialled), accepted.(*net.TCPConn)
+	dialled, accepted := conntest.Pair(t)
+	return NewConn(dialled), accepted
 }
 
 // TestEndOfAnAnswerWithoutALength checks when the end of a connection is that of an answer.
--- a/internal/edge/pool_hosts_test.go
+++ b/internal/edge/pool_hosts_test.go
@@ -18,6 +18,7 @@
 	"github.com/poplarcroft/poplarcroft/internal/admission"
 	"github.com/poplarcroft/poplarcroft/internal/assign"
 	"github.com/poplarcroft/poplarcroft/internal/clock"
+	"github.com/poplarcroft/poplarcroft/internal/conntest"
 	"github.com/poplarcroft/poplarcroft/internal/eventlog"
 	"github.com/poplarcroft/poplarcroft/internal/fleet"
 	"github.com/poplarcroft/poplarcroft/internal/front"
@@ -40,19 +41,7 @@
 func startHangingServer(t *testing.T, slots, queue int, work time.Duration) *hangingServer {
 	t.Helper()
 	s := &hangingServer{slots: make(chan struct{}, slots), room: int64(slots + queue)}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { listener.Close() })
-	s.addr = listener.Addr().String()
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(conn, work)
-		}
-	}()
+	s.addr = conntest.Serve(t, func(conn *net.TCPConn) { s.serve(conn, work) })
 	return s
 }
 
--- a/internal/front/caller_closed_test.go
+++ b/internal/front/caller_closed_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/poplarcroft/poplarcroft/internal/conntest"
 )
 
 // TestRequestOfACallerThatHasClosedIsNotSent guards against work for callers that had left before their request was read (GONE): on a
@@ -26,7 +28,7 @@
 		t.Run(name, func(t *testing.T) {
 			server := startServer(t, answerOK)
 			s := newSystem(t, server)
-			listener := listen(t)
+			listener := conntest.Listen(t)
 			for i := range requests {
 				conn, err := net.Dial("tcp", listener.Addr().String())
 				assert.NilError(t, err)
--- a/internal/front/caller_gone_test.go
+++ b/internal/front/caller_gone_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -12,35 +13,27 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/poplarcroft/poplarcroft/internal/assign"
+	"github.com/poplarcroft/poplarcroft/internal/conntest"
 )
 
 // startHangingServer starts a server that never answers. It sends "arrived" on the channel when a
 // request has arrived, and "ended" when its connection has been closed.
 func startHangingServer(t *testing.T) (server *backendServer, events chan string) {
 	t.Helper()
-	listener := listen(t)
 	events = make(chan string, 8)
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				reader := bufio.NewReader(conn)
-				request, err := http.ReadRequest(reader)
-				if err != nil {
-					return
-				}
-				io.Copy(io.Discard, request.Body)
-				events <- "arrived"
-				reader.ReadByte()
-				events <- "ended"
-			}()
+	addr := conntest.Serve(t, func(conn *net.TCPConn) {
+		defer conn.Close()
+		reader := bufio.NewReader(conn)
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
 		}
-	}()
-	return &backendServer{addr: listener.Addr().String()}, events
+		io.Copy(io.Discard, request.Body)
+		events <- "arrived"
+		reader.ReadByte()
+		events <- "ended"
+	})
+	return &backendServer{addr: addr}, events
 }
 
 // await returns the next event, or "" if none arrives within the limit.
--- a/internal/front/fixture_test.go
+++ b/internal/front/fixture_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/poplarcroft/poplarcroft/internal/assign"
 	"github.com/poplarcroft/poplarcroft/internal/clock"
+	"github.com/poplarcroft/poplarcroft/internal/conntest"
 	"github.com/poplarcroft/poplarcroft/internal/eventlog"
 	"github.com/poplarcroft/poplarcroft/internal/fleet"
 	"github.com/poplarcroft/poplarcroft/internal/keyrange"
@@ -67,31 +68,7 @@
 // serveConns accepts connections until the test ends, and returns the address.
 func serveConns(t *testing.T, serve func(net.Conn)) string {
 	t.Helper()
-	return acceptConns(t, func(_ net.Listener, conn net.Conn) { serve(conn) })
-}
-
-// acceptConns is serveConns for a function that may close the listener.
-func acceptConns(t *testing.T, serve func(net.Listener, net.Conn)) string {
-	t.Helper()
-	listener := listen(t)
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serve(listener, conn)
-		}
-	}()
-	return listener.Addr().String()
-}
-
-func listen(t *testing.T) net.Listener {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	return listener
+	return conntest.Serve(t, func(conn *net.TCPConn) { serve(conn) })
 }
 
 func (s *backendServer) serve(conn net.Conn) { serveRequests(conn, s.next) }
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/poplarcroft/poplarcroft/internal/assign"
+	"github.com/poplarcroft/poplarcroft/internal/conntest"
 	"github.com/poplarcroft/poplarcroft/internal/dispatch"
 	"github.com/poplarcroft/poplarcroft/internal/fleet"
 	"github.com/poplarcroft/poplarcroft/internal/poison"
@@ -266,7 +267,7 @@
 func servePeersWith(t *testing.T, handler http.HandlerFunc) string {
 	t.Helper()
 	server := http.Server{Handler: handler, ConnContext: ConnContext}
-	listener := listen(t)
+	listener := conntest.Listen(t)
 	go server.Serve(listener)
 	t.Cleanup(func() { server.Close() })
 	return listener.Addr().String()
--- a/internal/front/probe_test.go
+++ b/internal/front/probe_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/poplarcroft/poplarcroft/internal/clock"
+	"github.com/poplarcroft/poplarcroft/internal/conntest"
 	"github.com/poplarcroft/poplarcroft/internal/eventlog"
 	"github.com/poplarcroft/poplarcroft/internal/fleet"
 	"github.com/poplarcroft/poplarcroft/internal/poison"
@@ -44,7 +45,7 @@
 func TestProbeTellsACrashFromALostAnswer(t *testing.T) {
 	for name, listens := range map[string]bool{"crashed": false, "lost answer": true} {
 		t.Run(name, func(t *testing.T) {
-			listener := listen(t)
+			listener := conntest.Listen(t)
 			defer listener.Close()
 			entry := fleet.Entry{ID: "a", Addr: listener.Addr().String(), Born: 1}
 			guard := poison.NewGuard(poison.Bounds{CrashLimit: 3, SharedCrashLimit: 3, Retention: time.Minute})
@@ -72,7 +73,7 @@
 // TestProbeDoesNotTrustAConnectionThatEnds checks that a server that accepts a connection and closes it,
 // as one may that is ending, does not count as alive.
 func TestProbeDoesNotTrustAConnectionThatEnds(t *testing.T) {
-	listener := listen(t)
+	listener := conntest.Listen(t)
 	defer listener.Close()
 	go func() {
 		if conn, err := listener.Accept(); err == nil {
@@ -107,7 +108,7 @@
 // TestHostThatIsCutOffProvesNoCrash is a regression test (RECOVER on Riga): a host whose connections to all servers
 // were reset and refused counted a crash for each, and innocent requests were stopped on all hosts.
 func TestHostThatIsCutOffProvesNoCrash(t *testing.T) {
-	alive := listen(t)
+	alive := conntest.Listen(t)
 	defer alive.Close()
 	refused, reached := "127.0.0.1:1", alive.Addr().String()
 	server := func(id, zone, addr string) fleet.Entry {
@@ -174,7 +175,7 @@
 // service discovery is away, a request crashed a server each time that it was back at its address.
 func TestServerBackUnderItsOldEntryCrashesOnlyThreeTimes(t *testing.T) {
 	s := newSystem(t, startServer(t, answerOK))
-	listener := listen(t)
+	listener := conntest.Listen(t)
 	addr := listener.Addr().String()
 	s.fleet.Set([]fleet.Entry{{ID: "archiv-0", Service: "archiv", Addr: addr, Zone: "zlin", Slots: 4, Born: 1}}, 0)
 	runs := 0
--- a/internal/front/suspect_test.go
+++ b/internal/front/suspect_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/poplarcroft/poplarcroft/internal/assign"
+	"github.com/poplarcroft/poplarcroft/internal/conntest"
 	"github.com/poplarcroft/poplarcroft/internal/poison"
 )
 
@@ -35,13 +36,15 @@
 func (s *crashingServers) start(t *testing.T) string {
 	t.Helper()
 	crashed, crash := context.WithCancel(context.Background())
-	return acceptConns(t, func(listener net.Listener, conn net.Conn) {
+	listener := conntest.Listen(t)
+	go conntest.Accept(listener, func(conn *net.TCPConn) {
 		context.AfterFunc(crashed, func() { conn.Close() })
 		s.serve(conn, func() {
 			listener.Close()
 			crash()
 		})
 	})
+	return listener.Addr().String()
 }
 
 // serve reads requests until the connection ends. The first one crashes the server.
--- a/internal/peer/endless_test.go
+++ b/internal/peer/endless_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/poplarcroft/poplarcroft/internal/bounded"
+	"github.com/poplarcroft/poplarcroft/internal/conntest"
 )
 
 // readCounter is a connection that counts the bytes read from it.
@@ -30,24 +31,13 @@
 
 // TestHandshakeWithoutEnd guards against a host that keeps the endless answer of another process which has a peer's address.
 func TestHandshakeWithoutEnd(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				_, err := io.WriteString(conn, "HTTP/1.0 200 Connected\r\n")
-				for lines := strings.Repeat("a:b\r\n", 1000); err == nil; {
-					_, err = io.WriteString(conn, lines)
-				}
-			}()
+	addr := conntest.Serve(t, func(conn *net.TCPConn) {
+		defer conn.Close()
+		_, err := io.WriteString(conn, "HTTP/1.0 200 Connected\r\n")
+		for lines := strings.Repeat("a:b\r\n", 1000); err == nil; {
+			_, err = io.WriteString(conn, lines)
 		}
-	}()
+	})
 	var read atomic.Int64
 	pool := NewPool(func(ctx context.Context, network, addr string) (net.Conn, error) {
 		conn, err := (&net.Dialer{}).DialContext(ctx, network, addr)
@@ -55,7 +45,7 @@
 	})
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 	defer cancel()
-	err = pool.Call(ctx, listener.Addr().String(), "Any.Method", struct{}{}, &struct{}{})
+	err := pool.Call(ctx, addr, "Any.Method", struct{}{}, &struct{}{})
 	assert.Assert(t, errors.Is(err, ErrUnreachable), "%v", err)
 	assert.Assert(t, read.Load() <= bounded.MaxHeaderBytes, "%d bytes read", read.Load())
 	assert.NilError(t, ctx.Err())
--- a/internal/transport/dialer_test.go
+++ b/internal/transport/dialer_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
+
+	"github.com/poplarcroft/poplarcroft/internal/conntest"
 )
 
 // egressProxy starts a proxy that accepts CONNECT only for the allowed address.
@@ -76,20 +78,10 @@
 
 // startGreetingServer starts a server that sends the greeting of another protocol and closes the connection.
 func startGreetingServer(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			_, _ = io.WriteString(conn, "220 mail.example\r\n")
-			conn.Close()
-		}
-	}()
-	return listener.Addr().String()
+	return conntest.Serve(t, func(conn *net.TCPConn) {
+		_, _ = io.WriteString(conn, "220 mail.example\r\n")
+		conn.Close()
+	})
 }
 
 func TestDialTimesOutOnAnUnresponsiveProxy(t *testing.T) {
--- a/internal/transport/malformed_test.go
+++ b/internal/transport/malformed_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/poplarcroft/poplarcroft/internal/answer"
+	"github.com/poplarcroft/poplarcroft/internal/conntest"
 )
 
 // TestMalformedAnswersAreErrors checks that whoever sends through a Pool, as the product's own interface does, gets an error for an answer
@@ -24,19 +25,13 @@
 		"interim answer":  "HTTP/1.1 103 X\r\nX Odd: 1\r\n\r\nHTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			assert.NilError(t, err)
-			defer listener.Close()
-			go func() {
-				conn, err := listener.Accept()
-				if err != nil {
-					return
-				}
+			addr := conntest.Serve(t, func(conn *net.TCPConn) {
+				defer conn.Close()
 				http.ReadRequest(bufio.NewReader(conn))
 				io.WriteString(conn, malformed)
-			}()
+			})
 			pool := NewPool(Options{Dial: Dialer(""), Connections: 1})
-			request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+listener.Addr().String()+"/x", nil)
+			request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+addr+"/x", nil)
 			assert.NilError(t, err)
 			response, err := pool.RoundTrip(request)
 			if err == nil {
