--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -21,10 +21,10 @@
 // that are only seconds old.
 const endedRetention = time.Minute
 
-// olderLifeGrace is how long an entry of an incarnation that began before the known one does not count. The log may have carried it out
+// olderIncarnationGrace is how long an entry of an incarnation that began before the known one does not count. The log may have carried it out
 // late; then the known incarnation, which runs, writes its next entry meanwhile. If it does not, the clock of a restarted server has been
 // set back.
-const olderLifeGrace = 3 * time.Second
+const olderIncarnationGrace = 3 * time.Second
 
 // servers follows the service discovery and keeps the fleet's entries up to date. It must be
 // used by one goroutine only.
@@ -155,7 +155,7 @@
 		delete(s.missing, record.Key)
 		return
 	}
-	if s.isOlderLife(record.Key, entry) {
+	if s.isOlderIncarnation(record.Key, entry) {
 		s.setAside(record, entry, now)
 		return
 	}
@@ -163,8 +163,8 @@
 	s.setEntry(record, entry)
 }
 
-// isOlderLife reports whether an entry is of an incarnation that began before the one that this host knows last.
-func (s *servers) isOlderLife(key string, entry fleet.Entry) bool {
+// isOlderIncarnation reports whether an entry is of an incarnation that began before the one that this host knows last.
+func (s *servers) isOlderIncarnation(key string, entry fleet.Entry) bool {
 	if known, ok := s.entries[key]; ok {
 		return entry.Born < known.Born
 	}
@@ -183,10 +183,10 @@
 	s.older[record.Key] = olderEntry{record, entry.Born, at}
 }
 
-// acceptOlder adopts the entries of older incarnations whose servers have written no other for olderLifeGrace.
+// acceptOlder adopts the entries of older incarnations whose servers have written no other for olderIncarnationGrace.
 func (s *servers) acceptOlder(now time.Duration) {
 	for key, older := range s.older {
-		if now-older.at < olderLifeGrace {
+		if now-older.at < olderIncarnationGrace {
 			continue
 		}
 		delete(s.older, key)
--- a/internal/edge/servers_test.go
+++ b/internal/edge/servers_test.go
@@ -117,10 +117,10 @@
 	assert.Assert(t, ok && a.Entry().Draining)
 }
 
-// TestLateEntryOfAFormerLife guards against a server whose keys are released and whose limits are forgotten, since the log has carried out
+// TestLateEntryOfAFormerIncarnation guards against a server whose keys are released and whose limits are forgotten, since the log has carried out
 // an entry of its former incarnation late (a path related to review, case 6). A server whose clock was set back before it restarted is
 // found all the same.
-func TestLateEntryOfAFormerLife(t *testing.T) {
+func TestLateEntryOfAFormerIncarnation(t *testing.T) {
 	born := func(f *fleet.Fleet) int64 {
 		a, ok := f.Server("a")
 		assert.Assert(t, ok)
@@ -130,7 +130,7 @@
 	s.apply(follow.Change{Records: []follow.Record{entry("a", "25")}, Snapshot: true}, 10*time.Second)
 	newest := born(f)
 	s.apply(follow.Change{Records: []follow.Record{entry("a", "18")}}, 11*time.Second)
-	assert.Equal(t, born(f), newest, "the former life counts")
+	assert.Equal(t, born(f), newest, "the former incarnation counts")
 	s.apply(follow.Change{Records: []follow.Record{entry("a", "26")}}, 12*time.Second)
 	s.apply(follow.Change{}, 20*time.Second)
 	assert.Equal(t, born(f), newest)
@@ -138,15 +138,15 @@
 	s.apply(follow.Change{Records: []follow.Record{entry("a", "18")}}, 30*time.Second)
 	s.apply(follow.Change{Records: []follow.Record{entry("a", "19")}}, 31*time.Second)
 	assert.Equal(t, born(f), newest)
-	s.apply(follow.Change{}, 30*time.Second+olderLifeGrace)
+	s.apply(follow.Change{}, 30*time.Second+olderIncarnationGrace)
 	assert.Assert(t, born(f) < newest, "a server whose clock was set back is not found")
 	s.apply(follow.Change{Records: []follow.Record{entry("a", "")}}, 40*time.Second)
 	present, _ := ids(f)
 	assert.Equal(t, len(present), 0)
 }
 
-// TestLateEntryOfALifeBeforeTheLast checks that a late entry brings back no server that is gone, unless it is repeated.
-func TestLateEntryOfALifeBeforeTheLast(t *testing.T) {
+// TestLateEntryOfAnEndedServer checks that a late entry brings back no server that is gone, unless it is repeated.
+func TestLateEntryOfAnEndedServer(t *testing.T) {
 	s, f := newTestServers()
 	s.apply(follow.Change{Records: []follow.Record{entry("a", "25")}, Snapshot: true}, 10*time.Second)
 	s.apply(follow.Change{Records: []follow.Record{entry("a", "")}}, 15*time.Second)
--- a/internal/leader/host_changes.go
+++ b/internal/leader/host_changes.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"sync"
 
 	"github.com/poplarcroft/poplarcroft/internal/assign"
@@ -79,32 +78,32 @@
 
 // hostChanges returns the incarnations that were listed, removed, retired or reinstated between two plans.
 func hostChanges(before, after assign.Plan) []hostChange {
+	former, latter := hostsByID(before), hostsByID(after)
+	successors := make(map[string]bool)
 	var changes []hostChange
 	for i := range after.Hosts {
 		host := &after.Hosts[i]
-		former := find(before.Hosts, host.SameIncarnation)
-		if former == nil || former.Retired != host.Retired {
-			changes = append(changes, hostChange{before: former, after: host})
+		successors[host.Name] = true
+		if known := former[idOf(*host)]; known == nil || known.Retired != host.Retired {
+			changes = append(changes, hostChange{before: known, after: host})
 		}
 	}
 	for i := range before.Hosts {
 		host := &before.Hosts[i]
-		if find(after.Hosts, host.SameIncarnation) != nil {
-			continue
+		if latter[idOf(*host)] == nil {
+			changes = append(changes, hostChange{before: host, replaced: successors[host.Name]})
 		}
-		successor := find(after.Hosts, func(other assign.Host) bool { return other.Name == host.Name })
-		changes = append(changes, hostChange{before: host, replaced: successor != nil})
 	}
 	return changes
 }
 
-// find returns the first host for which match is true, or nil.
-func find(hosts []assign.Host, match func(assign.Host) bool) *assign.Host {
-	i := slices.IndexFunc(hosts, match)
-	if i < 0 {
-		return nil
+// hostsByID returns the incarnations that a plan lists.
+func hostsByID(plan assign.Plan) map[hostID]*assign.Host {
+	hosts := make(map[hostID]*assign.Host, len(plan.Hosts))
+	for i := range plan.Hosts {
+		hosts[idOf(plan.Hosts[i])] = &plan.Hosts[i]
 	}
-	return &hosts[i]
+	return hosts
 }
 
 // noteHostChanges counts and logs what has become of the hosts in a written plan.
--- a/internal/leader/hosts.go
+++ b/internal/leader/hosts.go
@@ -26,7 +26,8 @@
 	self.Era = version.Era()
 	byName := make(map[string]*incarnationGroup, len(former))
 	for _, host := range former {
-		groupOf(byName, host.Name).listed = append(groupOf(byName, host.Name).listed, host)
+		group := groupOf(byName, host.Name)
+		group.listed = append(group.listed, host)
 	}
 	for _, host := range l.Hosts() {
 		// After a restore of the log, a registration of an older era may be of an incarnation that another one has replaced.
--- a/internal/leader/incarnations_test.go
+++ b/internal/leader/incarnations_test.go
@@ -83,7 +83,7 @@
 	assert.DeepEqual(t, gotRetired, retired)
 }
 
-// TestLateRegistrationEndsNoIncarnation guards against two owners of a key: the registration of a host's former life was carried out late
+// TestLateRegistrationEndsNoIncarnation guards against two owners of a key: the registration of a host's former incarnation was carried out late
 // and replaced that of the present one, and the leader took that one for ended while it went on renewing (review, case 6).
 func TestLateRegistrationEndsNoIncarnation(t *testing.T) {
 	former, present := incarnationOf("b", "1"), incarnationOf("b", "2")
@@ -168,7 +168,7 @@
 }
 
 // TestLeaderWithAForeignRegistrationWritesNoPlans guards against a leader that writes a plan with new fencing tokens every 21 ms, for
-// good, since the registration of its former life was carried out late (review, case 6).
+// good, since the registration of its former incarnation was carried out late (review, case 6).
 func TestLeaderWithAForeignRegistrationWritesNoPlans(t *testing.T) {
 	p := newPlanner(incarnationOf("a", "0"))
 	assert.Assert(t, p.step(0))
--- a/internal/leader/simulation_faults_test.go
+++ b/internal/leader/simulation_faults_test.go
@@ -234,7 +234,7 @@
 }
 
 // injectFaultOrRestarts injects one random fault; in half of all cases a host is killed twice within a second or two, and is then
-// cut off from everything but a server of its zone. The registration of the first new life is carried out late.
+// cut off from everything but a server of its zone. The registration of the first new incarnation is carried out late.
 func (sim *simulation) injectFaultOrRestarts() {
 	sim.mu.Lock()
 	restarts := sim.chance(0.5)
--- a/internal/leader/simulation_test.go
+++ b/internal/leader/simulation_test.go
@@ -442,7 +442,7 @@
 }
 
 // TestOneOwnerAcrossLateRegistrations has hosts among the faults that are killed twice in a row and then cut off together with a server, so that the
-// registration of the first life may be carried out while the second one renews out of reach (review, case 6).
+// registration of the first new incarnation may be carried out while the second one renews out of reach (review, case 6).
 func TestOneOwnerAcrossLateRegistrations(t *testing.T) {
 	checkOneOwner(t, (*simulation).injectFaultOrRestarts)
 }
