leader, edge: a restart costs one plan again, not two

Cause: the first report of a restarted host proves that its former incarnation has ended, often before the host may be listed (new hosts are listed at most each 0.25 s). The plan then retired or removed the former one at once, and the next listed the present one; each of the two gave all keys of the zone new fencing tokens. Change: an incarnation that has ended stays as it is until the plan that lists another one of its host, or until it is silent for 5 s, as before. Registrations that each host reads are no line any more unless one replaces another, at low priority. Test: TestRestartCostsOnePlan, fails before.

--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -179,16 +179,13 @@
 	s.logRegistration(replacement, record.Offset)
 }
 
-// logRegistration logs that the record of another incarnation of a host has been read, or the first record of the host.
+// logRegistration logs that the record of another incarnation of a host has been read.
 func (s *state) logRegistration(replacement registry.Replacement, offset uint64) {
 	former, host := replacement.Former, replacement.Latter
-	switch {
-	case former.SameIncarnation(host):
-	case former.Name == "":
-		s.log.Routine("registration", "name", host.Name, "incarnation", host.Incarnation, "offset", offset, "outcome", "read")
-	default:
-		s.log.Event("registration", "name", former.Name, "incarnation", host.Incarnation, "offset", offset, "outcome", "read", "replaces", former.Incarnation)
+	if former.Name == "" || former.SameIncarnation(host) {
+		return
 	}
+	s.log.Routine("registration", "name", former.Name, "incarnation", host.Incarnation, "offset", offset, "outcome", "read", "replaces", former.Incarnation)
 }
 
 // register writes this host's registration to the topic if it is due. A restore of the log can lose it, and the registration of a former
--- a/internal/leader/hosts.go
+++ b/internal/leader/hosts.go
@@ -88,7 +88,7 @@
 }
 
 // current returns the incarnation of a host that may renew grants: the one that has registered last, unless that has ended.
-// It returns nil if there is none.
+// One that has ended stays until another one may be listed, so that one plan and not two makes the change. It returns nil if there is none.
 func (l *Leader) current(group *incarnationGroup, admit bool) *assign.Host {
 	registered := group.registered
 	if registered != nil && !l.incarnations.hasEnded(*registered) &&
@@ -98,10 +98,7 @@
 	var current *assign.Host
 	for i := range group.listed {
 		host := &group.listed[i]
-		if l.incarnations.hasEnded(*host) {
-			continue
-		}
-		if current == nil || current.Retired && !host.Retired || current.Retired == host.Retired && l.incarnations.reportedAfter(*host, *current) {
+		if current == nil || l.incarnations.prefer(*host, *current) {
 			current = host
 		}
 	}
--- a/internal/leader/incarnations.go
+++ b/internal/leader/incarnations.go
@@ -162,8 +162,15 @@
 	return now - seen.at
 }
 
-// reportedAfter reports whether the first of two incarnations has sent the later report.
-func (in *incarnations) reportedAfter(first, second assign.Host) bool {
+// prefer reports whether the first of two listed incarnations is rather the one that runs: one that has not ended, is not retired, or
+// has sent the later report.
+func (in *incarnations) prefer(first, second assign.Host) bool {
+	switch {
+	case in.hasEnded(first) != in.hasEnded(second):
+		return in.hasEnded(second)
+	case first.Retired != second.Retired:
+		return second.Retired
+	}
 	return in.seen[idOf(first)].at > in.seen[idOf(second)].at
 }
 
--- a/internal/leader/incarnations_test.go
+++ b/internal/leader/incarnations_test.go
@@ -131,6 +131,29 @@
 	p.assertListed(t, "b", []string{"3"}, nil)
 }
 
+// TestRestartCostsOnePlan guards against a plan that only retires or removes an incarnation that has ended, before the one that lists the next
+// incarnation: each of the two gives all keys of the zone new fencing tokens.
+func TestRestartCostsOnePlan(t *testing.T) {
+	former, present := incarnationOf("b", "1"), incarnationOf("b", "2")
+	p := newPlanner(former)
+	assert.Assert(t, p.step(0))
+	p.report(present)
+	for range 3 {
+		assert.Assert(t, !p.step(admissionInterval), "the present incarnation has not registered yet")
+	}
+	p.registered = []assign.Host{present, incarnationOf("c", "1")}
+	assert.Assert(t, p.step(time.Millisecond))
+	p.assertListed(t, "b", []string{"2"}, nil)
+
+	next := incarnationOf("c", "2")
+	p.report(next)
+	p.registered[1] = next
+	assert.Assert(t, !p.step(admissionInterval/2), "the last plan has just listed hosts")
+	assert.Assert(t, p.step(admissionInterval))
+	p.assertListed(t, "c", []string{"2"}, nil)
+	assert.Assert(t, !p.step(time.Second))
+}
+
 // TestReportOfAFormerIncarnation checks that a report that arrives after its sender has ended counts for no other incarnation.
 func TestReportOfAFormerIncarnation(t *testing.T) {
 	former, present := incarnationOf("b", "1"), incarnationOf("b", "2")
