leader, edge: the first message of a restarted host is an announcement, not a report

The leader took that for the host's load, in place of what its former incarnation had reported, and moved keys by it. Change: a field says that a report is only an announcement; the last report stays in use. Test: TestAnnouncementKeepsTheLastReport.

--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -76,6 +76,9 @@
 	// send them.
 	Incarnation string
 	Plan        assign.Fence
+	// Announcement says that the host has just started and reports nothing else yet. A leader of a build that does not know
+	// the field takes the message for a report.
+	Announcement bool
 	// Rates holds the request rate of each key, by service, of the requests that the host itself
 	// sends to servers.
 	Rates map[string]map[keyrange.Key]keyrange.CentiRate
--- a/internal/edge/reports.go
+++ b/internal/edge/reports.go
@@ -5,7 +5,6 @@
 	"maps"
 	"time"
 
-	"github.com/poplarcroft/poplarcroft/internal/assign"
 	"github.com/poplarcroft/poplarcroft/internal/clock"
 	"github.com/poplarcroft/poplarcroft/internal/leader"
 	"github.com/poplarcroft/poplarcroft/internal/loop"
@@ -13,54 +12,55 @@
 
 const (
 	// reportInterval is the time between two load reports to the leader. While requests wait for a
-	// slot at a server, or if a server has named a new limit or another host leads, it is queuedReportInterval.
+	// slot at a server, or a server has named a new limit, it is queuedReportInterval.
 	reportInterval       = 2 * time.Second
 	queuedReportInterval = 300 * time.Millisecond
 	// reportTimeout is the timeout of one message to another host.
 	reportTimeout = 400 * time.Millisecond
 )
 
-// reportLoad is the loop that reports load, lost grants and slow servers to the leader. The first report is sent as soon as
-// a plan names the leader: it tells that the former incarnation of this host has ended.
+// reportLoad is the loop that reports load, lost grants and slow servers to the leader.
 func (h *Host) reportLoad(ctx context.Context) {
-	h.awaitFirstPlan(ctx)
-	var lastReport time.Duration
+	h.announceStart(ctx)
+	lastReport := clock.Monotonic()
 	var reportedLimits map[string]float64
-	var reportedTo assign.Host
 	loop.Every(ctx, queuedReportInterval, func(ctx context.Context) {
 		now := clock.Monotonic()
 		limits := h.fleet.Limits(now)
-		plan := h.current.Plan()
-		sameLeader := plan.Leader.SameIncarnation(reportedTo)
-		if now-lastReport < reportInterval && sameLeader && !h.ingress.Queued() && maps.Equal(limits, reportedLimits) {
+		if now-lastReport < reportInterval && !h.ingress.Queued() && maps.Equal(limits, reportedLimits) {
 			return
 		}
-		lastReport, reportedLimits, reportedTo = now, limits, plan.Leader
+		lastReport, reportedLimits = now, limits
 		h.report(ctx, ReportArgs{
-			Host: h.self.Name, Incarnation: h.self.Incarnation, Plan: plan.Version, Rates: h.ingress.KeyRates(), Lost: h.renewer.Lost(), Slowness: h.fleet.Slowness(now), Limits: limits,
+			Host: h.self.Name, Incarnation: h.self.Incarnation, Plan: h.current.Plan().Version,
+			Rates: h.ingress.KeyRates(), Lost: h.renewer.Lost(), Slowness: h.fleet.Slowness(now), Limits: limits,
 			Speeds: h.ingress.Speeds(now),
 		})
 	})
 }
 
-// awaitFirstPlan waits until this host knows a plan, or the context ends.
-func (h *Host) awaitFirstPlan(ctx context.Context) {
-	for {
-		plan, changed := h.current.Watch()
-		if plan.Version != 0 {
-			return
-		}
+// announceStart tells the leader that this incarnation runs, as soon as a plan names the leader. It proves that the former incarnation of
+// this host has ended.
+func (h *Host) announceStart(ctx context.Context) {
+	plan, changed := h.current.Watch()
+	for plan.Version == 0 {
 		select {
 		case <-changed:
 		case <-ctx.Done():
 			return
 		}
+		plan, changed = h.current.Watch()
 	}
+	h.report(ctx, ReportArgs{Host: h.self.Name, Incarnation: h.self.Incarnation, Plan: plan.Version, Announcement: true})
 }
 
 // passTo passes the report on to the leader on this host.
 func (r ReportArgs) passTo(l *leader.Leader) {
 	from := leader.Reporter{Name: r.Host, Incarnation: r.Incarnation, Plan: r.Plan}
+	if r.Announcement {
+		l.Heard(from)
+		return
+	}
 	l.Report(from, leader.Report{Rates: r.Rates, Slowness: r.Slowness, Limits: r.Limits, Speeds: r.Speeds}, r.Lost)
 }
 
--- a/internal/leader/incarnations_test.go
+++ b/internal/leader/incarnations_test.go
@@ -154,6 +154,21 @@
 	assert.Assert(t, !p.step(time.Second))
 }
 
+// TestAnnouncementKeepsTheLastReport guards against keys that move since the first message of a restarted host, which has no requests yet,
+// takes the place of what its former incarnation has reported.
+func TestAnnouncementKeepsTheLastReport(t *testing.T) {
+	former, present := incarnationOf("b", "1"), incarnationOf("b", "2")
+	p := newPlanner(former)
+	assert.Assert(t, p.step(0))
+	rates := map[string]map[keyrange.Key]keyrange.CentiRate{"revize": {7: 100}}
+	p.Report(Reporter{Name: "b", Incarnation: "1", Plan: p.plan.Version}, Report{Rates: rates}, nil)
+	p.Heard(Reporter{Name: "b", Incarnation: "2", Plan: p.plan.Version})
+	assert.DeepEqual(t, p.reports["b"].Rates, rates)
+	p.registered = []assign.Host{present}
+	assert.Assert(t, p.step(time.Second))
+	p.assertListed(t, "b", []string{"2"}, nil)
+}
+
 // TestReportOfAFormerIncarnation checks that a report that arrives after its sender has ended counts for no other incarnation.
 func TestReportOfAFormerIncarnation(t *testing.T) {
 	former, present := incarnationOf("b", "1"), incarnationOf("b", "2")
--- a/internal/leader/reports.go
+++ b/internal/leader/reports.go
@@ -55,12 +55,9 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	id := l.reporterID(from)
-	if _, ended := l.incarnations.ended[id]; ended {
-		l.Log.Routine("report", "name", id.name, "incarnation", id.incarnation, "outcome", "dropped", "err", "the sender has ended")
+	if !l.heard(from) {
 		return
 	}
-	l.incarnations.ranAt(id, l.Clock(), from.Plan)
 	for _, id := range lost {
 		l.lost[id] = true
 	}
@@ -68,6 +65,24 @@
 	l.speeds.add(report.Speeds, l.Clock())
 }
 
+// Heard records that a host runs. Its last report stays in use.
+func (l *Leader) Heard(from Reporter) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.heard(from)
+}
+
+// heard records that the sender of a report runs. It returns false if the sender has ended. The caller holds the lock.
+func (l *Leader) heard(from Reporter) bool {
+	id := l.reporterID(from)
+	if _, ended := l.incarnations.ended[id]; ended {
+		l.Log.Routine("report", "name", id.name, "incarnation", id.incarnation, "outcome", "dropped", "err", "the sender has ended")
+		return false
+	}
+	l.incarnations.ranAt(id, l.Clock(), from.Plan)
+	return true
+}
+
 // reporterID returns the incarnation that has sent a report. One of a build that does not say it counts as the incarnation that
 // the plan does not retire.
 func (l *Leader) reporterID(from Reporter) hostID {
