--- a/internal/edge/listen.go
+++ b/internal/edge/listen.go
@@ -121,8 +121,8 @@
 		"body_memory": h.ingress.BodyMemory(), "relay": h.relay.Counters.Snapshot(), "topics": h.relay.Topics(), "log_lines_dropped": h.log.Dropped(),
 		"servers": h.ingress.Learner.Snapshot(), "shares": h.shares.snapshot(),
 		"configuration": h.operatorRecords.progress.metrics(), "contents": h.contents.Store.Counters.Snapshot(),
-		"answer_faults": answer.Counts(),
-		"inbound":       map[string]inbound.Metrics{"callers": h.guards.callers.Metrics(), "hosts": h.guards.hosts.Metrics()},
+		"answer_faults": answer.Counts(), "registrations_replaced": h.state.registrationsReplaced.Load(),
+		"inbound": map[string]inbound.Metrics{"callers": h.guards.callers.Metrics(), "hosts": h.guards.hosts.Metrics()},
 	})
 	if err != nil {
 		h.log.Routine("metrics", "outcome", "failed", "err", err.Error())
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -153,6 +153,7 @@
 func (s *rpcService) Adopt(args AdoptArgs, reply *AdoptReply) error {
 	reply.Incarnation = s.self.Incarnation
 	if args.Incarnation != s.self.Incarnation {
+		// The call came to the address of the incarnation that it is for, where this one listens now.
 		return nil
 	}
 	if args.Plan != nil {
