--- a/internal/leader/hosts_test.go
+++ b/internal/leader/hosts_test.go
@@ -67,6 +67,23 @@
 	}
 }
 
+// TestRenewerThatIsNewerThanTheGrants guards against keys that lapse while the hosts of their zone reach no server: the host that renews in
+// their place had been listed after the grants were issued, so it could renew none of them, and they were not issued anew.
+func TestRenewerThatIsNewerThanTheGrants(t *testing.T) {
+	host := func(name, zone string, since assign.Fence) assign.Host {
+		return assign.Host{Name: name, Incarnation: "1", Zone: zone, Since: since}
+	}
+	plan := assign.Plan{Version: 9, Leader: host("a", "brno", 3), Hosts: []assign.Host{host("a", "brno", 3), host("b", "zlin", 9)}, Services: map[string][]assign.Assignment{
+		"revize": {{Range: keyrange.All, Phase: assign.Held, Fence: 5, Server: assign.Server{ID: "s", Zone: "brno"}}},
+	}}
+	next := plan.Clone()
+	next.Hosts[0].CutOff, next.Hosts[1].Led = true, true
+	assert.Assert(t, New(Config{}).rangesToRegrant("revize", plan, next, false, 0)[0])
+	next.Services["revize"][0].Fence = 10
+	assert.Equal(t, len(New(Config{}).rangesToRegrant("revize", next, next, false, 0)), 0)
+	assert.Assert(t, next.ShouldRenew(next.Hosts[1], next.Services["revize"][0]))
+}
+
 // TestOrderHoldsWhileAllHostsKnowIt checks that the plan has the weighted order only while every listed host has announced
 // it, also after a leader of an older build has written the hosts without what they announced.
 func TestOrderHoldsWhileAllHostsKnowIt(t *testing.T) {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -17,6 +17,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -384,12 +385,17 @@
 	return keys
 }
 
-// getsRenewer reports whether a host renews the grant of the assignment by the next plan that does not by the present one.
+// getsRenewer reports whether a host renews the grant of the assignment by the next plan that does not by the present one, if the
+// next plan issues a new one: a host renews no grant that is older than itself.
 func getsRenewer(plan, next assign.Plan, a assign.Assignment) bool {
 	before := plan.Renewers(a)
+	a.Fence = newestFence
 	return slices.ContainsFunc(next.Renewers(a), func(host assign.Host) bool { return !slices.ContainsFunc(before, host.SameIncarnation) })
 }
 
+// newestFence is above the fencing tokens of all plans.
+const newestFence = assign.Fence(math.MaxUint64)
+
 // logChanges logs each assignment that changed with the new plan, and a change of the hosts.
 func (l *Leader) logChanges(before, after assign.Plan) {
 	for service, assignments := range after.Services {
