--- a/internal/edge/evidence_simulation_test.go
+++ b/internal/edge/evidence_simulation_test.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -31,16 +33,33 @@
 
 // faultyState is a platform whose shared state carries out writes late, twice or never.
 type faultyState struct {
-	memoryState
+	fakePlatform
 	rng   *rand.Rand
 	quiet bool
+
+	mu    sync.Mutex
+	state memoryState
+}
+
+// append carries out a write.
+func (p *faultyState) append(ctx context.Context, key string, value []byte) (follow.Position, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state.AppendState(ctx, key, value, nil)
+}
+
+// records returns the records that have been written.
+func (p *faultyState) records() []follow.Record {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.state.records)
 }
 
 // AppendState implements Platform.
-func (p *faultyState) AppendState(ctx context.Context, key string, value []byte, at *uint64) (follow.Position, error) {
+func (p *faultyState) AppendState(ctx context.Context, key string, value []byte, _ *uint64) (follow.Position, error) {
 	draw, delay := p.rng.Float64(), time.Duration(1+p.rng.IntN(5))*time.Second
 	late := func() {
-		time.AfterFunc(delay, func() { p.memoryState.AppendState(ctx, key, value, nil) })
+		time.AfterFunc(delay, func() { p.append(ctx, key, value) })
 	}
 	switch {
 	case p.quiet:
@@ -52,7 +71,7 @@
 	case draw < 0.5:
 		late()
 	}
-	return p.memoryState.AppendState(ctx, key, value, at)
+	return p.append(ctx, key, value)
 }
 
 // evidenceSimulation is one run of the simulation. Only one goroutine at a time uses it.
@@ -78,7 +97,7 @@
 // round lets each host read what is new, keep what is missing, and remove what has expired.
 func (sim *evidenceSimulation) round(ctx context.Context) {
 	for i, sharing := range sim.sharing {
-		records := sim.platform.records
+		records := sim.platform.records()
 		for _, record := range records[sim.read[i]:] {
 			sharing.state.apply(record, 0, follow.UnknownEra)
 		}
@@ -96,7 +115,7 @@
 func (sim *evidenceSimulation) keptCrashes(t *testing.T, f poison.Fingerprint) int {
 	t.Helper()
 	var newest []byte
-	for _, record := range sim.platform.records {
+	for _, record := range sim.platform.records() {
 		if record.Key == evidencePrefix+f.String() {
 			newest = record.Value
 		}
@@ -137,11 +156,11 @@
 					}
 				}
 			}
-			written := len(sim.platform.records)
+			written := len(sim.platform.records())
 			for range 20 {
 				sim.round(t.Context())
 			}
-			assert.Assert(t, len(sim.platform.records) == written, "seed %d: hosts go on writing", seed)
+			assert.Assert(t, len(sim.platform.records()) == written, "seed %d: hosts go on writing", seed)
 		})
 	}
 }
