grants, renew, platform: connections for grants are explicit and numbered; lines tell which one carried a grant

Change: grants.Conn is one connection to one incarnation of a server; a Renewer keeps a link to each server. Lines: connection (opened, ended, failed), grant with born, conn and plan, also if another connection carries a grant. When a host renews is unchanged: a connection that has ended is replaced, and the grant goes over the new one. A redirect as the answer to a grant or a release is no longer followed.

--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -22,6 +22,9 @@
 // for one of the keys.
 var ErrFenced = errors.New("grants: the server has seen a higher fence for one of the keys")
 
+// ErrRefused reports that the server has answered a grant, but has not taken it.
+var ErrRefused = errors.New("grants: the server refuses the grant")
+
 // Grant is a lease on a key range.
 type Grant struct {
 	Range keyrange.Range
@@ -35,13 +38,25 @@
 // Granter calls backend servers. A call that returns an error may have been carried out, or may
 // still be carried out until its connection is known to be reset.
 type Granter interface {
-	// Grant grants or renews keys. The error is ErrFenced if the server has seen a higher fencing token.
-	Grant(ctx context.Context, server assign.Server, grant Grant) error
+	// Connect opens a connection for grants to the server at an address.
+	Connect(ctx context.Context, addr string) (Conn, error)
 	// Release makes the server accept no new requests for the keys. It returns the handover once
 	// the requests in progress have ended.
 	Release(ctx context.Context, server assign.Server, keys keyrange.Range, fence assign.Fence) (handover string, err error)
 }
 
+// Conn is a connection to one incarnation of a backend server: it ends with it, and never leads to another one. It carries one
+// call at a time.
+type Conn interface {
+	// Grant grants or renews keys. The error is ErrFenced if the server has seen a higher fencing token, and ErrRefused if it
+	// refuses the grant for another reason. After any other error the connection has ended.
+	Grant(ctx context.Context, server assign.Server, grant Grant) error
+	// Ended is closed when the connection has ended.
+	Ended() <-chan struct{}
+	// Close ends the connection. What has not been sent is discarded.
+	Close()
+}
+
 // Timing bounds how long grants are in force.
 type Timing struct {
 	// TTL is the time to live of a grant.
--- a/internal/leader/simulation_faults_test.go
+++ b/internal/leader/simulation_faults_test.go
@@ -189,6 +189,7 @@
 		return
 	}
 	s.up = false
+	sim.endConns(s)
 	born := s.Born
 	time.AfterFunc(2600*time.Millisecond, func() {
 		sim.mu.Lock()
--- a/internal/leader/simulation_test.go
+++ b/internal/leader/simulation_test.go
@@ -97,6 +97,8 @@
 	// listed is set while the server has an entry in the service discovery. The entry is removed some time after a crash.
 	listed   bool
 	draining bool
+	// conns holds the hosts' connections to the present incarnation.
+	conns []*simConn
 }
 
 func (s *simServer) incarnation() string { return fmt.Sprintf("%s/%d", s.ID, s.Born) }
@@ -142,43 +144,6 @@
 
 var errNoAnswer = errors.New("simulation: no answer")
 
-// Grant implements grants.Granter for one host.
-func (h *simHost) Grant(ctx context.Context, server assign.Server, grant grants.Grant) error {
-	sim := h.sim
-	time.Sleep(time.Millisecond)
-	sim.mu.Lock()
-	target := sim.serverAt(server.Addr)
-	incarnation := target.incarnation()
-	if !target.up || !sim.connected(h.self.Name, target.ID) {
-		sim.mu.Unlock()
-		<-ctx.Done()
-		return errNoAnswer
-	}
-	sent := sim.now()
-	if sim.chance(0.03) {
-		// The call times out, but the server carries it out later.
-		delay := time.Duration(1+sim.rng.IntN(8)) * time.Second
-		sim.mu.Unlock()
-		time.AfterFunc(delay, func() {
-			sim.mu.Lock()
-			defer sim.mu.Unlock()
-			if target.up && target.incarnation() == incarnation {
-				sim.applyGrant(h, target, grant, sent, true)
-			}
-		})
-		<-ctx.Done()
-		return errNoAnswer
-	}
-	err := sim.applyGrant(h, target, grant, sent, false)
-	lost := sim.chance(0.03)
-	sim.mu.Unlock()
-	if lost {
-		<-ctx.Done()
-		return errNoAnswer
-	}
-	return err
-}
-
 // applyGrant applies a grant to a server, and checks the invariants. late says that the call had
 // timed out at the host before.
 func (sim *simulation) applyGrant(h *simHost, s *simServer, grant grants.Grant, sent time.Duration, late bool) error {
--- a/internal/renew/renew.go
+++ b/internal/renew/renew.go
@@ -52,8 +52,14 @@
 	log     *eventlog.Log
 	// callSlots is a semaphore that limits the grant calls in flight.
 	callSlots chan struct{}
+	// wake holds a value if a call, a connection or an attempt to open one has ended since the last round.
+	wake chan struct{}
 
 	mu sync.Mutex
+	// links holds the link to each server whose grants this host renews, by address. opened is the number of connections opened
+	// so far.
+	links  map[string]*link
+	opened uint64
 	// tracked has an entry for each grant in the plan, also for those that other hosts renew, and
 	// for each grant with a call in flight.
 	tracked map[grantID]*grantState
@@ -90,6 +96,8 @@
 	// lost is set if the server has not answered for so long that the grant must not be renewed
 	// any more under this fencing token.
 	lost bool
+	// carrier is the number of the connection that carried the last successful call.
+	carrier uint64
 }
 
 // New returns a Renewer for the host self. clock is the host's monotonic clock.
@@ -97,6 +105,8 @@
 	return &Renewer{
 		self: self, current: current, granter: granter, timing: timing, clock: clock, log: log,
 		callSlots: make(chan struct{}, maxCallsInFlight),
+		wake:      make(chan struct{}, 1),
+		links:     make(map[string]*link),
 		tracked:   make(map[grantID]*grantState),
 	}
 }
@@ -105,6 +115,7 @@
 func (r *Renewer) Run(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	defer r.closeLinks()
 	for {
 		plan, changed := r.current.Watch()
 		next := r.renewAll(ctx, plan, changed, r.current.WrittenAfter())
@@ -113,6 +124,7 @@
 		case <-ctx.Done():
 			return
 		case <-changed:
+		case <-r.wake:
 		case <-timer.C:
 		}
 	}
@@ -139,7 +151,7 @@
 	defer r.mu.Unlock()
 	r.trackOnce(plan, changed, planWrittenAfter)
 	now := r.clock()
-	next := r.timing.RenewInterval
+	next := min(r.timing.RenewInterval, r.keepLinks(ctx, now))
 	for _, own := range r.mine {
 		r.checkServerSilence(own.id, own.state, own.assignment, now)
 		wait := r.untilDue(own.state, now)
@@ -147,7 +159,7 @@
 			next = min(next, wait)
 			continue
 		}
-		r.startCall(ctx, plan.Version, own.id, own.state, own.assignment)
+		r.startCall(ctx, plan.Version, own)
 	}
 	return max(next, time.Millisecond)
 }
@@ -173,6 +185,7 @@
 func (r *Renewer) track(plan assign.Plan, planWrittenAfter time.Duration) {
 	tracked := make(map[grantID]*grantState, len(r.tracked))
 	r.mine = nil
+	servers := make(map[string]assign.Server)
 	renewed := plan.RenewedBy(r.self)
 	for service, assignments := range plan.Services {
 		for _, a := range assignments {
@@ -187,6 +200,7 @@
 			tracked[id] = s
 			if renewed(a) {
 				r.mine = append(r.mine, ownGrant{id, s, a})
+				servers[a.Server.Addr] = a.Server
 			}
 		}
 	}
@@ -196,6 +210,7 @@
 		}
 	}
 	r.tracked = tracked
+	r.setLinks(servers)
 }
 
 // checkServerSilence marks a grant as lost if its server has not answered this host for too long. If
@@ -222,51 +237,67 @@
 	return s.sent + retryInterval - now
 }
 
-// startCall starts a call if fewer than the maximum are in flight. Otherwise the grant stays due.
-func (r *Renewer) startCall(ctx context.Context, version assign.Fence, id grantID, s *grantState, a assign.Assignment) {
+// startCall starts a call if the server's link is idle and fewer than the maximum are in flight. Otherwise the grant stays due.
+func (r *Renewer) startCall(ctx context.Context, version assign.Fence, own ownGrant) {
+	l := r.links[own.assignment.Server.Addr]
+	if !l.idle() {
+		return
+	}
 	select {
 	case r.callSlots <- struct{}{}:
 	default:
 		return
 	}
-	s.calling = true
-	s.sent = r.clock()
-	go r.call(ctx, version, id, s, a)
+	l.calling = true
+	own.state.calling = true
+	own.state.sent = r.clock()
+	go r.call(ctx, version, own, l, l.conn, l.number)
 }
 
-// call sends one grant and records the result.
-func (r *Renewer) call(ctx context.Context, version assign.Fence, id grantID, s *grantState, a assign.Assignment) {
+// call sends one grant over a connection and records the result.
+func (r *Renewer) call(ctx context.Context, version assign.Fence, own ownGrant, l *link, conn grants.Conn, number uint64) {
+	defer r.wakeUp()
 	defer func() { <-r.callSlots }()
-	err := r.send(ctx, id, a)
+	err := r.send(ctx, conn, own.id, own.assignment)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	l.calling = false
+	s := own.state
 	s.calling = false
 	now := r.clock()
 	switch {
 	case err == nil:
-		if !s.confirmed {
-			r.log.Event("grant", "service", id.service, "keys", id.keys.String(), "server", a.Server.ID,
-				"fence", uint64(id.fence), "plan", uint64(version), "outcome", "granted", "ms", (now - s.sent).Milliseconds())
+		if !s.confirmed || s.carrier != number {
+			r.logGrant(own, version, number, "granted", "ms", (now - s.sent).Milliseconds())
 		}
 		s.answered = now
 		s.confirmed = true
+		s.carrier = number
 	case errors.Is(err, grants.ErrFenced):
 		s.fenced = true
-		r.logFailure(id, a, version, err)
+		r.logGrant(own, version, number, "failed", "err", err.Error())
 	default:
 		if s.confirmed || s.answered == 0 {
-			r.logFailure(id, a, version, err)
+			r.logGrant(own, version, number, "failed", "err", err.Error())
 		}
 		s.confirmed = false
 	}
 }
 
+// logGrant logs what has become of a call: which grant, for which incarnation of the server it is meant, and over which connection it
+// went.
+func (r *Renewer) logGrant(own ownGrant, version assign.Fence, number uint64, outcome string, fields ...any) {
+	server := own.assignment.Server
+	r.log.Event("grant", append([]any{"service", own.id.service, "keys", own.id.keys.String(), "server", server.ID, "born", server.Born,
+		"fence", uint64(own.id.fence), "plan", uint64(version), "conn", number, "outcome", outcome}, fields...)...)
+}
+
 // errMayNotRenew reports that the host may not renew the grant any more: the plan has changed since
 // the call was started, or was verified too long ago.
 var errMayNotRenew = errors.New("renew: this host may no longer renew the grant")
 
 // send calls the server, after it has checked again that the newest plan allows it.
-func (r *Renewer) send(ctx context.Context, id grantID, a assign.Assignment) error {
+func (r *Renewer) send(ctx context.Context, conn grants.Conn, id grantID, a assign.Assignment) error {
 	plan := r.current.Plan()
 	assignment, found := plan.Lookup(id.service, id.keys.First)
 	if !found || assignment.Fence != id.fence || !plan.ShouldRenew(r.self, assignment) {
@@ -277,16 +308,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.timing.CallTimeout)
 	defer cancel()
-	return r.granter.Grant(ctx, a.Server, grants.Grant{
+	return conn.Grant(ctx, a.Server, grants.Grant{
 		Range: id.keys, Fence: id.fence, TTL: r.timing.TTL, Handover: a.Handover,
 	})
 }
 
-func (r *Renewer) logFailure(id grantID, a assign.Assignment, version assign.Fence, err error) {
-	r.log.Event("grant", "service", id.service, "keys", id.keys.String(), "server", a.Server.ID,
-		"fence", uint64(id.fence), "plan", uint64(version), "outcome", "failed", "err", err.Error())
-}
-
 // AwaitStaleCalls waits until no call is in flight for a grant that the present plan no longer
 // contains. It returns false if the context ends before.
 func (r *Renewer) AwaitStaleCalls(ctx context.Context) bool {
--- a/internal/renew/renew_test.go
+++ b/internal/renew/renew_test.go
@@ -26,13 +26,34 @@
 	now    func() time.Duration
 }
 
-func (s *fakeServer) Grant(ctx context.Context, _ assign.Server, _ grants.Grant) error {
+// Connect implements grants.Granter.
+func (s *fakeServer) Connect(context.Context, string) (grants.Conn, error) {
+	return &fakeConn{server: s, ended: make(chan struct{})}, nil
+}
+
+// fakeConn is a connection to a fakeServer.
+type fakeConn struct {
+	server *fakeServer
+	once   sync.Once
+	ended  chan struct{}
+}
+
+// Ended implements grants.Conn.
+func (c *fakeConn) Ended() <-chan struct{} { return c.ended }
+
+// Close implements grants.Conn.
+func (c *fakeConn) Close() { c.once.Do(func() { close(c.ended) }) }
+
+// Grant implements grants.Conn.
+func (c *fakeConn) Grant(ctx context.Context, _ assign.Server, _ grants.Grant) error {
+	s := c.server
 	s.mu.Lock()
 	s.times = append(s.times, s.now())
 	silent := s.silent
 	s.mu.Unlock()
 	if silent {
 		<-ctx.Done()
+		c.Close()
 		return errors.New("no answer")
 	}
 	return nil
