--- a/internal/assign/current.go
+++ b/internal/assign/current.go
@@ -5,9 +5,8 @@
 	"time"
 )
 
-// Current holds the newest plan that this host knows, the time at which that plan was last
-// verified to be the newest, and the earliest time at which it can have been written. All times
-// are readings of the host's monotonic clock. It is safe for concurrent use.
+// Current holds the newest plan that this host knows, and the time, by the host's monotonic clock, at which that plan was last
+// verified to be the newest. It is safe for concurrent use.
 type Current struct {
 	mu   sync.Mutex
 	plan Plan
@@ -15,17 +14,14 @@
 	// Then it may be older than the plan that other hosts act by, and it may even be one that
 	// nobody acts by, which a leader wrote before it learned of the restore.
 	copied bool
-	// verifiedAt is when the plan was last known to be the newest. readAt is when the log was last
-	// known to hold no newer one.
-	verifiedAt, readAt time.Duration
+	// verifiedAt is when the plan was last known to be the newest.
+	verifiedAt time.Duration
 	// era is the number of the era in which the log was last read.
 	era uint64
-	// readFailed is set if a read of the plan has failed since readAt.
+	// readFailed is set if a read of the plan has failed since the plan was last verified.
 	readFailed bool
-	// writtenAfter is the earliest time at which the plan can have been written. If no read has
-	// failed since readAt, it is the time at which the plan was read, as a read returns a plan
-	// shortly after it is written; otherwise it is readAt. It is zero for a plan from before a restore.
-	writtenAfter time.Duration
+	// prompt says that no read had failed when the plan was adopted, so that it was read shortly after it had been written.
+	prompt bool
 	// term is the term of the plan's leader.
 	term Term
 	// changed is closed and replaced when a newer plan is adopted.
@@ -77,12 +73,11 @@
 	return c.plan, c.changed
 }
 
-// WrittenAfter returns the earliest reading of the host's clock at which the plan can have been
-// written, not counting the short delay between its write and a read that returned it.
-func (c *Current) WrittenAfter() time.Duration {
+// Prompt reports whether this host has learned of the plan shortly after it was written.
+func (c *Current) Prompt() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.writtenAfter
+	return c.prompt
 }
 
 // NoteReadFailure records that a read of the plan failed. Until the next call of Verify, a plan
@@ -97,15 +92,14 @@
 // have been written at any time since the last call of Verify. It reports whether it was adopted.
 func (c *Current) AdoptOfUnknownAge(plan Plan) bool {
 	c.NoteReadFailure()
-	return c.Adopt(plan, 0)
+	return c.Adopt(plan)
 }
 
-// AdoptFromLog adopts a plan that was read at the given time, in the era of the log with the given
-// number, and reports whether it did. A plan of an older era is adopted only by a host that knows no
+// AdoptFromLog adopts a plan that was read in the era of the log with the given number, and reports whether it did. A plan of an older era is adopted only by a host that knows no
 // other, which routes requests by it and renews nothing.
-func (c *Current) AdoptFromLog(plan Plan, now time.Duration, era uint64) bool {
+func (c *Current) AdoptFromLog(plan Plan, era uint64) bool {
 	if plan.Version.Era() >= era {
-		return c.Adopt(plan, now)
+		return c.Adopt(plan)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -113,14 +107,13 @@
 		return false
 	}
 	c.copied = true
-	c.replace(plan, now)
+	c.replace(plan)
 	return true
 }
 
-// Adopt adopts a plan that was read at the given time, and reports whether it did: if its version is
-// higher than the known one, or the known one is copied. The caller must not change the plan
+// Adopt adopts a plan, and reports whether it did: if its version is higher than the known one, or the known one is copied. The caller must not change the plan
 // afterwards.
-func (c *Current) Adopt(plan Plan, now time.Duration) bool {
+func (c *Current) Adopt(plan Plan) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if plan.Version <= c.plan.Version && !c.copied {
@@ -131,24 +124,17 @@
 		c.plan.Leader = Host{}
 	}
 	c.copied = false
-	c.replace(plan, now)
+	c.replace(plan)
 	return true
 }
 
 // replace replaces the plan. The caller holds the lock.
-func (c *Current) replace(plan Plan, now time.Duration) {
+func (c *Current) replace(plan Plan) {
 	if first := c.plan.Version == 0; first || !plan.Leader.SameIncarnation(c.plan.Leader) {
 		c.term = Term{Since: plan.Version, First: first}
 	}
 	c.plan = plan.WithRankings(c.plan)
-	switch {
-	case plan.Version.Era() < c.era:
-		c.writtenAfter = 0
-	case c.readFailed:
-		c.writtenAfter = c.readAt
-	default:
-		c.writtenAfter = now
-	}
+	c.prompt = !c.readFailed && plan.Version.Era() >= c.era
 	close(c.changed)
 	c.changed = make(chan struct{})
 }
@@ -169,7 +155,6 @@
 func (c *Current) Verify(at time.Duration, era uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.readAt = max(c.readAt, at)
 	c.era = max(c.era, era)
 	c.readFailed = false
 	if c.plan.Version.Era() >= era {
--- a/internal/assign/plan.go
+++ b/internal/assign/plan.go
@@ -16,9 +16,11 @@
 package assign
 
 import (
+	"math"
 	"reflect"
 	"slices"
 
+	"github.com/poplarcroft/poplarcroft/internal/continuity"
 	"github.com/poplarcroft/poplarcroft/internal/keyrange"
 )
 
@@ -26,6 +28,9 @@
 // is lower than one that it has seen for the key.
 type Fence uint64
 
+// MaxFence is above the fencing tokens of all plans.
+const MaxFence = Fence(math.MaxUint64)
+
 // fenceOffsetBits is the number of bits of a fencing token that hold the offset.
 const fenceOffsetBits = 32
 
@@ -77,6 +82,19 @@
 	// Retired is set if the incarnation may no longer renew grants, since it sends no reports or another one has registered.
 	// It stays listed until it is known to have ended, or must have stopped renewing.
 	Retired bool `json:"retired,omitempty"`
+	// Connections is the number of the connection to a server that the host had opened last when it reported to the leader before this
+	// plan was written. So all connections up to that number are older than the plan. See package renew.
+	Connections continuity.Number `json:"connections,omitempty"`
+	// FillsConnections is set if the host's build, as the leader, fills in Connections.
+	FillsConnections bool `json:"fills_connections,omitempty"`
+}
+
+// SameHosts reports whether two plans list the same hosts. What they know of the hosts' connections does not count.
+func SameHosts(a, b []Host) bool {
+	return slices.EqualFunc(a, b, func(x, y Host) bool {
+		x.Connections, y.Connections = 0, 0
+		return x == y
+	})
 }
 
 // SameIncarnation reports whether both are the same incarnation of the same host.
@@ -219,6 +237,16 @@
 // renewersPerServer is the number of hosts that renew the grants of one server.
 const renewersPerServer = 3
 
+// ConnectionsOf returns the number of the newest connection of a host that is known to be older than the plan, or false if the
+// plan's leader, of an older build, does not tell such numbers.
+func (p Plan) ConnectionsOf(host Host) (continuity.Number, bool) {
+	i := slices.IndexFunc(p.Hosts, host.SameIncarnation)
+	if i < 0 {
+		return 0, p.Leader.FillsConnections
+	}
+	return p.Hosts[i].Connections, p.Leader.FillsConnections
+}
+
 // ShouldRenew reports whether the host is one of the Renewers of the assignment's grant.
 func (p Plan) ShouldRenew(host Host, a Assignment) bool {
 	return p.RenewedBy(host)(a)
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -13,6 +13,7 @@
 	"github.com/poplarcroft/poplarcroft/internal/assign"
 	"github.com/poplarcroft/poplarcroft/internal/clock"
 	"github.com/poplarcroft/poplarcroft/internal/content"
+	"github.com/poplarcroft/poplarcroft/internal/continuity"
 	"github.com/poplarcroft/poplarcroft/internal/eventlog"
 	"github.com/poplarcroft/poplarcroft/internal/fleet"
 	"github.com/poplarcroft/poplarcroft/internal/front"
@@ -106,6 +107,7 @@
 	state           *state
 	servers         *servers
 	operatorRecords *operatorRecords
+	connections     *continuity.Connections
 	renewer         *renew.Renewer
 	leader          *leader.Leader
 	ingress         *front.Ingress
@@ -138,6 +140,7 @@
 		Weight: config.Weight, KnownOrder: assign.OrderByWeight,
 	}
 	h.current = assign.NewCurrent()
+	h.connections = continuity.New()
 	h.fleet = fleet.New(fleet.Options{Zone: config.Zone, Target: h.target})
 	h.peers = &peers{pool: peer.NewPool(peer.DialFunc(config.DialHost))}
 	// Large values have connections of their own, so that other calls do not wait behind them.
@@ -157,7 +160,10 @@
 	h.evidence = newEvidenceSharing(h.self, h.guard, h.current.Plan, h.state, h.peers, log)
 	h.guard.Observe(h.logEvidence)
 	h.state.onEvidence = h.evidence.read
-	h.servers = newServers(platform, h.fleet, clock.Monotonic, log, wakeLeader)
+	h.servers = newServers(platform, h.fleet, clock.Monotonic, log, func() {
+		h.renewer.Wake()
+		wakeLeader()
+	})
 	h.servers.onEnded = func(entry fleet.Entry) { h.guard.ServerCrashed(front.GuardServer(entry), poison.Discovery) }
 	h.servers.onContact = func(inContact bool) { h.guard.SetBlind(!inContact) }
 	h.operatorRecords = newOperatorRecords(platform, clock.Monotonic, log, func() {
@@ -173,7 +179,10 @@
 		known: func() bool { return h.operatorRecords.Table() != nil && h.seenServers.Load() },
 		clock: clock.Monotonic, log: log,
 	}
-	h.renewer = renew.New(h.self, h.current, platform.Granter(), config.Timing, clock.Monotonic, log)
+	h.renewer = renew.New(renew.Config{
+		Self: h.self, Current: h.current, Granter: platform.Granter(), Timing: config.Timing, Connections: h.connections,
+		Candidates: h.keyedServers, Clock: clock.Monotonic, Log: log,
+	})
 	h.reach = newReachSharing(h.self, h.current.Plan, h.peers, clock.Monotonic, log)
 	h.reach.monitor = reach.New(reach.Config{
 		Zone: config.Zone, Dial: config.DialServer, Servers: func() []reach.Server { return reachableServers(h.fleet) },
@@ -241,22 +250,43 @@
 	return max(h.current.Plan().HostCount(), 1)
 }
 
+// keyedServers returns the servers that may be granted keys.
+func (h *Host) keyedServers() []assign.Server {
+	table := h.operatorRecords.Table()
+	if table == nil {
+		return nil
+	}
+	var servers []assign.Server
+	for name, service := range table.Services {
+		if !service.Keyed {
+			continue
+		}
+		for _, server := range h.fleet.Servers(name) {
+			if !server.Leaving() {
+				servers = append(servers, assign.ServerOf(server.Entry()))
+			}
+		}
+	}
+	return servers
+}
+
 // target returns a new set of connections to the server at an address.
 func (h *Host) target(addr string) *transport.Target {
 	return transport.NewTarget(addr, transport.Options{
 		Dial:            h.reach.monitor.DialContext,
-		Connections:     h.connections(),
+		Connections:     h.connectionLimit(),
 		FreshFor:        freshFor,
 		IdleTimeout:     idleTimeout,
 		RequestIDHeader: h.config.Headers.RequestID,
 		RequireID:       true,
 		Undelimited:     true,
+		Numbers:         h.connections,
 	})
 }
 
-// connections returns this host's share of the connections that a server accepts. It uses the lowest
+// connectionLimit returns this host's share of the connections that a server accepts. It uses the lowest
 // limit of all services.
-func (h *Host) connections() int {
+func (h *Host) connectionLimit() int {
 	table := h.operatorRecords.Table()
 	if table == nil {
 		return defaultConnections
@@ -286,7 +316,7 @@
 	var loops sync.WaitGroup
 	for _, run := range []func(context.Context){
 		h.followOperatorRecords, h.followState, h.followServers, h.relay.Run, h.renewer.Run,
-		h.leader.RunElection, h.leader.Run, h.reportLoad, h.evidence.run, h.configSharing.run, h.catchUp.run,
+		h.leader.RunElection, h.leader.Run, h.reportLoad, h.reportConnections, h.evidence.run, h.configSharing.run, h.catchUp.run,
 		h.reach.monitor.Run, h.reach.run, h.shares.run, h.shares.reportUsage, h.pools.Run,
 	} {
 		loops.Go(func() { run(running) })
--- a/internal/edge/listen.go
+++ b/internal/edge/listen.go
@@ -118,7 +118,7 @@
 	err := json.NewEncoder(w).Encode(map[string]any{
 		"door": h.ingress.Counters.Snapshot(), "leads": h.leader.IsLeader(), "leader": h.leader.Metrics(), "plan": uint64(h.current.Plan().Version),
 		"admission":   map[string]any{"counts": h.admissionCounters.Snapshot(), "pools": h.pools.Snapshot()},
-		"body_memory": h.ingress.BodyMemory(), "relay": h.relay.Counters.Snapshot(), "topics": h.relay.Topics(), "log_lines_dropped": h.log.Dropped(),
+		"body_memory": h.ingress.BodyMemory(), "relay": h.relay.Counters.Snapshot(), "grants": h.renewer.Counts(), "topics": h.relay.Topics(), "log_lines_dropped": h.log.Dropped(),
 		"servers": h.ingress.Learner.Snapshot(), "shares": h.shares.snapshot(),
 		"configuration": h.operatorRecords.progress.metrics(), "contents": h.contents.Store.Counters.Snapshot(),
 		"answer_faults": answer.Counts(), "registrations_replaced": h.state.registrationsReplaced.Load(),
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -10,6 +10,7 @@
 	"github.com/poplarcroft/poplarcroft/internal/assign"
 	"github.com/poplarcroft/poplarcroft/internal/concurrency"
 	"github.com/poplarcroft/poplarcroft/internal/content"
+	"github.com/poplarcroft/poplarcroft/internal/continuity"
 	"github.com/poplarcroft/poplarcroft/internal/eventlog"
 	"github.com/poplarcroft/poplarcroft/internal/fleet"
 	"github.com/poplarcroft/poplarcroft/internal/front"
@@ -76,13 +77,15 @@
 	// send them.
 	Incarnation string
 	Plan        assign.Fence
-	// Announcement says that the host has just started and reports nothing else yet. A leader of a build that does not know
-	// the field takes the message for a report.
+	// Announcement says that the message tells no loads, since the host has just started or reports only its connections. A leader of a
+	// build that does not know the field takes the message for a report.
 	Announcement bool
+	// Connections is the number of the newest connection to a server that the host has opened. Builds up to 2aff23a do not send it.
+	Connections continuity.Number
 	// Rates holds the request rate of each key, by service, of the requests that the host itself
 	// sends to servers.
 	Rates map[string]map[keyrange.Key]keyrange.CentiRate
-	// Lost holds the grants that the host no longer renews because their servers don't answer.
+	// Lost holds the grants that the host can't renew any more. A leader of a build up to 2aff23a does not read them in announcements.
 	Lost []renew.Lost
 	// Slowness holds, by ID, the slowness in hundredths of the servers of which the host has
 	// recent samples.
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -78,12 +78,6 @@
 		s.current.NoteReadFailure()
 		return err
 	}
-	arrivedAt := s.clock()
-	if change.Age.Relayed {
-		// A relay's answer may have been delayed in transit. The relay can't have received the
-		// request before started, so the ages that it reports count from there.
-		arrivedAt = started - change.Age.Arrived
-	}
 	if change.Snapshot {
 		// A snapshot does not tell when its records were written.
 		s.current.NoteReadFailure()
@@ -93,7 +87,7 @@
 		s.log.Event("restored", "topic", "state", "era", follower.Next().Era.Number(), "plan", uint64(s.current.Plan().Version))
 	}
 	for _, record := range change.Records {
-		s.apply(record, arrivedAt, follower.Next().Era)
+		s.apply(record, follower.Next().Era)
 	}
 	s.readRegistrations = len(change.Records) > 0 && !slices.ContainsFunc(change.Records, func(record follow.Record) bool {
 		return !registry.IsKey(record.Key)
@@ -111,12 +105,11 @@
 	return nil
 }
 
-// apply applies one record, read in the given era. arrivedAt is the earliest time at which the record
-// can have been written, apart from the latency of a read.
-func (s *state) apply(record follow.Record, arrivedAt time.Duration, era follow.Era) {
+// apply applies one record, read in the given era.
+func (s *state) apply(record follow.Record, era follow.Era) {
 	switch {
 	case record.Key == planKey:
-		s.applyPlan(record, arrivedAt, era)
+		s.applyPlan(record, era)
 	case registry.IsKey(record.Key):
 		s.applyHost(record, era)
 	case strings.HasPrefix(record.Key, evidencePrefix):
@@ -128,13 +121,13 @@
 }
 
 // applyPlan adopts a plan if it is newer than the current one.
-func (s *state) applyPlan(record follow.Record, arrivedAt time.Duration, era follow.Era) {
+func (s *state) applyPlan(record follow.Record, era follow.Era) {
 	plan, err := decodePlan(record)
 	if err != nil {
 		s.log.Event("plan", "offset", record.Offset, "outcome", "rejected", "err", err.Error())
 		return
 	}
-	if s.current.AdoptFromLog(plan, arrivedAt, era.Number()) {
+	if s.current.AdoptFromLog(plan, era.Number()) {
 		s.log.Event("plan", "version", uint64(plan.Version), "leader", plan.Leader.Name, "hosts", len(plan.Hosts), "outcome", "adopted",
 			"copied", plan.Version.Era() < era.Number())
 	}
--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -65,9 +65,6 @@
 	RenewInterval time.Duration
 	// CallTimeout is the time after which a host abandons a grant call and resets its connection.
 	CallTimeout time.Duration
-	// MaxServerSilence is how long after a server's last answer a host goes on renewing a grant.
-	// It is shorter than a restart of a server, whose new incarnation must not get an old grant.
-	MaxServerSilence time.Duration
 	// MaxPlanAge is how long a host goes on renewing after it last verified that its plan is the newest.
 	MaxPlanAge time.Duration
 }
@@ -75,11 +72,10 @@
 // DefaultTiming returns the times used in production.
 func DefaultTiming() Timing {
 	return Timing{
-		TTL:              4 * time.Second,
-		RenewInterval:    800 * time.Millisecond,
-		CallTimeout:      400 * time.Millisecond,
-		MaxServerSilence: 1500 * time.Millisecond,
-		MaxPlanAge:       12 * time.Second,
+		TTL:           4 * time.Second,
+		RenewInterval: 800 * time.Millisecond,
+		CallTimeout:   400 * time.Millisecond,
+		MaxPlanAge:    12 * time.Second,
 	}
 }
 
--- a/internal/leader/incarnations.go
+++ b/internal/leader/incarnations.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/poplarcroft/poplarcroft/internal/assign"
+	"github.com/poplarcroft/poplarcroft/internal/continuity"
 )
 
 // hostID identifies an incarnation of a host.
@@ -68,6 +69,8 @@
 	at time.Duration
 	// plan is the newest plan after whose write the incarnation is known to have run.
 	plan assign.Fence
+	// connections is the number of the newest connection to a server that the incarnation has reported.
+	connections continuity.Number
 }
 
 // ending says by which incarnation an address was taken, and when this host learned of it.
@@ -89,7 +92,16 @@
 
 // ranAt records that an incarnation has shown at the given time that it ran after the write of a plan.
 func (in *incarnations) ranAt(id hostID, now time.Duration, plan assign.Fence) {
-	in.seen[id] = sighting{at: now, plan: max(in.seen[id].plan, plan)}
+	known := in.seen[id]
+	known.at, known.plan = now, max(known.plan, plan)
+	in.seen[id] = known
+}
+
+// connected records the number of the newest connection to a server that an incarnation has opened.
+func (in *incarnations) connected(id hostID, newest continuity.Number) {
+	known := in.seen[id]
+	known.connections = max(known.connections, newest)
+	in.seen[id] = known
 }
 
 // addressTaken records that a call to a listed incarnation was answered by another one.
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -17,7 +17,7 @@
 
 import (
 	"context"
-	"math"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -112,8 +112,8 @@
 	// initialAssignmentDelay is how long a new leader waits for servers to register before it assigns
 	// the keys of a service for the first time.
 	initialAssignmentDelay = 1500 * time.Millisecond
-	// regrantInterval is the least time between two regrants for servers that do not answer.
-	regrantInterval = time.Second
+	// regrantInterval is the least time between two rounds of regrants for hosts that can't renew their grants any more.
+	regrantInterval = 500 * time.Millisecond
 	// writeTimeout bounds one write of the plan.
 	writeTimeout = 700 * time.Millisecond
 )
@@ -146,9 +146,9 @@
 	rebalancedAt time.Duration
 	// admittedAt is when the last plan that lists new hosts was written, or zero.
 	admittedAt time.Duration
-	// regrantedAt is when a range was last regranted because its server did not answer.
+	// regrantedAt is when a range was last regranted because a host could not renew its grant any more.
 	regrantedAt time.Duration
-	// lost holds the grants that a host has stopped renewing because their server does not answer.
+	// lost holds the grants that a host can't renew any more.
 	lost map[renew.Lost]bool
 	// speeds holds the speeds of servers. It outlasts a term: a speed belongs to the incarnation of the server.
 	speeds speeds
@@ -306,7 +306,7 @@
 		}
 		l.duties.written(l.Clock() - requested)
 		l.logChanges(plan, written)
-		l.Current.Adopt(written, l.Clock())
+		l.Current.Adopt(written)
 		plan = written
 	}
 	l.startReleases(plan)
@@ -322,7 +322,9 @@
 	changed := !plan.Leader.SameIncarnation(l.Self) || plan.Version.Era() < version.Era()
 	next.Leader = l.Self
 	next.Leader.Led = true
+	next.Leader.FillsConnections = true
 	next.Hosts = l.nextHosts(plan.Hosts, version, changed || l.mayAdmit(now), now)
+	l.fillConnections(next.Hosts)
 	next.Order = assign.OrderFor(next.Hosts)
 	ranked := next.WithRankings(plan)
 	regrantAll := changed
@@ -330,8 +332,10 @@
 		next.Orders = offset
 		changed = true
 	}
-	changed = changed || !slices.Equal(next.Hosts, plan.Hosts) || next.Order != plan.Order
+	changed = changed || !assign.SameHosts(next.Hosts, plan.Hosts) || next.Order != plan.Order
 	rebalance := now-l.rebalancedAt >= rebalanceInterval
+	l.forgetLost(plan)
+	regrantLost := now-l.regrantedAt >= regrantInterval
 	for name, service := range table.Services {
 		if !service.Keyed {
 			continue
@@ -340,7 +344,7 @@
 			continue
 		}
 		snapshot := l.snapshot(name, now)
-		snapshot.Regrant = l.rangesToRegrant(name, plan, ranked, regrantAll, now)
+		snapshot.Regrant = l.rangesToRegrant(name, plan, ranked, regrantAll, regrantLost)
 		snapshot.Rebalance = rebalance
 		assignments, updated := assign.Reconcile(plan.Services[name], snapshot, version)
 		if !updated {
@@ -355,30 +359,39 @@
 	return next, changed
 }
 
+// fillConnections fills in what the hosts have reported of their connections to servers. The caller holds the lock.
+func (l *Leader) fillConnections(hosts []assign.Host) {
+	for i := range hosts {
+		hosts[i].Connections = max(hosts[i].Connections, l.incarnations.seen[idOf(hosts[i])].connections)
+	}
+}
+
+// forgetLost forgets the lost grants that the plan no longer contains. The caller holds the lock.
+func (l *Leader) forgetLost(plan assign.Plan) {
+	maps.DeleteFunc(l.lost, func(id renew.Lost, _ bool) bool {
+		a, found := plan.Lookup(id.Service, id.First)
+		return !found || a.Phase != assign.Held || a.Fence != id.Fence
+	})
+}
+
 // rangesToRegrant returns the first keys of the ranges that need a new fencing token: all ranges if
 // the leader is new or the log has been restored, the ranges of servers in zones with a new host (a host renews no grants older
-// than itself), the ranges that get another renewer (a host renews no grant whose server it has not heard from since it was
-// issued), and the ranges whose server has stopped answering a renewer.
-func (l *Leader) rangesToRegrant(service string, plan, next assign.Plan, all bool, now time.Duration) map[keyrange.Key]bool {
+// than itself), the ranges that get another renewer, and, if lost is set, the ranges whose grant a host can't renew any more.
+func (l *Leader) rangesToRegrant(service string, plan, next assign.Plan, all, lost bool) map[keyrange.Key]bool {
 	zonesWithNewHosts := make(map[string]bool)
 	for _, host := range next.Hosts {
 		if host.Since > plan.Version {
 			zonesWithNewHosts[host.Zone] = true
 		}
 	}
-	hostsChanged := !slices.Equal(next.Hosts, plan.Hosts) || next.Order != plan.Order
-	retry := now-l.regrantedAt >= regrantInterval
-	if retry {
-		// Grants that are still lost will be reported again.
-		defer clear(l.lost)
-	}
+	hostsChanged := !assign.SameHosts(next.Hosts, plan.Hosts) || next.Order != plan.Order
 	keys := make(map[keyrange.Key]bool)
 	for _, a := range plan.Services[service] {
-		lost := retry && a.Phase == assign.Held && l.lost[renew.Lost{Service: service, First: a.First, Fence: a.Fence}]
-		if lost {
-			l.regrantedAt = now
+		isLost := lost && a.Phase == assign.Held && l.lost[renew.Lost{Service: service, First: a.First, Fence: a.Fence}]
+		if isLost {
+			l.regrantedAt = l.Clock()
 		}
-		if all || lost || zonesWithNewHosts[a.Server.Zone] || hostsChanged && getsRenewer(plan, next, a) {
+		if all || isLost || zonesWithNewHosts[a.Server.Zone] || hostsChanged && getsRenewer(plan, next, a) {
 			keys[a.First] = true
 		}
 	}
@@ -389,13 +402,10 @@
 // next plan issues a new one: a host renews no grant that is older than itself.
 func getsRenewer(plan, next assign.Plan, a assign.Assignment) bool {
 	before := plan.Renewers(a)
-	a.Fence = newestFence
+	a.Fence = assign.MaxFence
 	return slices.ContainsFunc(next.Renewers(a), func(host assign.Host) bool { return !slices.ContainsFunc(before, host.SameIncarnation) })
 }
 
-// newestFence is above the fencing tokens of all plans.
-const newestFence = assign.Fence(math.MaxUint64)
-
 // logChanges logs each assignment that changed with the new plan, and a change of the hosts.
 func (l *Leader) logChanges(before, after assign.Plan) {
 	for service, assignments := range after.Services {
@@ -407,7 +417,7 @@
 				"server", a.Server.ID, "zone", a.Server.Zone, "fence", uint64(a.Fence), "next", a.Next, "handover", a.Handover != "")
 		}
 	}
-	if !slices.Equal(before.Hosts, after.Hosts) || before.Order != after.Order {
+	if !assign.SameHosts(before.Hosts, after.Hosts) || before.Order != after.Order {
 		l.noteHostChanges(before, after)
 		l.Log.Event("hosts", "plan", uint64(after.Version), "hosts", len(after.Hosts), "order", string(after.Order))
 	}
--- a/internal/leader/reports.go
+++ b/internal/leader/reports.go
@@ -5,6 +5,7 @@
 
 	"github.com/poplarcroft/poplarcroft/internal/assign"
 	"github.com/poplarcroft/poplarcroft/internal/concurrency"
+	"github.com/poplarcroft/poplarcroft/internal/continuity"
 	"github.com/poplarcroft/poplarcroft/internal/keyrange"
 	"github.com/poplarcroft/poplarcroft/internal/renew"
 )
@@ -44,32 +45,41 @@
 	Incarnation string
 	// Plan is the version of the plan that the host acted by when it sent the report.
 	Plan assign.Fence
+	// Connections is the number of the newest connection to a server that the host has opened. It is zero if the host's build does
+	// not send it.
+	Connections continuity.Number
 }
 
-// Report stores the report of a host, and the grants that the host has stopped renewing because
-// their server does not answer. To a host that is cut off no server answers, so its grants are not lost. A report that
+// Report stores the report of a host, and the grants that the host can't renew any more. A report that
 // arrives after its sender has ended is dropped.
 func (l *Leader) Report(from Reporter, report Report, lost []renew.Lost) {
+	if !l.Heard(from, lost) {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reports[from.Name] = timedReport{Report: report, at: l.Clock()}
+	l.speeds.add(report.Speeds, l.Clock())
+}
+
+// Heard records that a host runs, its connections, and the grants that it can't renew any more. Its last report stays in use. It returns
+// false if the host is known to have ended. What a host that is cut off can't renew is not lost: no server answers it.
+func (l *Leader) Heard(from Reporter, lost []renew.Lost) bool {
 	if l.CutOff(from.Name) {
 		lost = nil
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.heard(from) {
-		return
+		return false
 	}
 	for _, id := range lost {
 		l.lost[id] = true
 	}
-	l.reports[from.Name] = timedReport{Report: report, at: l.Clock()}
-	l.speeds.add(report.Speeds, l.Clock())
-}
-
-// Heard records that a host runs. Its last report stays in use.
-func (l *Leader) Heard(from Reporter) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.heard(from)
+	if len(lost) > 0 {
+		l.Wake()
+	}
+	return true
 }
 
 // heard records that the sender of a report runs. It returns false if the sender has ended. The caller holds the lock.
@@ -80,6 +90,7 @@
 		return false
 	}
 	l.incarnations.ranAt(id, l.Clock(), from.Plan)
+	l.incarnations.connected(id, from.Connections)
 	return true
 }
 
--- a/internal/renew/renew.go
+++ b/internal/renew/renew.go
@@ -6,10 +6,14 @@
 // recently that this plan is the newest. The leader relies on these rules when it waits for a
 // grant to expire.
 //
-// If a server does not answer for too long, the host stops renewing the grant, logs event
-// "grant" with outcome "contact lost" and returns the grant from Lost; the leader then issues a
-// new one. If a server refuses a grant because it has seen a higher fencing token, the host does
-// not send that grant again.
+// A grant is meant for one incarnation of its server, the one that runs when the plan that issues the grant is written: a
+// later one knows nothing of newer grants and releases, and would take it. So a host sends a grant only over a connection
+// that leads to that incarnation or to none: one that is older than the plan, which tells how many connections the host had
+// opened before it was written, or one that package continuity links to such a connection. If the present connection is newer,
+// the host sends nothing and returns the grant from Lost; the leader then issues a new one. How long a server takes to
+// restart, and under which ID, does not matter.
+//
+// If a server refuses a grant because it has seen a higher fencing token, the host does not send that grant again.
 package renew
 
 import (
@@ -20,6 +24,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/poplarcroft/poplarcroft/internal/assign"
+	"github.com/poplarcroft/poplarcroft/internal/continuity"
 	"github.com/poplarcroft/poplarcroft/internal/eventlog"
 	"github.com/poplarcroft/poplarcroft/internal/grants"
 	"github.com/poplarcroft/poplarcroft/internal/keyrange"
@@ -27,39 +32,54 @@
 )
 
 const (
-	// retryInterval is the time between two attempts to send a grant that has not been answered.
+	// retryInterval is the time between two attempts to send a grant that has not been answered, or to open a connection.
 	retryInterval = 150 * time.Millisecond
+	// linkDelay is how long a new connection may still be linked to an earlier one by answers to callers' requests before its
+	// grants count as lost, and linkInterval how often that is checked.
+	linkDelay    = 100 * time.Millisecond
+	linkInterval = 25 * time.Millisecond
 	// staleCallPollInterval is the polling interval of AwaitStaleCalls.
 	staleCallPollInterval = 10 * time.Millisecond
 	// maxCallsInFlight bounds the number of grant calls in flight.
 	maxCallsInFlight = 32
 )
 
-// Lost identifies a grant that a host has stopped renewing because its server does not answer.
+// Lost identifies a grant that a host can't renew any more, since its connection to the server is newer than the plan that issued
+// the grant.
 type Lost struct {
 	Service string
 	First   keyrange.Key
 	Fence   assign.Fence
 }
 
+// Config holds the dependencies of a Renewer.
+type Config struct {
+	Self    assign.Host
+	Current *assign.Current
+	Granter grants.Granter
+	Timing  grants.Timing
+	// Connections numbers the host's connections to servers.
+	Connections *continuity.Connections
+	// Candidates returns the servers that may be granted keys. The host keeps connections to those that it would renew for, so
+	// that they are older than the plan that grants them keys.
+	Candidates func() []assign.Server
+	// Clock is the host's monotonic clock.
+	Clock func() time.Duration
+	Log   *eventlog.Log
+}
+
 // Renewer sends and renews the grants that the plan assigns to one host. It is safe for concurrent use.
 type Renewer struct {
-	self    assign.Host
-	current *assign.Current
-	granter grants.Granter
-	timing  grants.Timing
-	clock   func() time.Duration
-	log     *eventlog.Log
+	Config
 	// callSlots is a semaphore that limits the grant calls in flight.
 	callSlots chan struct{}
-	// wake holds a value if a call, a connection or an attempt to open one has ended since the last round.
+	// wake holds a value if a call, a connection or an attempt to open one has ended since the last round, or the candidates have
+	// changed.
 	wake chan struct{}
+	// news holds a value if a connection has been opened or a grant has been lost since it was last received.
+	news chan struct{}
 
 	mu sync.Mutex
-	// links holds the link to each server whose grants this host renews, by address. opened is the number of connections opened
-	// so far.
-	links  map[string]*link
-	opened uint64
 	// tracked has an entry for each grant in the plan, also for those that other hosts renew, and
 	// for each grant with a call in flight.
 	tracked map[grantID]*grantState
@@ -67,6 +87,13 @@
 	// this host renews by that plan.
 	planned <-chan struct{}
 	mine    []ownGrant
+	// older holds what is known of the connections that are older than the plans that issued the tracked grants.
+	older olderConnections
+	// links holds the link to each server whose grants this host renews, or would renew, by address.
+	links map[string]*link
+	// linkedAt is when the links were last chosen, or zero if they have to be chosen anew.
+	linkedAt time.Duration
+	counts   Counts
 }
 
 // ownGrant is a grant that this host renews.
@@ -87,25 +114,23 @@
 type grantState struct {
 	// calling is set while a call is in flight.
 	calling bool
-	// issuedAfter is the earliest time at which the grant can have been issued; see
-	// assign.Current.WrittenAfter. sent and answered are the times of the last call and of the last
-	// successful answer, or zero.
-	issuedAfter, sent, answered time.Duration
+	// sent and answered are the times of the last call and of the last successful answer, or zero.
+	sent, answered time.Duration
 	// confirmed is set if the last call succeeded. fenced is set if the server has seen a higher fencing token.
 	confirmed, fenced bool
-	// lost is set if the server has not answered for so long that the grant must not be renewed
-	// any more under this fencing token.
+	// lost is set while the grant can't be renewed, since the connection to the server is newer than the plan that issued the grant.
 	lost bool
 	// carrier is the number of the connection that carried the last successful call.
-	carrier uint64
+	carrier continuity.Number
 }
 
-// New returns a Renewer for the host self. clock is the host's monotonic clock.
-func New(self assign.Host, current *assign.Current, granter grants.Granter, timing grants.Timing, clock func() time.Duration, log *eventlog.Log) *Renewer {
+// New returns a Renewer.
+func New(config Config) *Renewer {
 	return &Renewer{
-		self: self, current: current, granter: granter, timing: timing, clock: clock, log: log,
+		Config:    config,
 		callSlots: make(chan struct{}, maxCallsInFlight),
 		wake:      make(chan struct{}, 1),
+		news:      make(chan struct{}, 1),
 		links:     make(map[string]*link),
 		tracked:   make(map[grantID]*grantState),
 	}
@@ -117,8 +142,8 @@
 	defer timer.Stop()
 	defer r.closeLinks()
 	for {
-		plan, changed := r.current.Watch()
-		next := r.renewAll(ctx, plan, changed, r.current.WrittenAfter())
+		plan, changed := r.Current.Watch()
+		next := r.renewAll(ctx, plan, changed)
 		timer.Reset(next)
 		select {
 		case <-ctx.Done():
@@ -130,31 +155,44 @@
 	}
 }
 
-// Lost returns the grants that this host has stopped renewing because their servers do not answer.
+// Wake makes the Renewer look for new candidates soon.
+func (r *Renewer) Wake() {
+	r.mu.Lock()
+	r.linkedAt = 0
+	r.mu.Unlock()
+	r.wakeUp()
+}
+
+// News returns a channel that holds a value if a connection has been opened, or a grant has been lost, since it was last received.
+// The leader has to be told soon.
+func (r *Renewer) News() <-chan struct{} { return r.news }
+
+// Lost returns the grants that this host can't renew any more.
 func (r *Renewer) Lost() []Lost {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var lost []Lost
-	for id, s := range r.tracked {
-		if s.lost {
-			lost = append(lost, Lost{Service: id.service, First: id.keys.First, Fence: id.fence})
+	for _, own := range r.mine {
+		if own.state.lost {
+			lost = append(lost, Lost{Service: own.id.service, First: own.id.keys.First, Fence: own.id.fence})
 		}
 	}
 	return lost
 }
 
 // renewAll starts the calls that are due and returns the time until the next one. changed is closed when the
-// plan is replaced. planWrittenAfter is the earliest time at which the plan, and so a grant that is new in it,
-// can have been written.
-func (r *Renewer) renewAll(ctx context.Context, plan assign.Plan, changed <-chan struct{}, planWrittenAfter time.Duration) time.Duration {
+// plan is replaced.
+func (r *Renewer) renewAll(ctx context.Context, plan assign.Plan, changed <-chan struct{}) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.trackOnce(plan, changed, planWrittenAfter)
-	now := r.clock()
-	next := min(r.timing.RenewInterval, r.keepLinks(ctx, now))
+	now := r.Clock()
+	r.trackOnce(plan, changed)
+	if r.linkedAt == 0 || now-r.linkedAt >= r.Timing.RenewInterval {
+		r.chooseLinks(plan, now)
+	}
+	next := min(r.Timing.RenewInterval, r.openLinks(ctx, now))
 	for _, own := range r.mine {
-		r.checkServerSilence(own.id, own.state, own.assignment, now)
-		wait := r.untilDue(own.state, now)
+		wait := r.untilDue(own, now)
 		if wait > 0 {
 			next = min(next, wait)
 			continue
@@ -166,27 +204,28 @@
 
 // Track finds the grants that this host renews by the present plan, which Run does for each plan.
 func (r *Renewer) Track() {
-	plan, changed := r.current.Watch()
+	plan, changed := r.Current.Watch()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.trackOnce(plan, changed, r.current.WrittenAfter())
+	r.trackOnce(plan, changed)
 }
 
 // trackOnce calls track unless it was called for the plan before. The caller holds the lock.
-func (r *Renewer) trackOnce(plan assign.Plan, changed <-chan struct{}, planWrittenAfter time.Duration) {
+func (r *Renewer) trackOnce(plan assign.Plan, changed <-chan struct{}) {
 	if r.planned == changed {
 		return
 	}
 	r.planned = changed
-	r.track(plan, planWrittenAfter)
+	r.track(plan)
+	r.linkedAt = 0
 }
 
 // track updates tracked and mine for a new plan. The caller holds the lock.
-func (r *Renewer) track(plan assign.Plan, planWrittenAfter time.Duration) {
+func (r *Renewer) track(plan assign.Plan) {
+	r.older.add(plan, r.Self, r.Connections.Newest(), r.Current.Prompt())
 	tracked := make(map[grantID]*grantState, len(r.tracked))
 	r.mine = nil
-	servers := make(map[string]assign.Server)
-	renewed := plan.RenewedBy(r.self)
+	renewed := plan.RenewedBy(r.Self)
 	for service, assignments := range plan.Services {
 		for _, a := range assignments {
 			if a.Phase != assign.Held {
@@ -195,12 +234,11 @@
 			id := grantID{service, a.Range, a.Fence}
 			s := r.tracked[id]
 			if s == nil {
-				s = &grantState{issuedAfter: planWrittenAfter}
+				s = &grantState{}
 			}
 			tracked[id] = s
 			if renewed(a) {
 				r.mine = append(r.mine, ownGrant{id, s, a})
-				servers[a.Server.Addr] = a.Server
 			}
 		}
 	}
@@ -210,31 +248,44 @@
 		}
 	}
 	r.tracked = tracked
-	r.setLinks(servers)
 }
 
-// checkServerSilence marks a grant as lost if its server has not answered this host for too long. If
-// the server has never answered, the time counts from when the grant may have been issued.
-func (r *Renewer) checkServerSilence(id grantID, s *grantState, a assign.Assignment, now time.Duration) {
-	if s.lost || now-max(s.answered, s.issuedAfter) <= r.timing.MaxServerSilence {
-		return
+// untilDue returns the time until the next call for the grant is due. A grant that is due waits until its link can carry a call.
+func (r *Renewer) untilDue(own ownGrant, now time.Duration) time.Duration {
+	s := own.state
+	wait := s.sent + retryInterval - now
+	switch {
+	case s.fenced, s.calling:
+		return r.Timing.RenewInterval
+	case s.sent == 0:
+		wait = 0
+	case s.answered >= s.sent:
+		wait = s.sent + r.Timing.RenewInterval - now
 	}
-	s.lost = true
-	r.log.Event("grant", "service", id.service, "keys", id.keys.String(), "server", a.Server.ID,
-		"fence", uint64(id.fence), "outcome", "contact lost", "ms", (now - max(s.answered, s.issuedAfter)).Milliseconds())
+	return max(wait, r.untilLinked(own, now))
 }
 
-// untilDue returns the time until the next call for the grant is due.
-func (r *Renewer) untilDue(s *grantState, now time.Duration) time.Duration {
-	switch {
-	case s.fenced, s.calling, s.lost:
-		return r.timing.RenewInterval
-	case s.sent == 0:
+// untilLinked returns the time after which the grant may be sent over the present connection, or, if it may not be, the time
+// until that is checked again. A grant for which that takes too long is lost. The caller holds the lock.
+func (r *Renewer) untilLinked(own ownGrant, now time.Duration) time.Duration {
+	s, l := own.state, r.links[own.assignment.Server.Addr]
+	if l.conn == nil || r.mayCarry(l, own.id.fence) {
+		s.lost = false
 		return 0
-	case s.answered >= s.sent:
-		return s.sent + r.timing.RenewInterval - now
 	}
-	return s.sent + retryInterval - now
+	if now-l.openedAt >= linkDelay && !s.lost {
+		s.lost = true
+		r.counts.Lost++
+		r.logGrant(own, 0, l.number, "lost", "older", uint64(r.older.than(own.id.fence)))
+		r.notify()
+	}
+	return linkInterval
+}
+
+// mayCarry reports whether the link's connection leads to the incarnation for which grants with the fencing token are meant, or to
+// none. The caller holds the lock.
+func (r *Renewer) mayCarry(l *link, fence assign.Fence) bool {
+	return r.Connections.Reaches(l.server.Addr, l.number, r.older.than(fence))
 }
 
 // startCall starts a call if the server's link is idle and fewer than the maximum are in flight. Otherwise the grant stays due.
@@ -250,12 +301,12 @@
 	}
 	l.calling = true
 	own.state.calling = true
-	own.state.sent = r.clock()
+	own.state.sent = r.Clock()
 	go r.call(ctx, version, own, l, l.conn, l.number)
 }
 
 // call sends one grant over a connection and records the result.
-func (r *Renewer) call(ctx context.Context, version assign.Fence, own ownGrant, l *link, conn grants.Conn, number uint64) {
+func (r *Renewer) call(ctx context.Context, version assign.Fence, own ownGrant, l *link, conn grants.Conn, number continuity.Number) {
 	defer r.wakeUp()
 	defer func() { <-r.callSlots }()
 	err := r.send(ctx, conn, own.id, own.assignment)
@@ -264,12 +315,15 @@
 	l.calling = false
 	s := own.state
 	s.calling = false
-	now := r.clock()
+	now := r.Clock()
 	switch {
 	case err == nil:
 		if !s.confirmed || s.carrier != number {
 			r.logGrant(own, version, number, "granted", "ms", (now - s.sent).Milliseconds())
 		}
+		if s.carrier != number && number > r.older.than(own.id.fence) {
+			r.counts.Linked++
+		}
 		s.answered = now
 		s.confirmed = true
 		s.carrier = number
@@ -277,6 +331,9 @@
 		s.fenced = true
 		r.logGrant(own, version, number, "failed", "err", err.Error())
 	default:
+		if !errors.IsAny(err, grants.ErrRefused, errMayNotRenew) {
+			r.noteEnd(l, conn)
+		}
 		if s.confirmed || s.answered == 0 {
 			r.logGrant(own, version, number, "failed", "err", err.Error())
 		}
@@ -286,10 +343,10 @@
 
 // logGrant logs what has become of a call: which grant, for which incarnation of the server it is meant, and over which connection it
 // went.
-func (r *Renewer) logGrant(own ownGrant, version assign.Fence, number uint64, outcome string, fields ...any) {
+func (r *Renewer) logGrant(own ownGrant, version assign.Fence, number continuity.Number, outcome string, fields ...any) {
 	server := own.assignment.Server
-	r.log.Event("grant", append([]any{"service", own.id.service, "keys", own.id.keys.String(), "server", server.ID, "born", server.Born,
-		"fence", uint64(own.id.fence), "plan", uint64(version), "conn", number, "outcome", outcome}, fields...)...)
+	r.Log.Event("grant", append([]any{"service", own.id.service, "keys", own.id.keys.String(), "server", server.ID, "born", server.Born,
+		"fence", uint64(own.id.fence), "plan", uint64(version), "conn", uint64(number), "outcome", outcome}, fields...)...)
 }
 
 // errMayNotRenew reports that the host may not renew the grant any more: the plan has changed since
@@ -298,18 +355,18 @@
 
 // send calls the server, after it has checked again that the newest plan allows it.
 func (r *Renewer) send(ctx context.Context, conn grants.Conn, id grantID, a assign.Assignment) error {
-	plan := r.current.Plan()
+	plan := r.Current.Plan()
 	assignment, found := plan.Lookup(id.service, id.keys.First)
-	if !found || assignment.Fence != id.fence || !plan.ShouldRenew(r.self, assignment) {
+	if !found || assignment.Fence != id.fence || !plan.ShouldRenew(r.Self, assignment) {
 		return errMayNotRenew
 	}
-	if r.clock()-r.current.VerifiedAt() > r.timing.MaxPlanAge {
+	if r.Clock()-r.Current.VerifiedAt() > r.Timing.MaxPlanAge {
 		return errors.Wrap(errMayNotRenew, "the plan was not verified recently")
 	}
-	ctx, cancel := context.WithTimeout(ctx, r.timing.CallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, r.Timing.CallTimeout)
 	defer cancel()
 	return conn.Grant(ctx, a.Server, grants.Grant{
-		Range: id.keys, Fence: id.fence, TTL: r.timing.TTL, Handover: a.Handover,
+		Range: id.keys, Fence: id.fence, TTL: r.Timing.TTL, Handover: a.Handover,
 	})
 }
 
@@ -327,7 +384,7 @@
 
 // staleCalls reports whether a call is in flight for a grant that the present plan does not contain.
 func (r *Renewer) staleCalls() bool {
-	plan := r.current.Plan()
+	plan := r.Current.Plan()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for id, s := range r.tracked {
--- a/internal/transport/attempt.go
+++ b/internal/transport/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/poplarcroft/poplarcroft/internal/answer"
+	"github.com/poplarcroft/poplarcroft/internal/continuity"
 )
 
 // attempt tracks one round trip: the connections that the HTTP library took for it, and
@@ -24,6 +25,8 @@
 	freshFor   time.Duration
 	// requestID is the ID of the request, or empty.
 	requestID string
+	// newest is the number of the newest connection to any server before the request was sent.
+	newest continuity.Number
 
 	// unidentified says that the answer has no request ID although the target requires one.
 	unidentified bool
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/poplarcroft/poplarcroft/internal/continuity"
 )
 
 // errWritesBlocked reports a write on a connection whose writes are blocked.
@@ -18,6 +20,8 @@
 // so that "not written" stays true. Over HTTP/1.1 one request at a time uses a connection.
 type trackedConn struct {
 	net.Conn
+	// number is the number of the connection.
+	number continuity.Number
 	clock  func() time.Duration
 	closed func(*trackedConn)
 	once   sync.Once
--- a/internal/transport/target.go
+++ b/internal/transport/target.go
@@ -19,6 +19,7 @@
 	"github.com/poplarcroft/poplarcroft/internal/backend"
 	"github.com/poplarcroft/poplarcroft/internal/bounded"
 	"github.com/poplarcroft/poplarcroft/internal/clock"
+	"github.com/poplarcroft/poplarcroft/internal/continuity"
 )
 
 // Default options.
@@ -83,6 +84,8 @@
 	// a second copy of that one's answer. On a new connection it is the answer of whoever accepted the connection. A
 	// request is not sent on a connection that has carried one with its ID: a retry has the ID of the first attempt.
 	RequireID bool
+	// Numbers numbers the connections and takes notice of the answers that they carry; nil stands for none.
+	Numbers *continuity.Connections
 	// Undelimited accepts answers without a length, which end with their connection. See package answer for when
 	// such an answer is whole.
 	Undelimited bool
@@ -103,6 +106,7 @@
 	requestIDHeader string
 	requireID       bool
 	undelimited     bool
+	numbers         *continuity.Connections
 
 	mu sync.Mutex
 	// conns holds the open connections.
@@ -132,6 +136,7 @@
 		requestIDHeader: cmp.Or(options.RequestIDHeader, backend.HeaderRequestID),
 		requireID:       options.RequireID,
 		undelimited:     options.Undelimited,
+		numbers:         cmp.Or(options.Numbers, continuity.New()),
 		conns:           make(map[*trackedConn]struct{}),
 	}
 	t.http = t.newTransport(options)
@@ -218,6 +223,7 @@
 func (t *Target) sendOnce(ctx context.Context, req Request, target *url.URL) (result Result, reused bool) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	a := &attempt{
+		newest: t.numbers.Newest(),
 		target: t, cancel: cancel, needsFresh: !req.Idempotent, freshFor: t.freshFor,
 		requestID: req.Header.Get(t.requestIDHeader), rule: req.Silence,
 	}
@@ -248,6 +254,7 @@
 	if err != nil {
 		return t.failedAttempt(ctx, a, resp, err), a.reused
 	}
+	t.noteAnswer(a, resp)
 	resp.Body = &answerBody{body: resp.Body, attempt: a, response: resp}
 	return Result{Sent: Answered, Response: resp}, a.reused
 }
@@ -300,10 +307,20 @@
 		return nil, err
 	}
 	tracked := track(answer.NewConn(conn), t.clock, t.connClosed)
+	tracked.number = t.numbers.Opened()
 	t.addConn(tracked)
 	return tracked, nil
 }
 
+// noteAnswer records that the server still ran when the request was sent, if the answer is certainly to that request: it has the request's ID,
+// which an earlier request on the connection did not have.
+func (t *Target) noteAnswer(a *attempt, resp *http.Response) {
+	if a.requestID == "" || resp.Header.Get(t.requestIDHeader) != a.requestID {
+		return
+	}
+	t.numbers.Answered(t.addr, a.conns[len(a.conns)-1].number, a.newest)
+}
+
 // checkHeader rejects an answer whose end could not be recognised or that belongs to
 // another request.
 func (t *Target) checkHeader(a *attempt, req Request, resp *http.Response) error {
