--- a/internal/assign/plan.go
+++ b/internal/assign/plan.go
@@ -9,8 +9,7 @@
 // higher than all earlier ones, also after the log has been restored from an older copy.
 //
 // Safety: a range moves from one server to another only through the phase Releasing, in which
-// no host renews it. It leaves this phase only with a Proof that the former owner no longer
-// holds it, or when the owner's address has been taken over by a server of another service.
+// no host renews it. It leaves this phase only with a Proof that the former owner no longer holds it.
 // Ending the phase early would give a key two owners. Renewing one grant from several hosts is
 // harmless.
 package assign
--- a/internal/assign/reconcile.go
+++ b/internal/assign/reconcile.go
@@ -21,11 +21,9 @@
 
 // Proof shows that the former owner of a releasing range no longer holds it. It exists if
 //   - the server has acknowledged a release with the present fencing token; from then on it
-//     refuses all earlier grants, also those still in flight; or
+//     refuses all earlier grants, also those still in flight;
+//   - the server has ended, since one of another service answers at its address; or
 //   - every host that may have renewed the grant has stopped, and the last grant has expired.
-//
-// A range whose server's address has been taken over by a server of another service needs no
-// proof; see Snapshot.ReusedAddrs.
 type Proof struct {
 	Fence    Fence
 	Handover string
@@ -40,9 +38,9 @@
 	NewestByID map[string]Server
 	// NewestByAddr holds the newest known incarnation of the service's servers at each address.
 	NewestByAddr map[string]Server
-	// ReusedAddrs holds the addresses whose newest server belongs to another service, with the
-	// start time of that server in Unix milliseconds.
-	ReusedAddrs map[string]int64
+	// TakenAddrs holds the addresses whose newest server belongs to another service, with the
+	// start time of that server in Unix milliseconds. That the former server has ended is likely, and not proved.
+	TakenAddrs map[string]int64
 	// Regrant holds the first keys of ranges that stay with their server but need a new fencing token.
 	Regrant map[keyrange.Key]bool
 	// Proofs holds the proofs for releasing ranges, by their first key.
@@ -93,7 +91,7 @@
 	for _, c := range rc.snapshot.Candidates {
 		_, replaced := rc.newerIncarnation(c.Server)
 		switch {
-		case replaced || rc.addressReused(c.Server):
+		case replaced || rc.addrTaken(c.Server):
 		case c.Cold:
 			cold = append(cold, c)
 		default:
@@ -148,8 +146,7 @@
 }
 
 // advancePhases advances the phase of each range: it starts the release of ranges whose servers should
-// no longer hold them, and frees ranges that have a Proof or whose server's address now belongs to a
-// server of another service.
+// no longer hold them, and frees ranges that have a Proof.
 func (rc *reconciler) advancePhases() {
 	for i := range rc.next {
 		a := &rc.next[i]
@@ -165,8 +162,8 @@
 func (rc *reconciler) advanceHeld(a *Assignment) {
 	incarnation, restarted := rc.newerIncarnation(a.Server)
 	switch {
-	case rc.addressReused(a.Server):
-		rc.markFree(a, "")
+	case rc.addrTaken(a.Server):
+		rc.startRelease(a, "")
 	case restarted && rc.isCandidate(incarnation.ID):
 		a.Server = incarnation
 		a.Handover = ""
@@ -183,18 +180,14 @@
 }
 
 func (rc *reconciler) advanceReleasing(a *Assignment) {
-	if rc.addressReused(a.Server) {
-		rc.markFree(a, "")
-		return
-	}
 	if proof, ok := rc.snapshot.Proofs[a.First]; ok && proof.Fence == a.Fence {
 		rc.markFree(a, proof.Handover)
 	}
 }
 
-// addressReused reports whether a server of another service has started later at the server's address.
-func (rc *reconciler) addressReused(server Server) bool {
-	return rc.snapshot.ReusedAddrs[server.Addr] > server.Born
+// addrTaken reports whether a server of another service has registered at the server's address later.
+func (rc *reconciler) addrTaken(server Server) bool {
+	return rc.snapshot.TakenAddrs[server.Addr] > server.Born
 }
 
 // newerIncarnation returns the incarnation that has replaced a server at its address, under the same ID
@@ -208,11 +201,8 @@
 	return Server{}, false
 }
 
-// markFree marks a range as free. A range that was held goes back to its former server if possible.
+// markFree marks a range as free.
 func (rc *reconciler) markFree(a *Assignment, handover string) {
-	if a.Phase == Held && a.Next == "" {
-		a.Next = a.Server.ID
-	}
 	a.Phase = Free
 	a.Handover = handover
 	a.Fence = rc.fence
--- a/internal/assign/states_test.go
+++ b/internal/assign/states_test.go
@@ -45,9 +45,9 @@
 func drawSnapshot(t *rapid.T, servers []Candidate) Snapshot {
 	snapshot := testSnapshot(nil)
 	snapshot.NewestByAddr = make(map[string]Server)
-	snapshot.ReusedAddrs = make(map[string]int64)
+	snapshot.TakenAddrs = make(map[string]int64)
 	for _, server := range servers {
-		fate := rapid.SampledFrom([]string{"receives", "receives", "drains", "gone", "restarted", "replaced", "reused"}).Draw(t, "fate")
+		fate := rapid.SampledFrom([]string{"receives", "receives", "drains", "gone", "restarted", "replaced", "address taken"}).Draw(t, "fate")
 		if fate == "gone" {
 			continue
 		}
@@ -65,9 +65,9 @@
 			snapshot.NewestByID[successor.ID] = successor.Server
 			snapshot.NewestByAddr[successor.Addr] = successor.Server
 			snapshot.Candidates = append(snapshot.Candidates, successor)
-		case "reused":
+		case "address taken":
 			delete(snapshot.NewestByAddr, server.Addr)
-			snapshot.ReusedAddrs[server.Addr] = server.Born + 1
+			snapshot.TakenAddrs[server.Addr] = server.Born + 1
 		}
 		server.Cold = rapid.Bool().Draw(t, "cold")
 		if fate != "drains" {
@@ -104,8 +104,7 @@
 			continue
 		}
 		proof, proved := snapshot.Proofs[a.First]
-		reused := snapshot.ReusedAddrs[a.Server.Addr] > a.Server.Born
-		assert.Assert(t, reused || proved && proof.Fence == a.Fence, "%v went from %s to %s", a.Range, a.Server.ID, after.Server.ID)
+		assert.Assert(t, proved && proof.Fence == a.Fence, "%v went from %s to %s", a.Range, a.Server.ID, after.Server.ID)
 	}
 }
 
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -185,7 +185,7 @@
 	})
 	h.reach = newReachSharing(h.self, h.current.Plan, h.peers, clock.Monotonic, log)
 	h.reach.monitor = reach.New(reach.Config{
-		Zone: config.Zone, Dial: config.DialServer, Servers: func() []reach.Server { return reachableServers(h.fleet) },
+		Zone: config.Zone, Dial: config.DialServer, Servers: func() []reach.Server { return reachableServers(h.fleet, h.operatorRecords.Table()) },
 		OnChange: h.reach.wake, Clock: clock.Monotonic, Log: log,
 	})
 	h.leader = leader.New(leader.Config{
--- a/internal/edge/reach.go
+++ b/internal/edge/reach.go
@@ -9,6 +9,7 @@
 	"github.com/poplarcroft/poplarcroft/internal/eventlog"
 	"github.com/poplarcroft/poplarcroft/internal/fleet"
 	"github.com/poplarcroft/poplarcroft/internal/reach"
+	"github.com/poplarcroft/poplarcroft/internal/routetable"
 )
 
 const (
@@ -59,10 +60,14 @@
 	}
 }
 
-// reachableServers returns all servers of a fleet.
-func reachableServers(f *fleet.Fleet) []reach.Server {
+// reachableServers returns the servers of the services that the configuration names. Entries of other services may be another
+// writer's, and nobody need listen at their addresses.
+func reachableServers(f *fleet.Fleet, table *routetable.Table) []reach.Server {
+	if table == nil {
+		return nil
+	}
 	var servers []reach.Server
-	for _, service := range f.Services() {
+	for service := range table.Services {
 		for _, server := range f.Servers(service) {
 			entry := server.Entry()
 			servers = append(servers, reach.Server{Addr: entry.Addr, Zone: entry.Zone})
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -225,14 +225,13 @@
 	return restored && entry.Born <= ended.Born || entry.Born == ended.Born && entry.Sequence < ended.Sequence
 }
 
-// reportEnded calls onEnded for the incarnations that a new entry proves to have ended: an older
-// one with the same ID, and any older one at the same address.
+// reportEnded calls onEnded for the incarnations that a new entry shows to have ended.
 func (s *servers) reportEnded(key string, entry fleet.Entry) {
 	if known, ok := s.entries[key]; ok && known.SameIncarnation(entry) {
 		return
 	}
 	for _, known := range s.entries {
-		if (known.ID == entry.ID || known.Addr == entry.Addr) && known.Born < entry.Born {
+		if entry.Succeeds(known) {
 			s.onEnded(known)
 		}
 	}
--- a/internal/edge/servers_test.go
+++ b/internal/edge/servers_test.go
@@ -80,6 +80,38 @@
 	assert.DeepEqual(t, ended, []fleet.ID{"a"})
 }
 
+// TestEntryOfAnotherServiceEndsNoServer guards against an entry of another writer that is taken for the end of the live server at its address:
+// requests in flight there became suspects (review, case 11).
+func TestEntryOfAnotherServiceEndsNoServer(t *testing.T) {
+	entries := []fleet.Entry{
+		{ID: "a", Service: "revize", Addr: "10.0.0.1:80", Born: 1},
+		{ID: "x", Service: "sonda", Addr: "10.0.0.1:80", Born: 2},
+		{ID: "b", Service: "revize", Addr: "10.0.0.1:80", Born: 3},
+	}
+	s, _ := newTestServers()
+	s.platform = entriesPlatform{entries: entries}
+	var ended []fleet.ID
+	s.onEnded = func(entry fleet.Entry) { ended = append(ended, entry.ID) }
+	for i := range entries {
+		s.apply(follow.Change{Records: []follow.Record{{Key: string(entries[i].ID), Value: []byte{byte(i)}}}}, time.Second)
+		if i == 1 {
+			assert.Equal(t, len(ended), 0)
+		}
+	}
+	assert.DeepEqual(t, ended, []fleet.ID{"a"})
+}
+
+// entriesPlatform is a platform on which a record of the service discovery is the index of its entry.
+type entriesPlatform struct {
+	Platform
+	entries []fleet.Entry
+}
+
+// DecodeServer implements Platform.
+func (p entriesPlatform) DecodeServer(record follow.Record) (fleet.Entry, error) {
+	return p.entries[record.Value[0]], nil
+}
+
 // entry returns a record of the service discovery. The value is the start time and the sequence
 // number, one byte each, and "d" for a server that drains.
 func entry(key, value string) follow.Record {
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -42,6 +42,15 @@
 	return e.ID == other.ID && e.Born == other.Born && e.Addr == other.Addr && e.Service == other.Service
 }
 
+// Succeeds reports whether the entry shows that the server of a former one has ended: it is of a later incarnation of the same
+// server, or of a later server of the same service at its address. An entry of another service shows nothing, whatever its
+// address: it may be another writer's, and which services there are is known only by the configuration, which changes.
+func (e Entry) Succeeds(former Entry) bool {
+	sameServer := e.ID == former.ID
+	sameAddr := e.Addr == former.Addr && e.Service == former.Service
+	return (sameServer || sameAddr) && e.Born > former.Born
+}
+
 // LoadReport is the load that a server reports with an answer, in numbers of requests.
 type LoadReport struct {
 	Running, Waiting int
--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -22,8 +22,8 @@
 // for one of the keys.
 var ErrFenced = errors.New("grants: the server has seen a higher fence for one of the keys")
 
-// ErrRefused reports that the server has answered a grant, but has not taken it.
-var ErrRefused = errors.New("grants: the server refuses the grant")
+// ErrRefused reports that the server has answered a grant or a release, but has not taken it.
+var ErrRefused = errors.New("grants: the server refuses the call")
 
 // Grant is a lease on a key range.
 type Grant struct {
@@ -41,7 +41,8 @@
 	// Connect opens a connection for grants to the server at an address.
 	Connect(ctx context.Context, addr string) (Conn, error)
 	// Release makes the server accept no new requests for the keys. It returns the handover once
-	// the requests in progress have ended.
+	// the requests in progress have ended. The error is ErrRefused if whoever answers at the address knows no releases: a server
+	// that owns keys refuses none.
 	Release(ctx context.Context, server assign.Server, keys keyrange.Range, fence assign.Fence) (handover string, err error)
 }
 
--- a/internal/leader/incarnations_test.go
+++ b/internal/leader/incarnations_test.go
@@ -22,6 +22,7 @@
 	*Leader
 	now        time.Duration
 	registered []assign.Host
+	table      *routetable.Table
 	plan       assign.Plan
 }
 
@@ -32,7 +33,7 @@
 
 // newPlanner returns a leader, a/1, of the registered hosts.
 func newPlanner(registered ...assign.Host) *planner {
-	p := &planner{registered: registered, now: time.Hour}
+	p := &planner{registered: registered, now: time.Hour, table: routetable.New(routetable.Config{})}
 	p.Leader = New(Config{
 		Self: incarnationOf("a", "1"), Current: assign.NewCurrent(), Hosts: func() []assign.Host { return p.registered },
 		CutOff: func(string) bool { return false }, Fleet: fleet.New(fleet.Options{}), Timing: grants.DefaultTiming(),
@@ -45,7 +46,7 @@
 func (p *planner) step(after time.Duration) bool {
 	p.now += after
 	version := p.plan.Version + 1
-	next, changed := p.nextPlan(p.plan, routetable.New(routetable.Config{}), version)
+	next, changed := p.nextPlan(p.plan, p.table, version)
 	if !changed {
 		return false
 	}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -343,7 +343,7 @@
 		if len(plan.Services[name]) == 0 && now-l.leaderSince < initialAssignmentDelay {
 			continue
 		}
-		snapshot := l.snapshot(name, now)
+		snapshot := l.snapshot(name, table, now)
 		snapshot.Regrant = l.rangesToRegrant(name, plan, ranked, regrantAll, regrantLost)
 		snapshot.Rebalance = rebalance
 		assignments, updated := assign.Reconcile(plan.Services[name], snapshot, version)
--- a/internal/leader/release.go
+++ b/internal/leader/release.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/poplarcroft/poplarcroft/internal/assign"
+	"github.com/poplarcroft/poplarcroft/internal/grants"
 	"github.com/poplarcroft/poplarcroft/internal/keyrange"
 	"github.com/poplarcroft/poplarcroft/internal/loop"
 )
@@ -83,9 +84,14 @@
 	}()
 	for ctx.Err() == nil {
 		handover, err := l.requestRelease(ctx, id, a)
-		if err == nil {
+		switch {
+		case err == nil:
 			l.recordProof(id, a, assign.Proof{Fence: a.Fence, Handover: handover}, "released")
 			return
+		case errors.Is(err, grants.ErrRefused) && l.addrTaken(id.service, a.Server):
+			// Servers that own keys refuse no release, so the one at the address is that of the other service.
+			l.recordProof(id, a, assign.Proof{Fence: a.Fence}, "address taken")
+			return
 		}
 		if ctx.Err() == nil {
 			l.Log.Event("release", "service", id.service, "keys", a.Range.String(), "server", a.Server.ID,
--- a/internal/leader/speeds_test.go
+++ b/internal/leader/speeds_test.go
@@ -11,6 +11,7 @@
 	"github.com/poplarcroft/poplarcroft/internal/assign"
 	"github.com/poplarcroft/poplarcroft/internal/concurrency"
 	"github.com/poplarcroft/poplarcroft/internal/fleet"
+	"github.com/poplarcroft/poplarcroft/internal/routetable"
 	"github.com/poplarcroft/poplarcroft/internal/transport"
 )
 
@@ -34,7 +35,7 @@
 // capacities returns the capacities by which keys are divided.
 func capacities(l *Leader, now time.Duration) []float64 {
 	var all []float64
-	for _, c := range l.snapshot("revize", now).Candidates {
+	for _, c := range l.snapshot("revize", routetable.New(routetable.Config{}), now).Candidates {
 		all = append(all, c.Capacity)
 	}
 	return all
