--- a/internal/leader/hosts_test.go
+++ b/internal/leader/hosts_test.go
@@ -78,9 +78,9 @@
 	}}
 	next := plan.Clone()
 	next.Hosts[0].CutOff, next.Hosts[1].Led = true, true
-	assert.Assert(t, New(Config{}).rangesToRegrant("revize", plan, next, false, false)[0])
+	assert.Assert(t, New(Config{}).rangesToRegrant("revize", plan, regrantRule{next: &next})[0])
 	next.Services["revize"][0].Fence = 10
-	assert.Equal(t, len(New(Config{}).rangesToRegrant("revize", next, next, false, false)), 0)
+	assert.Equal(t, len(New(Config{}).rangesToRegrant("revize", next, regrantRule{next: &next})), 0)
 	assert.Assert(t, next.ShouldRenew(next.Hosts[1], next.Services["revize"][0]))
 }
 
@@ -165,7 +165,7 @@
 	next := plan.Clone()
 	next.Order = assign.OrderByWeight
 	l := New(Config{})
-	regrant := l.rangesToRegrant("revize", plan, next, false, false)
+	regrant := l.rangesToRegrant("revize", plan, regrantRule{next: &next})
 	regranted := 0
 	for _, a := range plan.Services["revize"] {
 		news := false
@@ -178,5 +178,5 @@
 		}
 	}
 	assert.Assert(t, regranted > 0 && regranted <= servers)
-	assert.Equal(t, len(l.rangesToRegrant("revize", next, next, false, false)), 0)
+	assert.Equal(t, len(l.rangesToRegrant("revize", next, regrantRule{next: &next})), 0)
 }
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -327,15 +327,19 @@
 	l.fillConnections(next.Hosts)
 	next.Order = assign.OrderFor(next.Hosts)
 	ranked := next.WithRankings(plan)
-	regrantAll := changed
+	regrant := regrantRule{all: changed}
 	if offset := l.OperatorOffset(); offset > plan.Orders {
 		next.Orders = offset
 		changed = true
 	}
-	changed = changed || !assign.SameHosts(next.Hosts, plan.Hosts) || next.Order != plan.Order
+	hostsChanged := !assign.SameHosts(next.Hosts, plan.Hosts) || next.Order != plan.Order
+	changed = changed || hostsChanged
 	rebalance := now-l.rebalancedAt >= rebalanceInterval
 	l.forgetLost(plan)
-	regrantLost := now-l.regrantedAt >= regrantInterval
+	regrant.lost = now-l.regrantedAt >= regrantInterval
+	if hostsChanged {
+		regrant.next = &ranked
+	}
 	for name, service := range table.Services {
 		if !service.Keyed {
 			continue
@@ -344,7 +348,7 @@
 			continue
 		}
 		snapshot := l.snapshot(name, table, now)
-		snapshot.Regrant = l.rangesToRegrant(name, plan, ranked, regrantAll, regrantLost)
+		snapshot.Regrant = l.rangesToRegrant(name, plan, regrant)
 		snapshot.Rebalance = rebalance
 		assignments, updated := assign.Reconcile(plan.Services[name], snapshot, version)
 		if !updated {
@@ -374,24 +378,34 @@
 	})
 }
 
-// rangesToRegrant returns the first keys of the ranges that need a new fencing token: all ranges if
-// the leader is new or the log has been restored, the ranges of servers in zones with a new host (a host renews no grants older
-// than itself), the ranges that get another renewer, and, if lost is set, the ranges whose grant a host can't renew any more.
-func (l *Leader) rangesToRegrant(service string, plan, next assign.Plan, all, lost bool) map[keyrange.Key]bool {
+// regrantRule says which ranges of a plan need a new fencing token.
+type regrantRule struct {
+	// all is set if the leader is new or the log has been restored: all ranges do.
+	all bool
+	// next is the next plan if its hosts are others, or nil. Ranges of servers in zones with a new host (a host renews no grants older
+	// than itself) do, and ranges that get another renewer.
+	next *assign.Plan
+	// lost is set if the ranges do whose grant a host can't renew any more.
+	lost bool
+}
+
+// rangesToRegrant returns the first keys of the ranges of a service that need a new fencing token. The caller holds the lock.
+func (l *Leader) rangesToRegrant(service string, plan assign.Plan, rule regrantRule) map[keyrange.Key]bool {
 	zonesWithNewHosts := make(map[string]bool)
-	for _, host := range next.Hosts {
-		if host.Since > plan.Version {
-			zonesWithNewHosts[host.Zone] = true
+	if rule.next != nil {
+		for _, host := range rule.next.Hosts {
+			if host.Since > plan.Version {
+				zonesWithNewHosts[host.Zone] = true
+			}
 		}
 	}
-	hostsChanged := !assign.SameHosts(next.Hosts, plan.Hosts) || next.Order != plan.Order
 	keys := make(map[keyrange.Key]bool)
 	for _, a := range plan.Services[service] {
-		isLost := lost && a.Phase == assign.Held && l.lost[renew.Lost{Service: service, First: a.First, Fence: a.Fence}]
+		isLost := rule.lost && a.Phase == assign.Held && l.lost[renew.Lost{Service: service, First: a.First, Fence: a.Fence}]
 		if isLost {
 			l.regrantedAt = l.Clock()
 		}
-		if all || isLost || zonesWithNewHosts[a.Server.Zone] || hostsChanged && getsRenewer(plan, next, a) {
+		if rule.all || isLost || zonesWithNewHosts[a.Server.Zone] || rule.next != nil && getsRenewer(plan, *rule.next, a) {
 			keys[a.First] = true
 		}
 	}
