transport: connections are counted when a request is given its connection

Cause: they were counted before the request waited for a connection, so its answer linked fewer later connections than it could. Tests of transport pass.

--- a/internal/transport/attempt.go
+++ b/internal/transport/attempt.go
@@ -25,7 +25,7 @@
 	freshFor   time.Duration
 	// requestID is the ID of the request, or empty.
 	requestID string
-	// newest is the number of the newest connection to any server before the request was sent.
+	// newest is the number of the newest connection to any server before the request was written.
 	newest continuity.Number
 
 	// unidentified says that the answer has no request ID although the target requires one.
@@ -60,6 +60,7 @@
 	unusable := conn.hasUnexpectedBytes() || a.target.requireID && conn.hasCarried(a.requestID)
 	conn.beginRequest(a)
 	a.conns = append(a.conns, conn)
+	a.newest = a.target.numbers.Newest()
 	if unusable || a.needsFresh && a.stale(conn) {
 		conn.blockWrites()
 		return
--- a/internal/transport/target.go
+++ b/internal/transport/target.go
@@ -223,7 +223,6 @@
 func (t *Target) sendOnce(ctx context.Context, req Request, target *url.URL) (result Result, reused bool) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	a := &attempt{
-		newest: t.numbers.Newest(),
 		target: t, cancel: cancel, needsFresh: !req.Idempotent, freshFor: t.freshFor,
 		requestID: req.Header.Get(t.requestIDHeader), rule: req.Silence,
 	}
