--- a/internal/leader/one_owner_test.go
+++ b/internal/leader/one_owner_test.go
@@ -23,6 +23,18 @@
 	}
 }
 
+// checkDetected runs the simulation, in which a safety rule is disabled, with seeds from zero on, and checks that a violation is found in
+// one of the given number of runs.
+func checkDetected(t *testing.T, runs uint64, assumed grants.Timing, inject func(*simulation)) {
+	t.Helper()
+	for seed := range runs {
+		if violation, _ := simulate(t, seed, assumed, inject); violation != "" {
+			return
+		}
+	}
+	t.Fatalf("no violation found in %d runs although the rule is disabled", runs)
+}
+
 func TestOneOwnerUnderRandomFaults(t *testing.T) {
 	checkOneOwner(t, (*simulation).injectFault)
 }
@@ -42,9 +54,7 @@
 // nothing of connections.
 func TestOneOwnerBesideTheBuildBefore(t *testing.T) {
 	checkOneOwner(t, func(sim *simulation) {
-		sim.mu.Lock()
-		sim.leadersBefore = true
-		sim.mu.Unlock()
+		sim.set(func() { sim.leadersBefore = true })
 		sim.injectFaultOr(0.33, sim.injectUpgrade)
 	})
 }
@@ -69,12 +79,7 @@
 		t.Run(name, func(t *testing.T) {
 			assumed := grants.DefaultTiming()
 			change(&assumed)
-			for seed := range uint64(400) {
-				if violation, _ := simulate(t, seed, assumed, (*simulation).injectFault); violation != "" {
-					return
-				}
-			}
-			t.Fatal("no violation found in 400 runs although the rule is disabled")
+			checkDetected(t, 400, assumed, (*simulation).injectFault)
 		})
 	}
 }
@@ -82,37 +87,19 @@
 // TestSimulationDetectsNewerConnections checks that the simulation finds a violation if plans tell of more connections than the hosts had opened when
 // the plans were written, so that renewals go on over newer ones; otherwise TestOneOwnerAcrossQuickRestarts would prove nothing about the rule.
 func TestSimulationDetectsNewerConnections(t *testing.T) {
-	const runs = 100
-	for seed := range uint64(runs) {
-		violation, _ := simulate(t, seed, grants.DefaultTiming(), func(sim *simulation) {
-			sim.mu.Lock()
-			sim.overstated = 1000
-			sim.mu.Unlock()
-			sim.injectFaultOr(0.5, sim.injectQuickRestarts)
-		})
-		if violation != "" {
-			return
-		}
-	}
-	t.Fatalf("no violation found in %d runs although hosts renew over newer connections", runs)
+	checkDetected(t, 100, grants.DefaultTiming(), func(sim *simulation) {
+		sim.set(func() { sim.overstated = 1000 })
+		sim.injectFaultOr(0.5, sim.injectQuickRestarts)
+	})
 }
 
 // TestSimulationDetectsFalseEnds checks that the simulation finds a violation if the leader takes incarnations for ended that are out of
 // reach; otherwise TestOneOwnerAcrossLateRegistrations would prove nothing about the proof that an incarnation has ended.
 func TestSimulationDetectsFalseEnds(t *testing.T) {
-	const runs = 100
-	for seed := range uint64(runs) {
-		violation, _ := simulate(t, seed, grants.DefaultTiming(), func(sim *simulation) {
-			sim.mu.Lock()
-			sim.falseEnds = true
-			sim.mu.Unlock()
-			sim.injectFaultOr(0.5, sim.injectRestarts)
-		})
-		if violation != "" {
-			return
-		}
-	}
-	t.Fatalf("no violation found in %d runs although hosts out of reach count as ended", runs)
+	checkDetected(t, 100, grants.DefaultTiming(), func(sim *simulation) {
+		sim.set(func() { sim.falseEnds = true })
+		sim.injectFaultOr(0.5, sim.injectRestarts)
+	})
 }
 
 // TestOneOwnerAcrossLostMoves loses moves of keys with restores of the log, while hosts that know of them go on renewing.
@@ -124,17 +111,8 @@
 // the plan of the restored log; otherwise TestOneOwnerAcrossRestores and TestOneOwnerAcrossLostMoves would prove
 // nothing about it.
 func TestSimulationDetectsHiddenPlans(t *testing.T) {
-	const runs = 20
-	for seed := range uint64(runs) {
-		violation, _ := simulate(t, seed, grants.DefaultTiming(), func(sim *simulation) {
-			sim.mu.Lock()
-			sim.hidePlans = true
-			sim.mu.Unlock()
-			sim.loseMove()
-		})
-		if violation != "" {
-			return
-		}
-	}
-	t.Fatalf("no violation found in %d runs although hosts hide their plans", runs)
+	checkDetected(t, 20, grants.DefaultTiming(), func(sim *simulation) {
+		sim.set(func() { sim.hidePlans = true })
+		sim.loseMove()
+	})
 }
--- a/internal/leader/simulation_test.go
+++ b/internal/leader/simulation_test.go
@@ -135,6 +135,13 @@
 
 func (sim *simulation) now() time.Duration { return time.Since(sim.started) }
 
+// set changes the simulation's rules while it runs.
+func (sim *simulation) set(change func()) {
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
+	change()
+}
+
 func (sim *simulation) chance(p float64) bool { return sim.rng.Float64() < p }
 
 // connected reports whether a and b can reach each other.
