front: one read of an answer takes at most 256 KiB; tests of endless answers wait for no processor

Reproduced with 24 copies of the test at once under the race detector (load 100), on and on alike: 11 of 72 runs fail, always "503, server is unreachable". A line added on a scratch copy gave the reason for each of them: 28 of 28 "dial tcp: i/o timeout". The twelve endless senders and their readers hold the processors of the test for over a second, and opening a connection is bounded by one. The refusal is true, the request was not sent; the test is about answers, and meets none then.

--- a/internal/front/answer_memory.go
+++ b/internal/front/answer_memory.go
@@ -18,6 +18,9 @@
 	smallAnswerBytes = 1 << 20
 	// maxLargeBytes is the maximum number of further bytes of all answers that are read at the same time.
 	maxLargeBytes = 16 << 20
+	// maxReadBytes is the maximum size of one read of an answer whose length is not known to be small. Bytes are counted once
+	// they are read, so the bounds above are exceeded by one read of each answer at most.
+	maxReadBytes = 256 << 10
 )
 
 // answerMemory bounds the memory for answers that are being read. It is safe for concurrent use.
@@ -67,7 +70,7 @@
 
 // Read implements io.Reader.
 func (r *countedReader) Read(p []byte) (int, error) {
-	n, err := r.Reader.Read(p)
+	n, err := r.Reader.Read(p[:min(len(p), maxReadBytes)])
 	r.size += int64(n)
 	if !r.holds.Take(int64(n)) {
 		return n, errors.Wrapf(bounded.ErrTooLarge, "%d bytes, and the host has no memory for more", r.size)
--- a/internal/front/fixture_test.go
+++ b/internal/front/fixture_test.go
@@ -41,6 +41,10 @@
 // that a new connection is not refused when its request waits for a processor.
 const testFreshFor = time.Minute
 
+// testDialTimeout is how long the opening of a connection may take. It is long, so that a connection that waits for a
+// processor is not given up.
+const testDialTimeout = time.Minute
+
 // backendServer is a server whose answers a test sets. It writes raw bytes, so that it can
 // violate the HTTP protocol.
 type backendServer struct {
@@ -190,7 +194,7 @@
 	dial := s.dialCounted
 	s.fleet = fleet.New(fleet.Options{Zone: "zlin", RandIntN: func(int) int { return 0 }, Target: func(addr string) *transport.Target {
 		return transport.NewTarget(addr, transport.Options{
-			Dial: dial, Connections: testConnections, FreshFor: testFreshFor, RequestIDHeader: testHeaders.RequestID, RequireID: true, Undelimited: true,
+			Dial: dial, Connections: testConnections, FreshFor: testFreshFor, DialTimeout: testDialTimeout, RequestIDHeader: testHeaders.RequestID, RequireID: true, Undelimited: true,
 		})
 	}})
 	var entries []fleet.Entry
@@ -225,7 +229,7 @@
 	}))
 	s.ingress = New(Config{
 		Headers: testHeaders, Fleet: s.fleet, Current: s.current, Self: name,
-		Hosts: transport.NewPool(transport.Options{Dial: dial, Connections: testConnections, FreshFor: testFreshFor, RequestIDHeader: testHeaders.RequestID, RequireID: true}),
+		Hosts: transport.NewPool(transport.Options{Dial: dial, Connections: testConnections, FreshFor: testFreshFor, DialTimeout: testDialTimeout, RequestIDHeader: testHeaders.RequestID, RequireID: true}),
 		Guard: poison.NewGuard(poison.Bounds{CrashLimit: 3, SharedCrashLimit: 3, Retention: time.Minute}), Dial: dial,
 		Table: s.table.Load, ColdRateLimit: func(routetable.Service) float64 { return 10 },
 		OnFact: func(fleet.Entry, Fact) {}, Reach: s.reach,
@@ -265,7 +269,8 @@
 
 // dialCounted opens a connection that counts in s.read.
 func (s *system) dialCounted(ctx context.Context, network, addr string) (net.Conn, error) {
-	conn, err := transport.Dialer("")(ctx, network, addr)
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, network, addr)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/transport/dialer.go
+++ b/internal/transport/dialer.go
@@ -31,8 +31,8 @@
 )
 
 const (
-	// dialTimeout bounds the opening of a connection, the wait for the connection limit included.
-	dialTimeout = time.Second
+	// dialTimeout bounds the opening of a connection that no target waits for with a bound of its own.
+	dialTimeout = DefaultDialTimeout
 	// userTimeout is how long sent data may stay unacknowledged before the kernel ends the connection. It also
 	// decides when unanswered keep-alive probes end one: at the first probe that is due after that time, so an
 	// idle connection ends after keepAliveIdle + keepAliveInterval.
--- a/internal/transport/target.go
+++ b/internal/transport/target.go
@@ -26,6 +26,8 @@
 const (
 	// DefaultFreshFor is the default of Options.FreshFor.
 	DefaultFreshFor = 100 * time.Millisecond
+	// DefaultDialTimeout is the default of Options.DialTimeout.
+	DefaultDialTimeout = time.Second
 	// DefaultIdleTimeout is the default of Options.IdleTimeout.
 	DefaultIdleTimeout = 5 * time.Second
 )
@@ -64,7 +66,7 @@
 	return [...]string{"not-sent", "maybe-sent", "answered"}[s]
 }
 
-// Options of a target. A zero FreshFor or IdleTimeout stands for its default.
+// Options of a target. A zero FreshFor, DialTimeout or IdleTimeout stands for its default.
 type Options struct {
 	// Dial opens connections; see Dialer.
 	Dial DialFunc
@@ -73,6 +75,8 @@
 	// FreshFor is the longest time since a connection last delivered bytes at which it is
 	// still used for a non-idempotent request; a negative value always opens a new one.
 	FreshFor time.Duration
+	// DialTimeout bounds the opening of a connection, the wait for the connection limit included.
+	DialTimeout time.Duration
 	// IdleTimeout is how long an idle connection is kept.
 	IdleTimeout time.Duration
 	// Clock is a monotonic clock; nil stands for one that also runs while the machine is suspended.
@@ -93,12 +97,13 @@
 
 // Target is one server that requests are sent to. It is safe for concurrent use.
 type Target struct {
-	addr     string
-	freshFor time.Duration
-	clock    func() time.Duration
-	dial     DialFunc
-	limiter  *limiter
-	http     *http.Transport
+	addr        string
+	freshFor    time.Duration
+	dialTimeout time.Duration
+	clock       func() time.Duration
+	dial        DialFunc
+	limiter     *limiter
+	http        *http.Transport
 	// fresh sends the non-idempotent requests. They have connections of their own because
 	// they close those that are too old for them but still good for idempotent requests.
 	fresh *http.Transport
@@ -120,6 +125,9 @@
 	if options.FreshFor == 0 {
 		options.FreshFor = DefaultFreshFor
 	}
+	if options.DialTimeout == 0 {
+		options.DialTimeout = DefaultDialTimeout
+	}
 	if options.IdleTimeout == 0 {
 		options.IdleTimeout = DefaultIdleTimeout
 	}
@@ -127,11 +135,12 @@
 		options.Clock = clock.Monotonic
 	}
 	t := &Target{
-		addr:     addr,
-		freshFor: options.FreshFor,
-		clock:    options.Clock,
-		dial:     options.Dial,
-		limiter:  newLimiter(options.Connections),
+		addr:        addr,
+		freshFor:    options.FreshFor,
+		dialTimeout: options.DialTimeout,
+		clock:       options.Clock,
+		dial:        options.Dial,
+		limiter:     newLimiter(options.Connections),
 
 		requestIDHeader: cmp.Or(options.RequestIDHeader, backend.HeaderRequestID),
 		requireID:       options.RequireID,
@@ -292,7 +301,7 @@
 // dialTracked opens a connection within the connection limit. At the limit it closes the
 // idle connections first.
 func (t *Target) dialTracked(ctx context.Context, network, addr string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	ctx, cancel := context.WithTimeout(ctx, t.dialTimeout)
 	defer cancel()
 	if t.limiter.full() {
 		t.Close()
