--- a/internal/renew/call.go
+++ b/internal/renew/call.go
@@ -35,32 +35,44 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	l.calling = false
+	own.state.calling = false
+	if err == nil {
+		r.noteGranted(version, own, number)
+		return
+	}
+	r.noteFailed(version, own, number, err)
+	if !errors.IsAny(err, grants.ErrFenced, grants.ErrRefused, errMayNotRenew) {
+		r.noteEnd(l, conn)
+	}
+}
+
+// noteGranted records that a server has answered a grant. The caller holds the lock.
+func (r *Renewer) noteGranted(version assign.Fence, own ownGrant, number continuity.Number) {
 	s := own.state
-	s.calling = false
 	now := r.Clock()
-	switch {
-	case err == nil:
-		if !s.confirmed || s.carrier != number {
-			r.logGrant(own, version, number, "granted", "ms", (now - s.sent).Milliseconds())
-		}
-		if s.carrier != number && number > r.older.than(own.id.fence) {
-			r.counts.Linked++
-		}
-		s.answered = now
-		s.confirmed = true
-		s.carrier = number
-	case errors.Is(err, grants.ErrFenced):
+	if !s.confirmed || s.carrier != number {
+		r.logGrant(own, version, number, "granted", "ms", (now - s.sent).Milliseconds())
+	}
+	if s.carrier != number && number > r.older.than(own.id.fence) {
+		r.counts.Linked++
+	}
+	s.answered = now
+	s.confirmed = true
+	s.carrier = number
+}
+
+// noteFailed records that a grant was refused or not answered. The caller holds the lock.
+func (r *Renewer) noteFailed(version assign.Fence, own ownGrant, number continuity.Number, err error) {
+	s := own.state
+	if errors.Is(err, grants.ErrFenced) {
 		s.fenced = true
 		r.logGrant(own, version, number, "failed", "err", err.Error())
-	default:
-		if !errors.IsAny(err, grants.ErrRefused, errMayNotRenew) {
-			r.noteEnd(l, conn)
-		}
-		if s.confirmed || s.answered == 0 {
-			r.logGrant(own, version, number, "failed", "err", err.Error())
-		}
-		s.confirmed = false
+		return
+	}
+	if s.confirmed || s.answered == 0 {
+		r.logGrant(own, version, number, "failed", "err", err.Error())
 	}
+	s.confirmed = false
 }
 
 // logGrant logs what has become of a call: which grant, for which incarnation of the server it is meant, and over which connection it
--- a/internal/renew/renew.go
+++ b/internal/renew/renew.go
@@ -277,7 +277,7 @@
 	if now-l.openedAt >= linkDelay {
 		s.lost = true
 		r.counts.Lost++
-		r.logGrant(own, 0, l.number, "lost", "older", uint64(r.older.than(own.id.fence)))
+		r.logGrant(own, r.older.version, l.number, "lost", "older", uint64(r.older.than(own.id.fence)))
 		r.notify()
 	}
 	return linkInterval
