--- a/internal/assign/current.go
+++ b/internal/assign/current.go
@@ -95,8 +95,8 @@
 	return c.Adopt(plan)
 }
 
-// AdoptFromLog adopts a plan that was read in the era of the log with the given number, and reports whether it did. A plan of an older era is adopted only by a host that knows no
-// other, which routes requests by it and renews nothing.
+// AdoptFromLog adopts a plan that was read in the era of the log with the given number, and reports whether it did. A plan of
+// an older era is adopted only by a host that knows no other, which routes requests by it and renews nothing.
 func (c *Current) AdoptFromLog(plan Plan, era uint64) bool {
 	if plan.Version.Era() >= era {
 		return c.Adopt(plan)
@@ -111,8 +111,8 @@
 	return true
 }
 
-// Adopt adopts a plan, and reports whether it did: if its version is higher than the known one, or the known one is copied. The caller must not change the plan
-// afterwards.
+// Adopt adopts a plan, and reports whether it did: if its version is higher than the known one, or the known one is copied. The
+// caller must not change the plan afterwards.
 func (c *Current) Adopt(plan Plan) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/continuity/continuity.go
+++ b/internal/continuity/continuity.go
@@ -65,7 +65,8 @@
 	delete(c.spans, addr)
 }
 
-// Answered records that a connection has carried the answer to a request. sent is what Newest returned before the request was sent.
+// Answered records that a connection has carried the answer to a request. sent is what Newest returned before the request was
+// sent.
 func (c *Connections) Answered(addr string, conn, sent Number) {
 	if conn >= sent {
 		return
@@ -82,7 +83,8 @@
 	}
 }
 
-// Reaches reports whether a connection to an address leads to the same incarnation as those with numbers up to bound that still work, or to none.
+// Reaches reports whether a connection to an address leads to the same incarnation as those with numbers up to bound that still
+// work, or to none.
 func (c *Connections) Reaches(addr string, conn, bound Number) bool {
 	if conn <= bound {
 		return true
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -134,8 +134,8 @@
 }
 
 // decodePlan decodes and checks a plan. Each host decodes each plan, of some 200 bytes for each range of keys, so the
-// standard library's decoder would take a large part of a host's processor time while keys move. Its version follows from the era in which it was written and
-// the record's offset.
+// standard library's decoder would take a large part of a host's processor time while keys move. Its version follows from the era
+// in which it was written and the record's offset.
 func decodePlan(record follow.Record) (assign.Plan, error) {
 	var plan assign.Plan
 	if err := fastjson.Unmarshal(record.Value, &plan); err != nil {
--- a/internal/front/answer_memory.go
+++ b/internal/front/answer_memory.go
@@ -29,8 +29,8 @@
 	large atomic.Int64
 }
 
-// read reads a body of the given length, or of a negative one if it is not known, to its end. One that is too large, by itself or together with others, gives
-// bounded.ErrTooLarge.
+// read reads a body of the given length, or of a negative one if it is not known, to its end. One that is too large, by itself or
+// together with others, gives bounded.ErrTooLarge.
 // The bytes stay counted in holds.
 func (m *answerMemory) read(body io.Reader, length int64, holds *payload.Holding) ([]byte, error) {
 	if length >= 0 && length <= smallAnswerBytes {
